--- /dev/null
+++ b/apps/masticctl/src/masticctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of operators."""
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host."""
--- /dev/null
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -0,0 +1,177 @@
+"""The closed list of error kinds and the one table from kind to answer."""
+
+import dataclasses
+import enum
+
+
+class ErrorKind(enum.StrEnum):
+    """Everything that can go wrong, as a caller or operator sees it."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    CONFLICT = "conflict"
+    REQUEST_ID_REUSED = "request_id_reused"
+    OUT_OF_ORDER = "out_of_order"
+    PROGRAM_ENDED = "program_ended"
+    BUDGET_EXCEEDED = "budget_exceeded"
+    LIMIT_REACHED = "limit_reached"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CANCELLED = "cancelled"
+    NOT_OWNER = "not_owner"
+    PEER_UNAVAILABLE = "peer_unavailable"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    WRITE_UNKNOWN = "write_unknown"
+    STOPPING = "stopping"
+    INVALID_SETTINGS = "invalid_settings"
+    INTERNAL = "internal"
+
+
+class Ran(enum.StrEnum):
+    """Whether the refused request was run at an upstream."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """How one error kind is answered.
+
+    Attributes:
+        status: HTTP status code.
+        ran: Whether the request ran.
+        retry_after_ms: When sending again may help; None where it never does.
+        message: What is said to the caller.
+        exit_code: Exit code of a command that ends with this error.
+    """
+
+    status: int
+    ran: Ran
+    retry_after_ms: int | None
+    message: str
+    exit_code: int = 1
+
+
+ANSWER_BY_KIND: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(
+        400, Ran.NO, None, "The request is malformed.", 2
+    ),
+    ErrorKind.TOO_LARGE: Answer(
+        413, Ran.NO, None, "The request is larger than allowed.", 2
+    ),
+    ErrorKind.UNAUTHENTICATED: Answer(
+        401, Ran.NO, None, "The key is missing or unknown.", 3
+    ),
+    ErrorKind.FORBIDDEN: Answer(
+        403, Ran.NO, None, "The token's role does not allow this.", 3
+    ),
+    ErrorKind.NOT_FOUND: Answer(404, Ran.NO, None, "No such object.", 4),
+    ErrorKind.CONFLICT: Answer(
+        409, Ran.NO, None, "Another change came first.", 5
+    ),
+    ErrorKind.REQUEST_ID_REUSED: Answer(
+        409, Ran.NO, None, "The request id was used with other content."
+    ),
+    ErrorKind.OUT_OF_ORDER: Answer(
+        409, Ran.NO, 200, "An earlier call of the branch has not arrived."
+    ),
+    ErrorKind.PROGRAM_ENDED: Answer(
+        409, Ran.NO, None, "The program has ended."
+    ),
+    ErrorKind.BUDGET_EXCEEDED: Answer(
+        402, Ran.NO, None, "The program's budget does not cover the call."
+    ),
+    ErrorKind.LIMIT_REACHED: Answer(
+        429, Ran.NO, 1000, "The workspace's limit is reached."
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504, Ran.NO, None, "The deadline passed before the call was run."
+    ),
+    ErrorKind.OVERLOADED: Answer(
+        503, Ran.NO, 2000, "The queue is too long for this priority."
+    ),
+    ErrorKind.QUARANTINED: Answer(
+        422, Ran.NO, None, "The request crashed its replicas; it is given up."
+    ),
+    ErrorKind.NO_UPSTREAM: Answer(
+        503, Ran.NO, 2000, "No replica can serve the call now."
+    ),
+    ErrorKind.UPSTREAM_FAILED: Answer(
+        502, Ran.UNKNOWN, 1000, "The upstream failed while it ran the call."
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        502, Ran.UNKNOWN, None, "The call was sent; its outcome is unknown."
+    ),
+    ErrorKind.CANCELLED: Answer(
+        499, Ran.UNKNOWN, None, "The call was cancelled."
+    ),
+    ErrorKind.NOT_OWNER: Answer(
+        503, Ran.NO, 100, "The program is moving to another host."
+    ),
+    ErrorKind.PEER_UNAVAILABLE: Answer(
+        503, Ran.UNKNOWN, 500, "The owning host does not answer."
+    ),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(
+        503, Ran.NO, 2000, "The platform's service does not answer.", 6
+    ),
+    ErrorKind.WRITE_UNKNOWN: Answer(
+        503, Ran.UNKNOWN, 1000, "A write's answer was lost.", 6
+    ),
+    ErrorKind.STOPPING: Answer(503, Ran.NO, 200, "The host is stopping."),
+    ErrorKind.INVALID_SETTINGS: Answer(
+        400, Ran.NO, None, "The settings are invalid.", 2
+    ),
+    ErrorKind.INTERNAL: Answer(
+        500, Ran.UNKNOWN, None, "An internal error; see the log."
+    ),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """One failed operation: the error side of every ``Result``.
+
+    Attributes:
+        kind: The error kind.
+        detail: What was wrong and where, for the reader; no secrets.
+        retry_after_ms: Overrides the table's time to come back.
+        host: The host to ask instead, where one is known.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    retry_after_ms: int | None = None
+    host: str = ""
+
+    @property
+    def answer(self) -> Answer:
+        """The table's row for this kind."""
+        return ANSWER_BY_KIND[self.kind]
+
+    @property
+    def come_back_ms(self) -> int | None:
+        """When to send again: this failure's own time or the table's."""
+        if self.retry_after_ms is not None:
+            return self.retry_after_ms
+        return self.answer.retry_after_ms
+
+    def __str__(self) -> str:
+        text = self.answer.message
+        return f"{text} {self.detail}" if self.detail else text
+
+
+class MasticdaleError(Exception):
+    """A failure raised where no ``Result`` can carry it, such as at start."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(str(failure))
+        self.failure = failure
--- /dev/null
+++ b/libs/config/src/masticdale_config/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations, their rendering and the revision in force."""
--- /dev/null
+++ b/libs/peers/src/masticdale_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of hosts and the RPC between them."""
--- /dev/null
+++ b/libs/platform/src/masticdale_platform/testing.py
@@ -0,0 +1,156 @@
+"""An ``ObjectStore`` in memory that fails on request, for tests."""
+
+import asyncio
+import dataclasses
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_platform.types import (
+    MAX_VALUE_BYTES,
+    ListedHost,
+    StoredObject,
+    WatchBatch,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What goes wrong until it is reset.
+
+    Attributes:
+        down: Every call fails without effect.
+        lose_write_answers: This many writes take effect and answer
+            WRITE_UNKNOWN.
+        drop_writes: This many writes have no effect and answer WRITE_UNKNOWN.
+        delay_s: Each call takes this long.
+    """
+
+    down: bool = False
+    lose_write_answers: int = 0
+    drop_writes: int = 0
+    delay_s: float = 0.0
+
+
+class MemoryStore:
+    """Objects in memory; shared by all clients of one test."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.listed_hosts: list[ListedHost] = []
+        self.write_count = 0
+        self._position = 0
+        self._object_by_key: dict[str, StoredObject] = {}
+        self._position_by_key: dict[str, int] = {}
+        self._changed = asyncio.Event()
+
+    async def read(self, key: str) -> Result[StoredObject | None, Failure]:
+        """See ``ObjectStore.read``."""
+        if await self._is_down():
+            return _down()
+        return Success(self._object_by_key.get(key))
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, Failure]:
+        """See ``ObjectStore.write``."""
+        if await self._is_down():
+            return _down()
+        if len(value) > MAX_VALUE_BYTES:
+            return Failed(Failure(ErrorKind.TOO_LARGE, key))
+        if self.faults.drop_writes > 0:
+            self.faults.drop_writes -= 1
+            return Failed(Failure(ErrorKind.WRITE_UNKNOWN, key))
+        if not self._matches(key, expected_version):
+            return Failed(Failure(ErrorKind.CONFLICT, key))
+        self.write_count += 1
+        version = self._advance(key)
+        self._object_by_key[key] = StoredObject(key, version, value)
+        self._wake()
+        if self.faults.lose_write_answers > 0:
+            self.faults.lose_write_answers -= 1
+            return Failed(Failure(ErrorKind.WRITE_UNKNOWN, key))
+        return Success(version)
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, Failure]:
+        """See ``ObjectStore.delete``."""
+        if await self._is_down():
+            return _down()
+        if not self._matches(key, expected_version):
+            return Failed(Failure(ErrorKind.CONFLICT, key))
+        self._advance(key)
+        self._object_by_key.pop(key, None)
+        self._wake()
+        return Success(None)
+
+    async def list(
+        self, prefix: str
+    ) -> Result[tuple[StoredObject, ...], Failure]:
+        """See ``ObjectStore.list``."""
+        if await self._is_down():
+            return _down()
+        keys = sorted(k for k in self._object_by_key if k.startswith(prefix))
+        return Success(tuple(self._object_by_key[k] for k in keys))
+
+    async def watch(
+        self, prefix: str, position: int, wait_s: float
+    ) -> Result[WatchBatch, Failure]:
+        """See ``ObjectStore.watch``."""
+        if await self._is_down():
+            return _down()
+        batch = self._since(prefix, position)
+        if batch.changed or batch.deleted_keys:
+            return Success(batch)
+        try:
+            async with asyncio.timeout(wait_s):
+                while not (batch.changed or batch.deleted_keys):
+                    await self._changed.wait()
+                    batch = self._since(prefix, position)
+        except TimeoutError:
+            pass
+        if await self._is_down():
+            return _down()
+        return Success(batch)
+
+    async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
+        """See ``ObjectStore.hosts``."""
+        if await self._is_down():
+            return _down()
+        return Success(tuple(self.listed_hosts))
+
+    async def _is_down(self) -> bool:
+        await asyncio.sleep(self.faults.delay_s)
+        return self.faults.down
+
+    def _matches(self, key: str, expected_version: int) -> bool:
+        stored = self._object_by_key.get(key)
+        return (stored.version if stored else 0) == expected_version
+
+    def _advance(self, key: str) -> int:
+        self._position += 1
+        self._position_by_key[key] = self._position
+        return self._position
+
+    def _since(self, prefix: str, position: int) -> WatchBatch:
+        keys = [
+            key
+            for key, changed_at in self._position_by_key.items()
+            if key.startswith(prefix) and changed_at > position
+        ]
+        changed = [k for k in keys if k in self._object_by_key]
+        return WatchBatch(
+            self._position,
+            tuple(self._object_by_key[k] for k in changed),
+            tuple(k for k in keys if k not in self._object_by_key),
+        )
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _down() -> Failed[Failure]:
+    return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "store is down"))
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/__init__.py
@@ -0,0 +1,1 @@
+"""Program shards: journal, order, budget and unrepeatable calls."""
--- /dev/null
+++ b/libs/routing/src/masticdale_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, admission, retries and suspects; decisions without I/O."""
--- /dev/null
+++ b/libs/upstreams/src/masticdale_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/tools/load/src/masticdale_load/__init__.py
@@ -0,0 +1,1 @@
+"""Load, faults and policy experiments."""
--- /dev/null
+++ b/tools/standins/src/masticdale_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of platform, model engine and service."""
