--- /dev/null
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -0,0 +1,154 @@
+// Messages between hosts. Every call is short: nothing waits longer than
+// ReadRequest.wait_ms. Thin structs, converted to data classes at the edge.
+
+struct WireFailure {
+  1: string kind,
+  2: string detail,
+  3: i32 retry_after_ms,   // -1: the kind's own
+  4: string host,
+}
+
+struct Heartbeat {
+  1: string host,
+  2: string domain,
+  3: string incarnation,
+  4: i64 revision,          // configuration revision in force
+  5: bool leaving,
+  6: i64 quarantine_version,
+}
+
+struct HeartbeatReply {
+  1: Heartbeat beat,
+}
+
+struct Submission {
+  1: string operation,      // JSON of one caller operation
+  2: string workspace,
+  3: i64 deadline_ms,       // milliseconds left when sent
+  4: string origin,         // host that sends it
+}
+
+struct SubmitReply {
+  1: string result,         // JSON of the operation's result
+  2: optional WireFailure failure,
+}
+
+struct ReadRequest {
+  1: string program_id,
+  2: string request_id,
+  3: i64 offset,            // characters the reader already has
+  4: i32 wait_ms,
+}
+
+struct ReadReply {
+  1: string text,
+  2: bool done,
+  3: string result,         // JSON of the outcome, once done
+  4: optional WireFailure failure,
+}
+
+struct TicketRequest {
+  1: string ticket_id,
+  2: string replica,
+  3: string origin,
+  4: string workspace,
+  5: i32 priority,          // smaller is served first
+  6: double attained_s,     // service the program has had
+  7: i64 waited_ms,         // since the call was first queued anywhere
+  8: i64 deadline_ms,
+  9: i64 prompt_tokens,
+  10: i64 uncached_tokens,
+  11: i32 max_tokens,
+  12: string program_id,
+  13: string content_digest,
+  14: bool exclusive,       // run with nothing else in flight
+}
+
+struct TicketReply {
+  1: bool granted,
+  2: i64 expected_wait_ms,
+  3: i64 fencing,
+  4: optional WireFailure failure,
+}
+
+struct TicketRelease {
+  1: string ticket_id,
+  2: string replica,
+  3: bool crashed,
+  4: i64 prompt_tokens,
+  5: i64 cached_tokens,
+  6: i64 generated_tokens,
+  7: i64 service_ms,
+}
+
+struct ProbeRequest {
+  1: string replica,
+  2: string program_id,
+  3: string branch_id,
+  4: i64 prompt_tokens,
+  5: i32 priority,
+}
+
+struct ProbeReply {
+  1: i64 expected_wait_ms,
+  2: i64 cached_tokens,
+  3: bool usable,
+  4: optional WireFailure failure,
+}
+
+struct RevisionsRequest {
+  1: i64 after,
+}
+
+struct RevisionsReply {
+  1: i64 newest,
+  2: list<binary> revisions,
+  3: binary snapshot,
+}
+
+struct CopyRequest {
+  1: i32 shard,
+  2: i64 epoch,
+  3: i64 sequence,
+  4: binary records,
+  5: bool drained,          // records up to sequence are in the platform
+}
+
+struct CopyReply {
+  1: bool held,
+  2: optional WireFailure failure,
+}
+
+struct SealRequest {
+  1: i32 shard,
+  2: i64 epoch,             // refuse copies of smaller epochs from now on
+}
+
+struct SealReply {
+  1: list<binary> batches,
+  2: i64 first_sequence,
+  3: optional WireFailure failure,
+}
+
+struct GrantNotice {
+  1: list<string> ticket_ids,
+  2: string replica,
+  3: i64 fencing,
+}
+
+struct Empty {
+}
+
+service Peer {
+  HeartbeatReply heartbeat(1: Heartbeat beat),
+  SubmitReply submit(1: Submission submission),
+  ReadReply read(1: ReadRequest request),
+  TicketReply enqueue(1: TicketRequest request),
+  Empty release(1: TicketRelease release),
+  Empty withdraw(1: TicketRelease release),
+  Empty grant(1: GrantNotice notice),
+  ProbeReply probe(1: ProbeRequest request),
+  RevisionsReply revisions(1: RevisionsRequest request),
+  CopyReply put_copy(1: CopyRequest request),
+  SealReply seal_copies(1: SealRequest request),
+}
