--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -19,6 +19,7 @@
     BUDGET_EXCEEDED = "budget_exceeded"
     LIMIT_REACHED = "limit_reached"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    TIMED_OUT = "timed_out"
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     NO_UPSTREAM = "no_upstream"
@@ -96,6 +97,9 @@
     ErrorKind.DEADLINE_EXCEEDED: Answer(
         504, Ran.NO, None, "The deadline passed before the call was run."
     ),
+    ErrorKind.TIMED_OUT: Answer(
+        504, Ran.UNKNOWN, 1000, "The deadline passed while the call ran."
+    ),
     ErrorKind.OVERLOADED: Answer(
         503, Ran.NO, 2000, "The queue is too long for this priority."
     ),
--- a/libs/programs/src/masticdale_programs/__init__.py
+++ b/libs/programs/src/masticdale_programs/__init__.py
@@ -1,1 +1,87 @@
 """Program shards: journal, order, budget and unrepeatable calls."""
+
+from masticdale_programs.executors import (
+    Executor,
+    ModelCall,
+    ModelResult,
+    ServiceCall,
+    TextSink,
+)
+from masticdale_programs.journal import Head, read_head
+from masticdale_programs.operations import (
+    Accepted,
+    CallOutcome,
+    CallService,
+    CreateProgram,
+    EndProgram,
+    GetProgram,
+    OpenBranch,
+    Operation,
+    OperationResult,
+    Outcome,
+    ProgramView,
+    SendTurn,
+    TurnOutcome,
+    decode_operation,
+    decode_outcome,
+    decode_result,
+    encode_operation,
+    encode_outcome,
+    encode_result,
+)
+from masticdale_programs.records import (
+    Budget,
+    EndReason,
+    OutcomeStatus,
+    ProgramKind,
+)
+from masticdale_programs.shards import Shard, open_shard
+from masticdale_programs.state import MAIN_BRANCH
+from masticdale_programs.streams import StreamPart
+from masticdale_programs.types import (
+    Caller,
+    KindInForce,
+    RequestKey,
+    ShardSettings,
+)
+
+__all__ = [
+    "MAIN_BRANCH",
+    "Accepted",
+    "Budget",
+    "CallOutcome",
+    "CallService",
+    "Caller",
+    "CreateProgram",
+    "EndProgram",
+    "EndReason",
+    "Executor",
+    "GetProgram",
+    "Head",
+    "KindInForce",
+    "ModelCall",
+    "ModelResult",
+    "OpenBranch",
+    "Operation",
+    "OperationResult",
+    "Outcome",
+    "OutcomeStatus",
+    "ProgramKind",
+    "ProgramView",
+    "RequestKey",
+    "SendTurn",
+    "ServiceCall",
+    "Shard",
+    "ShardSettings",
+    "StreamPart",
+    "TextSink",
+    "TurnOutcome",
+    "decode_operation",
+    "decode_outcome",
+    "decode_result",
+    "encode_operation",
+    "encode_outcome",
+    "encode_result",
+    "open_shard",
+    "read_head",
+]
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/calls.py
@@ -0,0 +1,274 @@
+"""One service call: at most once where it may not be repeated."""
+
+import asyncio
+import time
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, Ran, hashing
+from masticdale_programs import budgets, views
+from masticdale_programs.budgets import Need
+from masticdale_programs.executors import ServiceCall
+from masticdale_programs.operations import CallService
+from masticdale_programs.records import (
+    CallFinished,
+    IntentRecorded,
+    OutcomeStatus,
+)
+from masticdale_programs.state import Branch, Program
+from masticdale_programs.streams import AnswerStream
+from masticdale_programs.turns import check_place
+from masticdale_programs.types import CallEnd, OwnedShard, RequestKey
+
+
+async def run_call(
+    shard: OwnedShard,
+    program: Program,
+    branch: Branch,
+    operation: CallService,
+    stream: AnswerStream,
+    deadline: float,
+) -> CallEnd:
+    """Runs one service call behind its predecessor and commits its outcome.
+
+    Args:
+        shard: Owner of the program.
+        program: The program.
+        branch: The branch.
+        operation: The caller's request.
+        stream: Shows what the call waits for.
+        deadline: Monotonic seconds after which nobody waits.
+
+    Returns:
+        The committed outcome. A failure whose kind says ``ran: no`` is true:
+        nothing was sent, or the service refused before running it.
+    """
+    kind = shard.kind_of(program)
+    if operation.operation not in kind.operations:
+        detail = f"operation {operation.operation!r} is not declared"
+        return Failed(Failure(ErrorKind.BAD_REQUEST, detail))
+    order = shard.order_of(program, branch)
+    acquired = await budgets.acquire(order, deadline)
+    if isinstance(acquired, Failed):
+        return acquired
+    need = Need(calls=1)
+    try:
+        refused = check_place(branch, operation)
+        if refused is not None:
+            return refused
+        reserved = await budgets.reserve(program, kind.budget, need, deadline)
+        if isinstance(reserved, Failed):
+            return reserved
+        try:
+            return await _run_reserved(
+                shard, program, operation, stream, deadline
+            )
+        finally:
+            budgets.settle(program, need)
+    finally:
+        order.release()
+
+
+async def _run_reserved(
+    shard: OwnedShard,
+    program: Program,
+    operation: CallService,
+    stream: AnswerStream,
+    deadline: float,
+) -> CallEnd:
+    call = _service_call(shard, program, operation, deadline)
+    if shard.executor.is_repeatable(program.workspace, operation.operation):
+        return await _run_repeatable(shard, operation, stream, call)
+    intent = IntentRecorded(
+        program.program_id,
+        operation.branch_id,
+        operation.request_id,
+        stream.content_digest,
+        operation.operation,
+        operation.payload,
+    )
+    # From here on the task is never cancelled for want of a reader: the
+    # outcome of what may have been sent must be learnt and committed.
+    stream.cancellable = False
+    stream.waits("commit of the intent")
+    committed = await _commit_intent(shard, intent)
+    if isinstance(committed, Failed):
+        return committed
+    stream.waits(f"answer of {operation.operation}")
+    outcome = await shard.executor.call_service(call)
+    return await _commit_outcome(shard, intent, outcome)
+
+
+async def _run_repeatable(
+    shard: OwnedShard,
+    operation: CallService,
+    stream: AnswerStream,
+    call: ServiceCall,
+) -> CallEnd:
+    stream.waits(f"answer of {operation.operation}")
+    outcome = await shard.executor.call_service(call)
+    if isinstance(outcome, Failed):
+        return outcome
+    record = CallFinished(
+        call.program_id,
+        operation.branch_id,
+        operation.request_id,
+        stream.content_digest,
+        operation.operation,
+        operation.payload,
+        OutcomeStatus.DONE,
+        outcome.unwrap(),
+    )
+    committed = await shard.commit([record])
+    if isinstance(committed, Failed):
+        return committed
+    return views.outcome_of(record)
+
+
+async def _commit_intent(
+    shard: OwnedShard, intent: IntentRecorded
+) -> Result[None, Failure]:
+    """Commits an intent, or refuses and voids it.
+
+    While the platform is down the commit would hang. The refusal says that
+    the call was not run, so the intent must never lead to a send: it is
+    voided by a record that the journal's order puts behind it.
+    """
+    commit = asyncio.ensure_future(shard.commit([intent]))
+    wait_s = shard.settings.commit_wait_s
+    done, _ = await asyncio.wait([commit], timeout=wait_s)
+    if done:
+        return commit.result()
+    key = RequestKey(intent.program_id, intent.request_id)
+    shard.voiding.add(key)
+    shard.spawn(_void(shard, intent, commit, key))
+    return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+
+
+async def _void(
+    shard: OwnedShard,
+    intent: IntentRecorded,
+    commit: asyncio.Future[Result[None, Failure]],
+    key: RequestKey,
+) -> None:
+    committed = await commit
+    if isinstance(committed, Success):
+        await shard.commit([_finished(intent, OutcomeStatus.NOT_RUN, "")])
+    shard.voiding.discard(key)
+
+
+async def _commit_outcome(
+    shard: OwnedShard, intent: IntentRecorded, outcome: Result[str, Failure]
+) -> CallEnd:
+    if isinstance(outcome, Success):
+        record = _finished(intent, OutcomeStatus.DONE, outcome.unwrap())
+        committed = await shard.commit([record])
+        if isinstance(committed, Failed):
+            return _unknown(intent)
+        return views.outcome_of(record)
+    failure = outcome.failure()
+    if failure.answer.ran is Ran.NO:
+        record = _finished(intent, OutcomeStatus.NOT_RUN, "")
+        committed = await shard.commit([record])
+        return (
+            Failed(failure)
+            if isinstance(committed, Success)
+            else _unknown(intent)
+        )
+    return await _settle_unknown(shard, intent)
+
+
+async def resolve_intent(
+    shard: OwnedShard, program: Program, intent: IntentRecorded
+) -> CallEnd:
+    """Closes an intent whose outcome an earlier owner did not record.
+
+    It is never sent again: the earlier owner may have sent it just before it
+    died, and the service may not tell copies apart.
+    """
+    order = shard.order_of(program, program.branch_by_id[intent.branch_id])
+    async with order:
+        return await _settle_unknown(shard, intent)
+
+
+async def ask_again(shard: OwnedShard, entry: CallFinished) -> CallEnd:
+    """Looks up an outcome that was unknown, for a caller that asks again."""
+    intent = IntentRecorded(
+        entry.program_id,
+        entry.branch_id,
+        entry.request_id,
+        entry.content_digest,
+        entry.operation,
+        entry.payload,
+    )
+    return await _settle_unknown(shard, intent)
+
+
+async def _settle_unknown(shard: OwnedShard, intent: IntentRecorded) -> CallEnd:
+    found = await shard.executor.look_up(_lookup_call(shard, intent))
+    status = OutcomeStatus.UNKNOWN
+    result = ""
+    if isinstance(found, Success):
+        told = found.unwrap()
+        if told is not None:
+            status = OutcomeStatus.DONE
+            result = told
+    record = _finished(intent, status, result)
+    committed = await shard.commit([record])
+    if isinstance(committed, Failed):
+        return _unknown(intent)
+    return views.outcome_of(record)
+
+
+def _finished(
+    intent: IntentRecorded, status: OutcomeStatus, result: str
+) -> CallFinished:
+    return CallFinished(
+        intent.program_id,
+        intent.branch_id,
+        intent.request_id,
+        intent.content_digest,
+        intent.operation,
+        intent.payload,
+        status,
+        result,
+    )
+
+
+def _unknown(intent: IntentRecorded) -> Failed[Failure]:
+    detail = f"request id {intent.request_id!r}"
+    return Failed(Failure(ErrorKind.OUTCOME_UNKNOWN, detail))
+
+
+def idempotency_key(program_id: str, request_id: str) -> str:
+    """Returns the key under which a service knows a caller's request."""
+    return hashing.digest("call", program_id, request_id)
+
+
+def _service_call(
+    shard: OwnedShard, program: Program, operation: CallService, deadline: float
+) -> ServiceCall:
+    return ServiceCall(
+        workspace=program.workspace,
+        program_id=program.program_id,
+        request_id=operation.request_id,
+        key=idempotency_key(program.program_id, operation.request_id),
+        operation=operation.operation,
+        payload=operation.payload,
+        fencing=shard.epoch,
+        priority=shard.kind_of(program).priority,
+        deadline=deadline,
+    )
+
+
+def _lookup_call(shard: OwnedShard, intent: IntentRecorded) -> ServiceCall:
+    program = shard.state.program_by_id[intent.program_id]
+    operation = CallService(
+        intent.program_id,
+        intent.branch_id,
+        intent.request_id,
+        intent.operation,
+        intent.payload,
+    )
+    return _service_call(shard, program, operation, time.monotonic())
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -0,0 +1,572 @@
+"""A program shard at its owner: order, deduplication, answers in flight."""
+
+import asyncio
+import dataclasses
+import functools
+import time
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, hashing, logs
+from masticdale_platform import ObjectStore
+from masticdale_programs import calls, journal, turns, views
+from masticdale_programs.executors import Executor
+from masticdale_programs.operations import (
+    Accepted,
+    CallService,
+    CreateProgram,
+    EndProgram,
+    GetProgram,
+    OpenBranch,
+    Operation,
+    OperationResult,
+    SendTurn,
+)
+from masticdale_programs.records import (
+    BranchOpened,
+    CallFinished,
+    EndReason,
+    OutcomeStatus,
+    ProgramCreated,
+    ProgramEnded,
+    ProgramForgotten,
+    ProgramKind,
+    Record,
+    ReleaseConfirmed,
+    TurnFinished,
+)
+from masticdale_programs.state import (
+    Branch,
+    Program,
+    ShardState,
+    apply_record,
+)
+from masticdale_programs.streams import AnswerStream, StreamPart
+from masticdale_programs.types import (
+    CallEnd,
+    Caller,
+    KindInForce,
+    RequestKey,
+    ShardSettings,
+)
+
+_EPOCH_ATTEMPTS = 1000
+_RELEASE_TIMEOUT_S = 5.0
+
+
+class Shard:
+    """One shard that this host owns; made by ``open_shard``."""
+
+    def __init__(
+        self,
+        number: int,
+        executor: Executor,
+        kind_in_force: KindInForce,
+        settings: ShardSettings,
+    ) -> None:
+        self.number = number
+        self.executor = executor
+        self.settings = settings
+        self.state = ShardState()
+        self.voiding: set[RequestKey] = set()
+        self._kind_in_force = kind_in_force
+        self._journal: journal.Journal | None = None
+        self._stream_by_key: dict[RequestKey, AnswerStream] = {}
+        self._task_by_key: dict[RequestKey, asyncio.Task[None]] = {}
+        self._finished_at_by_key: dict[RequestKey, float] = {}
+        self._order_by_branch: dict[tuple[str, str], asyncio.Lock] = {}
+        self._ending: set[str] = set()
+        self._background: set[asyncio.Task[Any]] = set()
+
+    @property
+    def epoch(self) -> int:
+        """The epoch this host owns the shard under."""
+        return self._held_journal().epoch
+
+    @property
+    def is_held(self) -> bool:
+        """False once another host took the shard over."""
+        return self._held_journal().is_held
+
+    @property
+    def in_flight(self) -> int:
+        """Number of calls that have no final outcome yet."""
+        return len(self._task_by_key)
+
+    def attach(self, held: journal.Journal) -> None:
+        """Sets the journal and resumes what its records left open."""
+        self._journal = held
+        for program in self.state.program_by_id.values():
+            program.touched_ms = _wall_ms()
+            for intent in list(program.intent_by_request_id.values()):
+                key = RequestKey(program.program_id, intent.request_id)
+                self._resume_call(key, program)
+
+    async def commit(self, records: Sequence[Record]) -> Result[None, Failure]:
+        """Commits records to the journal; see ``Journal.commit``."""
+        return await self._held_journal().commit(records)
+
+    def kind_of(self, program: Program) -> ProgramKind:
+        """Returns the program's kind with budget and priority in force.
+
+        The template body stays the one the program began with, because a
+        changed prompt or model would break its prefix and its history; what
+        operators use to rein a program in takes hold at once.
+        """
+        current = self._kind_in_force(program.workspace, program.kind.name)
+        if current is None:
+            return program.kind
+        return dataclasses.replace(
+            program.kind, budget=current.budget, priority=current.priority
+        )
+
+    def order_of(self, program: Program, branch: Branch) -> asyncio.Lock:
+        """Returns the lock that its calls take in the order of arrival."""
+        key = (program.program_id, branch.branch_id)
+        return self._order_by_branch.setdefault(key, asyncio.Lock())
+
+    def find(self, program_id: str, workspace: str) -> Program | None:
+        """Returns a program of a workspace; another's does not exist."""
+        program = self.state.program_by_id.get(program_id)
+        if program is None or program.workspace != workspace:
+            return None
+        return program
+
+    async def submit(
+        self, operation: Operation, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        """Runs or accepts one operation; safe to send again.
+
+        Args:
+            operation: What the caller asks.
+            caller: On whose behalf.
+
+        Returns:
+            The result; calls are ``Accepted`` and then read as a stream.
+        """
+        if not self.is_held:
+            return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {self.number}"))
+        if isinstance(operation, CreateProgram):
+            return await self._create(operation, caller)
+        program = self.find(operation.program_id, caller.workspace)
+        if program is None:
+            return Failed(Failure(ErrorKind.NOT_FOUND, operation.program_id))
+        return await self._submit(operation, program, caller)
+
+    async def read(
+        self,
+        key: RequestKey,
+        workspace: str,
+        attempt: int,
+        offset: int,
+        wait_s: float,
+    ) -> Result[StreamPart, Failure]:
+        """Follows the answer of a call.
+
+        Args:
+            key: The call.
+            workspace: Workspace of the reader.
+            attempt: Attempt the reader follows; see ``StreamPart``.
+            offset: Characters of it the reader has.
+            wait_s: Longest wait for news.
+
+        Returns:
+            The next part; NOT_FOUND when the call must be submitted again.
+        """
+        program = self.find(key.program_id, workspace)
+        if program is None:
+            return Failed(Failure(ErrorKind.NOT_FOUND, key.program_id))
+        stream = self._stream_by_key.get(key)
+        if stream is not None:
+            return Success(await stream.read(attempt, offset, wait_s))
+        entry = program.entry_by_request_id.get(key.request_id)
+        if entry is None:
+            return Failed(Failure(ErrorKind.NOT_FOUND, key.request_id))
+        return Success(views.finished_part(entry))
+
+    @functools.singledispatchmethod
+    async def _submit(
+        self, operation: Operation, program: Program, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        raise TypeError(f"no rule for {type(operation).__name__}")
+
+    @_submit.register
+    async def _(
+        self, operation: GetProgram, program: Program, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        waiting = tuple(
+            f"{key.request_id}: {stream.waits_for}"
+            for key, stream in self._stream_by_key.items()
+            if key.program_id == program.program_id and stream.outcome is None
+        )
+        return views.program_view(program, waiting, operation.history_of)
+
+    @_submit.register
+    async def _(
+        self, operation: OpenBranch, program: Program, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        if operation.branch_id in program.branch_by_id:
+            return views.program_view(program, (), "")
+        refused = self._refuse_ended(program)
+        if refused is not None:
+            return refused
+        if operation.parent_id not in program.branch_by_id:
+            return Failed(Failure(ErrorKind.NOT_FOUND, operation.parent_id))
+        record = BranchOpened(
+            program.program_id, operation.branch_id, operation.parent_id
+        )
+        outcome = await self.commit([record])
+        if isinstance(outcome, Failed):
+            return outcome
+        return views.program_view(program, (), "")
+
+    @_submit.register
+    async def _(
+        self, operation: EndProgram, program: Program, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        outcome = await self.end_program(program, operation.reason)
+        if isinstance(outcome, Failed):
+            return outcome
+        return views.program_view(program, (), "")
+
+    @_submit.register
+    async def _(
+        self, operation: SendTurn, program: Program, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        content = hashing.digest("turn", operation.branch_id, operation.message)
+        return self._accept(operation, program, caller, content)
+
+    @_submit.register
+    async def _(
+        self, operation: CallService, program: Program, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        content = hashing.digest(
+            "call", operation.branch_id, operation.operation, operation.payload
+        )
+        return self._accept(operation, program, caller, content)
+
+    def _accept(
+        self,
+        operation: SendTurn | CallService,
+        program: Program,
+        caller: Caller,
+        content: str,
+    ) -> Result[OperationResult, Failure]:
+        key = RequestKey(program.program_id, operation.request_id)
+        accepted = Accepted(operation.request_id, self.epoch)
+        known = self._find_known(key, program, content)
+        if known is not None:
+            return known.map(lambda _: accepted)
+        if self._resume_call(key, program):
+            return Success(accepted)
+        refused = self._refuse_ended(program)
+        if refused is not None:
+            return refused
+        branch = program.branch_by_id.get(operation.branch_id)
+        if branch is None:
+            return Failed(Failure(ErrorKind.NOT_FOUND, operation.branch_id))
+        program.touched_ms = _wall_ms()
+        stream = self._new_stream(key, content)
+        if isinstance(operation, SendTurn):
+            work = turns.run_turn(
+                self, program, branch, operation, stream, caller.deadline
+            )
+        else:
+            work = calls.run_call(
+                self, program, branch, operation, stream, caller.deadline
+            )
+        self._start(key, stream, work)
+        return Success(accepted)
+
+    def _find_known(
+        self, key: RequestKey, program: Program, content: str
+    ) -> Result[None, Failure] | None:
+        """Recognises a request that was sent before.
+
+        Returns:
+            Success to join it, REQUEST_ID_REUSED for other content, None for
+            a request that must run: a new one, or one whose earlier try ended
+            in a failure that promised it can be sent again.
+        """
+        stream = self._stream_by_key.get(key)
+        entry = program.entry_by_request_id.get(key.request_id)
+        seen = (
+            stream or entry or program.intent_by_request_id.get(key.request_id)
+        )
+        if seen is None:
+            return None
+        if seen.content_digest != content:
+            detail = f"request id {key.request_id!r}"
+            return Failed(Failure(ErrorKind.REQUEST_ID_REUSED, detail))
+        if stream is not None and stream.outcome is None:
+            return Success(None)
+        if key in self.voiding:
+            return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+        if entry is None or _is_unknown(entry):
+            return None
+        return Success(None)
+
+    def _resume_call(self, key: RequestKey, program: Program) -> bool:
+        """Asks for the outcome of a call that must not be sent again.
+
+        A call whose intent is committed may have been sent. Running it as a
+        new request, because its task broke off, would send it twice.
+
+        Returns:
+            False where the request may run.
+        """
+        intent = program.intent_by_request_id.get(key.request_id)
+        if intent is not None:
+            stream = self._new_stream(key, intent.content_digest)
+            work = calls.resolve_intent(self, program, intent)
+            self._start(key, stream, work)
+            return True
+        entry = program.entry_by_request_id.get(key.request_id)
+        if not isinstance(entry, CallFinished):
+            return False
+        stream = self._new_stream(key, entry.content_digest)
+        self._start(key, stream, calls.ask_again(self, entry))
+        return True
+
+    def _refuse_ended(self, program: Program) -> Failed[Failure] | None:
+        is_ending = program.program_id in self._ending
+        if program.end_reason is None and not is_ending:
+            return None
+        return Failed(Failure(ErrorKind.PROGRAM_ENDED, program.program_id))
+
+    async def _create(
+        self, operation: CreateProgram, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        program = self.find(operation.program_id, caller.workspace)
+        if program is None:
+            record = ProgramCreated(
+                operation.program_id,
+                caller.workspace,
+                operation.kind,
+                _wall_ms(),
+            )
+            outcome = await self.commit([record])
+            if isinstance(outcome, Failed):
+                return outcome
+            program = self.state.program_by_id[operation.program_id]
+        if program.kind.name != operation.kind.name:
+            detail = "the request id began another kind of program"
+            return Failed(Failure(ErrorKind.REQUEST_ID_REUSED, detail))
+        return views.program_view(program, (), "")
+
+    async def end_program(
+        self, program: Program, reason: EndReason
+    ) -> Result[None, Failure]:
+        """Ends a program: turns in flight are cancelled, calls finish.
+
+        Args:
+            program: The program; one that has ended stays as it is.
+            reason: Recorded as the cause.
+        """
+        if program.end_reason is not None:
+            return Success(None)
+        self._ending.add(program.program_id)
+        try:
+            await self._stop_calls(program)
+            record = ProgramEnded(
+                program.program_id,
+                reason,
+                _wall_ms(),
+                tuple(sorted(program.replicas)),
+            )
+            outcome = await self.commit([record])
+        finally:
+            self._ending.discard(program.program_id)
+        if isinstance(outcome, Success):
+            self.spawn(self.release_memory(program))
+        return outcome
+
+    async def release_memory(self, program: Program) -> None:
+        """Frees an ended program's engine memory where it is still owed."""
+        for replica in sorted(program.replicas):
+            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+                outcome = await self.executor.release(
+                    program.program_id, replica
+                )
+            if isinstance(outcome, Success):
+                record = ReleaseConfirmed(program.program_id, replica)
+                await self.commit([record])
+
+    async def sweep(self) -> None:
+        """Ends, cancels, releases and forgets what is due; run each second."""
+        now = time.monotonic()
+        self._forget_streams(now)
+        for program in list(self.state.program_by_id.values()):
+            self._sweep_program(program)
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the shard's state for a dump."""
+        return {
+            "epoch": self.epoch,
+            "held": self.is_held,
+            "programs": len(self.state.program_by_id),
+            "in_flight": self.in_flight,
+        }
+
+    async def hand_over(self) -> Result[None, Failure]:
+        """Releases the shard for the next owner, once nothing is in flight."""
+        return await self._held_journal().release()
+
+    async def close(self) -> None:
+        """Stops every task without handing over."""
+        tasks = [*self._task_by_key.values(), *self._background]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._held_journal().close()
+
+    def _held_journal(self) -> journal.Journal:
+        if self._journal is None:
+            raise RuntimeError("the shard has no journal yet")
+        return self._journal
+
+    def _new_stream(self, key: RequestKey, content: str) -> AnswerStream:
+        first_attempt = self.epoch * _EPOCH_ATTEMPTS
+        earlier = self._stream_by_key.get(key)
+        if earlier is not None:
+            first_attempt = earlier.attempt + 1
+        stream = AnswerStream(key.request_id, content, first_attempt)
+        self._stream_by_key[key] = stream
+        self._finished_at_by_key.pop(key, None)
+        return stream
+
+    def _start(
+        self,
+        key: RequestKey,
+        stream: AnswerStream,
+        work: Coroutine[Any, Any, CallEnd],
+    ) -> None:
+        task = asyncio.create_task(self._run(key, stream, work))
+        self._task_by_key[key] = task
+
+    async def _run(
+        self,
+        key: RequestKey,
+        stream: AnswerStream,
+        work: Coroutine[Any, Any, CallEnd],
+    ) -> None:
+        try:
+            outcome = await work
+        except asyncio.CancelledError:
+            outcome = Failed(Failure(ErrorKind.CANCELLED))
+        except Exception as error:
+            logs.write("call_failed", error=repr(error), program=key.program_id)
+            outcome = Failed(Failure(ErrorKind.INTERNAL))
+        program = self.state.program_by_id.get(key.program_id)
+        if program is not None:
+            program.replicas.update(stream.replicas)
+        self._task_by_key.pop(key, None)
+        self._finished_at_by_key[key] = time.monotonic()
+        stream.finish(outcome)
+
+    async def _stop_calls(self, program: Program) -> None:
+        mine = [
+            k for k in self._task_by_key if k.program_id == program.program_id
+        ]
+        tasks = []
+        for key in mine:
+            task = self._task_by_key[key]
+            tasks.append(task)
+            # An unrepeatable call that is under way must learn its outcome.
+            if self._stream_by_key[key].cancellable:
+                task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _forget_streams(self, now: float) -> None:
+        keep_s = self.settings.stream_keep_s
+        for key, finished_at in list(self._finished_at_by_key.items()):
+            if now - finished_at > keep_s and key not in self.voiding:
+                del self._finished_at_by_key[key]
+                self._stream_by_key.pop(key, None)
+        for key, task in list(self._task_by_key.items()):
+            stream = self._stream_by_key[key]
+            unread_s = now - stream.last_read
+            if unread_s > self.settings.unread_cancel_s and stream.cancellable:
+                task.cancel()
+
+    def _sweep_program(self, program: Program) -> None:
+        now_ms = _wall_ms()
+        if program.end_reason is not None:
+            self._sweep_ended(program, now_ms)
+            return
+        if program.program_id in self._ending:
+            return
+        age_ms = now_ms - program.created_ms
+        if age_ms > self.kind_of(program).budget.wall_time_s * 1000:
+            self.spawn(self.end_program(program, EndReason.EXPIRED))
+            return
+        is_busy = any(
+            key.program_id == program.program_id for key in self._task_by_key
+        )
+        idle_ms = now_ms - program.touched_ms
+        if not is_busy and idle_ms > self.settings.idle_end_s * 1000:
+            self.spawn(self.end_program(program, EndReason.ABANDONED))
+
+    def _sweep_ended(self, program: Program, now_ms: int) -> None:
+        if program.replicas:
+            self.spawn(self.release_memory(program))
+            return
+        if now_ms - program.ended_ms > self.settings.retention_s * 1000:
+            record = ProgramForgotten(program.program_id)
+            self.spawn(self.commit([record]))
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Runs work in the background until the shard closes."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+async def open_shard(
+    store: ObjectStore,
+    number: int,
+    host: str,
+    writer: str,
+    executor: Executor,
+    kind_in_force: KindInForce,
+    settings: ShardSettings,
+) -> Result[Shard, Failure]:
+    """Takes a shard over and rebuilds its programs.
+
+    Args:
+        store: The platform's objects.
+        number: The shard.
+        host: This host.
+        writer: Incarnation of this process.
+        executor: Runs calls at upstreams.
+        kind_in_force: Program kind now in force by workspace and name.
+        settings: Times.
+
+    Returns:
+        The shard; CONFLICT when another host was faster.
+    """
+    shard = Shard(number, executor, kind_in_force, settings)
+    opened = await journal.open_journal(
+        store,
+        number,
+        host,
+        writer,
+        lambda record: apply_record(record, shard.state),
+    )
+    if isinstance(opened, Failed):
+        return opened
+    shard.attach(opened.unwrap())
+    return Success(shard)
+
+
+def _is_unknown(entry: TurnFinished | CallFinished) -> bool:
+    if isinstance(entry, TurnFinished):
+        return False
+    return entry.status is OutcomeStatus.UNKNOWN
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/state.py
@@ -0,0 +1,231 @@
+"""A shard's programs in memory, rebuilt from its records alone."""
+
+import asyncio
+import dataclasses
+import functools
+
+from masticdale_programs.records import (
+    BranchOpened,
+    Budget,
+    CallFinished,
+    EndReason,
+    IntentRecorded,
+    OutcomeStatus,
+    ProgramCreated,
+    ProgramEnded,
+    ProgramForgotten,
+    ProgramKind,
+    Record,
+    ReleaseConfirmed,
+    TurnFinished,
+)
+
+MAIN_BRANCH = "main"
+
+
+@dataclasses.dataclass(slots=True)
+class Spending:
+    """What of a budget is spent or reserved.
+
+    Attributes:
+        tokens: Tokens charged by finished turns.
+        calls: Service calls sent, also those whose outcome is unknown.
+        turns: Finished turns.
+        reserved_tokens: Worst case of the turns in flight.
+        reserved_calls: Service calls in flight.
+        reserved_turns: Turns in flight.
+    """
+
+    tokens: int = 0
+    calls: int = 0
+    turns: int = 0
+    reserved_tokens: int = 0
+    reserved_calls: int = 0
+    reserved_turns: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Branch:
+    """One chain of dependent calls.
+
+    Attributes:
+        branch_id: Unique within the program.
+        parent_id: Branch it was opened from; empty for the main branch.
+        entries: Finished turns and calls, oldest first, the parent's first.
+        inherited: How many of the entries are the parent's.
+        replica: Replica that holds the branch's prefix, if any.
+    """
+
+    branch_id: str
+    parent_id: str
+    entries: list[TurnFinished | CallFinished]
+    inherited: int = 0
+    replica: str = ""
+
+    @property
+    def finished(self) -> int:
+        """Number of calls the branch itself has finished."""
+        return len(self.entries) - self.inherited
+
+
+@dataclasses.dataclass(slots=True)
+class Program:
+    """One program.
+
+    Attributes:
+        program_id: Names the program and, by hash, its shard.
+        workspace: Workspace it belongs to.
+        kind: The template body it began with.
+        created_ms: Wall clock milliseconds.
+        branch_by_id: Its branches.
+        entry_by_request_id: Finished turns and calls, for deduplication.
+        intent_by_request_id: Unrepeatable calls without an outcome.
+        spending: What of the budget is spent or reserved.
+        replicas: Replicas that may hold engine memory for it.
+        attained_ms: Engine time its turns have had.
+        end_reason: Why it ended; None while it runs.
+        ended_ms: When it ended.
+        touched_ms: When its last call began; not durable.
+        settled: Set and replaced whenever a reservation is settled.
+    """
+
+    program_id: str
+    workspace: str
+    kind: ProgramKind
+    created_ms: int
+    branch_by_id: dict[str, Branch]
+    entry_by_request_id: dict[str, TurnFinished | CallFinished]
+    intent_by_request_id: dict[str, IntentRecorded]
+    spending: Spending
+    replicas: set[str]
+    attained_ms: int = 0
+    end_reason: EndReason | None = None
+    ended_ms: int = 0
+    touched_ms: int = 0
+    settled: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    @property
+    def budget(self) -> Budget:
+        """The budget in force."""
+        return self.kind.budget
+
+
+@dataclasses.dataclass(slots=True)
+class ShardState:
+    """All programs of one shard."""
+
+    program_by_id: dict[str, Program] = dataclasses.field(default_factory=dict)
+
+
+def create_program(record: ProgramCreated) -> Program:
+    """Returns a new program with its empty main branch."""
+    main = Branch(MAIN_BRANCH, "", [])
+    return Program(
+        program_id=record.program_id,
+        workspace=record.workspace,
+        kind=record.kind,
+        created_ms=record.created_ms,
+        branch_by_id={MAIN_BRANCH: main},
+        entry_by_request_id={},
+        intent_by_request_id={},
+        spending=Spending(),
+        replicas=set(),
+        touched_ms=record.created_ms,
+    )
+
+
+@functools.singledispatch
+def apply_record(record: Record, state: ShardState) -> None:
+    """Applies one committed record to the state.
+
+    Args:
+        record: The record; its program must exist unless it creates one.
+        state: Changed in place.
+    """
+    raise TypeError(f"no rule for {type(record).__name__}")
+
+
+@apply_record.register
+def _(record: ProgramCreated, state: ShardState) -> None:
+    if record.program_id not in state.program_by_id:
+        state.program_by_id[record.program_id] = create_program(record)
+
+
+@apply_record.register
+def _(record: BranchOpened, state: ShardState) -> None:
+    program = state.program_by_id[record.program_id]
+    if record.branch_id in program.branch_by_id:
+        return
+    parent = program.branch_by_id[record.parent_id]
+    program.branch_by_id[record.branch_id] = Branch(
+        branch_id=record.branch_id,
+        parent_id=record.parent_id,
+        entries=list(parent.entries),
+        inherited=len(parent.entries),
+        replica=parent.replica,
+    )
+
+
+@apply_record.register
+def _(record: TurnFinished, state: ShardState) -> None:
+    program = state.program_by_id[record.program_id]
+    branch = program.branch_by_id[record.branch_id]
+    branch.entries.append(record)
+    branch.replica = record.replica
+    program.replicas.add(record.replica)
+    program.entry_by_request_id[record.request_id] = record
+    program.spending.tokens += record.charged_tokens
+    program.spending.turns += 1
+    program.attained_ms += record.service_ms
+
+
+@apply_record.register
+def _(record: IntentRecorded, state: ShardState) -> None:
+    program = state.program_by_id[record.program_id]
+    program.intent_by_request_id[record.request_id] = record
+    program.spending.calls += 1
+
+
+@apply_record.register
+def _(record: CallFinished, state: ShardState) -> None:
+    program = state.program_by_id[record.program_id]
+    intent = program.intent_by_request_id.pop(record.request_id, None)
+    earlier = program.entry_by_request_id.get(record.request_id)
+    if record.status is OutcomeStatus.NOT_RUN:
+        if intent is not None:
+            program.spending.calls -= 1
+        return
+    if intent is None and earlier is None:
+        program.spending.calls += 1
+    branch = program.branch_by_id[record.branch_id]
+    program.entry_by_request_id[record.request_id] = record
+    if earlier is None:
+        branch.entries.append(record)
+        return
+    # A later lookup resolved an unknown outcome: it replaces the entry in
+    # every branch that inherited it.
+    for each in program.branch_by_id.values():
+        each.entries = [
+            record if e.request_id == record.request_id else e
+            for e in each.entries
+        ]
+
+
+@apply_record.register
+def _(record: ProgramEnded, state: ShardState) -> None:
+    program = state.program_by_id[record.program_id]
+    program.end_reason = record.reason
+    program.ended_ms = record.ended_ms
+    program.replicas.update(record.replicas)
+
+
+@apply_record.register
+def _(record: ReleaseConfirmed, state: ShardState) -> None:
+    program = state.program_by_id.get(record.program_id)
+    if program is not None:
+        program.replicas.discard(record.replica)
+
+
+@apply_record.register
+def _(record: ProgramForgotten, state: ShardState) -> None:
+    state.program_by_id.pop(record.program_id, None)
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/turns.py
@@ -0,0 +1,187 @@
+"""One model turn: order, reservation, run, commit, answer."""
+
+import asyncio
+import time
+
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from masticdale_common import ErrorKind, Failure, hashing
+from masticdale_programs import budgets, views
+from masticdale_programs.budgets import Need
+from masticdale_programs.executors import ModelCall, ModelResult
+from masticdale_programs.operations import CallService, SendTurn
+from masticdale_programs.records import (
+    CallFinished,
+    ProgramKind,
+    TurnFinished,
+)
+from masticdale_programs.state import Branch, Program
+from masticdale_programs.streams import AnswerStream
+from masticdale_programs.types import CallEnd, OwnedShard
+
+
+def check_place(
+    branch: Branch, operation: SendTurn | CallService
+) -> Failed[Failure] | None:
+    """Refuses a call whose place in the branch is not the next one.
+
+    A call that was accepted behind a predecessor that then failed would run
+    without it: the history would lack a step that the caller built on.
+    """
+    if operation.sequence in (None, branch.finished):
+        return None
+    detail = f"sequence {operation.sequence}, next is {branch.finished}."
+    return Failed(Failure(ErrorKind.OUT_OF_ORDER, detail))
+
+
+async def run_turn(
+    shard: OwnedShard,
+    program: Program,
+    branch: Branch,
+    operation: SendTurn,
+    stream: AnswerStream,
+    deadline: float,
+) -> CallEnd:
+    """Runs one turn behind its predecessor and commits it.
+
+    Args:
+        shard: Owner of the program.
+        program: The program.
+        branch: The branch.
+        operation: The caller's request.
+        stream: Where the text goes as it comes.
+        deadline: Monotonic seconds after which nobody waits.
+
+    Returns:
+        The committed answer, or the failure; after a failure nothing of the
+        turn is in the history.
+    """
+    order = shard.order_of(program, branch)
+    acquired = await budgets.acquire(order, deadline)
+    if isinstance(acquired, Failed):
+        return acquired
+    try:
+        refused = check_place(branch, operation)
+        if refused is not None:
+            return refused
+        return await _run_reserved(
+            shard, program, branch, operation, stream, deadline
+        )
+    finally:
+        order.release()
+
+
+async def _run_reserved(
+    shard: OwnedShard,
+    program: Program,
+    branch: Branch,
+    operation: SendTurn,
+    stream: AnswerStream,
+    deadline: float,
+) -> CallEnd:
+    kind = shard.kind_of(program)
+    max_tokens = min(operation.max_tokens or kind.max_tokens, kind.max_tokens)
+    message_tokens = budgets.count_tokens(operation.message)
+    need = Need(tokens=message_tokens + max_tokens, turns=1)
+    stream.waits("budget")
+    reserved = await budgets.reserve(program, kind.budget, need, deadline)
+    if isinstance(reserved, Failed):
+        return reserved
+    try:
+        call = _model_call(
+            program, branch, operation, kind, max_tokens, deadline
+        )
+        outcome = await shard.executor.run_model(call, stream)
+        if isinstance(outcome, Failed):
+            return outcome
+        record = _record(
+            operation, program, stream, outcome.unwrap(), message_tokens
+        )
+        stream.waits("commit")
+        return await _commit(shard, record, deadline)
+    finally:
+        budgets.settle(program, need)
+
+
+async def _commit(
+    shard: OwnedShard, record: TurnFinished, deadline: float
+) -> CallEnd:
+    """Commits a finished turn; past the deadline the commit goes on alone.
+
+    The turn ran, so what is answered then must not say that it did not; a
+    caller that sends the request again finds the committed answer.
+    """
+    commit = asyncio.ensure_future(shard.commit([record]))
+    left_s = max(0.0, deadline - time.monotonic())
+    done, _ = await asyncio.wait([commit], timeout=left_s)
+    if not done:
+        shard.spawn(_wait(commit))
+        return Failed(Failure(ErrorKind.TIMED_OUT))
+    committed = commit.result()
+    if isinstance(committed, Failed):
+        return committed
+    return views.outcome_of(record)
+
+
+async def _wait(commit: asyncio.Future[Result[None, Failure]]) -> None:
+    await commit
+
+
+def _model_call(
+    program: Program,
+    branch: Branch,
+    operation: SendTurn,
+    kind: ProgramKind,
+    max_tokens: int,
+    deadline: float,
+) -> ModelCall:
+    prompt = (
+        kind.system_prompt,
+        *(part for entry in branch.entries for part in _prompt_parts(entry)),
+        operation.message,
+    )
+    return ModelCall(
+        workspace=program.workspace,
+        program_id=program.program_id,
+        branch_id=branch.branch_id,
+        request_id=operation.request_id,
+        model=kind.model,
+        prompt=prompt,
+        content_digest=hashing.digest(kind.model, *prompt),
+        max_tokens=max_tokens,
+        priority=kind.priority,
+        attained_s=program.attained_ms / 1000,
+        replica=branch.replica,
+        deadline=deadline,
+        kind=kind.name,
+    )
+
+
+def _prompt_parts(entry: TurnFinished | CallFinished) -> tuple[str, str]:
+    if isinstance(entry, TurnFinished):
+        return (entry.message, entry.text)
+    return (f"{entry.operation} {entry.payload}", entry.result)
+
+
+def _record(
+    operation: SendTurn,
+    program: Program,
+    stream: AnswerStream,
+    result: ModelResult,
+    message_tokens: int,
+) -> TurnFinished:
+    return TurnFinished(
+        program_id=program.program_id,
+        branch_id=operation.branch_id,
+        request_id=operation.request_id,
+        content_digest=stream.content_digest,
+        message=operation.message,
+        text=result.text,
+        replica=result.replica,
+        prompt_tokens=result.prompt_tokens,
+        cached_tokens=result.cached_tokens,
+        generated_tokens=result.generated_tokens,
+        charged_tokens=message_tokens + result.generated_tokens,
+        service_ms=result.service_ms,
+    )
--- /dev/null
+++ b/libs/programs/tests/test_shards.py
@@ -0,0 +1,261 @@
+"""Tests of a shard: order, deduplication, budget, unrepeatable calls."""
+
+import asyncio
+import time
+import unittest
+
+from masticdale_common import ErrorKind
+from masticdale_platform.testing import MemoryStore
+from masticdale_programs import (
+    MAIN_BRANCH,
+    Caller,
+    CallOutcome,
+    CallService,
+    CreateProgram,
+    EndProgram,
+    GetProgram,
+    OpenBranch,
+    RequestKey,
+    SendTurn,
+    ShardSettings,
+    open_shard,
+)
+from masticdale_programs.testing import (
+    UNREPEATABLE,
+    FakeExecutor,
+    answer_to,
+    follow,
+    sample_kind,
+)
+
+WORKSPACE = "tengri"
+FAST = ShardSettings(commit_wait_s=0.05)
+
+
+def caller(seconds=30.0, workspace=WORKSPACE):
+    return Caller(workspace, time.monotonic() + seconds)
+
+
+async def wait_for_outcome(shard, request_id, program_id="p1"):
+    return await follow(shard, RequestKey(program_id, request_id), WORKSPACE)
+
+
+def turn(request_id, message="go", sequence=None, branch=MAIN_BRANCH):
+    return SendTurn("p1", branch, request_id, message, sequence)
+
+
+def filing(request_id, payload="{}"):
+    return CallService("p1", MAIN_BRANCH, request_id, UNREPEATABLE, payload)
+
+
+class ShardTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.executor = FakeExecutor()
+        self.shards = []
+        self.shard = await self.open("host-1")
+        await self.create()
+
+    async def asyncTearDown(self):
+        for shard in self.shards:
+            await shard.close()
+
+    async def open(self, host):
+        opened = await open_shard(
+            self.store, 3, host, host, self.executor, lambda *_: None, FAST
+        )
+        self.shards.append(opened.unwrap())
+        return opened.unwrap()
+
+    async def create(self, **budget):
+        operation = CreateProgram("p1", sample_kind(**budget))
+        return (await self.shard.submit(operation, caller())).unwrap()
+
+
+class OrderTest(ShardTestCase):
+    async def test_turns_of_a_branch_run_in_order_with_their_history(self):
+        for number in range(3):
+            await self.shard.submit(turn(f"r{number}", f"m{number}"), caller())
+        await wait_for_outcome(self.shard, "r2")
+        prompts = [call.prompt for call in self.executor.calls]
+        self.assertEqual([p[-1] for p in prompts], ["m0", "m1", "m2"])
+        self.assertEqual(prompts[1][1:3], ("m0", answer_to(prompts[0])))
+
+    async def test_call_behind_a_failed_predecessor_is_refused(self):
+        self.executor.faults.fail_turns = 1
+        await self.shard.submit(turn("r0", sequence=0), caller())
+        await self.shard.submit(turn("r1", sequence=1), caller())
+        outcome = await wait_for_outcome(self.shard, "r1")
+        self.assertIs(outcome.failure().kind, ErrorKind.OUT_OF_ORDER)
+
+    async def test_sent_again_is_answered_again_without_running(self):
+        await self.shard.submit(turn("r0"), caller())
+        first = await wait_for_outcome(self.shard, "r0")
+        await self.shard.submit(turn("r0"), caller())
+        second = await wait_for_outcome(self.shard, "r0")
+        self.assertEqual(first, second)
+        self.assertEqual(len(self.executor.calls), 1)
+
+    async def test_request_id_with_other_content_is_refused(self):
+        await self.shard.submit(turn("r0", "a"), caller())
+        await wait_for_outcome(self.shard, "r0")
+        again = await self.shard.submit(turn("r0", "b"), caller())
+        self.assertIs(again.failure().kind, ErrorKind.REQUEST_ID_REUSED)
+
+    async def test_another_workspace_sees_no_such_program(self):
+        operation = GetProgram("p1", MAIN_BRANCH)
+        other = caller(workspace="halvorsen")
+        outcome = await self.shard.submit(operation, other)
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_FOUND)
+
+    async def test_branch_starts_with_its_parents_history(self):
+        await self.shard.submit(turn("r0", "m0"), caller())
+        await wait_for_outcome(self.shard, "r0")
+        await self.shard.submit(OpenBranch("p1", "sub"), caller())
+        await self.shard.submit(turn("s0", "s", 0, "sub"), caller())
+        await wait_for_outcome(self.shard, "s0")
+        self.assertEqual(self.executor.calls[-1].prompt[1], "m0")
+
+
+class BudgetTest(ShardTestCase):
+    async def create(self, **budget):
+        return await super().create(tokens=250, turns=2)
+
+    async def test_turn_limit_ends_a_loop(self):
+        for number in range(2):
+            await self.shard.submit(turn(f"r{number}"), caller())
+            await wait_for_outcome(self.shard, f"r{number}")
+        await self.shard.submit(turn("r2"), caller())
+        outcome = await wait_for_outcome(self.shard, "r2")
+        self.assertIs(outcome.failure().kind, ErrorKind.BUDGET_EXCEEDED)
+        self.assertEqual(len(self.executor.calls), 2)
+
+    async def test_worst_case_is_reserved_across_branches(self):
+        self.executor.faults.delay_s = 0.02
+        for name in ("a", "b", "c"):
+            await self.shard.submit(OpenBranch("p1", name), caller())
+            await self.shard.submit(turn(name, "x", 0, name), caller())
+        outcomes = [await wait_for_outcome(self.shard, n) for n in "abc"]
+        refused = [o for o in outcomes if hasattr(o, "failure")]
+        self.assertEqual(len(self.executor.calls), 2)
+        self.assertEqual(len(refused), 3)
+
+
+class UnrepeatableTest(ShardTestCase):
+    def executions(self):
+        return sum(self.executor.execution_count_by_key.values())
+
+    async def test_done_is_answered_again_without_a_second_execution(self):
+        for _ in range(2):
+            await self.shard.submit(filing("f0"), caller())
+            outcome = await wait_for_outcome(self.shard, "f0")
+        self.assertIsInstance(outcome.unwrap(), CallOutcome)
+        self.assertEqual(self.executions(), 1)
+
+    async def test_lost_answer_is_unknown_and_never_sent_again(self):
+        # The caller sees outcome_unknown each time it asks. The service ran
+        # the call, its answer was lost; a second send would file twice.
+        self.executor.faults.lose_answers = 1
+        for _ in range(3):
+            await self.shard.submit(filing("f0"), caller())
+            outcome = await wait_for_outcome(self.shard, "f0")
+            self.assertIs(outcome.failure().kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertEqual(self.executions(), 1)
+
+    async def test_refused_before_running_can_be_sent_again(self):
+        self.executor.faults.refuse = 1
+        await self.shard.submit(filing("f0"), caller())
+        outcome = await wait_for_outcome(self.shard, "f0")
+        self.assertIs(outcome.failure().kind, ErrorKind.NO_UPSTREAM)
+        await self.shard.submit(filing("f0"), caller())
+        outcome = await wait_for_outcome(self.shard, "f0")
+        self.assertEqual(self.executions(), 1)
+
+    async def test_owner_that_dies_after_sending_leaves_unknown(self):
+        # The caller's connection breaks and it asks the next owner. The
+        # first owner had committed the intent and sent the call; the next
+        # one finds the intent without an outcome and must not send.
+        self.executor.faults.delay_s = 60
+        await self.shard.submit(filing("f0"), caller())
+        while not self.executions():
+            await asyncio.sleep(0.001)
+        await self.shard.close()
+        self.executor.faults.delay_s = 0
+        taker = await self.open("host-2")
+        await taker.submit(filing("f0"), caller())
+        outcome = await wait_for_outcome(taker, "f0")
+        self.assertIs(outcome.failure().kind, ErrorKind.OUTCOME_UNKNOWN)
+        self.assertEqual(self.executions(), 1)
+
+    async def test_lookup_tells_the_next_owner_the_outcome(self):
+        self.executor.faults.delay_s = 60
+        self.executor.faults.can_look_up = True
+        await self.shard.submit(filing("f0"), caller())
+        while not self.executions():
+            await asyncio.sleep(0.001)
+        await self.shard.close()
+        taker = await self.open("host-2")
+        await taker.submit(filing("f0"), caller())
+        outcome = await wait_for_outcome(taker, "f0")
+        self.assertEqual(outcome.unwrap().result, '"done file_permit"')
+        self.assertEqual(self.executions(), 1)
+
+    async def test_outage_refuses_before_sending_and_stays_true(self):
+        # The caller is told "not run, come back". The intent's write was
+        # under way when the platform went down, so it lands later; it must
+        # then be voided, or a later owner would call its outcome unknown.
+        self.store.faults.down = True
+        await self.shard.submit(filing("f0"), caller())
+        outcome = await wait_for_outcome(self.shard, "f0")
+        self.assertIs(outcome.failure().kind, ErrorKind.PLATFORM_UNAVAILABLE)
+        self.assertEqual(self.executions(), 0)
+        self.store.faults.down = False
+        while self.shard.voiding:
+            await asyncio.sleep(0.01)
+        await self.shard.submit(filing("f0"), caller())
+        outcome = await wait_for_outcome(self.shard, "f0")
+        self.assertIsInstance(outcome.unwrap(), CallOutcome)
+        self.assertEqual(self.executions(), 1)
+
+
+class TakeoverTest(ShardTestCase):
+    async def test_deposed_owner_cannot_commit(self):
+        # A paused owner wakes after another host took its shard over. Its
+        # caller is sent to the new owner, which has the whole history.
+        await self.shard.submit(turn("r0"), caller())
+        await wait_for_outcome(self.shard, "r0")
+        taker = await self.open("host-2")
+        await self.shard.submit(turn("r1"), caller())
+        outcome = await wait_for_outcome(self.shard, "r1")
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
+        await taker.submit(turn("r1"), caller())
+        await wait_for_outcome(taker, "r1")
+        view = await taker.submit(GetProgram("p1", MAIN_BRANCH), caller())
+        ids = [item.request_id for item in view.unwrap().history]
+        self.assertEqual(ids, ["r0", "r1"])
+
+    async def test_own_write_with_a_lost_answer_is_recognised(self):
+        self.store.faults.lose_write_answers = 2
+        await self.shard.submit(turn("r0"), caller())
+        outcome = await wait_for_outcome(self.shard, "r0")
+        self.assertTrue(outcome.unwrap().text)
+        taker = await self.open("host-2")
+        view = await taker.submit(GetProgram("p1", MAIN_BRANCH), caller())
+        self.assertEqual(len(view.unwrap().history), 1)
+
+
+class EndTest(ShardTestCase):
+    async def test_end_releases_engine_memory(self):
+        await self.shard.submit(turn("r0"), caller())
+        await wait_for_outcome(self.shard, "r0")
+        view = await self.shard.submit(EndProgram("p1"), caller())
+        self.assertEqual(view.unwrap().state, "finished")
+        while self.shard.state.program_by_id["p1"].replicas:
+            await asyncio.sleep(0.001)
+        self.assertEqual(self.executor.released, {("p1", "engine-1")})
+        late = await self.shard.submit(turn("r1"), caller())
+        self.assertIs(late.failure().kind, ErrorKind.PROGRAM_ENDED)
+
+
+if __name__ == "__main__":
+    unittest.main()
