Add calls between hosts and membership by heartbeats

Cause: hosts need typed calls to each other and a view of who is live. Change: libs/peers gets the messages as data classes, a thrift server on asyncio, a client with a bounded pool for each peer, TLS with client certificates, membership by heartbeats to every peer, and a network in memory for other libraries' tests. Conclusion: usable by the daemon.

--- /dev/null
+++ b/libs/peers/src/masticdale_peers/interfaces.py
@@ -0,0 +1,210 @@
+"""The calls between hosts, seen from the called and from the calling side."""
+
+import abc
+from typing import Protocol
+
+from returns.result import Result
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_peers import messages
+from masticdale_peers.messages import (
+    CopyReply,
+    CopyRequest,
+    Empty,
+    GrantNotice,
+    Heartbeat,
+    HeartbeatReply,
+    ProbeReply,
+    ProbeRequest,
+    ReadReply,
+    ReadRequest,
+    ReplyT,
+    RequestT,
+    RevisionsReply,
+    RevisionsRequest,
+    Rpc,
+    SealReply,
+    SealRequest,
+    Submission,
+    SubmitReply,
+    TicketRelease,
+    TicketReply,
+    TicketRequest,
+)
+
+_NOT_SENT = "not sent"
+
+
+def unavailable(host: str, reason: str, *, sent: bool) -> Failure:
+    """Returns the failure of a call that no whole answer came to.
+
+    Args:
+        host: The peer.
+        reason: What happened.
+        sent: False where the peer surely has not got the request.
+    """
+    state = "sent" if sent else _NOT_SENT
+    return Failure(ErrorKind.PEER_UNAVAILABLE, f"{state}: {host}: {reason}")
+
+
+def was_sent(failure: Failure) -> bool:
+    """Returns whether the peer may have got the request of a failed call."""
+    not_sent = failure.detail.startswith(f"{_NOT_SENT}:")
+    return not (failure.kind is ErrorKind.PEER_UNAVAILABLE and not_sent)
+
+
+class PeerHandler(Protocol):
+    """What a host does for its peers, one method for each call.
+
+    Expected errors go into the reply's ``failure``. An exception reaches the
+    caller as INTERNAL.
+    """
+
+    async def heartbeat(self, beat: Heartbeat) -> HeartbeatReply:
+        """Takes a peer's heartbeat and answers with this host's."""
+        ...
+
+    async def submit(self, submission: Submission) -> SubmitReply:
+        """Runs an operation on a program that this host owns."""
+        ...
+
+    async def read(self, request: ReadRequest) -> ReadReply:
+        """Returns a turn's text from an offset on, waiting for new text."""
+        ...
+
+    async def enqueue(self, request: TicketRequest) -> TicketReply:
+        """Queues a call before a replica whose home is this host."""
+        ...
+
+    async def release(self, release: TicketRelease) -> Empty:
+        """Takes a granted ticket back after its call."""
+        ...
+
+    async def withdraw(self, release: TicketRelease) -> Empty:
+        """Takes a ticket out of the queue before its call was sent."""
+        ...
+
+    async def grant(self, notice: GrantNotice) -> Empty:
+        """Wakes the calls whose tickets were granted."""
+        ...
+
+    async def probe(self, request: ProbeRequest) -> ProbeReply:
+        """Says how long a call would wait before a replica."""
+        ...
+
+    async def revisions(self, request: RevisionsRequest) -> RevisionsReply:
+        """Returns configuration revisions after a number."""
+        ...
+
+    async def put_copy(self, request: CopyRequest) -> CopyReply:
+        """Holds copies of a shard's records."""
+        ...
+
+    async def seal_copies(self, request: SealRequest) -> SealReply:
+        """Refuses older epochs' copies from now on and returns those held."""
+        ...
+
+
+class PeerCalls(abc.ABC):
+    """The calls to one peer.
+
+    Each returns the peer's reply, whose ``failure`` the caller still has to
+    look at, or a failure of the call itself: PEER_UNAVAILABLE where no whole
+    answer came within the timeout (``was_sent`` tells whether it may have
+    arrived there), INTERNAL where the peer's handler raised.
+    """
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        rpc: Rpc[RequestT, ReplyT],
+        request: RequestT,
+        timeout_s: float | None = None,
+    ) -> Result[ReplyT, Failure]:
+        """Makes one call.
+
+        Args:
+            rpc: Which call.
+            request: Its argument.
+            timeout_s: How long the whole call may take, waiting for a free
+                connection included; the client's default where None.
+        """
+
+    async def heartbeat(
+        self, beat: Heartbeat, timeout_s: float | None = None
+    ) -> Result[HeartbeatReply, Failure]:
+        """See ``PeerHandler.heartbeat``."""
+        return await self.call(messages.HEARTBEAT, beat, timeout_s)
+
+    async def submit(
+        self, submission: Submission, timeout_s: float | None = None
+    ) -> Result[SubmitReply, Failure]:
+        """See ``PeerHandler.submit``."""
+        return await self.call(messages.SUBMIT, submission, timeout_s)
+
+    async def read(
+        self, request: ReadRequest, timeout_s: float | None = None
+    ) -> Result[ReadReply, Failure]:
+        """See ``PeerHandler.read``; the timeout comes on top of the wait."""
+        return await self.call(messages.READ, request, timeout_s)
+
+    async def enqueue(
+        self, request: TicketRequest, timeout_s: float | None = None
+    ) -> Result[TicketReply, Failure]:
+        """See ``PeerHandler.enqueue``."""
+        return await self.call(messages.ENQUEUE, request, timeout_s)
+
+    async def release(
+        self, release: TicketRelease, timeout_s: float | None = None
+    ) -> Result[Empty, Failure]:
+        """See ``PeerHandler.release``."""
+        return await self.call(messages.RELEASE, release, timeout_s)
+
+    async def withdraw(
+        self, release: TicketRelease, timeout_s: float | None = None
+    ) -> Result[Empty, Failure]:
+        """See ``PeerHandler.withdraw``."""
+        return await self.call(messages.WITHDRAW, release, timeout_s)
+
+    async def grant(
+        self, notice: GrantNotice, timeout_s: float | None = None
+    ) -> Result[Empty, Failure]:
+        """See ``PeerHandler.grant``."""
+        return await self.call(messages.GRANT, notice, timeout_s)
+
+    async def probe(
+        self, request: ProbeRequest, timeout_s: float | None = None
+    ) -> Result[ProbeReply, Failure]:
+        """See ``PeerHandler.probe``."""
+        return await self.call(messages.PROBE, request, timeout_s)
+
+    async def revisions(
+        self, request: RevisionsRequest, timeout_s: float | None = None
+    ) -> Result[RevisionsReply, Failure]:
+        """See ``PeerHandler.revisions``."""
+        return await self.call(messages.REVISIONS, request, timeout_s)
+
+    async def put_copy(
+        self, request: CopyRequest, timeout_s: float | None = None
+    ) -> Result[CopyReply, Failure]:
+        """See ``PeerHandler.put_copy``."""
+        return await self.call(messages.PUT_COPY, request, timeout_s)
+
+    async def seal_copies(
+        self, request: SealRequest, timeout_s: float | None = None
+    ) -> Result[SealReply, Failure]:
+        """See ``PeerHandler.seal_copies``."""
+        return await self.call(messages.SEAL_COPIES, request, timeout_s)
+
+
+class Peers(Protocol):
+    """The calls to every peer, by host name."""
+
+    def client(self, host: str) -> PeerCalls:
+        """Returns the calls to a host.
+
+        Args:
+            host: Name of a peer in the settings; calls to any other name
+                fail with PEER_UNAVAILABLE, not sent.
+        """
+        ...
--- /dev/null
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -0,0 +1,391 @@
+"""The messages between hosts, and their conversion to thrift structs.
+
+Each data class mirrors the struct of the same name in ``peer.thrift`` field
+by field, so the conversion needs no code of its own for any of them.
+"""
+
+import dataclasses
+import importlib.resources
+import typing
+from typing import Any, Generic, TypeVar
+
+import thriftpy2
+
+from masticdale_common import ErrorKind, Failure
+
+_NO_RETRY_TIME = -1
+
+RequestT = TypeVar("RequestT")
+ReplyT = TypeVar("ReplyT")
+MessageT = TypeVar("MessageT")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a host says about itself.
+
+    Attributes:
+        host: Its name.
+        domain: Its failure domain.
+        incarnation: Differs after each restart; a later one sorts higher.
+        revision: The configuration revision in force there.
+        leaving: True once it hands its work over.
+        quarantine_version: Version of its list of given-up requests.
+    """
+
+    host: str
+    domain: str
+    incarnation: str
+    revision: int = 0
+    leaving: bool = False
+    quarantine_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """The called host's own heartbeat."""
+
+    beat: Heartbeat
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """One caller operation on its way to the program's owner.
+
+    Attributes:
+        operation: JSON of the operation.
+        workspace: The caller's workspace.
+        deadline_ms: Milliseconds left when it was sent.
+        origin: The host that sends it.
+    """
+
+    operation: str
+    workspace: str
+    deadline_ms: int
+    origin: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitReply:
+    """The operation's result as JSON, or why there is none."""
+
+    result: str = ""
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRequest:
+    """Asks for the text of a turn from an offset on.
+
+    Attributes:
+        program_id: The program.
+        request_id: The request whose answer is read.
+        offset: Characters the reader already has.
+        wait_ms: How long to wait for new text.
+    """
+
+    program_id: str
+    request_id: str
+    offset: int
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadReply:
+    """Text from the offset on; ``result`` is the outcome's JSON once done."""
+
+    text: str = ""
+    done: bool = False
+    result: str = ""
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketRequest:
+    """Asks a replica's home for a place in the replica's queue.
+
+    Attributes:
+        ticket_id: Names the place in later messages.
+        replica: The replica.
+        origin: The host that waits for the grant.
+        workspace: The caller's workspace.
+        priority: Smaller is served first.
+        attained_s: Service the program has had, in seconds.
+        waited_ms: Time since the call was first queued anywhere.
+        deadline_ms: Milliseconds left.
+        prompt_tokens: Length of the prompt.
+        uncached_tokens: Part of it that the replica has to compute.
+        max_tokens: Most tokens to generate.
+        program_id: The program.
+        content_digest: Digest of the request's content.
+        exclusive: Run with nothing else in flight.
+    """
+
+    ticket_id: str
+    replica: str
+    origin: str
+    workspace: str
+    priority: int
+    attained_s: float
+    waited_ms: int
+    deadline_ms: int
+    prompt_tokens: int
+    uncached_tokens: int
+    max_tokens: int
+    program_id: str
+    content_digest: str
+    exclusive: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketReply:
+    """Granted at once, or the wait to expect; a grant carries its fencing."""
+
+    granted: bool = False
+    expected_wait_ms: int = 0
+    fencing: int = 0
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TicketRelease:
+    """Gives a ticket back, with what the call took."""
+
+    ticket_id: str
+    replica: str
+    crashed: bool = False
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    generated_tokens: int = 0
+    service_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeRequest:
+    """Asks a replica's home how long a call would wait there."""
+
+    replica: str
+    program_id: str
+    branch_id: str
+    prompt_tokens: int
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeReply:
+    """The wait to expect and how much of the prompt is cached."""
+
+    expected_wait_ms: int = 0
+    cached_tokens: int = 0
+    usable: bool = False
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionsRequest:
+    """Asks for configuration revisions after a number."""
+
+    after: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionsReply:
+    """Revisions in order, or a snapshot where they are no longer held."""
+
+    newest: int = 0
+    revisions: tuple[bytes, ...] = ()
+    snapshot: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyRequest:
+    """Records to hold while the platform's service is down.
+
+    Attributes:
+        shard: The shard.
+        epoch: The owner's epoch.
+        sequence: Number of the last record.
+        records: The records.
+        drained: Records up to the sequence are in the platform.
+    """
+
+    shard: int
+    epoch: int
+    sequence: int
+    records: bytes = b""
+    drained: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyReply:
+    """Whether the records are held."""
+
+    held: bool = False
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealRequest:
+    """Refuses copies of epochs smaller than this one from now on."""
+
+    shard: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealReply:
+    """The batches held for the shard, from the first sequence on."""
+
+    batches: tuple[bytes, ...] = ()
+    first_sequence: int = 0
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantNotice:
+    """Tells waiting hosts that their tickets are granted."""
+
+    ticket_ids: tuple[str, ...]
+    replica: str
+    fencing: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Empty:
+    """Nothing but that the call was taken."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rpc(Generic[RequestT, ReplyT]):
+    """One call of the service.
+
+    Attributes:
+        name: Its name in ``peer.thrift``.
+        request_type: The data class of its argument.
+        reply_type: The data class of its answer.
+    """
+
+    name: str
+    request_type: type[RequestT]
+    reply_type: type[ReplyT]
+
+
+HEARTBEAT = Rpc("heartbeat", Heartbeat, HeartbeatReply)
+SUBMIT = Rpc("submit", Submission, SubmitReply)
+READ = Rpc("read", ReadRequest, ReadReply)
+ENQUEUE = Rpc("enqueue", TicketRequest, TicketReply)
+RELEASE = Rpc("release", TicketRelease, Empty)
+WITHDRAW = Rpc("withdraw", TicketRelease, Empty)
+GRANT = Rpc("grant", GrantNotice, Empty)
+PROBE = Rpc("probe", ProbeRequest, ProbeReply)
+REVISIONS = Rpc("revisions", RevisionsRequest, RevisionsReply)
+PUT_COPY = Rpc("put_copy", CopyRequest, CopyReply)
+SEAL_COPIES = Rpc("seal_copies", SealRequest, SealReply)
+
+ALL_RPCS: tuple[Rpc[Any, Any], ...] = (
+    HEARTBEAT,
+    SUBMIT,
+    READ,
+    ENQUEUE,
+    RELEASE,
+    WITHDRAW,
+    GRANT,
+    PROBE,
+    REVISIONS,
+    PUT_COPY,
+    SEAL_COPIES,
+)
+
+
+def _load_idl() -> Any:
+    path = importlib.resources.files("masticdale_peers") / "peer.thrift"
+    return thriftpy2.load(str(path), module_name="masticdale_peer_thrift")
+
+
+_IDL = _load_idl()
+SERVICE = _IDL.Peer
+
+
+def to_wire(message: Any) -> Any:
+    """Returns the thrift struct of a message."""
+    struct = getattr(_IDL, type(message).__name__)()
+    for field in dataclasses.fields(message):
+        value = getattr(message, field.name)
+        setattr(struct, field.name, _value_to_wire(value))
+    return struct
+
+
+def from_wire(message_type: type[MessageT], struct: Any) -> MessageT:
+    """Returns the message of a thrift struct.
+
+    Args:
+        message_type: The data class that mirrors the struct.
+        struct: What thriftpy2 decoded; None where an older host does not know
+            the message.
+    """
+    values = {}
+    hint_by_field = _HINTS_BY_TYPE[message_type]
+    for name, hint in hint_by_field.items():
+        values[name] = _value_from_wire(hint, getattr(struct, name, None))
+    return message_type(**values)
+
+
+def _value_to_wire(value: Any) -> Any:
+    if isinstance(value, Failure):
+        return _failure_to_wire(value)
+    if dataclasses.is_dataclass(value):
+        return to_wire(value)
+    if isinstance(value, tuple):
+        return [_value_to_wire(item) for item in value]
+    return value
+
+
+def _value_from_wire(hint: Any, value: Any) -> Any:
+    if hint == Failure | None:
+        return None if value is None else _failure_from_wire(value)
+    if dataclasses.is_dataclass(hint):
+        return from_wire(hint, value)  # type: ignore[arg-type]
+    if typing.get_origin(hint) is tuple:
+        item_hint = typing.get_args(hint)[0]
+        return tuple(_value_from_wire(item_hint, item) for item in value or ())
+    # A host of an earlier version leaves new fields out; thriftpy2 reads them
+    # as None. They take their type's zero, as thrift defines it, so that hosts
+    # of two versions understand each other during a rolling restart.
+    return hint() if value is None else value
+
+
+def _failure_to_wire(failure: Failure) -> Any:
+    retry_after_ms = failure.retry_after_ms
+    return _IDL.WireFailure(
+        kind=failure.kind.value,
+        detail=failure.detail,
+        retry_after_ms=(
+            _NO_RETRY_TIME if retry_after_ms is None else retry_after_ms
+        ),
+        host=failure.host,
+    )
+
+
+def _failure_from_wire(struct: Any) -> Failure:
+    retry_after_ms = struct.retry_after_ms
+    if retry_after_ms is not None and retry_after_ms < 0:
+        retry_after_ms = None
+    detail = struct.detail or ""
+    try:
+        kind = ErrorKind(struct.kind)
+    except ValueError:
+        # A later version's kind: INTERNAL claims nothing about whether the
+        # request ran, so no false "not run" can come of it.
+        kind, detail = ErrorKind.INTERNAL, f"{struct.kind}: {detail}"
+    return Failure(kind, detail, retry_after_ms, struct.host or "")
+
+
+def _field_hints(message_type: type[Any]) -> dict[str, Any]:
+    return typing.get_type_hints(message_type)
+
+
+_HINTS_BY_TYPE = {
+    message_type: _field_hints(message_type)
+    for rpc in ALL_RPCS
+    for message_type in (rpc.request_type, rpc.reply_type)
+}
--- /dev/null
+++ b/libs/peers/src/masticdale_peers/server.py
@@ -0,0 +1,185 @@
+"""Serves this host's ``PeerHandler`` to its peers."""
+
+import asyncio
+import errno
+import functools
+import types
+from typing import Any
+
+from thriftpy2.contrib.aio.processor import TAsyncProcessor
+from thriftpy2.thrift import TApplicationException
+from thriftpy2.transport import TTransportException
+
+from masticdale_common import JsonValue, logs
+from masticdale_peers import tls as tls_contexts
+from masticdale_peers.interfaces import PeerHandler
+from masticdale_peers.messages import (
+    ALL_RPCS,
+    SERVICE,
+    Rpc,
+    from_wire,
+    to_wire,
+)
+from masticdale_peers.settings import (
+    Address,
+    TlsSettings,
+    invalid,
+    require_loopback,
+)
+from masticdale_peers.wire import make_protocol
+
+# thriftpy2 marks itself as typed without typing this.
+_PROCESSOR: Any = TAsyncProcessor
+
+
+class PeerServer:
+    """A listening socket and the connections peers have opened to it."""
+
+    def __init__(self, handler: PeerHandler, address: Address) -> None:
+        self._handler = handler
+        self._address = address
+        self._processor = _PROCESSOR(SERVICE, self._wire_handler())
+        self._server: asyncio.Server | None = None
+        self._writer_by_task: dict[asyncio.Task[Any], asyncio.StreamWriter] = {}
+        self._calls_in_flight = 0
+        self._drained = asyncio.Event()
+        self._drained.set()
+        self._calls_served = 0
+        self._calls_failed = 0
+
+    async def listen(self, tls: TlsSettings | None) -> None:
+        """Opens the socket; see ``serve``."""
+        context = tls_contexts.server_context(tls) if tls else None
+        try:
+            # thriftpy2's own server socket sets SO_REUSEPORT: a second daemon
+            # on the port starts without an error and gets part of the first
+            # one's connections. asyncio's sets it only on request, and the
+            # kernel refuses to share a port unless both sockets have set it.
+            self._server = await asyncio.start_server(
+                self._serve_connection,
+                str(self._address.ip),
+                self._address.port,
+                ssl=context,
+            )
+        except OSError as error:
+            self._refuse(error)
+
+    async def close(self, grace_s: float) -> None:
+        """Stops listening, lets calls in flight finish, then closes.
+
+        Args:
+            grace_s: How long calls in flight may still take.
+        """
+        if self._server is not None:
+            self._server.close()
+        try:
+            async with asyncio.timeout(grace_s):
+                await self._drained.wait()
+        except TimeoutError:
+            logs.write("peer_calls_cut_off", count=self._calls_in_flight)
+        tasks = list(self._writer_by_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def state(self) -> JsonValue:
+        """Returns what the state dump shows."""
+        return {
+            "address": str(self._address),
+            "connections": len(self._writer_by_task),
+            "calls_in_flight": self._calls_in_flight,
+            "calls_served": self._calls_served,
+            "calls_failed": self._calls_failed,
+        }
+
+    def _refuse(self, error: OSError) -> None:
+        if error.errno == errno.EADDRINUSE:
+            invalid(
+                f"{self._address}: another process listens there. Hint: stop"
+                " it, or give this host another port."
+            )
+        invalid(
+            f"{self._address}: {error.strerror}. Hint: give an address of"
+            " this machine."
+        )
+
+    def _wire_handler(self) -> types.SimpleNamespace:
+        method_by_name = {
+            rpc.name: functools.partial(self._answer, rpc) for rpc in ALL_RPCS
+        }
+        return types.SimpleNamespace(**method_by_name)
+
+    async def _answer(self, rpc: Rpc[Any, Any], struct: Any) -> Any:
+        request = from_wire(rpc.request_type, struct)
+        return to_wire(await getattr(self._handler, rpc.name)(request))
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._writer_by_task[task] = writer
+        protocol = make_protocol(reader, writer)
+        try:
+            while not reader.at_eof():
+                await self._serve_call(protocol)
+        except (TTransportException, OSError, asyncio.CancelledError):
+            pass  # The peer closed, or this server does.
+        except Exception as error:
+            # Bytes that are no thrift message: nothing after them on this
+            # connection can be trusted, so it is closed.
+            logs.write("peer_connection_failed", error=repr(error))
+        finally:
+            del self._writer_by_task[task]
+            writer.transport.abort()
+
+    async def _serve_call(self, protocol: Any) -> None:
+        processor = self._processor
+        name, sequence, result, run = await processor.process_in(protocol)
+        if isinstance(result, TApplicationException):
+            await processor.send_exception(protocol, name, result, sequence)
+            return
+        self._calls_in_flight += 1
+        self._drained.clear()
+        try:
+            result.success = await run()
+        except Exception as error:
+            # thriftpy2 closes the connection here; the caller could not tell
+            # a fault in a handler from a dead host.
+            self._calls_failed += 1
+            logs.write("peer_call_failed", call=name, error=repr(error))
+            answer = TApplicationException(
+                TApplicationException.INTERNAL_ERROR, f"{name} failed"
+            )
+            await processor.send_exception(protocol, name, answer, sequence)
+        else:
+            self._calls_served += 1
+            await processor.send_result(protocol, name, result, sequence)
+        finally:
+            self._calls_in_flight -= 1
+            if not self._calls_in_flight:
+                self._drained.set()
+
+
+async def serve(
+    handler: PeerHandler, bind: Address, tls: TlsSettings | None
+) -> PeerServer:
+    """Starts serving a handler.
+
+    Args:
+        handler: What to do for each call.
+        bind: Where to listen.
+        tls: Certificates; None for plaintext, on loopback only.
+
+    Returns:
+        The server, to be closed by the caller.
+
+    Raises:
+        MasticdaleError: INVALID_SETTINGS, where the port is taken, the
+            address is not this machine's, or plaintext is not allowed.
+    """
+    if tls is None:
+        require_loopback(bind)
+    server = PeerServer(handler, bind)
+    await server.listen(tls)
+    return server
--- /dev/null
+++ b/libs/peers/src/masticdale_peers/testing.py
@@ -0,0 +1,166 @@
+"""A network of ``PeerHandler`` in memory that fails on request, for tests."""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_peers.interfaces import PeerCalls, PeerHandler, unavailable
+from masticdale_peers.messages import (
+    ReplyT,
+    RequestT,
+    Rpc,
+    from_wire,
+    to_wire,
+)
+
+DEFAULT_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Link:
+    """The way from one host to another."""
+
+    origin: str
+    target: str
+
+
+class MemoryNetwork:
+    """Handlers by host name and what is wrong between them.
+
+    Attributes:
+        calls_by_link: How many calls were made on each link.
+    """
+
+    def __init__(self) -> None:
+        self.calls_by_link: dict[Link, int] = {}
+        self._handler_by_host: dict[str, PeerHandler] = {}
+        self._cut_links: set[Link] = set()
+        self._frozen_hosts: set[str] = set()
+        self._delay_by_link: dict[Link, float] = {}
+        self._lost_replies_by_link: dict[Link, int] = {}
+
+    def attach(self, host: str, handler: PeerHandler) -> None:
+        """Starts a host; its new process replaces an earlier one."""
+        self._handler_by_host[host] = handler
+
+    def detach(self, host: str) -> None:
+        """Kills a host: calls to it are refused, none is sent."""
+        self._handler_by_host.pop(host, None)
+
+    def cut(self, origin: str, target: str) -> None:
+        """Drops calls one way; they time out without having arrived."""
+        self._cut_links.add(Link(origin, target))
+
+    def heal(self, origin: str, target: str) -> None:
+        """Ends a cut."""
+        self._cut_links.discard(Link(origin, target))
+
+    def freeze(self, host: str) -> None:
+        """Pauses a host: calls to it time out, its handler does not run."""
+        self._frozen_hosts.add(host)
+
+    def thaw(self, host: str) -> None:
+        """Ends a pause."""
+        self._frozen_hosts.discard(host)
+
+    def delay(self, origin: str, target: str, seconds: float) -> None:
+        """Holds every call up on its way; 0 ends that."""
+        self._delay_by_link[Link(origin, target)] = seconds
+
+    def lose_replies(self, origin: str, target: str, count: int = 1) -> None:
+        """Lets the next calls run and loses their replies."""
+        self._lost_replies_by_link[Link(origin, target)] = count
+
+    def peers(self, origin: str) -> "MemoryPeers":
+        """Returns the calls that a host can make."""
+        return MemoryPeers(self, origin)
+
+    async def deliver(
+        self,
+        link: Link,
+        rpc: Rpc[RequestT, ReplyT],
+        request: RequestT,
+        timeout_s: float,
+    ) -> Result[ReplyT, Failure]:
+        """Makes one call; see ``PeerCalls.call``.
+
+        A call that a cut or a freeze swallows fails at once rather than after
+        its timeout, so that tests need not wait.
+        """
+        self.calls_by_link[link] = self.calls_by_link.get(link, 0) + 1
+        delay_s = self._delay_by_link.get(link, 0.0)
+        await asyncio.sleep(min(delay_s, timeout_s))
+        handler = self._handler_by_host.get(link.target)
+        if handler is None:
+            return _unavailable(link, "refused", sent=False)
+        if link in self._cut_links or link.target in self._frozen_hosts:
+            return _unavailable(link, "timed out", sent=True)
+        if delay_s >= timeout_s:
+            return _unavailable(link, "timed out", sent=True)
+        return await self._run(link, handler, rpc, request, timeout_s)
+
+    async def _run(
+        self,
+        link: Link,
+        handler: PeerHandler,
+        rpc: Rpc[RequestT, ReplyT],
+        request: RequestT,
+        timeout_s: float,
+    ) -> Result[ReplyT, Failure]:
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await getattr(handler, rpc.name)(_copy(request))
+        except TimeoutError:
+            return _unavailable(link, "timed out", sent=True)
+        except Exception as error:
+            detail = f"{link.target}: {rpc.name} failed: {error!r}"
+            return Failed(Failure(ErrorKind.INTERNAL, detail))
+        lost = self._lost_replies_by_link.get(link, 0)
+        if lost:
+            self._lost_replies_by_link[link] = lost - 1
+            return _unavailable(link, "timed out", sent=True)
+        return Success(_copy(reply))
+
+
+class _MemoryPeer(PeerCalls):
+    """Calls on one link."""
+
+    def __init__(self, network: MemoryNetwork, link: Link) -> None:
+        self._network = network
+        self._link = link
+
+    async def call(
+        self,
+        rpc: Rpc[RequestT, ReplyT],
+        request: RequestT,
+        timeout_s: float | None = None,
+    ) -> Result[ReplyT, Failure]:
+        """See ``PeerCalls.call``."""
+        if timeout_s is None:
+            timeout_s = DEFAULT_TIMEOUT_S
+        return await self._network.deliver(self._link, rpc, request, timeout_s)
+
+
+class MemoryPeers:
+    """The calls that one host can make in a ``MemoryNetwork``."""
+
+    def __init__(self, network: MemoryNetwork, origin: str) -> None:
+        self._network = network
+        self._origin = origin
+
+    def client(self, host: str) -> PeerCalls:
+        """See ``Peers.client``."""
+        return _MemoryPeer(self._network, Link(self._origin, host))
+
+
+def _copy(message: Any) -> Any:
+    # Through the thrift struct: what would not survive the wire fails here.
+    return from_wire(type(message), to_wire(message))
+
+
+def _unavailable(link: Link, reason: str, *, sent: bool) -> Failed[Failure]:
+    return Failed(unavailable(link.target, reason, sent=sent))
--- /dev/null
+++ b/libs/peers/tests/test_server.py
@@ -0,0 +1,116 @@
+"""Tests of serving peers: ports, plaintext, TLS, shutdown."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+import hosts
+import trustme
+from returns.result import Success
+
+from masticdale_common import ErrorKind, MasticdaleError
+from masticdale_peers import (
+    Address,
+    Heartbeat,
+    Submission,
+    SubmitReply,
+    TlsSettings,
+    serve,
+)
+
+SUBMISSION = Submission("x", "w", 1000, "host-a")
+
+
+class BindTest(unittest.IsolatedAsyncioTestCase):
+    async def test_second_server_on_a_port_is_refused(self):
+        # With SO_REUSEPORT the second daemon would start without an error
+        # and take part of the first one's connections.
+        async with hosts.serving(hosts.EchoHandler()) as address:
+            with self.assertRaises(MasticdaleError) as caught:
+                await serve(hosts.EchoHandler(), address, None)
+        failure = caught.exception.failure
+        self.assertIs(failure.kind, ErrorKind.INVALID_SETTINGS)
+        self.assertIn("Hint", failure.detail)
+
+    async def test_plaintext_is_refused_beyond_loopback(self):
+        with self.assertRaises(MasticdaleError) as caught:
+            address = Address(ip="192.0.2.1", port=7000)
+            await serve(hosts.EchoHandler(), address, None)
+        self.assertIn("plaintext", caught.exception.failure.detail)
+
+    async def test_close_lets_calls_in_flight_finish(self):
+        # A planned stop: the caller whose call is under way gets its answer
+        # although the server has stopped listening before.
+        handler = hosts.EchoHandler()
+        handler.hold.clear()
+        address = hosts.free_address()
+        server = await serve(handler, address, None)
+        async with hosts.client_of(address) as client:
+            call = asyncio.create_task(client.submit(SUBMISSION))
+            await handler.arrived.acquire()
+            closing = asyncio.create_task(server.close(5.0))
+            await asyncio.sleep(0)
+            handler.hold.set()
+            self.assertEqual(await call, Success(SubmitReply("x")))
+            await closing
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.authority = trustme.CA()
+
+    def certificate(self, name, authority=None):
+        issued = (authority or self.authority).issue_cert(name)
+        certificate = self.folder / f"{name}.pem"
+        key = self.folder / f"{name}.key"
+        authorities = self.folder / "ca.pem"
+        issued.private_key_pem.write_to_path(key)
+        issued.cert_chain_pems[0].write_to_path(certificate)
+        self.authority.cert_pem.write_to_path(authorities)
+        return TlsSettings(
+            certificate=certificate, key=key, authorities=authorities
+        )
+
+    async def call(self, server_tls, client_tls):
+        beat = Heartbeat("host-a", "d1", "1")
+        async with (
+            hosts.serving(hosts.EchoHandler(), server_tls) as address,
+            hosts.client_of(address, client_tls) as client,
+        ):
+            return await client.heartbeat(beat, 2.0)
+
+    async def test_right_certificates_are_accepted(self):
+        result = await self.call(
+            self.certificate(hosts.HOST), self.certificate("host-a")
+        )
+        self.assertEqual(result.unwrap().beat.host, hosts.HOST)
+
+    async def test_client_of_another_authority_is_refused(self):
+        stranger = self.certificate("host-a", trustme.CA())
+        result = await self.call(self.certificate(hosts.HOST), stranger)
+        self.assertIs(result.failure().kind, ErrorKind.PEER_UNAVAILABLE)
+
+    async def test_plaintext_client_is_refused(self):
+        result = await self.call(self.certificate(hosts.HOST), None)
+        self.assertIs(result.failure().kind, ErrorKind.PEER_UNAVAILABLE)
+
+    async def test_server_with_another_hosts_certificate_is_refused(self):
+        # The address now belongs to another host: its certificate is signed
+        # by the right authority, but not for the peer's name.
+        result = await self.call(
+            self.certificate("host-c"), self.certificate("host-a")
+        )
+        self.assertIs(result.failure().kind, ErrorKind.PEER_UNAVAILABLE)
+
+    async def test_missing_files_are_invalid_settings(self):
+        tls = TlsSettings(certificate="no", key="no", authorities="no")
+        with self.assertRaises(MasticdaleError):
+            await serve(hosts.EchoHandler(), hosts.free_address(), tls)
+
+
+if __name__ == "__main__":
+    unittest.main()
