Decide placement, queueing, prefixes, pauses, retries and suspects

Change: libs/routing with one queue per replica (class, workspace shares, attained service, age bound, learned in-flight limit, shedding by backlog), placement in seconds with the three baselines, prefix index, pause decision, retry budget and circuit, crash suspects, workspace limits. No I/O; the present time is a parameter. Conclusion: a first usable interface; its policy is not measured yet, the constants (margin, bounds, learning rates) are guesses until it is.

--- /dev/null
+++ b/libs/routing/src/masticdale_routing/inflight.py
@@ -0,0 +1,128 @@
+"""How many calls may be in flight at a replica, learned from its behaviour."""
+
+import collections
+import dataclasses
+
+from masticdale_routing.tickets import LoadObservation
+
+_MIN_LIMIT = 1.0
+_BEST_DECAY = 0.999
+_DECREASE = 0.9
+_CEILING_HOLD_S = 30.0
+_REPORT_LIFE_S = 10.0
+_RECENT_LIMIT = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InFlightSettings:
+    """Bounds of the learned limit.
+
+    Attributes:
+        initial: Limit before anything is known.
+        maximum: Never more than this.
+        least_speed_share: Decode speed, as a share of the best seen, below
+            which the batch counts as too large.
+    """
+
+    initial: int = 8
+    maximum: int = 256
+    least_speed_share: float = 0.4
+
+
+class InFlightLimit:
+    """Additive increase, multiplicative decrease on two signals.
+
+    A decode speed far below the replica's best says that its batch is too
+    large; calls that the engine itself keeps waiting say that its slots are
+    full, and the engine's queue knows no priority, so it must stay empty.
+    """
+
+    def __init__(self, settings: InFlightSettings) -> None:
+        self._settings = settings
+        self._limit = float(settings.initial)
+        self._ceiling = float(settings.maximum)
+        self._ceiling_until = 0.0
+        self._best_speed = 0.0
+        self._finishes_to_next_decrease = 0
+
+    @property
+    def limit(self) -> int:
+        """Calls that may be in flight."""
+        return int(self._limit)
+
+    def finished(self, speed: float, full: bool, now: float) -> None:
+        """Learns from a finished call.
+
+        Args:
+            speed: The call's decode speed.
+            full: Whether the limit was reached while it ran.
+            now: Present time.
+        """
+        self._best_speed = max(speed, self._best_speed * _BEST_DECAY)
+        self._finishes_to_next_decrease -= 1
+        if speed < self._best_speed * self._settings.least_speed_share:
+            self._decrease()
+            return
+        if not full:
+            return
+        maximum = float(self._settings.maximum)
+        if now < self._ceiling_until:
+            maximum = self._ceiling
+        self._limit = min(maximum, self._limit + 1 / self._limit)
+
+    def observed(self, observation: LoadObservation, now: float) -> None:
+        """Learns from a load report."""
+        if observation.waiting <= 0 or observation.running <= 0:
+            return
+        self._ceiling = max(_MIN_LIMIT, float(observation.running))
+        self._ceiling_until = now + _CEILING_HOLD_S
+        self._limit = min(self._limit, self._ceiling)
+
+    def _decrease(self) -> None:
+        # The calls that ran together all report the same low speed; reacting
+        # to each would collapse the limit, so one batch counts once.
+        if self._finishes_to_next_decrease > 0:
+            return
+        self._finishes_to_next_decrease = self.limit
+        self._limit = max(_MIN_LIMIT, self._limit * _DECREASE)
+
+
+class ForeignLoad:
+    """Calls at a replica that its present queue did not send.
+
+    After a change of home, or while two hosts both act as home, the engine
+    holds calls this queue knows nothing of. Its load report lags, so it is
+    compared with what this queue had in flight when the report was true.
+    """
+
+    def __init__(self) -> None:
+        self._recent: collections.deque[tuple[float, float]] = (
+            collections.deque(maxlen=_RECENT_LIMIT)
+        )
+        self._foreign = 0
+        self._valid_until = 0.0
+
+    def finished(self, granted_at: float, now: float) -> None:
+        """Notes a call of ours that ended."""
+        self._recent.append((granted_at, now))
+
+    def observed(
+        self, observation: LoadObservation, granted_at: list[float], now: float
+    ) -> None:
+        """Compares a load report with our own calls at its time.
+
+        Args:
+            observation: The report.
+            granted_at: Grant times of our calls in flight now.
+            now: Present time.
+        """
+        then = observation.observed_at
+        ours = sum(1 for at in granted_at if at <= then)
+        ours += sum(1 for at, end in self._recent if at <= then < end)
+        reported = observation.running + observation.waiting
+        self._foreign = max(0, reported - ours)
+        self._valid_until = now + _REPORT_LIFE_S
+
+    def count(self, now: float) -> int:
+        """Returns the foreign calls, 0 once the last report is too old."""
+        return self._foreign if now < self._valid_until else 0
--- /dev/null
+++ b/libs/routing/src/masticdale_routing/placement.py
@@ -0,0 +1,261 @@
+"""Which replica runs a call, in seconds of expected cost.
+
+The baselines (round robin, least in flight, plain affinity) stay here so that
+every measurement can be repeated against them.
+"""
+
+import dataclasses
+import functools
+from collections.abc import Collection, Sequence
+from typing import TypeAlias
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, hashing
+
+_DEFAULT_PROBES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica that may run a call.
+
+    Attributes:
+        replica: Its name.
+        domain: Its failure domain.
+        expected_wait_s: Expected wait in its queue.
+        cached_tokens: Tokens of the call's prompt it is believed to hold.
+        prefill_tokens_per_s: How fast it computes a prompt.
+        decode_tokens_per_s: How fast one call generates there.
+        in_flight: Calls in flight and waiting there.
+        usable: False for a replica that is leaving, dead, or whose circuit
+            is open.
+    """
+
+    replica: str
+    domain: str
+    expected_wait_s: float = 0.0
+    cached_tokens: int = 0
+    prefill_tokens_per_s: float = 10_000.0
+    decode_tokens_per_s: float = 50.0
+    in_flight: int = 0
+    usable: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementRequest:
+    """A call to be placed.
+
+    Attributes:
+        program_id: Its program.
+        prompt_tokens: Tokens of its whole context.
+        expected_tokens: Tokens it is expected to generate.
+        last_replica: Where its branch ran last; empty for a new branch.
+    """
+
+    program_id: str
+    prompt_tokens: int
+    expected_tokens: int = 0
+    last_replica: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a call goes.
+
+    Attributes:
+        replica: The replica.
+        cost_s: Expected seconds until its answer's end.
+        uncached_tokens: Prompt tokens expected to be computed there.
+        moved: Whether it leaves the replica that it ran at last.
+    """
+
+    replica: str
+    cost_s: float
+    uncached_tokens: int
+    moved: bool
+
+
+@dataclasses.dataclass(slots=True)
+class RoundRobin:
+    """Baseline: each call to the next replica.
+
+    Attributes:
+        turn: Number of calls placed so far.
+    """
+
+    turn: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeastInFlight:
+    """Baseline: each call to the replica with the fewest calls."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Affinity:
+    """Baseline: a branch stays where it began, however long the queue."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CostInSeconds:
+    """Least expected wait plus prefill plus generation.
+
+    Attributes:
+        margin_s: A branch moves only if that saves more seconds than this.
+        margin_share: And more than this share of the staying cost: the moved
+            prefix also displaces prefixes of others, which the mover's own
+            cost does not show.
+    """
+
+    margin_s: float = 1.0
+    margin_share: float = 0.2
+
+
+Policy: TypeAlias = RoundRobin | LeastInFlight | Affinity | CostInSeconds
+
+
+def cost_s(request: PlacementRequest, candidate: Candidate) -> float:
+    """Returns the expected seconds until the call's end at a replica."""
+    uncached = max(0, request.prompt_tokens - candidate.cached_tokens)
+    return (
+        candidate.expected_wait_s
+        + uncached / candidate.prefill_tokens_per_s
+        + request.expected_tokens / candidate.decode_tokens_per_s
+    )
+
+
+def place(
+    request: PlacementRequest, candidates: Sequence[Candidate], policy: Policy
+) -> Result[Placement, Failure]:
+    """Chooses a replica.
+
+    Args:
+        request: The call.
+        candidates: The replicas to choose from; unusable ones are skipped.
+        policy: How to choose.
+
+    Returns:
+        The placement, or NO_UPSTREAM when no candidate is usable.
+    """
+    usable = [c for c in candidates if c.usable]
+    if not usable:
+        return Failed(Failure(ErrorKind.NO_UPSTREAM))
+    chosen = _choose(policy, request, usable)
+    last = request.last_replica
+    return Success(
+        Placement(
+            chosen.replica,
+            cost_s(request, chosen),
+            max(0, request.prompt_tokens - chosen.cached_tokens),
+            moved=bool(last) and chosen.replica != last,
+        )
+    )
+
+
+@functools.singledispatch
+def _choose(
+    policy: Policy,
+    _request: PlacementRequest,
+    _candidates: Sequence[Candidate],
+) -> Candidate:
+    raise TypeError(f"unknown placement policy {policy!r}")
+
+
+@_choose.register
+def _(
+    policy: RoundRobin,
+    _request: PlacementRequest,
+    candidates: Sequence[Candidate],
+) -> Candidate:
+    policy.turn += 1
+    return candidates[policy.turn % len(candidates)]
+
+
+@_choose.register
+def _(
+    _policy: LeastInFlight,
+    _request: PlacementRequest,
+    candidates: Sequence[Candidate],
+) -> Candidate:
+    return min(candidates, key=lambda c: c.in_flight)
+
+
+@_choose.register
+def _(
+    _policy: Affinity,
+    request: PlacementRequest,
+    candidates: Sequence[Candidate],
+) -> Candidate:
+    last = _find(request.last_replica, candidates)
+    if last is not None:
+        return last
+    return min(candidates, key=lambda c: c.in_flight)
+
+
+@_choose.register
+def _(
+    policy: CostInSeconds,
+    request: PlacementRequest,
+    candidates: Sequence[Candidate],
+) -> Candidate:
+    cheapest = min(candidates, key=lambda c: (cost_s(request, c), c.in_flight))
+    last = _find(request.last_replica, candidates)
+    if last is None or last is cheapest:
+        return cheapest
+    staying_s = cost_s(request, last)
+    saved_s = staying_s - cost_s(request, cheapest)
+    if saved_s > policy.margin_s + policy.margin_share * staying_s:
+        return cheapest
+    return last
+
+
+def _find(replica: str, candidates: Sequence[Candidate]) -> Candidate | None:
+    if not replica:
+        return None
+    return next((c for c in candidates if c.replica == replica), None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Location:
+    """Where a replica stands.
+
+    Attributes:
+        replica: Its name.
+        domain: Its failure domain.
+    """
+
+    replica: str
+    domain: str
+
+
+def choose_probes(
+    key: str,
+    locations: Sequence[Location],
+    count: int = _DEFAULT_PROBES,
+    excluded: Collection[str] = (),
+) -> list[str]:
+    """Returns a few replicas to ask, spread over failure domains.
+
+    The cost of a placement does not grow with the fleet, and a program whose
+    failure domain goes down has probed others.
+
+    Args:
+        key: What to spread by, such as the program id and the attempt.
+        locations: All usable replicas.
+        count: How many to ask.
+        excluded: Replicas not to ask.
+    """
+    domain_by_replica = {
+        x.replica: x.domain for x in locations if x.replica not in excluded
+    }
+    ranked = hashing.rank(key, domain_by_replica)
+    first_of_domain: list[str] = []
+    others: list[str] = []
+    seen: set[str] = set()
+    for replica in ranked:
+        domain = domain_by_replica[replica]
+        (others if domain in seen else first_of_domain).append(replica)
+        seen.add(domain)
+    return [*first_of_domain, *others][:count]
--- /dev/null
+++ b/libs/routing/src/masticdale_routing/queues.py
@@ -0,0 +1,343 @@
+"""The queue before one replica, held by the replica's home."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from masticdale_common import ErrorKind, Failure, JsonValue
+from masticdale_routing.heaps import LazyHeap
+from masticdale_routing.inflight import (
+    ForeignLoad,
+    InFlightLimit,
+    InFlightSettings,
+)
+from masticdale_routing.speeds import EngineSpeed
+from masticdale_routing.tickets import (
+    Granted,
+    LoadObservation,
+    Offer,
+    Queued,
+    Refused,
+    Ticket,
+    TicketResult,
+)
+from masticdale_routing.waiting import QueueOrder, WaitingTickets
+
+_RUNNING_GRACE_S = 30.0
+_MIN_RETRY_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueSettings:
+    """How a replica's queue behaves.
+
+    Attributes:
+        order: Order within a class and workspace.
+        age_bound_s: A ticket that waited longer is served before all others.
+        max_wait_s_by_priority: Longest expected wait at which a class still
+            admits new programs; the last entry holds for all further classes.
+        max_waiting: Bound of the queue's memory.
+        in_flight: Bounds of the learned limit.
+        weight_by_workspace: Shares between workspaces; 1 where absent.
+    """
+
+    order: QueueOrder = QueueOrder.ATTAINED_SERVICE
+    age_bound_s: float = 120.0
+    max_wait_s_by_priority: tuple[float, ...] = (90.0, 60.0, 20.0)
+    max_waiting: int = 10_000
+    in_flight: InFlightSettings = dataclasses.field(
+        default_factory=InFlightSettings
+    )
+    weight_by_workspace: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DroppedTickets:
+    """Tickets taken out of a queue.
+
+    Attributes:
+        waiting: Never sent to the replica by this queue.
+        running: Granted; the replica may still be working on them.
+    """
+
+    waiting: tuple[Ticket, ...]
+    running: tuple[Ticket, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    ticket: Ticket
+    granted_at: float
+
+
+class ReplicaQueue:
+    """Decides which calls run at one replica, and when.
+
+    Every operation is idempotent by ticket id, because owners ask again after
+    lost answers and after the queue moved to another host.
+    """
+
+    def __init__(
+        self, replica: str, settings: QueueSettings, speed: EngineSpeed
+    ) -> None:
+        self.replica = replica
+        self.speed = speed
+        self._settings = settings
+        self._waiting = WaitingTickets(
+            settings.order, settings.age_bound_s, settings.weight_by_workspace
+        )
+        self._running_by_id: dict[str, _Running] = {}
+        self._running_by_deadline: LazyHeap[float] = LazyHeap()
+        self._newly_granted: dict[str, Ticket] = {}
+        self._exclusive_ids: set[str] = set()
+        self._limit = InFlightLimit(settings.in_flight)
+        self._foreign = ForeignLoad()
+        self._closed: Failure | None = None
+
+    @property
+    def limit(self) -> int:
+        """Calls that may be in flight at present."""
+        return self._limit.limit
+
+    @property
+    def waiting(self) -> int:
+        """Tickets that wait."""
+        return len(self._waiting)
+
+    def in_flight(self, now: float) -> int:
+        """Returns the calls at the replica, those of other homes included."""
+        return len(self._running_by_id) + self._foreign.count(now)
+
+    def running(self) -> tuple[Ticket, ...]:
+        """Returns the tickets granted and not finished."""
+        return tuple(r.ticket for r in self._running_by_id.values())
+
+    def offer(self, ticket: Ticket, now: float) -> Offer:
+        """Queues a ticket, or tells the state of one offered before.
+
+        Args:
+            ticket: The call; one offered again keeps its first place.
+            now: Present time.
+
+        Returns:
+            Granted, queued with the expected wait, or refused.
+        """
+        self._expire(now)
+        if ticket.ticket_id in self._running_by_id:
+            return self._tell_granted(ticket.ticket_id)
+        if ticket.ticket_id not in self._waiting:
+            refusal = self._refusal(ticket, now)
+            if refusal is not None:
+                return Refused(refusal)
+            self._waiting.add(ticket, self.speed.service_s(ticket))
+        self._grant(now)
+        if ticket.ticket_id in self._running_by_id:
+            return self._tell_granted(ticket.ticket_id)
+        return Queued(self.expected_wait_s(ticket, now))
+
+    def withdraw(self, ticket_id: str, now: float) -> None:
+        """Forgets a ticket whose caller left, waiting or granted."""
+        self._waiting.remove(ticket_id)
+        self._stop_running(ticket_id, now)
+
+    def finish(self, ticket_id: str, result: TicketResult, now: float) -> None:
+        """Ends a granted ticket and learns from it; unknown ids are ignored.
+
+        Args:
+            ticket_id: The ticket.
+            result: How the call ended.
+            now: Present time.
+        """
+        full = self.in_flight(now) >= self.limit
+        if self._stop_running(ticket_id, now) is None:
+            return
+        speed = self.speed.decode_speed(result)
+        if speed is not None and not result.crashed:
+            self._limit.finished(speed, full, now)
+        self.speed.observe(result)
+
+    def grantable(self, now: float) -> list[Ticket]:
+        """Returns the tickets granted since the last call, in grant order."""
+        self._expire(now)
+        self._grant(now)
+        granted = list(self._newly_granted.values())
+        self._newly_granted.clear()
+        return granted
+
+    def adopt(self, ticket: Ticket, now: float) -> None:
+        """Takes over a call that an earlier home granted, without a limit.
+
+        Args:
+            ticket: A call that is running at the replica.
+            now: Present time.
+        """
+        if ticket.ticket_id in self._running_by_id:
+            return
+        self._waiting.remove(ticket.ticket_id)
+        self._start(ticket, now)
+
+    def drop_origin(self, host: str, now: float) -> DroppedTickets:
+        """Drops the tickets of a host that died."""
+        waiting = [t for t in self._waiting.tickets() if t.origin == host]
+        running = [t for t in self.running() if t.origin == host]
+        for ticket in [*waiting, *running]:
+            self.withdraw(ticket.ticket_id, now)
+        return DroppedTickets(tuple(waiting), tuple(running))
+
+    def close(self, failure: Failure, now: float) -> DroppedTickets:
+        """Refuses all further tickets, for a replica that left or died.
+
+        Args:
+            failure: What later offers are refused with.
+            now: Present time.
+
+        Returns:
+            What waited, to be placed elsewhere, and what is in flight, which
+            stays counted until it is finished or withdrawn.
+        """
+        self._closed = failure
+        waiting = self._waiting.tickets()
+        for ticket in waiting:
+            self.withdraw(ticket.ticket_id, now)
+        return DroppedTickets(tuple(waiting), self.running())
+
+    def reopen(self) -> None:
+        """Takes tickets again."""
+        self._closed = None
+
+    def observe_load(self, observation: LoadObservation, now: float) -> None:
+        """Learns from a load report, which lags.
+
+        Args:
+            observation: The report.
+            now: Present time.
+        """
+        granted_at = [r.granted_at for r in self._running_by_id.values()]
+        self._foreign.observed(observation, granted_at, now)
+        self._limit.observed(observation, now)
+
+    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
+        """Returns the expected wait of a ticket, for probes too.
+
+        Args:
+            ticket: Any ticket; it need not be queued.
+            now: Present time.
+        """
+        service_s = self.speed.service_s(ticket)
+        ahead_s = self._waiting.work_ahead(ticket, service_s)
+        return self._drain_s(ahead_s, now)
+
+    def dump(self, now: float) -> JsonValue:
+        """Returns the queue's state for a state dump."""
+        return {
+            "replica": self.replica,
+            "limit": self.limit,
+            "in_flight": self.in_flight(now),
+            "foreign": self._foreign.count(now),
+            "waiting": self.waiting,
+            "waiting_work_s_by_priority": {
+                str(p): round(s, 3)
+                for p, s in self._waiting.work_by_priority().items()
+            },
+            "decode_tokens_per_s": round(self.speed.decode_tokens_per_s, 1),
+            "prefill_tokens_per_s": round(self.speed.prefill_tokens_per_s, 1),
+            "closed": self._closed.kind if self._closed else None,
+        }
+
+    def _refusal(self, ticket: Ticket, now: float) -> Failure | None:
+        if self._closed is not None:
+            return self._closed
+        if ticket.deadline_at <= now:
+            return Failure(ErrorKind.DEADLINE_EXCEEDED)
+        service_s = self.speed.service_s(ticket)
+        wait_s = self._drain_s(self._waiting.backlog(ticket, service_s), now)
+        if len(self._waiting) >= self._settings.max_waiting:
+            return _overloaded(wait_s / 2)
+        # A program under way has cost service already; refusing it would
+        # throw that away, so only new programs are shed.
+        if ticket.attained_s > 0:
+            return None
+        allowed_s = self._max_wait_s(ticket.priority)
+        if wait_s <= allowed_s:
+            return None
+        return _overloaded(wait_s - allowed_s)
+
+    def _drain_s(self, ahead_s: float, now: float) -> float:
+        free = self.limit - self.in_flight(now)
+        if free > len(self._waiting):
+            return 0.0
+        # Slots free up evenly over a mean call, so the next one is expected
+        # after its share of it.
+        next_slot_s = self.speed.mean_service_s() if free <= 0 else 0.0
+        return (ahead_s + next_slot_s) / max(1, self.limit)
+
+    def _max_wait_s(self, priority: int) -> float:
+        bounds = self._settings.max_wait_s_by_priority
+        return bounds[min(max(0, priority), len(bounds) - 1)]
+
+    def _tell_granted(self, ticket_id: str) -> Granted:
+        self._newly_granted.pop(ticket_id, None)
+        return Granted()
+
+    def _grant(self, now: float) -> None:
+        while self.in_flight(now) < self.limit:
+            if self._exclusive_ids:
+                return
+            ticket = self._waiting.head(now)
+            if ticket is None:
+                return
+            # An exclusive ticket at the head holds the line until the replica
+            # is empty: a crash then has one cause, and its turn comes.
+            if ticket.exclusive and self.in_flight(now) > 0:
+                return
+            self._waiting.remove(ticket.ticket_id, served=True)
+            self._start(ticket, now)
+            self._newly_granted[ticket.ticket_id] = ticket
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        self._running_by_id[ticket.ticket_id] = _Running(ticket, now)
+        self._running_by_deadline.push(ticket.ticket_id, ticket.deadline_at)
+        if ticket.exclusive:
+            self._exclusive_ids.add(ticket.ticket_id)
+
+    def _stop_running(self, ticket_id: str, now: float) -> _Running | None:
+        running = self._running_by_id.pop(ticket_id, None)
+        self._newly_granted.pop(ticket_id, None)
+        self._exclusive_ids.discard(ticket_id)
+        if running is None:
+            return None
+        self._running_by_deadline.discard(ticket_id)
+        self._foreign.finished(running.granted_at, now)
+        return running
+
+    def _expire(self, now: float) -> None:
+        self._waiting.expire(now)
+        # A lost release would hold its slot for ever and the replica would
+        # idle; no origin keeps a call running past its deadline.
+        while first := self._running_by_deadline.peek():
+            if first[0] + _RUNNING_GRACE_S > now:
+                return
+            self._stop_running(first[1], now)
+
+
+def _overloaded(retry_s: float) -> Failure:
+    retry_ms = int(1000 * max(_MIN_RETRY_S, retry_s))
+    return Failure(ErrorKind.OVERLOADED, retry_after_ms=retry_ms)
+
+
+def create_replica_queue(
+    replica: str,
+    settings: QueueSettings | None = None,
+    speed: EngineSpeed | None = None,
+) -> ReplicaQueue:
+    """Returns an empty queue for a replica.
+
+    Args:
+        replica: The replica's name.
+        settings: How it behaves; defaults where None.
+        speed: What is known of the replica's speed.
+    """
+    return ReplicaQueue(
+        replica, settings or QueueSettings(), speed or EngineSpeed()
+    )
--- /dev/null
+++ b/libs/routing/src/masticdale_routing/speeds.py
@@ -0,0 +1,73 @@
+"""How fast a replica works, learned from the calls it finished."""
+
+import math
+
+from masticdale_routing.tickets import Ticket, TicketResult
+
+_LEARNING_RATE = 0.2
+_MAX_RATIO = 8.0
+_MIN_PREDICTED_S = 1e-4
+
+
+class EngineSpeed:
+    """Estimates prefill speed, decode speed and answer length.
+
+    Attributes:
+        prefill_tokens_per_s: Speed of computing a prompt.
+        decode_tokens_per_s: Speed of one call's generation, at the present
+            load.
+        generated_tokens: Mean length of an answer.
+    """
+
+    def __init__(
+        self,
+        prefill_tokens_per_s: float = 10_000.0,
+        decode_tokens_per_s: float = 50.0,
+        generated_tokens: float = 200.0,
+    ) -> None:
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.decode_tokens_per_s = decode_tokens_per_s
+        self.generated_tokens = generated_tokens
+
+    def service_s(self, ticket: Ticket) -> float:
+        """Returns the expected service of a ticket."""
+        generated = self.generated_tokens
+        if ticket.max_tokens > 0:
+            generated = min(generated, float(ticket.max_tokens))
+        return self._predict(ticket.uncached_tokens, generated)
+
+    def mean_service_s(self) -> float:
+        """Returns the expected service of a call with a cached prompt."""
+        return self._predict(0, self.generated_tokens)
+
+    def decode_speed(self, result: TicketResult) -> float | None:
+        """Returns a call's own decode speed, or None if it can't be told."""
+        uncached = result.prompt_tokens - result.cached_tokens
+        decode_s = result.service_s - uncached / self.prefill_tokens_per_s
+        if result.generated_tokens <= 0 or decode_s <= 0:
+            return None
+        return result.generated_tokens / decode_s
+
+    def observe(self, result: TicketResult) -> None:
+        """Learns from a finished call.
+
+        Only the whole duration is known, so prefill and decode each take
+        the part of the error that is their part of the prediction.
+        """
+        if result.service_s <= 0 or result.crashed:
+            return
+        uncached = max(0, result.prompt_tokens - result.cached_tokens)
+        prefill_s = uncached / self.prefill_tokens_per_s
+        decode_s = result.generated_tokens / self.decode_tokens_per_s
+        predicted_s = max(_MIN_PREDICTED_S, prefill_s + decode_s)
+        ratio = result.service_s / predicted_s
+        error = math.log(min(_MAX_RATIO, max(1 / _MAX_RATIO, ratio)))
+        step = _LEARNING_RATE * error / predicted_s
+        self.prefill_tokens_per_s *= math.exp(-step * prefill_s)
+        self.decode_tokens_per_s *= math.exp(-step * decode_s)
+        change = result.generated_tokens - self.generated_tokens
+        self.generated_tokens += _LEARNING_RATE * change
+
+    def _predict(self, uncached: int, generated: float) -> float:
+        prefill_s = uncached / self.prefill_tokens_per_s
+        return prefill_s + generated / self.decode_tokens_per_s
--- /dev/null
+++ b/libs/routing/tests/test_prefixes.py
@@ -0,0 +1,129 @@
+"""Tests of the prefix index and of the decisions in tool pauses."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticdale_routing import (
+    BranchKey,
+    CachePressure,
+    PauseAction,
+    PauseKey,
+    PauseModel,
+    PrefixIndex,
+    PrefixRequest,
+)
+
+BRANCH = BranchKey("p", "main")
+
+
+def request(tokens, branch=BRANCH, **fields):
+    return PrefixRequest(branch, tokens, **fields)
+
+
+class PrefixIndexTest(unittest.TestCase):
+    def test_knows_what_was_sent_and_answered(self):
+        index = PrefixIndex()
+        index.sent(request(1_000), 0.0)
+        index.finished(BRANCH, 1_200, 1.0)
+        self.assertEqual(index.cached_tokens(request(1_500)), 1_200)
+        index.released("p")
+        self.assertEqual(index.cached_tokens(request(1_500)), 0)
+        self.assertEqual(index.held_tokens, 0)
+
+    def test_new_program_shares_its_template(self):
+        index = PrefixIndex()
+        index.sent(request(1_000, template="t", template_tokens=800), 0.0)
+        other = BranchKey("q", "main")
+        mine = request(900, other, template="t", template_tokens=800)
+        self.assertEqual(index.cached_tokens(mine), 800)
+
+    def test_sub_agent_starts_from_its_parent(self):
+        index = PrefixIndex()
+        index.sent(request(1_000), 0.0)
+        child = request(
+            700, BranchKey("p", "sub"), parent=BRANCH, parent_tokens=600
+        )
+        self.assertEqual(index.cached_tokens(child), 600)
+
+    def test_restores_only_from_interval_boundaries(self):
+        index = PrefixIndex(restore_interval=256)
+        index.sent(request(1_000), 0.0)
+        self.assertEqual(index.cached_tokens(request(1_100)), 768)
+
+    def test_late_eviction_does_not_undo_a_later_call(self):
+        """An eviction event arrives after the prefix was computed again.
+
+        Believing it would move the program away from its own prefix.
+        """
+        index = PrefixIndex()
+        index.sent(request(1_000), 10.0)
+        index.evicted(BRANCH, 0, 10.5)
+        self.assertEqual(index.cached_tokens(request(1_100)), 1_000)
+        index.evicted(BRANCH, 0, 20.0)
+        self.assertEqual(index.cached_tokens(request(1_100)), 0)
+
+    def test_gap_in_events_lowers_trust_until_confirmed(self):
+        """Events were lost, so the prefix may have been evicted unseen."""
+        index = PrefixIndex()
+        index.sent(request(1_000), 0.0)
+        index.gap()
+        self.assertLess(index.cached_tokens(request(1_100)), 1_000)
+        index.stored(BRANCH, 1_000, 9.0)
+        self.assertEqual(index.cached_tokens(request(1_100)), 1_000)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.lists(st.tuples(st.integers(0, 9), st.integers(1, 900)), max_size=60)
+    )
+    def test_memory_is_bounded_and_counted(self, sends):
+        index = PrefixIndex(max_branches=6)
+        index.capacity_tokens = 2_000
+        for i, (program, tokens) in enumerate(sends):
+            branch = BranchKey(f"p{program}", "main")
+            index.sent(request(tokens, branch), float(i))
+            self.assertLessEqual(len(index), 6)
+            self.assertLessEqual(index.held_tokens, 2_000)
+        for program in range(10):
+            index.released(f"p{program}")
+        self.assertEqual((len(index), index.held_tokens), (0, 0))
+
+
+class PauseTest(unittest.TestCase):
+    def decide(self, pause_s, **pressure):
+        model = PauseModel()
+        key = PauseKey("dossier", "check")
+        for _ in range(20):
+            model.observe(key, pause_s)
+        decision = model.decide(key, 8_000, 0.0, CachePressure(**pressure))
+        return decision.action
+
+    def test_keeps_while_there_is_room(self):
+        self.assertIs(self.decide(600.0), PauseAction.KEEP)
+
+    def test_exports_through_a_long_pause_in_a_full_cache(self):
+        action = self.decide(
+            600.0, residence_s=60.0, export_tokens_per_s=80_000.0
+        )
+        self.assertIs(action, PauseAction.EXPORT)
+
+    def test_keeps_through_a_short_pause_in_a_full_cache(self):
+        action = self.decide(
+            2.0, residence_s=60.0, export_tokens_per_s=80_000.0
+        )
+        self.assertIs(action, PauseAction.KEEP)
+
+    def test_releases_what_does_not_come_back(self):
+        model = PauseModel()
+        key = PauseKey("dossier", "sign")
+        for _ in range(40):
+            model.observe_lost(key)
+        decision = model.decide(
+            key, 8_000, 100.0, CachePressure(residence_s=60.0)
+        )
+        self.assertIs(decision.action, PauseAction.RELEASE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/routing/tests/test_queues.py
@@ -0,0 +1,328 @@
+"""Tests of a replica's queue."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_routing import (
+    Granted,
+    InFlightSettings,
+    LoadObservation,
+    Queued,
+    QueueOrder,
+    QueueSettings,
+    Refused,
+    Ticket,
+    TicketResult,
+    create_replica_queue,
+)
+
+FAR = 1e6
+
+
+def ticket(ticket_id, **fields):
+    values = {
+        "origin": "h1",
+        "workspace": "w1",
+        "program_id": "p",
+        "priority": 1,
+        "queued_at": 0.0,
+        "deadline_at": FAR,
+        "attained_s": 1.0,
+    }
+    return Ticket(ticket_id, **{**values, **fields})
+
+
+def queue(limit=1, **fields):
+    in_flight = InFlightSettings(initial=limit, maximum=limit)
+    return create_replica_queue(
+        "r1", QueueSettings(in_flight=in_flight, **fields)
+    )
+
+
+def serve_all(replica_queue, now=0.0):
+    """Finishes whatever runs until nothing waits; returns the grant order."""
+    order = []
+    while True:
+        order += [t.ticket_id for t in replica_queue.grantable(now)]
+        running = replica_queue.running()
+        if not running:
+            return order
+        replica_queue.finish(running[0].ticket_id, TicketResult(), now)
+
+
+class OrderTest(unittest.TestCase):
+    def fill(self, replica_queue, tickets):
+        replica_queue.offer(ticket("first"), 0.0)
+        for each in tickets:
+            replica_queue.offer(each, 0.0)
+
+    def test_first_class_goes_before_the_rest(self):
+        q = queue()
+        self.fill(q, [ticket("b", priority=2), ticket("a", priority=0)])
+        self.assertEqual(serve_all(q), ["a", "b"])
+
+    def test_less_attained_service_goes_first(self):
+        q = queue()
+        self.fill(q, [ticket("b", attained_s=9.0), ticket("a", attained_s=2.0)])
+        self.assertEqual(serve_all(q), ["a", "b"])
+
+    def test_first_come_order_ignores_attained_service(self):
+        q = queue(order=QueueOrder.FIRST_COME)
+        self.fill(q, [ticket("b", attained_s=9.0), ticket("a", queued_at=1.0)])
+        self.assertEqual(serve_all(q), ["b", "a"])
+
+    def test_older_than_the_bound_is_never_passed_over(self):
+        q = queue(age_bound_s=10.0)
+        old = ticket("old", attained_s=99.0, priority=2)
+        self.fill(q, [old, ticket("new", priority=0, queued_at=9.0)])
+        self.assertEqual(serve_all(q, now=10.0), ["old", "new"])
+
+    def test_flood_of_one_workspace_does_not_delay_another(self):
+        q = queue()
+        flood = [ticket(f"f{i}", workspace="flood") for i in range(20)]
+        self.fill(q, [*flood, ticket("mine", workspace="quiet")])
+        self.assertLessEqual(serve_all(q).index("mine"), 1)
+
+    def test_shares_follow_weights(self):
+        q = queue(weight_by_workspace={"big": 3.0})
+        waiting = [ticket(f"big{i}", workspace="big") for i in range(30)]
+        waiting += [ticket(f"small{i}", workspace="small") for i in range(30)]
+        self.fill(q, waiting)
+        served = serve_all(q)[:20]
+        self.assertAlmostEqual(
+            sum(i.startswith("big") for i in served), 15, delta=1
+        )
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_new_programs_are_shed_with_the_time_the_backlog_needs(self):
+        """The caller of a new program gets OVERLOADED and a time to come back.
+
+        Ten calls of 4 s are before one slot, the class bears 20 s, so the time
+        is the 20 s that are too many. A program under way is queued:
+        refusing it would throw away what it has cost.
+        """
+        q = queue(max_wait_s_by_priority=(1e9, 20.0))
+        q.offer(ticket("first"), 0.0)
+        for i in range(9):
+            q.offer(ticket(f"t{i}"), 0.0)
+        refused = q.offer(ticket("new", attained_s=0.0), 0.0)
+        self.assertIsInstance(refused, Refused)
+        self.assertIs(refused.failure.kind, ErrorKind.OVERLOADED)
+        self.assertAlmostEqual(refused.failure.retry_after_ms, 20_000, delta=1)
+        self.assertIsInstance(q.offer(ticket("old"), 0.0), Queued)
+
+    def test_flood_raises_the_wait_of_its_own_workspace_only(self):
+        q = queue()
+        for i in range(50):
+            q.offer(ticket(f"f{i}", workspace="flood"), 0.0)
+        quiet = q.expected_wait_s(ticket("q", workspace="quiet"), 0.0)
+        flood = q.expected_wait_s(ticket("f", workspace="flood"), 0.0)
+        self.assertLess(quiet * 10, flood)
+
+    def test_expired_ticket_is_dropped_and_refused(self):
+        q = queue()
+        q.offer(ticket("a"), 0.0)
+        late = ticket("b", deadline_at=5.0)
+        self.assertIsInstance(q.offer(late, 0.0), Queued)
+        self.assertEqual(q.grantable(5.0), [])
+        self.assertEqual(q.waiting, 0)
+        self.assertIs(
+            q.offer(late, 5.0).failure.kind, ErrorKind.DEADLINE_EXCEEDED
+        )
+
+    def test_load_report_that_lags_is_corrected_by_what_was_sent_since(self):
+        """Two calls of an earlier home run; the engine says so a second late.
+
+        The report is older than our own grant, so all it counts are foreign,
+        and with a limit of four only one more call is let in.
+        """
+        q = queue(limit=4)
+        q.offer(ticket("mine"), 5.0)
+        q.observe_load(LoadObservation(2, 0, observed_at=4.5), 5.5)
+        self.assertEqual(q.in_flight(5.5), 3)
+        self.assertIsInstance(q.offer(ticket("a"), 5.5), Granted)
+        self.assertIsInstance(q.offer(ticket("b"), 5.5), Queued)
+
+    def test_calls_waiting_in_the_engine_lower_the_limit(self):
+        q = queue(limit=16)
+        q.observe_load(LoadObservation(6, 3, observed_at=0.0), 0.0)
+        self.assertEqual(q.limit, 6)
+
+    def test_limit_grows_while_speed_holds_and_falls_when_it_drops(self):
+        settings = QueueSettings(in_flight=InFlightSettings(4, 64))
+        q = create_replica_queue("r1", settings)
+        for i in range(400):
+            q.offer(ticket(f"t{i}"), 0.0)
+        fast = TicketResult(generated_tokens=100, service_s=1.0)
+        for _ in range(100):
+            q.finish(q.running()[0].ticket_id, fast, 0.0)
+            q.grantable(0.0)
+        grown = q.limit
+        self.assertGreater(grown, 8)
+        slow = TicketResult(generated_tokens=10, service_s=1.0)
+        for _ in range(100):
+            q.finish(q.running()[0].ticket_id, slow, 0.0)
+            q.grantable(0.0)
+        self.assertLess(q.limit, grown)
+
+
+class FailureTest(unittest.TestCase):
+    def test_exclusive_ticket_runs_with_nothing_else_in_flight(self):
+        """A crash suspect waits until the replica is empty, then runs alone.
+
+        Calls behind it wait meanwhile: a crash must have one possible cause.
+        """
+        q = queue(limit=4)
+        q.offer(ticket("a"), 0.0)
+        suspect = ticket("s", exclusive=True, attained_s=0.0)
+        self.assertIsInstance(q.offer(suspect, 0.0), Queued)
+        self.assertIsInstance(q.offer(ticket("b"), 0.0), Queued)
+        q.finish("a", TicketResult(), 0.0)
+        self.assertIsInstance(q.offer(suspect, 0.0), Granted)
+        self.assertIsInstance(q.offer(ticket("b"), 0.0), Queued)
+        q.finish("s", TicketResult(), 0.0)
+        self.assertIsInstance(q.offer(ticket("b"), 0.0), Granted)
+
+    def test_lost_release_frees_its_slot_after_the_deadline(self):
+        """The owner dies between a grant and its release.
+
+        The slot stays taken until the call's deadline and a grace are over;
+        then the next ticket runs. Without this the replica would idle.
+        """
+        q = queue()
+        q.offer(ticket("a", deadline_at=10.0), 0.0)
+        q.offer(ticket("b"), 0.0)
+        self.assertEqual(q.grantable(39.0), [])
+        self.assertEqual([t.ticket_id for t in q.grantable(41.0)], ["b"])
+
+    def test_tickets_of_a_dead_origin_are_dropped(self):
+        """A host dies with one call running and one waiting.
+
+        Both are dropped at once, and the running one is named so that the
+        home cancels it at the engine.
+        """
+        q = queue()
+        q.offer(ticket("a", origin="dead"), 0.0)
+        q.offer(ticket("b", origin="dead"), 0.0)
+        q.offer(ticket("c"), 0.0)
+        dropped = q.drop_origin("dead", 0.0)
+        self.assertEqual([t.ticket_id for t in dropped.running], ["a"])
+        self.assertEqual([t.ticket_id for t in dropped.waiting], ["b"])
+        self.assertEqual([t.ticket_id for t in q.grantable(0.0)], ["c"])
+
+    def test_new_home_adopts_what_runs(self):
+        """The home's host dies; owners offer again at the new home.
+
+        A call that already runs is adopted and takes its slot, so the new
+        home does not send a second batch on top of the first.
+        """
+        q = queue()
+        q.adopt(ticket("running"), 0.0)
+        self.assertIsInstance(q.offer(ticket("running"), 0.0), Granted)
+        self.assertIsInstance(q.offer(ticket("next"), 0.0), Queued)
+
+    def test_leaving_replica_gives_back_what_waits(self):
+        """The replica leaves: what waits is handed back to be placed again.
+
+        What is in flight stays counted until it ends; offers are refused.
+        """
+        q = queue()
+        q.offer(ticket("a"), 0.0)
+        q.offer(ticket("b"), 0.0)
+        dropped = q.close(Failure(ErrorKind.NO_UPSTREAM), 0.0)
+        self.assertEqual([t.ticket_id for t in dropped.waiting], ["b"])
+        self.assertEqual([t.ticket_id for t in dropped.running], ["a"])
+        self.assertIsInstance(q.offer(ticket("c"), 0.0), Refused)
+
+
+OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["offer", "again", "finish", "withdraw", "grants"]),
+        st.integers(0, 15),
+        st.integers(0, 2),
+        st.floats(0, 5),
+    ),
+    max_size=60,
+)
+
+
+class QueuePropertyTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(OPERATIONS, st.integers(1, 4))
+    def test_no_ticket_is_lost_and_the_limit_holds(self, operations, limit):
+        q = queue(limit=limit, age_bound_s=20.0)
+        held, granted, now = set(), set(), 0.0
+        for index, (name, number, priority, step) in enumerate(operations):
+            now += step
+            each = ticket(
+                f"t{number}",
+                priority=priority,
+                queued_at=now,
+                workspace=f"w{number % 3}",
+                attained_s=float(1 + number % 5),
+                exclusive=number == 7,
+            )
+            if name in ("offer", "again"):
+                answer = q.offer(each, now)
+                held.add(each.ticket_id)
+                if isinstance(answer, Granted):
+                    granted.add(each.ticket_id)
+            if name == "finish":
+                q.finish(each.ticket_id, TicketResult(), now)
+                held -= granted & {each.ticket_id}
+                granted.discard(each.ticket_id)
+            if name == "withdraw":
+                q.withdraw(each.ticket_id, now)
+                held.discard(each.ticket_id)
+                granted.discard(each.ticket_id)
+            granted |= {t.ticket_id for t in q.grantable(now)}
+            running = {t.ticket_id for t in q.running()}
+            self.assertEqual(running, granted, index)
+            self.assertLessEqual(len(running), limit)
+            self.assertEqual(len(held), len(running) + q.waiting)
+            if "t7" in running:
+                self.assertEqual(running, {"t7"})
+        serve_all(q, now)
+        self.assertEqual((q.waiting, q.running()), (0, ()))
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 2), st.floats(0, 50), st.floats(0.1, 9)),
+            min_size=1,
+            max_size=30,
+        )
+    )
+    def test_order_is_age_bound_then_class_then_attained(self, rows):
+        q = queue(age_bound_s=40.0)
+        q.offer(ticket("first"), 0.0)
+        q.grantable(0.0)
+        by_id = {}
+        for i, (priority, queued_at, attained_s) in enumerate(rows):
+            each = ticket(
+                f"t{i}",
+                priority=priority,
+                queued_at=queued_at,
+                attained_s=attained_s,
+            )
+            by_id[each.ticket_id] = each
+            q.offer(each, 50.0)
+        q.finish("first", TicketResult(), 50.0)
+
+        def key(item):
+            aged = 50.0 - item.queued_at >= 40.0
+            if aged:
+                return (0, item.queued_at, 0.0, 0.0)
+            return (1, item.priority, item.attained_s, item.queued_at)
+
+        served = [key(by_id[i]) for i in serve_all(q, 50.0)]
+        self.assertEqual(served, sorted(served))
+        self.assertEqual(len(served), len(rows))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/routing/tests/test_retries.py
@@ -0,0 +1,86 @@
+"""Tests of retry budgets and circuits."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_routing import (
+    Circuit,
+    CircuitSettings,
+    CircuitState,
+    FailedAttempt,
+    GiveUp,
+    RetryAfter,
+    RetryBudget,
+    RetrySettings,
+    decide_retry,
+)
+
+FAILED = Failure(ErrorKind.UPSTREAM_FAILED)
+
+
+class RetryTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(st.booleans(), max_size=300))
+    def test_retries_stay_a_share_of_first_sends(self, failed_sends):
+        """A replica is down and callers press on.
+
+        However sends and failures mix, retries never pass the burst plus a
+        tenth of the first sends, so they cannot multiply the load.
+        """
+        budget = RetryBudget(RetrySettings(share=0.1, burst=5.0))
+        retries = 0
+        for is_failed in failed_sends:
+            budget.first_sent()
+            attempt = FailedAttempt(FAILED, 1, 100.0)
+            if is_failed:
+                decision = decide_retry(attempt, budget, 0.0)
+                retries += isinstance(decision, RetryAfter)
+        self.assertLessEqual(retries, 5 + 0.1 * len(failed_sends))
+
+    def test_gives_up_at_once_when_another_send_cannot_help(self):
+        budget = RetryBudget(RetrySettings())
+        refused = Failure(ErrorKind.QUARANTINED)
+        for attempt in (
+            FailedAttempt(refused, 1, 100.0),
+            FailedAttempt(FAILED, 3, 100.0),
+            FailedAttempt(FAILED, 1, 0.01),
+        ):
+            decision = decide_retry(attempt, budget, 0.0)
+            self.assertEqual(decision, GiveUp(attempt.failure))
+        self.assertEqual(budget.left, 10.0)
+
+
+class CircuitTest(unittest.TestCase):
+    def test_failing_replica_is_left_alone_and_probed_by_one_call(self):
+        """A replica fails three times and is down for a while.
+
+        It gets no calls for a second, then one; that fails, so it is left
+        alone twice as long; the next probe succeeds and it serves again.
+        """
+        circuit = Circuit(CircuitSettings(3, 1.0, 30.0))
+        for _ in range(3):
+            self.assertTrue(circuit.begin(0.0))
+            circuit.failed(0.0)
+        self.assertFalse(circuit.begin(0.9))
+        self.assertTrue(circuit.begin(1.1))
+        self.assertFalse(circuit.begin(1.1))
+        circuit.failed(1.2)
+        self.assertIs(circuit.state(3.1), CircuitState.OPEN)
+        self.assertTrue(circuit.begin(3.3))
+        circuit.succeeded()
+        self.assertIs(circuit.state(3.3), CircuitState.CLOSED)
+
+    def test_probe_whose_end_is_never_told_lapses(self):
+        """The host that sent the probe dies; another probe follows later."""
+        circuit = Circuit(CircuitSettings(1, 1.0, 30.0))
+        circuit.failed(0.0)
+        self.assertTrue(circuit.begin(2.0))
+        self.assertFalse(circuit.begin(31.0))
+        self.assertTrue(circuit.begin(33.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
