Extend the peer messages: attempts, suspects, program states, news

Change: attempt and offset on reads, rpcs suspect and states, PeerNews. Conclusion: old hosts leave the new fields out and are understood.

--- a/libs/peers/src/masticdale_peers/connections.py
+++ b/libs/peers/src/masticdale_peers/connections.py
@@ -269,9 +269,9 @@
 
     async def call(
         self,
-        rpc: Rpc[RequestT, ReplyT],  # noqa: ARG002
-        request: RequestT,  # noqa: ARG002
-        timeout_s: float | None = None,  # noqa: ARG002
+        rpc: Rpc[RequestT, ReplyT],
+        request: RequestT,
+        timeout_s: float | None = None,
     ) -> Result[ReplyT, Failure]:
         """Fails: nothing can be sent."""
         return Failed(unavailable(self._host, "no address", sent=False))
--- a/libs/peers/src/masticdale_peers/interfaces.py
+++ b/libs/peers/src/masticdale_peers/interfaces.py
@@ -25,8 +25,12 @@
     Rpc,
     SealReply,
     SealRequest,
+    StatesReply,
+    StatesRequest,
     Submission,
     SubmitReply,
+    SuspectReply,
+    SuspectRequest,
     TicketRelease,
     TicketReply,
     TicketRequest,
@@ -104,6 +108,14 @@
         """Refuses older epochs' copies from now on and returns those held."""
         ...
 
+    async def suspect(self, request: SuspectRequest) -> SuspectReply:
+        """Admits or notes a run of a content digest."""
+        ...
+
+    async def states(self, request: StatesRequest) -> StatesReply:
+        """Returns which of the programs are gone."""
+        ...
+
 
 class PeerCalls(abc.ABC):
     """The calls to one peer.
@@ -196,6 +208,18 @@
         """See ``PeerHandler.seal_copies``."""
         return await self.call(messages.SEAL_COPIES, request, timeout_s)
 
+    async def suspect(
+        self, request: SuspectRequest, timeout_s: float | None = None
+    ) -> Result[SuspectReply, Failure]:
+        """See ``PeerHandler.suspect``."""
+        return await self.call(messages.SUSPECT, request, timeout_s)
+
+    async def states(
+        self, request: StatesRequest, timeout_s: float | None = None
+    ) -> Result[StatesReply, Failure]:
+        """See ``PeerHandler.states``."""
+        return await self.call(messages.STATES, request, timeout_s)
+
 
 class Peers(Protocol):
     """The calls to every peer, by host name."""
--- a/libs/peers/src/masticdale_peers/messages.py
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -20,6 +20,25 @@
 MessageT = TypeVar("MessageT")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerNews:
+    """What a host learnt of another and passes on while it is new.
+
+    Attributes:
+        host: The other host.
+        incarnation: Its process.
+        revision: The configuration revision in force there.
+        leaving: True once it hands its work over.
+        suspect: It did not answer its neighbours' heartbeats.
+    """
+
+    host: str
+    incarnation: str
+    revision: int = 0
+    leaving: bool = False
+    suspect: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """What a host says about itself.
@@ -31,6 +50,7 @@
         revision: The configuration revision in force there.
         leaving: True once it hands its work over.
         quarantine_version: Version of its list of given-up requests.
+        news: What it learnt of other hosts lately.
     """
 
     host: str
@@ -39,6 +59,7 @@
     revision: int = 0
     leaving: bool = False
     quarantine_version: int = 0
+    news: tuple[PeerNews, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,22 +103,39 @@
         request_id: The request whose answer is read.
         offset: Characters the reader already has.
         wait_ms: How long to wait for new text.
+        attempt: Attempt that these characters belong to.
+        workspace: The reader's workspace.
     """
 
     program_id: str
     request_id: str
     offset: int
     wait_ms: int
+    attempt: int = 0
+    workspace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadReply:
-    """Text from the offset on; ``result`` is the outcome's JSON once done."""
+    """Text from an offset on.
+
+    Attributes:
+        text: New characters.
+        done: True once the outcome is final.
+        result: JSON of the outcome, once done without a failure.
+        failure: The call's final failure, or the read's own.
+        attempt: The present attempt; another one restarts the text.
+        offset: Characters of the attempt before the text.
+        refused: True where the failure is of the read, not the outcome.
+    """
 
     text: str = ""
     done: bool = False
     result: str = ""
     failure: Failure | None = None
+    attempt: int = 0
+    offset: int = 0
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -241,6 +279,44 @@
     failure: Failure | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRequest:
+    """Asks or tells the home of a content digest about its runs.
+
+    Attributes:
+        action: ``admit``, ``succeeded``, ``ended`` or ``crashed``.
+        digests: One digest, or all that a crash may be due to.
+        run_id: The run it is about.
+    """
+
+    action: str
+    digests: tuple[str, ...]
+    run_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectReply:
+    """How the content may run: an ``Admission`` of the routing library."""
+
+    admission: str = ""
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatesRequest:
+    """Asks a shard's owner which programs are gone."""
+
+    program_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatesReply:
+    """The programs that ended or that the owner does not know."""
+
+    gone_ids: tuple[str, ...] = ()
+    failure: Failure | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GrantNotice:
     """Tells waiting hosts that their tickets are granted."""
@@ -281,6 +357,8 @@
 REVISIONS = Rpc("revisions", RevisionsRequest, RevisionsReply)
 PUT_COPY = Rpc("put_copy", CopyRequest, CopyReply)
 SEAL_COPIES = Rpc("seal_copies", SealRequest, SealReply)
+SUSPECT = Rpc("suspect", SuspectRequest, SuspectReply)
+STATES = Rpc("states", StatesRequest, StatesReply)
 
 ALL_RPCS: tuple[Rpc[Any, Any], ...] = (
     HEARTBEAT,
@@ -294,6 +372,8 @@
     REVISIONS,
     PUT_COPY,
     SEAL_COPIES,
+    SUSPECT,
+    STATES,
 )
 
 
@@ -388,4 +468,4 @@
     message_type: _field_hints(message_type)
     for rpc in ALL_RPCS
     for message_type in (rpc.request_type, rpc.reply_type)
-}
+} | {PeerNews: _field_hints(PeerNews)}
--- a/libs/peers/src/masticdale_peers/peer.thrift
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -8,6 +8,15 @@
   4: string host,
 }
 
+// What a neighbour on the ring learnt of a host, passed on while it is new.
+struct PeerNews {
+  1: string host,
+  2: string incarnation,
+  3: i64 revision,
+  4: bool leaving,
+  5: bool suspect,
+}
+
 struct Heartbeat {
   1: string host,
   2: string domain,
@@ -15,6 +24,7 @@
   4: i64 revision,          // configuration revision in force
   5: bool leaving,
   6: i64 quarantine_version,
+  7: list<PeerNews> news,
 }
 
 struct HeartbeatReply {
@@ -38,6 +48,8 @@
   2: string request_id,
   3: i64 offset,            // characters the reader already has
   4: i32 wait_ms,
+  5: i64 attempt,           // attempt these characters belong to
+  6: string workspace,
 }
 
 struct ReadReply {
@@ -45,6 +57,9 @@
   2: bool done,
   3: string result,         // JSON of the outcome, once done
   4: optional WireFailure failure,
+  5: i64 attempt,           // another attempt: forget the earlier text
+  6: i64 offset,            // characters before the text
+  7: bool refused,          // the failure is of the read, not the outcome
 }
 
 struct TicketRequest {
@@ -130,6 +145,26 @@
   3: optional WireFailure failure,
 }
 
+struct SuspectRequest {
+  1: string action,         // admit, succeeded, ended, crashed
+  2: list<string> digests,
+  3: string run_id,
+}
+
+struct SuspectReply {
+  1: string admission,      // run, run_exclusive, wait, refused
+  2: optional WireFailure failure,
+}
+
+struct StatesRequest {
+  1: list<string> program_ids,
+}
+
+struct StatesReply {
+  1: list<string> gone_ids, // ended, or unknown to the shard's owner
+  2: optional WireFailure failure,
+}
+
 struct GrantNotice {
   1: list<string> ticket_ids,
   2: string replica,
@@ -151,4 +186,6 @@
   RevisionsReply revisions(1: RevisionsRequest request),
   CopyReply put_copy(1: CopyRequest request),
   SealReply seal_copies(1: SealRequest request),
+  SuspectReply suspect(1: SuspectRequest request),
+  StatesReply states(1: StatesRequest request),
 }
