Accept declarations as one sequence of revisions and follow it on each host

Change: libs/config with strict models of Template, Workspace and Upstream, deterministic rendering to immutable data classes, checks of the whole, and one append-only log of revisions. Creating config/revisions/{n+1} is the commit point of a change of any number of declarations. A write whose answer was lost is settled by trying the same number again; until then no refusal claims that nothing was written. Hosts follow revisions in order only; a watch and a poll run side by side. A program keeps its body (model, prompt, tools) and takes budget and priority as they change.

--- a/libs/config/src/masticdale_config/__init__.py
+++ b/libs/config/src/masticdale_config/__init__.py
@@ -1,1 +1,72 @@
 """Declarations, their rendering and the revision in force."""
+
+from masticdale_config.inforce import ConfigInForce, RevisionsExport
+from masticdale_config.kinds import (
+    Declaration,
+    DeclarationKey,
+    Kind,
+    Template,
+    Upstream,
+    Workspace,
+    caller_key_digest,
+    key_of,
+    parse,
+)
+from masticdale_config.rendered import (
+    Budget,
+    Limits,
+    ProgramBody,
+    RenderedConfig,
+    RenderedEngine,
+    RenderedProgram,
+    RenderedService,
+    RenderedUpstream,
+    RenderedWorkspace,
+    UpstreamTable,
+    WorkspaceBudget,
+)
+from masticdale_config.revisions import (
+    Accepted,
+    Change,
+    ConfigStore,
+    Edit,
+    Plan,
+)
+from masticdale_config.state import ABSENT, ConfigState, Revision
+from masticdale_config.storage import catch_up
+from masticdale_config.watching import ConfigWatcher
+
+__all__ = [
+    "ABSENT",
+    "Accepted",
+    "Budget",
+    "Change",
+    "ConfigInForce",
+    "ConfigState",
+    "ConfigStore",
+    "ConfigWatcher",
+    "Declaration",
+    "DeclarationKey",
+    "Edit",
+    "Kind",
+    "Limits",
+    "Plan",
+    "ProgramBody",
+    "RenderedConfig",
+    "RenderedEngine",
+    "RenderedProgram",
+    "RenderedService",
+    "RenderedUpstream",
+    "RenderedWorkspace",
+    "Revision",
+    "RevisionsExport",
+    "Template",
+    "Upstream",
+    "UpstreamTable",
+    "Workspace",
+    "WorkspaceBudget",
+    "caller_key_digest",
+    "catch_up",
+    "key_of",
+    "parse",
+]
--- /dev/null
+++ b/libs/config/src/masticdale_config/checks.py
@@ -0,0 +1,202 @@
+"""Whether a set of declarations can be accepted: checked whole."""
+
+import functools
+import math
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import Failure
+from masticdale_config import placeholders, problems, rendering
+from masticdale_config.kinds import (
+    Declaration,
+    Template,
+    Upstream,
+    Workspace,
+    key_of,
+)
+from masticdale_config.problems import FieldProblem
+from masticdale_config.rendered import (
+    RenderedConfig,
+    RenderedEngine,
+    RenderedProgram,
+    RenderedWorkspace,
+)
+from masticdale_config.rendering import DeclarationByKey
+
+_HOUR_S = 3600
+
+
+def check_whole(
+    declaration_by_key: DeclarationByKey,
+    revision: int,
+    previous: RenderedConfig = rendering.EMPTY,
+) -> Result[RenderedConfig, Failure]:
+    """Checks and renders declarations.
+
+    Args:
+        declaration_by_key: Every declaration as it would be.
+        revision: Number the rendered configuration carries.
+        previous: The configuration before the change.
+
+    Returns:
+        The configuration, or BAD_REQUEST with the path of each wrong field.
+    """
+    found: list[FieldProblem] = []
+    for declaration in declaration_by_key.values():
+        prefix = str(key_of(declaration))
+        for problem in check_alone(declaration):
+            path = f"{prefix}.{problem.path}"
+            found.append(FieldProblem(path, problem.message))
+    outcome = rendering.render(declaration_by_key, revision, previous)
+    if isinstance(outcome, Failed):
+        found.extend(outcome.failure())
+        return Failed(problems.to_failure(found))
+    config = outcome.unwrap()
+    for workspace in config.workspace_by_name.values():
+        found.extend(_check_workspace(workspace, config))
+    found.extend(_check_caller_keys(declaration_by_key))
+    found.extend(_check_repeatable(config))
+    if found:
+        return Failed(problems.to_failure(found))
+    return Success(config)
+
+
+@functools.singledispatch
+def check_alone(declaration: Declaration) -> list[FieldProblem]:
+    """Returns what is wrong with a declaration whatever the others say."""
+    raise TypeError(f"no check for {type(declaration)}")
+
+
+@check_alone.register
+def _(declaration: Template) -> list[FieldProblem]:
+    spec = declaration.spec
+    found = []
+    for name, parameter in spec.parameters.items():
+        found.extend(placeholders.check_parameter(name, parameter))
+    if found:
+        return found
+    programs, found = rendering.render_programs(
+        spec, placeholders.samples(spec)
+    )
+    names = [program.name for program in programs]
+    if len(set(names)) < len(names):
+        found.append(FieldProblem("spec.programs", "two have the same name"))
+    return found
+
+
+@check_alone.register
+def _(declaration: Workspace) -> list[FieldProblem]:
+    names = [key.name for key in declaration.spec.caller_keys]
+    if len(set(names)) == len(names):
+        return []
+    return [FieldProblem("spec.caller_keys", "two have the same name")]
+
+
+@check_alone.register
+def _(declaration: Upstream) -> list[FieldProblem]:
+    del declaration  # Its model alone says what is right.
+    return []
+
+
+def _check_workspace(
+    workspace: RenderedWorkspace, config: RenderedConfig
+) -> list[FieldProblem]:
+    prefix = f"Workspace/{workspace.name}.spec"
+    found = [
+        FieldProblem(f"{prefix}.upstreams", f"there is no upstream {name!r}")
+        for name in sorted(workspace.upstreams)
+        if name not in config.upstreams.by_name
+    ]
+    for program in workspace.program_by_name.values():
+        found.extend(_check_references(workspace, program, config, prefix))
+        found.extend(_check_budget(workspace, program, prefix))
+    return found
+
+
+def _check_references(
+    workspace: RenderedWorkspace,
+    program: RenderedProgram,
+    config: RenderedConfig,
+    prefix: str,
+) -> list[FieldProblem]:
+    found = []
+    path = f"{prefix}.upstreams"
+    model = program.body.model
+    engines = config.upstreams.by_model.get(model, ())
+    if not any(e.name in workspace.upstreams for e in engines):
+        message = f"none serves model {model!r} of program {program.name!r}"
+        found.append(FieldProblem(path, message))
+    for tool in program.body.tools:
+        services = config.upstreams.by_operation.get(tool, ())
+        if any(s.name in workspace.upstreams for s in services):
+            continue
+        message = f"none offers tool {tool!r} of program {program.name!r}"
+        found.append(FieldProblem(path, message))
+    return found
+
+
+def _check_budget(
+    workspace: RenderedWorkspace, program: RenderedProgram, prefix: str
+) -> list[FieldProblem]:
+    budget = program.budget
+    path = f"{prefix}: program {program.name!r}"
+    found = []
+    if program.body.max_tokens > budget.tokens:
+        message = "max_tokens exceeds the budget, so no turn could begin"
+        found.append(FieldProblem(f"{path}: budget.tokens", message))
+    if budget.turns > budget.calls:
+        message = "is less than turns, and each turn is a call"
+        found.append(FieldProblem(f"{path}: budget.calls", message))
+    hourly = workspace.budget.tokens_per_hour
+    if hourly is None:
+        return found
+    hours = math.ceil(budget.wall_time_s / _HOUR_S)
+    if budget.tokens > hourly * hours:
+        message = f"allows fewer tokens than the budget of {program.name!r}"
+        field = f"{prefix}.budget.tokens_per_hour"
+        found.append(FieldProblem(field, message))
+    return found
+
+
+def _check_caller_keys(
+    declaration_by_key: DeclarationByKey,
+) -> list[FieldProblem]:
+    # A key in two workspaces would open either: a caller could get answers
+    # of another brand.
+    path_by_digest: dict[str, str] = {}
+    found = []
+    for key in sorted(declaration_by_key):
+        declaration = declaration_by_key[key]
+        if not isinstance(declaration, Workspace):
+            continue
+        for index, caller_key in enumerate(declaration.spec.caller_keys):
+            path = f"{key}.spec.caller_keys.{index}.sha256"
+            first = path_by_digest.setdefault(caller_key.sha256, path)
+            if first != path:
+                found.append(FieldProblem(path, f"is in use at {first}"))
+    return found
+
+
+def _check_repeatable(config: RenderedConfig) -> list[FieldProblem]:
+    # Replicas of one service must agree: a call deemed repeatable at one
+    # replica would be sent again to another that charges twice.
+    found = []
+    for operation, services in config.upstreams.by_operation.items():
+        first = services[0]
+        for service in services[1:]:
+            mine = service.repeatable_by_operation[operation]
+            if mine == first.repeatable_by_operation[operation]:
+                continue
+            path = f"Upstream/{service.name}.spec.operations.{operation}"
+            message = f"repeatable differs from upstream {first.name!r}"
+            found.append(FieldProblem(path, message))
+    return found
+
+
+def engines_of(
+    workspace: RenderedWorkspace, model: str, config: RenderedConfig
+) -> tuple[RenderedEngine, ...]:
+    """Returns the engines that may serve a model for a workspace."""
+    engines = config.upstreams.by_model.get(model, ())
+    return tuple(e for e in engines if e.name in workspace.upstreams)
--- /dev/null
+++ b/libs/config/src/masticdale_config/problems.py
@@ -0,0 +1,53 @@
+"""Wrong fields of declarations, collected before anything is refused."""
+
+import dataclasses
+from collections.abc import Iterable
+
+import pydantic
+
+from masticdale_common import ErrorKind, Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class FieldProblem:
+    """One wrong field.
+
+    Attributes:
+        path: Declaration and field, as ``Workspace/name.spec.weight``.
+        message: What is wrong and what would be right.
+    """
+
+    path: str
+    message: str
+
+
+def to_failure(problems: Iterable[FieldProblem]) -> Failure:
+    """Returns BAD_REQUEST with one line for each wrong field."""
+    lines = [f"{p.path}: {p.message}" for p in sorted(set(problems))]
+    return Failure(ErrorKind.BAD_REQUEST, "\n".join(lines))
+
+
+def from_validation(
+    error: pydantic.ValidationError,
+    prefix: str,
+    union_tags: frozenset[str] = frozenset(),
+) -> list[FieldProblem]:
+    """Converts pydantic's report.
+
+    Args:
+        error: What the validation said.
+        prefix: Path of the validated value.
+        union_tags: Location parts directly below ``spec`` that name a member
+            of a union and no field.
+
+    Returns:
+        One problem for each wrong field.
+    """
+    problems = []
+    for item in error.errors(include_url=False, include_input=False):
+        parts = [str(part) for part in item["loc"]]
+        if parts[:1] == ["spec"] and parts[1:2] and parts[1] in union_tags:
+            del parts[1]
+        path = ".".join([prefix, *parts])
+        problems.append(FieldProblem(path, item["msg"]))
+    return problems
