--- a/libs/programs/src/masticdale_programs/budgets.py
+++ b/libs/programs/src/masticdale_programs/budgets.py
@@ -57,10 +57,15 @@
                 await program.settled.wait()
         except TimeoutError:
             return Failed(Failure(ErrorKind.DEADLINE_EXCEEDED))
+    hold(program, need)
+    return Success(None)
+
+
+def hold(program: Program, need: Need) -> None:
+    """Sets an amount aside without asking; ``settle`` returns it."""
     program.spending.reserved_tokens += need.tokens
     program.spending.reserved_calls += need.calls
     program.spending.reserved_turns += need.turns
-    return Success(None)
 
 
 def settle(program: Program, need: Need) -> None:
--- a/libs/programs/src/masticdale_programs/calls.py
+++ b/libs/programs/src/masticdale_programs/calls.py
@@ -18,7 +18,7 @@
 )
 from masticdale_programs.state import Branch, Program
 from masticdale_programs.streams import AnswerStream
-from masticdale_programs.turns import check_place
+from masticdale_programs.turns import check_place, commit_finished
 from masticdale_programs.types import CallEnd, OwnedShard, RequestKey
 
 
@@ -61,25 +61,25 @@
         if isinstance(reserved, Failed):
             return reserved
         try:
-            return await _run_reserved(
-                shard, program, operation, stream, deadline
-            )
+            call = _service_call(shard, program, operation, deadline)
+            if shard.executor.is_repeatable(
+                program.workspace, operation.operation
+            ):
+                return await _run_repeatable(shard, operation, stream, call)
+            return await _run_once(shard, program, operation, stream, call)
         finally:
             budgets.settle(program, need)
     finally:
         order.release()
 
 
-async def _run_reserved(
+async def _run_once(
     shard: OwnedShard,
     program: Program,
     operation: CallService,
     stream: AnswerStream,
-    deadline: float,
+    call: ServiceCall,
 ) -> CallEnd:
-    call = _service_call(shard, program, operation, deadline)
-    if shard.executor.is_repeatable(program.workspace, operation.operation):
-        return await _run_repeatable(shard, operation, stream, call)
     intent = IntentRecorded(
         program.program_id,
         operation.branch_id,
@@ -92,12 +92,12 @@
     # outcome of what may have been sent must be learnt and committed.
     stream.cancellable = False
     stream.waits("commit of the intent")
-    committed = await _commit_intent(shard, intent)
+    committed = await _commit_intent(shard, program, intent)
     if isinstance(committed, Failed):
         return committed
     stream.waits(f"answer of {operation.operation}")
     outcome = await shard.executor.call_service(call)
-    return await _commit_outcome(shard, intent, outcome)
+    return await _commit_outcome(shard, intent, outcome, stream, call.deadline)
 
 
 async def _run_repeatable(
@@ -120,14 +120,14 @@
         OutcomeStatus.DONE,
         outcome.unwrap(),
     )
-    committed = await shard.commit([record])
+    committed = await commit_finished(shard, record, stream, call.deadline)
     if isinstance(committed, Failed):
         return committed
     return views.outcome_of(record)
 
 
 async def _commit_intent(
-    shard: OwnedShard, intent: IntentRecorded
+    shard: OwnedShard, program: Program, intent: IntentRecorded
 ) -> Result[None, Failure]:
     """Commits an intent, or refuses and voids it.
 
@@ -138,49 +138,64 @@
     commit = asyncio.ensure_future(shard.commit([intent]))
     wait_s = shard.settings.commit_wait_s
     done, _ = await asyncio.wait([commit], timeout=wait_s)
-    if done:
+    if done and not _may_be_written(commit.result()):
         return commit.result()
     key = RequestKey(intent.program_id, intent.request_id)
     shard.voiding.add(key)
-    shard.spawn(_void(shard, intent, commit, key))
+    # Until it is voided the intent may yet be charged by the journal.
+    budgets.hold(program, Need(calls=1))
+    shard.spawn(_void(shard, program, intent, commit, key))
     return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
 
 
+def _may_be_written(committed: Result[None, Failure]) -> bool:
+    if isinstance(committed, Success):
+        return False
+    return committed.failure().kind is ErrorKind.WRITE_UNKNOWN
+
+
 async def _void(
     shard: OwnedShard,
+    program: Program,
     intent: IntentRecorded,
     commit: asyncio.Future[Result[None, Failure]],
     key: RequestKey,
 ) -> None:
     committed = await commit
-    if isinstance(committed, Success):
+    if isinstance(committed, Success) or _may_be_written(committed):
         await shard.commit([_finished(intent, OutcomeStatus.NOT_RUN, "")])
     shard.voiding.discard(key)
+    budgets.settle(program, Need(calls=1))
 
 
 async def _commit_outcome(
-    shard: OwnedShard, intent: IntentRecorded, outcome: Result[str, Failure]
+    shard: OwnedShard,
+    intent: IntentRecorded,
+    outcome: Result[str, Failure],
+    stream: AnswerStream,
+    deadline: float,
 ) -> CallEnd:
     if isinstance(outcome, Success):
         record = _finished(intent, OutcomeStatus.DONE, outcome.unwrap())
-        committed = await shard.commit([record])
+        committed = await commit_finished(shard, record, stream, deadline)
         if isinstance(committed, Failed):
             return _unknown(intent)
         return views.outcome_of(record)
     failure = outcome.failure()
     if failure.answer.ran is Ran.NO:
         record = _finished(intent, OutcomeStatus.NOT_RUN, "")
-        committed = await shard.commit([record])
-        return (
-            Failed(failure)
-            if isinstance(committed, Success)
-            else _unknown(intent)
-        )
-    return await _settle_unknown(shard, intent)
+        await commit_finished(shard, record, stream, deadline)
+        # True also where the commit failed: the next owner closes the
+        # intent as unknown and never sends it.
+        return Failed(failure)
+    return await _settle_unknown(shard, intent, stream)
 
 
 async def resolve_intent(
-    shard: OwnedShard, program: Program, intent: IntentRecorded
+    shard: OwnedShard,
+    program: Program,
+    intent: IntentRecorded,
+    stream: AnswerStream,
 ) -> CallEnd:
     """Closes an intent whose outcome an earlier owner did not record.
 
@@ -189,10 +204,12 @@
     """
     order = shard.order_of(program, program.branch_by_id[intent.branch_id])
     async with order:
-        return await _settle_unknown(shard, intent)
+        return await _settle_unknown(shard, intent, stream)
 
 
-async def ask_again(shard: OwnedShard, entry: CallFinished) -> CallEnd:
+async def ask_again(
+    shard: OwnedShard, entry: CallFinished, stream: AnswerStream
+) -> CallEnd:
     """Looks up an outcome that was unknown, for a caller that asks again."""
     intent = IntentRecorded(
         entry.program_id,
@@ -202,10 +219,12 @@
         entry.operation,
         entry.payload,
     )
-    return await _settle_unknown(shard, intent)
+    return await _settle_unknown(shard, intent, stream)
 
 
-async def _settle_unknown(shard: OwnedShard, intent: IntentRecorded) -> CallEnd:
+async def _settle_unknown(
+    shard: OwnedShard, intent: IntentRecorded, stream: AnswerStream
+) -> CallEnd:
     found = await shard.executor.look_up(_lookup_call(shard, intent))
     status = OutcomeStatus.UNKNOWN
     result = ""
@@ -214,6 +233,11 @@
         if told is not None:
             status = OutcomeStatus.DONE
             result = told
+    if status is OutcomeStatus.UNKNOWN and not _is_open(shard, intent):
+        return _unknown(intent)
+    if status is OutcomeStatus.UNKNOWN:
+        # Told at once: nothing that the commit can say would change it.
+        stream.finish(_unknown(intent))
     record = _finished(intent, status, result)
     committed = await shard.commit([record])
     if isinstance(committed, Failed):
@@ -221,6 +245,13 @@
     return views.outcome_of(record)
 
 
+def _is_open(shard: OwnedShard, intent: IntentRecorded) -> bool:
+    program = shard.state.program_by_id.get(intent.program_id)
+    if program is None:
+        return False
+    return intent.request_id in program.intent_by_request_id
+
+
 def _finished(
     intent: IntentRecorded, status: OutcomeStatus, result: str
 ) -> CallFinished:
--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import uuid
 from collections.abc import Callable, Sequence
 
 import pydantic
@@ -23,6 +24,7 @@
 BATCH_LIMIT_BYTES = 600_000
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 2.0
+_NONCE_DIGITS = 12
 
 
 class Head(pydantic.BaseModel):
@@ -31,7 +33,7 @@
     Attributes:
         epoch: Grows with each owner.
         owner: Host that holds the shard.
-        writer: Incarnation of the owner's process.
+        writer: Names one opening by one process.
         sequence: Number of the newest commit.
         released: True once the owner handed the shard over.
         segments: Keys of the sealed segments, oldest first.
@@ -86,8 +88,10 @@
         self._version = version
         self._tail_bytes = len(codec.encode(head.tail))
         self._pending: list[_Pending] = []
+        self._writing: list[_Pending] = []
         self._wake = asyncio.Event()
         self._deposed = False
+        self._releasing = False
         self._task = asyncio.create_task(
             self._write_batches(), name=f"journal-{shard}"
         )
@@ -112,13 +116,46 @@
 
         Returns:
             Success once the platform holds them; NOT_OWNER when this host was
-            deposed, which means that they were not written. The call waits
+            deposed and TOO_LARGE when they fit no object, which both mean
+            that they were not written; WRITE_UNKNOWN when this host was
+            deposed and the next owner may have found them. The call waits
             through an outage: a caller that gives up must assume they may be
             written.
         """
-        if self._deposed:
+        if self._deposed or self._releasing:
             return _not_owner(self._shard)
         size = len(codec.encode(records))
+        if size > BATCH_LIMIT_BYTES:
+            # The platform would refuse the head for ever, and every later
+            # commit of the shard would wait behind it.
+            return Failed(Failure(ErrorKind.TOO_LARGE, f"{size} bytes"))
+        return await self._enqueue(records, size)
+
+    async def check_head(self) -> Result[None, Failure]:
+        """Finds out whether another host took the shard over.
+
+        Without it, an owner that was paused goes on accepting calls until
+        its next commit fails.
+
+        Returns:
+            NOT_OWNER after a takeover; a failed read says nothing.
+        """
+        outcome = await self._store.read(head_key(self._shard))
+        if isinstance(outcome, Failed):
+            return outcome
+        stored = outcome.unwrap()
+        if stored is not None and self._is_own(stored.value):
+            return Success(None)
+        return self._depose()
+
+    def _is_own(self, value: bytes) -> bool:
+        found = Head.model_validate_json(value)
+        held = self._head
+        return (found.epoch, found.writer) == (held.epoch, held.writer)
+
+    async def _enqueue(
+        self, records: Sequence[Record], size: int
+    ) -> Result[None, Failure]:
         future: asyncio.Future[Result[None, Failure]]
         future = asyncio.get_running_loop().create_future()
         self._pending.append(_Pending(tuple(records), size, future))
@@ -126,27 +163,43 @@
         return await asyncio.shield(future)
 
     async def release(self) -> Result[None, Failure]:
-        """Hands the shard over after everything pending is written."""
-        outcome = await self.commit(())
-        if isinstance(outcome, Failed):
-            return outcome
-        head = self._head.model_copy(update={"released": True})
-        outcome = await self._swap(head)
+        """Hands the shard over after everything pending is written.
+
+        The writing task itself marks the head as released: two writers at
+        once would each take the other's head for their own older one and
+        overwrite the records that it had just acknowledged.
+        """
+        if self._deposed or self._releasing:
+            return _not_owner(self._shard)
+        self._releasing = True
+        outcome = await self._enqueue((), 0)
         await self.close()
         return outcome
 
     async def close(self) -> None:
-        """Stops writing; what is pending fails with NOT_OWNER."""
+        """Stops writing.
+
+        What is pending fails with NOT_OWNER; what is being written fails
+        with WRITE_UNKNOWN, because the write may have taken effect.
+        """
         self._depose()
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
     async def _write_batches(self) -> None:
-        while not self._deposed:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._pending and not self._deposed:
-                await self._write_batch(self._take_batch())
+        try:
+            while not self._deposed:
+                await self._wake.wait()
+                self._wake.clear()
+                while self._pending and not self._deposed:
+                    await self._write_batch(self._take_batch())
+        except Exception as error:
+            # A dead writer would leave every later commit waiting for ever;
+            # given up, the shard is opened again from what is stored.
+            logs.write("journal_failed", shard=self._shard, error=repr(error))
+        finally:
+            self._resolve(self._writing, _unknown(self._shard))
+            self._depose()
 
     def _take_batch(self) -> list[_Pending]:
         taken: list[_Pending] = []
@@ -159,6 +212,7 @@
         return taken
 
     async def _write_batch(self, batch: list[_Pending]) -> None:
+        self._writing = batch
         added = [record for pending in batch for record in pending.records]
         outcome = await self._append(added)
         if isinstance(outcome, Success):
@@ -166,13 +220,17 @@
             # differs from what a replay of the journal would build.
             for record in added:
                 self._on_committed(record)
+        self._resolve(batch, outcome)
+
+    def _resolve(
+        self, batch: list[_Pending], outcome: Result[None, Failure]
+    ) -> None:
         for pending in batch:
             if not pending.done.done():
                 pending.done.set_result(outcome)
 
     async def _append(self, added: list[Record]) -> Result[None, Failure]:
-        if not added:
-            return Success(None)
+        is_last = self._releasing and not self._pending
         size = len(codec.encode(added))
         segments = self._head.segments
         tail = self._head.tail
@@ -186,6 +244,7 @@
                 "sequence": self._head.sequence + 1,
                 "segments": segments,
                 "tail": (*tail, *added),
+                "released": is_last,
             }
         )
         outcome = await self._swap(head)
@@ -196,10 +255,10 @@
     async def _seal(self, tail: Sequence[Record]) -> str:
         """Writes the tail as a segment and returns its key.
 
-        The key carries epoch and sequence, so only this owner writes it and
-        an existing object is this same segment, written before.
+        The key carries the writer, so only this owner writes it and an
+        existing object is this same segment, written before.
         """
-        name = f"{self._head.epoch:08d}-{self._head.sequence:012d}"
+        name = f"{self._head.sequence:012d}-{self._head.writer}"
         key = f"shards/{self._shard:03d}/segments/{name}"
         value = codec.encode(tail)
         delay_s = _RETRY_FIRST_S
@@ -216,6 +275,7 @@
         """Replaces the head; tries until it knows whether that took effect."""
         value = head.model_dump_json().encode()
         delay_s = _RETRY_FIRST_S
+        may_be_written = False
         while True:
             outcome = await self._store.write(
                 head_key(self._shard), value, self._version
@@ -225,8 +285,11 @@
                 self._version = outcome.unwrap()
                 return Success(None)
             kind = outcome.failure().kind
+            may_be_written |= kind is ErrorKind.WRITE_UNKNOWN
             if kind in (ErrorKind.CONFLICT, ErrorKind.WRITE_UNKNOWN):
                 settled = await self._read_back(head)
+                if isinstance(settled, Failed) and may_be_written:
+                    return _unknown(self._shard)
                 if settled is not None:
                     return settled
             await asyncio.sleep(delay_s)
@@ -250,23 +313,20 @@
         if stored is None:
             return self._depose()
         found = Head.model_validate_json(stored.value)
-        if found.epoch != head.epoch or found.writer != head.writer:
-            return self._depose()
+        self._version = stored.version
         if found == head:
             self._head = head
-            self._version = stored.version
             return Success(None)
-        self._version = stored.version
-        return None
+        if found == self._head:
+            return None
+        return self._depose()
 
     def _depose(self) -> Failed[Failure]:
         if not self._deposed:
             logs.write("journal_closed", shard=self._shard, epoch=self.epoch)
         self._deposed = True
         failed = _not_owner(self._shard)
-        for pending in self._pending:
-            if not pending.done.done():
-                pending.done.set_result(failed)
+        self._resolve(self._pending, failed)
         self._pending.clear()
         self._wake.set()
         return failed
@@ -327,7 +387,9 @@
         update={
             "epoch": found.epoch + 1,
             "owner": host,
-            "writer": writer,
+            # Two openings by one process must differ, or each would take
+            # the other's writes for its own with a lost answer.
+            "writer": f"{writer}-{uuid.uuid4().hex[:_NONCE_DIGITS]}",
             "released": False,
         }
     )
@@ -380,3 +442,7 @@
 
 def _not_owner(shard: int) -> Failed[Failure]:
     return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {shard}"))
+
+
+def _unknown(shard: int) -> Failed[Failure]:
+    return Failed(Failure(ErrorKind.WRITE_UNKNOWN, f"shard {shard}"))
--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import itertools
 import time
 from collections.abc import Coroutine, Sequence
 from typing import Any
@@ -53,7 +54,8 @@
     ShardSettings,
 )
 
-_EPOCH_ATTEMPTS = 1000
+_EPOCH_ATTEMPTS = 1_000_000_000_000
+_STREAM_ATTEMPTS = 1000
 _RELEASE_TIMEOUT_S = 5.0
 
 
@@ -77,8 +79,10 @@
         self._stream_by_key: dict[RequestKey, AnswerStream] = {}
         self._task_by_key: dict[RequestKey, asyncio.Task[None]] = {}
         self._finished_at_by_key: dict[RequestKey, float] = {}
-        self._order_by_branch: dict[tuple[str, str], asyncio.Lock] = {}
         self._ending: set[str] = set()
+        self._releasing: set[str] = set()
+        self._forgetting: set[str] = set()
+        self._attempts = itertools.count()
         self._background: set[asyncio.Task[Any]] = set()
 
     @property
@@ -125,8 +129,7 @@
 
     def order_of(self, program: Program, branch: Branch) -> asyncio.Lock:
         """Returns the lock that its calls take in the order of arrival."""
-        key = (program.program_id, branch.branch_id)
-        return self._order_by_branch.setdefault(key, asyncio.Lock())
+        return branch.order
 
     def find(self, program_id: str, workspace: str) -> Program | None:
         """Returns a program of a workspace; another's does not exist."""
@@ -301,7 +304,7 @@
         if seen.content_digest != content:
             detail = f"request id {key.request_id!r}"
             return Failed(Failure(ErrorKind.REQUEST_ID_REUSED, detail))
-        if stream is not None and stream.outcome is None:
+        if key in self._task_by_key:
             return Success(None)
         if key in self.voiding:
             return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
@@ -321,14 +324,14 @@
         intent = program.intent_by_request_id.get(key.request_id)
         if intent is not None:
             stream = self._new_stream(key, intent.content_digest)
-            work = calls.resolve_intent(self, program, intent)
+            work = calls.resolve_intent(self, program, intent, stream)
             self._start(key, stream, work)
             return True
         entry = program.entry_by_request_id.get(key.request_id)
         if not isinstance(entry, CallFinished):
             return False
         stream = self._new_stream(key, entry.content_digest)
-        self._start(key, stream, calls.ask_again(self, entry))
+        self._start(key, stream, calls.ask_again(self, entry, stream))
         return True
 
     def _refuse_ended(self, program: Program) -> Failed[Failure] | None:
@@ -351,7 +354,10 @@
             outcome = await self.commit([record])
             if isinstance(outcome, Failed):
                 return outcome
-            program = self.state.program_by_id[operation.program_id]
+            program = self.find(operation.program_id, caller.workspace)
+        if program is None:
+            # Another workspace's program has the id.
+            return Failed(Failure(ErrorKind.NOT_FOUND, operation.program_id))
         if program.kind.name != operation.kind.name:
             detail = "the request id began another kind of program"
             return Failed(Failure(ErrorKind.REQUEST_ID_REUSED, detail))
@@ -386,21 +392,38 @@
 
     async def release_memory(self, program: Program) -> None:
         """Frees an ended program's engine memory where it is still owed."""
-        for replica in sorted(program.replicas):
+        if program.program_id in self._releasing:
+            return
+        self._releasing.add(program.program_id)
+        try:
+            replicas = sorted(program.replicas)
+            await asyncio.gather(*(self._release(program, r) for r in replicas))
+        finally:
+            self._releasing.discard(program.program_id)
+
+    async def _release(self, program: Program, replica: str) -> None:
+        try:
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
                 outcome = await self.executor.release(
                     program.program_id, replica
                 )
-            if isinstance(outcome, Success):
-                record = ReleaseConfirmed(program.program_id, replica)
-                await self.commit([record])
+        except TimeoutError:
+            return
+        if isinstance(outcome, Success):
+            await self.commit([ReleaseConfirmed(program.program_id, replica)])
 
     async def sweep(self) -> None:
         """Ends, cancels, releases and forgets what is due; run each second."""
         now = time.monotonic()
         self._forget_streams(now)
+        busy_ids = {key.program_id for key in self._task_by_key}
+        busy_ids.update(key.program_id for key in self.voiding)
         for program in list(self.state.program_by_id.values()):
-            self._sweep_program(program)
+            self._sweep_program(program, program.program_id in busy_ids)
+
+    async def check_head(self) -> Result[None, Failure]:
+        """Finds out whether this host was deposed; call it after a pause."""
+        return await self._held_journal().check_head()
 
     def describe(self) -> dict[str, Any]:
         """Returns the shard's state for a dump."""
@@ -429,10 +452,11 @@
         return self._journal
 
     def _new_stream(self, key: RequestKey, content: str) -> AnswerStream:
+        # No two streams of a request may share an attempt, also after the
+        # first is forgotten: a reader that comes late would append the text
+        # of the one to what it has of the other.
         first_attempt = self.epoch * _EPOCH_ATTEMPTS
-        earlier = self._stream_by_key.get(key)
-        if earlier is not None:
-            first_attempt = earlier.attempt + 1
+        first_attempt += next(self._attempts) * _STREAM_ATTEMPTS
         stream = AnswerStream(key.request_id, content, first_attempt)
         self._stream_by_key[key] = stream
         self._finished_at_by_key.pop(key, None)
@@ -492,10 +516,11 @@
             if unread_s > self.settings.unread_cancel_s and stream.cancellable:
                 task.cancel()
 
-    def _sweep_program(self, program: Program) -> None:
+    def _sweep_program(self, program: Program, is_busy: bool) -> None:
         now_ms = _wall_ms()
         if program.end_reason is not None:
-            self._sweep_ended(program, now_ms)
+            if not is_busy:
+                self._sweep_ended(program, now_ms)
             return
         if program.program_id in self._ending:
             return
@@ -503,9 +528,6 @@
         if age_ms > self.kind_of(program).budget.wall_time_s * 1000:
             self.spawn(self.end_program(program, EndReason.EXPIRED))
             return
-        is_busy = any(
-            key.program_id == program.program_id for key in self._task_by_key
-        )
         idle_ms = now_ms - program.touched_ms
         if not is_busy and idle_ms > self.settings.idle_end_s * 1000:
             self.spawn(self.end_program(program, EndReason.ABANDONED))
@@ -514,9 +536,17 @@
         if program.replicas:
             self.spawn(self.release_memory(program))
             return
+        if program.program_id in self._forgetting:
+            return
         if now_ms - program.ended_ms > self.settings.retention_s * 1000:
-            record = ProgramForgotten(program.program_id)
-            self.spawn(self.commit([record]))
+            self._forgetting.add(program.program_id)
+            self.spawn(self._forget(program))
+
+    async def _forget(self, program: Program) -> None:
+        try:
+            await self.commit([ProgramForgotten(program.program_id)])
+        finally:
+            self._forgetting.discard(program.program_id)
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         """Runs work in the background until the shard closes."""
--- a/libs/programs/src/masticdale_programs/state.py
+++ b/libs/programs/src/masticdale_programs/state.py
@@ -54,6 +54,7 @@
         entries: Finished turns and calls, oldest first, the parent's first.
         inherited: How many of the entries are the parent's.
         replica: Replica that holds the branch's prefix, if any.
+        order: Taken by its calls in the order of arrival.
     """
 
     branch_id: str
@@ -61,6 +62,7 @@
     entries: list[TurnFinished | CallFinished]
     inherited: int = 0
     replica: str = ""
+    order: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     @property
     def finished(self) -> int:
@@ -134,24 +136,31 @@
     )
 
 
-@functools.singledispatch
 def apply_record(record: Record, state: ShardState) -> None:
     """Applies one committed record to the state.
 
+    A record may come behind its program's end of retention, such as the
+    outcome of a late lookup. It is passed over: an error here would come
+    again at each replay, and no host could open the shard any more.
+
     Args:
-        record: The record; its program must exist unless it creates one.
+        record: The record.
         state: Changed in place.
     """
-    raise TypeError(f"no rule for {type(record).__name__}")
+    if isinstance(record, ProgramCreated):
+        if record.program_id not in state.program_by_id:
+            state.program_by_id[record.program_id] = create_program(record)
+        return
+    if record.program_id in state.program_by_id:
+        _apply(record, state)
 
 
-@apply_record.register
-def _(record: ProgramCreated, state: ShardState) -> None:
-    if record.program_id not in state.program_by_id:
-        state.program_by_id[record.program_id] = create_program(record)
+@functools.singledispatch
+def _apply(record: Record, state: ShardState) -> None:
+    raise TypeError(f"no rule for {type(record).__name__}")
 
 
-@apply_record.register
+@_apply.register
 def _(record: BranchOpened, state: ShardState) -> None:
     program = state.program_by_id[record.program_id]
     if record.branch_id in program.branch_by_id:
@@ -166,7 +175,7 @@
     )
 
 
-@apply_record.register
+@_apply.register
 def _(record: TurnFinished, state: ShardState) -> None:
     program = state.program_by_id[record.program_id]
     branch = program.branch_by_id[record.branch_id]
@@ -179,14 +188,14 @@
     program.attained_ms += record.service_ms
 
 
-@apply_record.register
+@_apply.register
 def _(record: IntentRecorded, state: ShardState) -> None:
     program = state.program_by_id[record.program_id]
     program.intent_by_request_id[record.request_id] = record
     program.spending.calls += 1
 
 
-@apply_record.register
+@_apply.register
 def _(record: CallFinished, state: ShardState) -> None:
     program = state.program_by_id[record.program_id]
     intent = program.intent_by_request_id.pop(record.request_id, None)
@@ -211,21 +220,22 @@
         ]
 
 
-@apply_record.register
+@_apply.register
 def _(record: ProgramEnded, state: ShardState) -> None:
     program = state.program_by_id[record.program_id]
+    if program.end_reason is not None:
+        return
     program.end_reason = record.reason
     program.ended_ms = record.ended_ms
     program.replicas.update(record.replicas)
 
 
-@apply_record.register
+@_apply.register
 def _(record: ReleaseConfirmed, state: ShardState) -> None:
-    program = state.program_by_id.get(record.program_id)
-    if program is not None:
-        program.replicas.discard(record.replica)
+    program = state.program_by_id[record.program_id]
+    program.replicas.discard(record.replica)
 
 
-@apply_record.register
+@_apply.register
 def _(record: ProgramForgotten, state: ShardState) -> None:
     state.program_by_id.pop(record.program_id, None)
--- a/libs/programs/src/masticdale_programs/testing.py
+++ b/libs/programs/src/masticdale_programs/testing.py
@@ -34,6 +34,7 @@
         fail_turns: Model turns that answer UPSTREAM_FAILED.
         can_look_up: Whether the service tells outcomes by key.
         delay_s: Each call takes this long.
+        hung_replicas: Replicas that never answer a release.
     """
 
     lose_answers: int = 0
@@ -41,6 +42,7 @@
     fail_turns: int = 0
     can_look_up: bool = False
     delay_s: float = 0.0
+    hung_replicas: set[str] = dataclasses.field(default_factory=set)
 
 
 class FakeExecutor:
@@ -96,6 +98,8 @@
         self, program_id: str, replica: str
     ) -> Result[None, Failure]:
         """See ``Executor.release``."""
+        if replica in self.faults.hung_replicas:
+            await asyncio.Event().wait()
         self.released.add((program_id, replica))
         return Success(None)
 
--- a/libs/programs/src/masticdale_programs/turns.py
+++ b/libs/programs/src/masticdale_programs/turns.py
@@ -4,9 +4,9 @@
 import time
 
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 
-from masticdale_common import ErrorKind, Failure, hashing
+from masticdale_common import ErrorKind, Failure, Ran, hashing
 from masticdale_programs import budgets, views
 from masticdale_programs.budgets import Need
 from masticdale_programs.executors import ModelCall, ModelResult
@@ -81,6 +81,9 @@
     deadline: float,
 ) -> CallEnd:
     kind = shard.kind_of(program)
+    if operation.max_tokens < 0:
+        detail = f"max_tokens is {operation.max_tokens}"
+        return Failed(Failure(ErrorKind.BAD_REQUEST, detail))
     max_tokens = min(operation.max_tokens or kind.max_tokens, kind.max_tokens)
     message_tokens = budgets.count_tokens(operation.message)
     need = Need(tokens=message_tokens + max_tokens, turns=1)
@@ -98,34 +101,52 @@
         record = _record(
             operation, program, stream, outcome.unwrap(), message_tokens
         )
-        stream.waits("commit")
-        return await _commit(shard, record, deadline)
+        committed = await commit_finished(shard, record, stream, deadline)
+        if isinstance(committed, Failed):
+            return committed
+        return views.outcome_of(record)
     finally:
         budgets.settle(program, need)
 
 
-async def _commit(
-    shard: OwnedShard, record: TurnFinished, deadline: float
-) -> CallEnd:
-    """Commits a finished turn; past the deadline the commit goes on alone.
+async def commit_finished(
+    shard: OwnedShard,
+    record: TurnFinished | CallFinished,
+    stream: AnswerStream,
+    deadline: float,
+) -> Result[None, Failure]:
+    """Commits a call that ran.
 
-    The turn ran, so what is answered then must not say that it did not; a
-    caller that sends the request again finds the committed answer.
+    Past the deadline the caller is told TIMED_OUT, but the call keeps its
+    place in the branch until the commit is settled: a successor would be
+    built on a history without it, and the same request sent again would run
+    and stand in the history twice.
+
+    Args:
+        shard: Owner of the program.
+        record: What the call did.
+        stream: Tells the caller.
+        deadline: Monotonic seconds after which nobody waits.
+
+    Returns:
+        The commit's outcome. It never says that the call was not run.
     """
+    stream.cancellable = False
+    stream.waits("commit")
     commit = asyncio.ensure_future(shard.commit([record]))
     left_s = max(0.0, deadline - time.monotonic())
     done, _ = await asyncio.wait([commit], timeout=left_s)
     if not done:
-        shard.spawn(_wait(commit))
-        return Failed(Failure(ErrorKind.TIMED_OUT))
-    committed = commit.result()
-    if isinstance(committed, Failed):
+        stream.finish(Failed(Failure(ErrorKind.TIMED_OUT)))
+    committed = await commit
+    if isinstance(committed, Success):
         return committed
-    return views.outcome_of(record)
-
-
-async def _wait(commit: asyncio.Future[Result[None, Failure]]) -> None:
-    await commit
+    failure = committed.failure()
+    if failure.answer.ran is not Ran.NO:
+        return committed
+    if failure.kind is ErrorKind.TOO_LARGE:
+        return Failed(Failure(ErrorKind.UPSTREAM_FAILED, "answer too large"))
+    return Failed(Failure(ErrorKind.WRITE_UNKNOWN, failure.detail))
 
 
 def _model_call(
--- a/libs/programs/tests/test_shards.py
+++ b/libs/programs/tests/test_shards.py
@@ -4,6 +4,8 @@
 import time
 import unittest
 
+from returns.result import Success
+
 from masticdale_common import ErrorKind
 from masticdale_platform.testing import MemoryStore
 from masticdale_programs import (
@@ -20,6 +22,11 @@
     ShardSettings,
     open_shard,
 )
+from masticdale_programs.records import (
+    CallFinished,
+    OutcomeStatus,
+    ProgramForgotten,
+)
 from masticdale_programs.testing import (
     UNREPEATABLE,
     FakeExecutor,
@@ -221,19 +228,29 @@
 class TakeoverTest(ShardTestCase):
     async def test_deposed_owner_cannot_commit(self):
         # A paused owner wakes after another host took its shard over. Its
-        # caller is sent to the new owner, which has the whole history.
+        # caller is sent to the new owner, which has the whole history. The
+        # turn ran, so the answer must not say that it did not.
         await self.shard.submit(turn("r0"), caller())
         await wait_for_outcome(self.shard, "r0")
         taker = await self.open("host-2")
         await self.shard.submit(turn("r1"), caller())
         outcome = await wait_for_outcome(self.shard, "r1")
-        self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
+        self.assertIs(outcome.failure().kind, ErrorKind.WRITE_UNKNOWN)
+        late = await self.shard.submit(turn("r2"), caller())
+        self.assertIs(late.failure().kind, ErrorKind.NOT_OWNER)
         await taker.submit(turn("r1"), caller())
         await wait_for_outcome(taker, "r1")
         view = await taker.submit(GetProgram("p1", MAIN_BRANCH), caller())
         ids = [item.request_id for item in view.unwrap().history]
         self.assertEqual(ids, ["r0", "r1"])
 
+    async def test_paused_owner_finds_out_by_reading_the_head(self):
+        self.assertIsInstance(await self.shard.check_head(), Success)
+        await self.open("host-2")
+        outcome = await self.shard.check_head()
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
+        self.assertFalse(self.shard.is_held)
+
     async def test_own_write_with_a_lost_answer_is_recognised(self):
         self.store.faults.lose_write_answers = 2
         await self.shard.submit(turn("r0"), caller())
@@ -244,7 +261,95 @@
         self.assertEqual(len(view.unwrap().history), 1)
 
 
+class OutageTest(ShardTestCase):
+    async def commit_in_outage(self, request_id):
+        self.store.faults.down = True
+        await self.shard.submit(turn(request_id), caller(0.05))
+        return await wait_for_outcome(self.shard, request_id)
+
+    async def history_ids(self):
+        view = await self.shard.submit(GetProgram("p1", MAIN_BRANCH), caller())
+        return [item.request_id for item in view.unwrap().history]
+
+    async def test_turn_sent_again_while_its_commit_waits_runs_once(self):
+        # The caller sees TIMED_OUT and sends the turn again. Its commit
+        # still waits for the platform; a second run would stand in the
+        # history a second time.
+        outcome = await self.commit_in_outage("r0")
+        self.assertIs(outcome.failure().kind, ErrorKind.TIMED_OUT)
+        await self.shard.submit(turn("r0"), caller())
+        self.store.faults.down = False
+        while self.shard.in_flight:
+            await asyncio.sleep(0.01)
+        outcome = await wait_for_outcome(self.shard, "r0")
+        self.assertTrue(outcome.unwrap().text)
+        self.assertEqual(len(self.executor.calls), 1)
+        self.assertEqual(await self.history_ids(), ["r0"])
+
+    async def test_successor_waits_for_the_commit_before_it(self):
+        # The first turn's caller timed out while the commit waits. A second
+        # turn that ran now would not see the first one's text, and yet
+        # stand behind it in the history.
+        await self.commit_in_outage("r0")
+        await self.shard.submit(turn("r1", "m1"), caller())
+        await asyncio.sleep(0.02)
+        self.store.faults.down = False
+        await wait_for_outcome(self.shard, "r1")
+        self.assertEqual(len(self.executor.calls[-1].prompt), 4)
+        self.assertEqual(await self.history_ids(), ["r0", "r1"])
+
+    async def test_unknown_outcome_is_told_at_once(self):
+        # The service ran the call, its answer was lost, and the platform
+        # went down: the caller learns it before the platform returns.
+        self.executor.faults.lose_answers = 1
+        self.executor.faults.delay_s = 0.02
+        await self.shard.submit(filing("f0"), caller())
+        while not self.executor.execution_count_by_key:
+            await asyncio.sleep(0.001)
+        self.store.faults.down = True
+        for _ in range(2):
+            outcome = await wait_for_outcome(self.shard, "f0")
+            self.assertIs(outcome.failure().kind, ErrorKind.OUTCOME_UNKNOWN)
+            await self.shard.submit(filing("f0"), caller())
+
+
 class EndTest(ShardTestCase):
+    async def test_one_hung_replica_does_not_keep_the_others(self):
+        # One replica never answers its release. The others' memory must be
+        # freed all the same, and the hung one stays owed.
+        self.executor.faults.hung_replicas.add("engine-0")
+        self.shard.find("p1", WORKSPACE).replicas.update(
+            ("engine-0", "engine-1")
+        )
+        await self.shard.submit(EndProgram("p1"), caller())
+        program = self.shard.find("p1", WORKSPACE)
+        while "engine-1" in program.replicas:
+            await asyncio.sleep(0.001)
+        self.assertEqual(program.replicas, {"engine-0"})
+
+    async def test_late_record_of_a_forgotten_program_is_harmless(self):
+        # A lookup ends after its program was forgotten. Its record in the
+        # journal must not keep the next owner from opening the shard.
+        late = CallFinished(
+            "p1", MAIN_BRANCH, "f", "", "o", "", OutcomeStatus.DONE, ""
+        )
+        await self.shard.commit([ProgramForgotten("p1"), late])
+        taker = await self.open("host-2")
+        self.assertFalse(taker.state.program_by_id)
+
+    async def test_negative_max_tokens_cannot_widen_the_budget(self):
+        operation = SendTurn("p1", MAIN_BRANCH, "r0", "go", None, -10_000)
+        await self.shard.submit(operation, caller())
+        outcome = await wait_for_outcome(self.shard, "r0")
+        self.assertIs(outcome.failure().kind, ErrorKind.BAD_REQUEST)
+
+    async def test_program_id_of_another_workspace_shows_nothing(self):
+        operation = CreateProgram("p1", sample_kind())
+        outcome = await self.shard.submit(
+            operation, caller(workspace="halvorsen")
+        )
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_FOUND)
+
     async def test_end_releases_engine_memory(self):
         await self.shard.submit(turn("r0"), caller())
         await wait_for_outcome(self.shard, "r0")
