--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -77,7 +77,7 @@
         self._kind_in_force = kind_in_force
         self._journal: journal.Journal | None = None
         self._stream_by_key: dict[RequestKey, AnswerStream] = {}
-        self._task_by_key: dict[RequestKey, asyncio.Task[None]] = {}
+        self._task_by_key: dict[RequestKey, asyncio.Task[CallEnd]] = {}
         self._finished_at_by_key: dict[RequestKey, float] = {}
         self._ending: set[str] = set()
         self._releasing: set[str] = set()
@@ -468,22 +468,21 @@
         stream: AnswerStream,
         work: Coroutine[Any, Any, CallEnd],
     ) -> None:
-        task = asyncio.create_task(self._run(key, stream, work))
+        task = asyncio.create_task(
+            work, name=f"{key.program_id} {key.request_id}"
+        )
         self._task_by_key[key] = task
+        # A callback, because a task that is cancelled before its first step
+        # runs nothing of its own: its reader would wait for ever.
+        task.add_done_callback(functools.partial(self._finish, key, stream))
 
-    async def _run(
+    def _finish(
         self,
         key: RequestKey,
         stream: AnswerStream,
-        work: Coroutine[Any, Any, CallEnd],
+        task: asyncio.Task[CallEnd],
     ) -> None:
-        try:
-            outcome = await work
-        except asyncio.CancelledError:
-            outcome = Failed(Failure(ErrorKind.CANCELLED))
-        except Exception as error:
-            logs.write("call_failed", error=repr(error), program=key.program_id)
-            outcome = Failed(Failure(ErrorKind.INTERNAL))
+        outcome = _end_of(task)
         program = self.state.program_by_id.get(key.program_id)
         if program is not None:
             program.replicas.update(stream.replicas)
@@ -592,6 +591,16 @@
     return Success(shard)
 
 
+def _end_of(task: asyncio.Task[CallEnd]) -> CallEnd:
+    if task.cancelled():
+        return Failed(Failure(ErrorKind.CANCELLED))
+    error = task.exception()
+    if error is None:
+        return task.result()
+    logs.write("call_failed", error=repr(error), call=task.get_name())
+    return Failed(Failure(ErrorKind.INTERNAL))
+
+
 def _is_unknown(entry: TurnFinished | CallFinished) -> bool:
     if isinstance(entry, TurnFinished):
         return False
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/testing_hosts.py
@@ -0,0 +1,186 @@
+"""One host's view of the platform and of services, with faults of its own."""
+
+import asyncio
+import enum
+from collections import Counter, deque
+
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_platform import ListedHost, StoredObject, WatchBatch
+from masticdale_platform.testing import MemoryStore
+from masticdale_programs.executors import (
+    ModelCall,
+    ModelResult,
+    ServiceCall,
+    TextSink,
+)
+from masticdale_programs.testing import FakeExecutor
+
+_STEP_S = 0.001
+_LATE_S = 0.3
+
+
+class WriteFault(enum.StrEnum):
+    """What becomes of a write that is answered WRITE_UNKNOWN."""
+
+    LOSE_ANSWER = "lose_answer"
+    DROP = "drop"
+    LATE = "late"
+
+
+class HostFaults:
+    """Faults of one host.
+
+    Attributes:
+        cut: The platform cannot be reached.
+        write_faults: Faults of the next writes.
+    """
+
+    def __init__(self) -> None:
+        self.cut = False
+        self.write_faults: deque[WriteFault] = deque()
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def pause(self) -> None:
+        """Stops the host where its calls begin and end."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Lets the host go on, unaware of the time that passed."""
+        self._running.set()
+
+    async def step(self) -> None:
+        """Takes a moment, or as long as the host is paused."""
+        await asyncio.sleep(_STEP_S)
+        await self._running.wait()
+
+
+class HostStore:
+    """The shared store as one host reaches it; an ``ObjectStore``."""
+
+    def __init__(self, store: MemoryStore, faults: HostFaults) -> None:
+        self._store = store
+        self._faults = faults
+        self._late: set[asyncio.Task[Result[int, Failure]]] = set()
+
+    async def read(self, key: str) -> Result[StoredObject | None, Failure]:
+        """See ``ObjectStore.read``."""
+        await self._faults.step()
+        outcome = await self._store.read(key)
+        await self._faults.step()
+        return _unavailable() if self._faults.cut else outcome
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, Failure]:
+        """See ``ObjectStore.write``."""
+        await self._faults.step()
+        if self._faults.cut:
+            return _unavailable()
+        fault = None
+        if self._faults.write_faults:
+            fault = self._faults.write_faults.popleft()
+        if fault is WriteFault.DROP:
+            return _unknown()
+        if fault is WriteFault.LATE:
+            late = self._write_late(key, value, expected_version)
+            self._late.add(asyncio.create_task(late))
+            return _unknown()
+        outcome = await self._store.write(key, value, expected_version)
+        await self._faults.step()
+        is_lost = fault is WriteFault.LOSE_ANSWER or self._faults.cut
+        return _unknown() if is_lost else outcome
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, Failure]:
+        """See ``ObjectStore.delete``."""
+        await self._faults.step()
+        if self._faults.cut:
+            return _unavailable()
+        return await self._store.delete(key, expected_version)
+
+    async def list(
+        self, prefix: str
+    ) -> Result[tuple[StoredObject, ...], Failure]:
+        """See ``ObjectStore.list``."""
+        return await self._store.list(prefix)
+
+    async def watch(
+        self, prefix: str, position: int, wait_s: float
+    ) -> Result[WatchBatch, Failure]:
+        """See ``ObjectStore.watch``."""
+        return await self._store.watch(prefix, position, wait_s)
+
+    async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
+        """See ``ObjectStore.hosts``."""
+        return await self._store.hosts()
+
+    async def _write_late(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, Failure]:
+        await asyncio.sleep(_LATE_S)
+        return await self._store.write(key, value, expected_version)
+
+
+class HostExecutor:
+    """The shared upstreams as one host reaches them; an ``Executor``.
+
+    It counts what this host alone caused, by request id.
+    """
+
+    def __init__(self, shared: FakeExecutor, faults: HostFaults) -> None:
+        self._run_count_by_request_id: Counter[str] = Counter()
+        self._shared = shared
+        self._faults = faults
+
+    async def run_model(
+        self, call: ModelCall, sink: TextSink
+    ) -> Result[ModelResult, Failure]:
+        """See ``Executor.run_model``."""
+        await self._faults.step()
+        self._run_count_by_request_id[call.request_id] += 1
+        outcome = await self._shared.run_model(call, sink)
+        await self._faults.step()
+        return outcome
+
+    def run_count(self, request_id: str) -> int:
+        """Returns how often this host ran a request at an upstream."""
+        return self._run_count_by_request_id[request_id]
+
+    def is_repeatable(self, workspace: str, operation: str) -> bool:
+        """See ``Executor.is_repeatable``."""
+        return self._shared.is_repeatable(workspace, operation)
+
+    async def call_service(self, call: ServiceCall) -> Result[str, Failure]:
+        """See ``Executor.call_service``."""
+        await self._faults.step()
+        is_refused = self._shared.faults.refuse > 0
+        if not is_refused:
+            self._run_count_by_request_id[call.request_id] += 1
+        outcome = await self._shared.call_service(call)
+        await self._faults.step()
+        return outcome
+
+    async def look_up(self, call: ServiceCall) -> Result[str | None, Failure]:
+        """See ``Executor.look_up``."""
+        await self._faults.step()
+        return await self._shared.look_up(call)
+
+    async def release(
+        self, program_id: str, replica: str
+    ) -> Result[None, Failure]:
+        """See ``Executor.release``."""
+        await self._faults.step()
+        return await self._shared.release(program_id, replica)
+
+
+def _unavailable() -> Failed[Failure]:
+    return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+
+
+def _unknown() -> Failed[Failure]:
+    return Failed(Failure(ErrorKind.WRITE_UNKNOWN))
--- a/libs/programs/tests/test_shards.py
+++ b/libs/programs/tests/test_shards.py
@@ -327,6 +327,15 @@
             await asyncio.sleep(0.001)
         self.assertEqual(program.replicas, {"engine-0"})
 
+    async def test_call_cancelled_before_it_began_is_answered(self):
+        # The program is ended in the same moment that a turn was accepted.
+        # The turn's reader must hear of it, and nothing stays in flight.
+        await self.shard.submit(turn("r0"), caller())
+        await self.shard.submit(EndProgram("p1"), caller())
+        outcome = await wait_for_outcome(self.shard, "r0")
+        self.assertIs(outcome.failure().kind, ErrorKind.CANCELLED)
+        self.assertEqual(self.shard.in_flight, 0)
+
     async def test_late_record_of_a_forgotten_program_is_harmless(self):
         # A lookup ends after its program was forgotten. Its record in the
         # journal must not keep the next owner from opening the shard.
