Carry prefix notes with tickets and probes

Cause: a replica's home keeps its prefix index and needs branch, template and parent of a call. Change: PrefixNote, speeds in probe replies. Conclusion: homes can now be written.

--- a/libs/peers/src/masticdale_peers/messages.py
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -138,6 +138,25 @@
     refused: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefixNote:
+    """Names the prefix that a call builds on.
+
+    Attributes:
+        branch_id: Branch of the program.
+        template_digest: Digest of the shared first part of the prompt.
+        template_tokens: Tokens of that part.
+        parent_id: Branch this one was opened from; empty for none.
+        parent_tokens: Tokens of the history it began with.
+    """
+
+    branch_id: str = ""
+    template_digest: str = ""
+    template_tokens: int = 0
+    parent_id: str = ""
+    parent_tokens: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TicketRequest:
     """Asks a replica's home for a place in the replica's queue.
@@ -157,6 +176,7 @@
         program_id: The program.
         content_digest: Digest of the request's content.
         exclusive: Run with nothing else in flight.
+        prefix: The prefix it builds on.
     """
 
     ticket_id: str
@@ -173,6 +193,7 @@
     program_id: str
     content_digest: str
     exclusive: bool = False
+    prefix: PrefixNote = PrefixNote()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,16 +228,23 @@
     branch_id: str
     prompt_tokens: int
     priority: int
+    prefix: PrefixNote = PrefixNote()
+    max_tokens: int = 0
+    workspace: str = ""
+    attained_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeReply:
-    """The wait to expect and how much of the prompt is cached."""
+    """The wait to expect, what of the prompt is cached, the speeds learnt."""
 
     expected_wait_ms: int = 0
     cached_tokens: int = 0
     usable: bool = False
     failure: Failure | None = None
+    prefill_tokens_per_s: float = 0.0
+    decode_tokens_per_s: float = 0.0
+    in_flight: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -424,6 +452,8 @@
     if hint == Failure | None:
         return None if value is None else _failure_from_wire(value)
     if dataclasses.is_dataclass(hint):
+        if value is None:
+            return hint()  # type: ignore[operator]
         return from_wire(hint, value)  # type: ignore[arg-type]
     if typing.get_origin(hint) is tuple:
         item_hint = typing.get_args(hint)[0]
@@ -468,4 +498,4 @@
     message_type: _field_hints(message_type)
     for rpc in ALL_RPCS
     for message_type in (rpc.request_type, rpc.reply_type)
-} | {PeerNews: _field_hints(PeerNews)}
+} | {nested: _field_hints(nested) for nested in (PeerNews, PrefixNote)}
--- a/libs/peers/src/masticdale_peers/peer.thrift
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -62,6 +62,15 @@
   7: bool refused,          // the failure is of the read, not the outcome
 }
 
+// Names the prefix that a call builds on.
+struct PrefixNote {
+  1: string branch_id,
+  2: string template_digest,
+  3: i64 template_tokens,
+  4: string parent_id,
+  5: i64 parent_tokens,
+}
+
 struct TicketRequest {
   1: string ticket_id,
   2: string replica,
@@ -77,6 +86,7 @@
   12: string program_id,
   13: string content_digest,
   14: bool exclusive,       // run with nothing else in flight
+  15: PrefixNote prefix,
 }
 
 struct TicketReply {
@@ -102,6 +112,10 @@
   3: string branch_id,
   4: i64 prompt_tokens,
   5: i32 priority,
+  6: PrefixNote prefix,
+  7: i32 max_tokens,
+  8: string workspace,
+  9: double attained_s,
 }
 
 struct ProbeReply {
@@ -109,6 +123,9 @@
   2: i64 cached_tokens,
   3: bool usable,
   4: optional WireFailure failure,
+  5: double prefill_tokens_per_s,
+  6: double decode_tokens_per_s,
+  7: i32 in_flight,
 }
 
 struct RevisionsRequest {
