Add the clients of model engines and plain services and their fakes

Conclusion: usable; DEADLINE_EXCEEDED of generate may come after the call ran, which the table of kinds does not say yet.

--- a/libs/upstreams/src/masticdale_upstreams/__init__.py
+++ b/libs/upstreams/src/masticdale_upstreams/__init__.py
@@ -1,5 +1,15 @@
 """Clients of model engines and plain services."""
 
+from masticdale_upstreams.engine import (
+    EngineClient,
+    EngineOptions,
+    create_engine_client,
+)
+from masticdale_upstreams.service import (
+    ServiceClient,
+    ServiceOptions,
+    create_service_client,
+)
 from masticdale_upstreams.types import (
     CacheEvent,
     CacheEventKind,
@@ -24,6 +34,8 @@
     "CacheEvents",
     "Chunk",
     "Completion",
+    "EngineClient",
+    "EngineOptions",
     "GenerateRequest",
     "Health",
     "HeldProgram",
@@ -32,6 +44,10 @@
     "Order",
     "OrderKind",
     "PlainService",
+    "ServiceClient",
+    "ServiceOptions",
     "ServiceReply",
     "ServiceRequest",
+    "create_engine_client",
+    "create_service_client",
 ]
--- /dev/null
+++ b/libs/upstreams/src/masticdale_upstreams/testing.py
@@ -0,0 +1,327 @@
+"""A ``ModelEngine`` and a ``PlainService`` in memory that fail on request."""
+
+import asyncio
+import dataclasses
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, hashing
+from masticdale_upstreams.types import (
+    CacheEvent,
+    CacheEvents,
+    Chunk,
+    Completion,
+    GenerateRequest,
+    Health,
+    HeldProgram,
+    LoadReport,
+    Order,
+    ServiceReply,
+    ServiceRequest,
+)
+
+CHARACTERS_PER_TOKEN = 4
+_DIGEST_CHARACTERS = 32
+_PERCENT = 100
+_SHORTEST_ANSWER_PERCENT = 50
+
+
+def tokens_in(text: str) -> int:
+    """Returns how many tokens a text has, the last one perhaps not full."""
+    return -(-len(text) // CHARACTERS_PER_TOKEN)
+
+
+def expected_answer(prompt: Sequence[str], max_tokens: int) -> str:
+    """Returns the text that a test engine generates.
+
+    Args:
+        prompt: The prompt's parts; only their joined text counts.
+        max_tokens: Most tokens; the answer has half to all of them.
+
+    Returns:
+        The whole answer, the same for the same arguments.
+    """
+    seed = hashing.digest("".join(prompt))
+    spread = _PERCENT - _SHORTEST_ANSWER_PERCENT + 1
+    percent = _SHORTEST_ANSWER_PERCENT + int(seed[:8], 16) % spread
+    tokens = max(1, max_tokens * percent // _PERCENT)
+    length = tokens * CHARACTERS_PER_TOKEN
+    repeats = -(-length // _DIGEST_CHARACTERS)
+    return "".join(hashing.digest(seed, str(i)) for i in range(repeats))[
+        :length
+    ]
+
+
+@dataclasses.dataclass(slots=True)
+class EngineFaults:
+    """What goes wrong at a ``FakeEngine`` until it is reset.
+
+    Attributes:
+        down: Every call fails before it is sent.
+        delay_s: Each call takes this long.
+        cuts: This many calls fail with UPSTREAM_FAILED after a first chunk.
+        freeze: Calls give a first chunk and then nothing until the deadline.
+        lose_answers: This many short calls (release, orders) take effect and
+            answer UPSTREAM_FAILED.
+        crash_marker: A prompt that contains it crashes the engine.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    cuts: int = 0
+    freeze: bool = False
+    lose_answers: int = 0
+    crash_marker: str = ""
+
+
+class FakeEngine:
+    """A replica in memory; what crosses on the wire does not reach it."""
+
+    def __init__(self, cache_capacity: int = 1_000_000) -> None:
+        self.faults = EngineFaults()
+        self.leaving = False
+        self.crash_count = 0
+        self.requests: list[GenerateRequest] = []
+        self.cancelled_ids: list[str] = []
+        self.orders: list[Order] = []
+        self.events: list[CacheEvent] = []
+        self.tokens_by_program: dict[str, int] = {}
+        self._cache_capacity = cache_capacity
+        self._export_by_handle: dict[str, HeldProgram] = {}
+        self._running = 0
+        self._crashed = asyncio.Event()
+
+    async def generate(
+        self, request: GenerateRequest, on_chunk: Callable[[Chunk], None]
+    ) -> Result[Completion, Failure]:
+        """See ``ModelEngine.generate``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        self.requests.append(request)
+        self._running += 1
+        try:
+            async with asyncio.timeout(request.deadline_s):
+                return await self._generate(request, on_chunk)
+        except TimeoutError:
+            self.cancelled_ids.append(request.request_id)
+            return _failed(ErrorKind.DEADLINE_EXCEEDED)
+        except asyncio.CancelledError:
+            self.cancelled_ids.append(request.request_id)
+            raise
+        finally:
+            self._running -= 1
+
+    async def cancel(self, request_id: str) -> Result[None, Failure]:
+        """See ``ModelEngine.cancel``."""
+        self.cancelled_ids.append(request_id)
+        return await self._acknowledge()
+
+    async def release(self, program_id: str) -> Result[None, Failure]:
+        """See ``ModelEngine.release``."""
+        if not self.faults.down:
+            self.tokens_by_program.pop(program_id, None)
+        return await self._acknowledge()
+
+    async def held_programs(self) -> Result[tuple[HeldProgram, ...], Failure]:
+        """See ``ModelEngine.held_programs``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        held = self.tokens_by_program.items()
+        return Success(tuple(HeldProgram(*item) for item in held))
+
+    async def load(self) -> Result[LoadReport, Failure]:
+        """See ``ModelEngine.load``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        held = sum(self.tokens_by_program.values())
+        return Success(
+            LoadReport(self._running, 0, held, self._cache_capacity, 0)
+        )
+
+    async def health(self) -> Result[Health, Failure]:
+        """See ``ModelEngine.health``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        return Success(Health(f"run-{self.crash_count}", self.leaving))
+
+    async def cache_events(
+        self, position: int, wait_s: float
+    ) -> Result[CacheEvents, Failure]:
+        """See ``ModelEngine.cache_events``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        if position >= len(self.events):
+            await asyncio.sleep(wait_s)
+        newer = tuple(self.events[position:])
+        return Success(CacheEvents(len(self.events), newer, gap=False))
+
+    async def export_cache(
+        self, program_id: str, branch_id: str
+    ) -> Result[str, Failure]:
+        """See ``ModelEngine.export_cache``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        tokens = self.tokens_by_program.get(program_id)
+        if tokens is None:
+            return _failed(ErrorKind.NOT_FOUND)
+        handle = f"{program_id}/{branch_id}"
+        self._export_by_handle[handle] = HeldProgram(program_id, tokens)
+        return Success(handle)
+
+    async def import_cache(self, handle: str) -> Result[int, Failure]:
+        """See ``ModelEngine.import_cache``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        exported = self._export_by_handle.get(handle)
+        if exported is None:
+            return _failed(ErrorKind.NOT_FOUND)
+        self.tokens_by_program[exported.program_id] = exported.tokens
+        return Success(exported.tokens)
+
+    async def order(self, order: Order) -> Result[None, Failure]:
+        """See ``ModelEngine.order``."""
+        if any(order.fencing < earlier.fencing for earlier in self.orders):
+            return _failed(ErrorKind.CONFLICT)
+        if not self.faults.down:
+            self.orders.append(order)
+        return await self._acknowledge()
+
+    def crash(self) -> None:
+        """Loses all memory and breaks every call under way."""
+        self.crash_count += 1
+        self.tokens_by_program.clear()
+        self._crashed.set()
+        self._crashed = asyncio.Event()
+
+    async def _generate(
+        self, request: GenerateRequest, on_chunk: Callable[[Chunk], None]
+    ) -> Result[Completion, Failure]:
+        prompt = "".join(request.prompt)
+        if self.faults.crash_marker and self.faults.crash_marker in prompt:
+            self.crash()
+            return _failed(ErrorKind.UPSTREAM_FAILED)
+        answer = expected_answer(request.prompt, request.max_tokens)
+        half = len(answer) // 2
+        on_chunk(Chunk(0, answer[:half]))
+        if self.faults.freeze:
+            await asyncio.Event().wait()
+        if await self._crashes_within(self.faults.delay_s):
+            return _failed(ErrorKind.UPSTREAM_FAILED)
+        if self.faults.cuts:
+            self.faults.cuts -= 1
+            return _failed(ErrorKind.UPSTREAM_FAILED)
+        on_chunk(Chunk(half, answer[half:]))
+        return Success(self._complete(request, prompt, answer))
+
+    async def _crashes_within(self, seconds: float) -> bool:
+        crashed = self._crashed
+        try:
+            async with asyncio.timeout(seconds):
+                await crashed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _complete(
+        self, request: GenerateRequest, prompt: str, answer: str
+    ) -> Completion:
+        prompt_tokens = tokens_in(prompt)
+        held = self.tokens_by_program.get(request.program_id, 0)
+        self.tokens_by_program[request.program_id] = tokens_in(prompt + answer)
+        return Completion(
+            answer, prompt_tokens, min(held, prompt_tokens), tokens_in(answer)
+        )
+
+    async def _acknowledge(self) -> Result[None, Failure]:
+        await asyncio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return _failed(ErrorKind.UPSTREAM_FAILED)
+        return Success(None)
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceFaults:
+    """What goes wrong at a ``FakeService`` until it is reset.
+
+    Attributes:
+        down: Calls are refused before they are sent.
+        delay_s: Each call takes this long before it runs.
+        hang: Calls run and never answer; they end at their timeout.
+        lose_answers: This many calls run and answer OUTCOME_UNKNOWN.
+        drop_calls: This many calls do not run and answer OUTCOME_UNKNOWN.
+        lookup_down: Lookups fail.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    hang: bool = False
+    lose_answers: int = 0
+    drop_calls: int = 0
+    lookup_down: bool = False
+
+
+class FakeService:
+    """A service in memory that counts every execution by key."""
+
+    def __init__(self) -> None:
+        self.faults = ServiceFaults()
+        self.leaving = False
+        self.execution_count_by_key: Counter[str] = Counter()
+        self._result_by_key: dict[str, str] = {}
+
+    async def call(
+        self, request: ServiceRequest
+    ) -> Result[ServiceReply, Failure]:
+        """See ``PlainService.call``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        if self.faults.drop_calls:
+            self.faults.drop_calls -= 1
+            return _failed(ErrorKind.OUTCOME_UNKNOWN)
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                return await self._run(request)
+        except TimeoutError:
+            return _failed(ErrorKind.OUTCOME_UNKNOWN)
+
+    async def lookup(self, key: str) -> Result[ServiceReply | None, Failure]:
+        """See ``PlainService.lookup``."""
+        if self.faults.down or self.faults.lookup_down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        result = self._result_by_key.get(key)
+        return Success(None if result is None else ServiceReply(key, result))
+
+    async def health(self) -> Result[Health, Failure]:
+        """See ``PlainService.health``."""
+        if self.faults.down:
+            return _failed(ErrorKind.NO_UPSTREAM)
+        return Success(Health("run-0", self.leaving))
+
+    async def _run(
+        self, request: ServiceRequest
+    ) -> Result[ServiceReply, Failure]:
+        await asyncio.sleep(self.faults.delay_s)
+        self.execution_count_by_key[request.key] += 1
+        result = expected_result(request.operation, request.payload)
+        self._result_by_key[request.key] = result
+        if self.faults.hang:
+            await asyncio.Event().wait()
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return _failed(ErrorKind.OUTCOME_UNKNOWN)
+        return Success(ServiceReply(request.key, result))
+
+
+def expected_result(operation: str, payload: str) -> str:
+    """Returns the JSON text that a test service answers."""
+    return f'{{"done":"{hashing.digest(operation, payload)}"}}'
+
+
+def _failed(kind: ErrorKind) -> Failed[Failure]:
+    return Failed(Failure(kind))
