--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/callers.py
@@ -0,0 +1,388 @@
+"""The callers' interface over HTTP."""
+
+import dataclasses
+import functools
+import json
+import time
+from collections.abc import AsyncIterator
+from typing import Any, Protocol
+
+import litestar
+import orjson
+import pydantic
+from litestar.response import ServerSentEvent, ServerSentEventMessage
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, Metrics, hashing, logs
+from masticdale_config import (
+    ConfigInForce,
+    RenderedWorkspace,
+    caller_key_digest,
+)
+from masticdale_programs import (
+    CallOutcome,
+    CallService,
+    CreateProgram,
+    EndProgram,
+    GetProgram,
+    OpenBranch,
+    Operation,
+    OperationResult,
+    Outcome,
+    ProgramView,
+    SendTurn,
+    TurnOutcome,
+)
+from masticdaled.answers import (
+    error_body,
+    error_response,
+    exception_handlers,
+)
+from masticdaled.caller_models import (
+    CallAnswerBody,
+    CallServiceBody,
+    CreateProgramBody,
+    EndProgramBody,
+    HistoryItemBody,
+    OpenBranchBody,
+    ProgramBody,
+    SendTurnBody,
+    TurnAnswerBody,
+)
+from masticdaled.entry import Entry, Final, Request, TextPart
+from masticdaled.limits import WorkspaceLimiter
+from masticdaled.owners import find_kind
+from masticdaled.settings import RequestSettings
+
+_BEARER = "Bearer "
+_MS = 1000
+
+AnyRequest = litestar.Request[Any, Any, Any]
+
+
+class Readiness(Protocol):
+    """Whether the balancer should send callers here."""
+
+    def is_ready(self) -> bool:
+        """True while this host serves and is not about to stop."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersContext:
+    """What the callers' listener stands on."""
+
+    entry: Entry
+    in_force: ConfigInForce
+    limiter: WorkspaceLimiter
+    readiness: Readiness
+    settings: RequestSettings
+    metrics: Metrics
+
+
+class _RefusedError(Exception):
+    """Carries a failure out of a route."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.kind.value)
+        self.failure = failure
+
+
+def _refused(request: AnyRequest, error: _RefusedError) -> Any:
+    return error_response(error.failure)
+
+
+class CallersController(litestar.Controller):
+    """Programs of the caller's workspace."""
+
+    path = "/v1/programs"
+
+    @litestar.post("/", summary="Begin a program")
+    async def create(
+        self, request: AnyRequest, data: CreateProgramBody
+    ) -> ProgramBody:
+        """Begins a program; the same request id names the same program."""
+        context = _context(request)
+        workspace = _authenticate(request)
+        config = context.in_force.current
+        kind = find_kind(config, workspace.name, data.program)
+        if kind is None:
+            detail = f"program kind {data.program!r}"
+            raise _RefusedError(Failure(ErrorKind.NOT_FOUND, detail))
+        program_id = program_id_of(workspace.name, data.request_id)
+        operation = CreateProgram(program_id, kind)
+        return await _ask(request, workspace, operation, data.deadline_ms)
+
+    @litestar.get("/{program_id:str}", summary="Read a program's status")
+    async def get_status(
+        self, request: AnyRequest, program_id: str, history: str = ""
+    ) -> ProgramBody:
+        """Reads status and, with ``history=BRANCH``, a branch's history."""
+        workspace = _authenticate(request)
+        operation = GetProgram(program_id, history)
+        return await _ask(request, workspace, operation, None)
+
+    @litestar.post("/{program_id:str}/branches", summary="Open a branch")
+    async def open_branch(
+        self, request: AnyRequest, program_id: str, data: OpenBranchBody
+    ) -> ProgramBody:
+        """Opens a sub-agent's branch, which shares the program's budget."""
+        workspace = _authenticate(request)
+        operation = OpenBranch(program_id, data.branch, data.parent)
+        return await _ask(request, workspace, operation, data.deadline_ms)
+
+    @litestar.post("/{program_id:str}/end", summary="End a program")
+    async def end(
+        self, request: AnyRequest, program_id: str, data: EndProgramBody
+    ) -> ProgramBody:
+        """Ends a program and releases the engine memory held for it."""
+        workspace = _authenticate(request)
+        operation = EndProgram(program_id)
+        return await _ask(request, workspace, operation, data.deadline_ms)
+
+    @litestar.post(
+        "/{program_id:str}/turns", summary="Send a turn", status_code=200
+    )
+    async def send_turn(
+        self, request: AnyRequest, program_id: str, data: SendTurnBody
+    ) -> Any:
+        """Sends a message; answers whole or as server-sent events."""
+        operation = SendTurn(
+            program_id,
+            data.branch,
+            data.request_id,
+            data.message,
+            data.sequence,
+            data.max_tokens,
+        )
+        call = _call_request(request, operation, data.deadline_ms)
+        if data.stream:
+            return ServerSentEvent(_events(request, call))
+        return _whole(await _run(request, call))
+
+    @litestar.post(
+        "/{program_id:str}/calls", summary="Call a service", status_code=200
+    )
+    async def call_service(
+        self, request: AnyRequest, program_id: str, data: CallServiceBody
+    ) -> Any:
+        """Calls an operation; at most once where it may not be repeated."""
+        operation = CallService(
+            program_id,
+            data.branch,
+            data.request_id,
+            data.operation,
+            json.dumps(data.payload),
+            data.sequence,
+        )
+        call = _call_request(request, operation, data.deadline_ms)
+        return _whole(await _run(request, call))
+
+
+def program_id_of(workspace: str, request_id: str) -> str:
+    """Returns the id of the program that a request id begins.
+
+    Derived rather than drawn, so that a create sent again, at any host, names
+    the same program and shard.
+    """
+    return hashing.digest("program", workspace, request_id)
+
+
+def create_callers_app(context: CallersContext) -> litestar.Litestar:
+    """Returns the application of the callers' listener."""
+
+    @litestar.get("/healthz", summary="Whether the process runs")
+    async def healthz() -> str:
+        """Answers while the process runs."""
+        return "ok"
+
+    @litestar.get("/readyz", summary="Whether to send callers here")
+    async def readyz() -> Any:
+        """Answers 503 before the host serves and once it stops."""
+        if context.readiness.is_ready():
+            return litestar.Response("ready")
+        return error_response(Failure(ErrorKind.STOPPING))
+
+    app = litestar.Litestar(
+        [CallersController, healthz, readyz],
+        exception_handlers={**exception_handlers(), _RefusedError: _refused},
+        logging_config=None,
+        request_max_body_size=context.settings.max_bytes,
+    )
+    app.state.context = context
+    return app
+
+
+def _context(request: AnyRequest) -> CallersContext:
+    context: CallersContext = request.app.state.context
+    return context
+
+
+def _authenticate(request: AnyRequest) -> RenderedWorkspace:
+    header = request.headers.get("authorization", "")
+    key = header.removeprefix(_BEARER)
+    config = _context(request).in_force.current
+    workspace = config.workspace_by_caller_digest.get(caller_key_digest(key))
+    if workspace is None or not header.startswith(_BEARER):
+        raise _RefusedError(Failure(ErrorKind.UNAUTHENTICATED))
+    return workspace
+
+
+def _entry_request(
+    request: AnyRequest,
+    workspace: RenderedWorkspace,
+    operation: Operation,
+    deadline_ms: int | None,
+) -> Request:
+    settings = _context(request).settings
+    asked_ms = deadline_ms or settings.default_deadline_ms
+    allowed_ms = min(asked_ms, settings.max_deadline_ms)
+    deadline = time.monotonic() + allowed_ms / _MS
+    return Request(operation, workspace.name, deadline)
+
+
+def _call_request(
+    request: AnyRequest,
+    operation: SendTurn | CallService,
+    deadline_ms: int | None,
+) -> Request:
+    workspace = _authenticate(request)
+    return _entry_request(request, workspace, operation, deadline_ms)
+
+
+async def _ask(
+    request: AnyRequest,
+    workspace: RenderedWorkspace,
+    operation: Operation,
+    deadline_ms: int | None,
+) -> ProgramBody:
+    message = _entry_request(request, workspace, operation, deadline_ms)
+    outcome = await _context(request).entry.submit(message)
+    if isinstance(outcome, Failed):
+        raise _RefusedError(outcome.failure())
+    return _program_body(outcome.unwrap())
+
+
+async def _follow(
+    request: AnyRequest, call: Request
+) -> AsyncIterator[TextPart | Final]:
+    """Submits a call within its workspace's limits and follows its answer."""
+    context = _context(request)
+    operation = call.operation
+    assert isinstance(operation, SendTurn | CallService)
+    started = time.monotonic()
+    turn_id = f"{operation.program_id}/{operation.request_id}"
+    begun = context.limiter.begin(call.workspace, turn_id)
+    if isinstance(begun, Failed):
+        yield Final(Failed(begun.failure()))
+        return
+    kind = "none"
+    try:
+        accepted = await context.entry.submit(call)
+        if isinstance(accepted, Failed):
+            kind = accepted.failure().kind.value
+            yield Final(Failed(accepted.failure()))
+            return
+        async for part in context.entry.follow(call):
+            if isinstance(part, Final) and isinstance(part.outcome, Failed):
+                kind = part.outcome.failure().kind.value
+            yield part
+    finally:
+        context.limiter.end(call.workspace, turn_id)
+        seconds = time.monotonic() - started
+        context.metrics.count(
+            "calls_total", workspace=call.workspace, error=kind
+        )
+        context.metrics.observe("call_seconds", seconds)
+        logs.write(
+            "call_answered",
+            workspace=call.workspace,
+            program=operation.program_id,
+            turn=operation.request_id,
+            error=kind,
+            seconds=round(seconds, 4),
+        )
+
+
+async def _run(request: AnyRequest, call: Request) -> Result[Outcome, Failure]:
+    async for part in _follow(request, call):
+        if isinstance(part, Final):
+            return part.outcome
+    return Failed(Failure(ErrorKind.INTERNAL))
+
+
+async def _events(
+    request: AnyRequest, call: Request
+) -> AsyncIterator[ServerSentEventMessage]:
+    async for part in _follow(request, call):
+        if isinstance(part, TextPart):
+            name = "restart" if part.restart else "text"
+            data = json.dumps({"text": part.text})
+            yield ServerSentEventMessage(event=name, data=data)
+            continue
+        if isinstance(part.outcome, Success):
+            body: pydantic.BaseModel = outcome_body(part.outcome.unwrap())
+            yield ServerSentEventMessage(
+                event="done", data=body.model_dump_json()
+            )
+            continue
+        told = orjson.dumps(error_body(part.outcome.failure()))
+        yield ServerSentEventMessage(event="error", data=told.decode())
+
+
+def _whole(outcome: Result[Outcome, Failure]) -> Any:
+    if isinstance(outcome, Failed):
+        return error_response(outcome.failure())
+    return litestar.Response(outcome_body(outcome.unwrap()))
+
+
+@functools.singledispatch
+def outcome_body(outcome: Outcome) -> TurnAnswerBody | CallAnswerBody:
+    """Returns the body that tells a call's outcome."""
+    raise TypeError(f"no body for {type(outcome).__name__}")
+
+
+@outcome_body.register
+def _(outcome: TurnOutcome) -> TurnAnswerBody:
+    return TurnAnswerBody(
+        request_id=outcome.request_id,
+        text=outcome.text,
+        prompt_tokens=outcome.prompt_tokens,
+        cached_tokens=outcome.cached_tokens,
+        generated_tokens=outcome.generated_tokens,
+        replica=outcome.replica,
+    )
+
+
+@outcome_body.register
+def _(outcome: CallOutcome) -> CallAnswerBody:
+    return CallAnswerBody(
+        request_id=outcome.request_id,
+        status=outcome.status.value,
+        result=json.loads(outcome.result),
+    )
+
+
+def _program_body(result: OperationResult) -> ProgramBody:
+    assert isinstance(result, ProgramView)
+    return ProgramBody(
+        program_id=result.program_id,
+        program=result.kind,
+        state=result.state,
+        branches=result.branches,
+        tokens_spent=result.tokens_spent,
+        calls_spent=result.calls_spent,
+        turns_spent=result.turns_spent,
+        waiting_for=result.waiting_for,
+        history=tuple(
+            HistoryItemBody(
+                request_id=item.request_id,
+                kind=item.kind,
+                sent=item.sent,
+                answer=item.answer,
+                status=item.status,
+            )
+            for item in result.history
+        ),
+    )
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -0,0 +1,301 @@
+"""The daemon: its parts, how they start and how they stop."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+
+import litestar
+import uvicorn
+from returns.result import Success
+
+from masticdale_common import (
+    Metrics,
+    StateDump,
+    Subscription,
+    TimerService,
+    logs,
+)
+from masticdale_config import ConfigInForce, ConfigStore
+from masticdale_peers import (
+    Address,
+    Heartbeat,
+    MembershipChange,
+    PeerDirectory,
+    PeerServer,
+    PoolLimits,
+    connect,
+    join,
+    new_incarnation,
+    serve,
+)
+from masticdale_platform import PlatformClient
+from masticdale_programs import ShardSettings
+from masticdaled.callers import CallersContext, create_callers_app
+from masticdaled.cluster import Cluster
+from masticdaled.entry import Entry
+from masticdaled.executor import UpstreamExecutor
+from masticdaled.following import ConfigFollower
+from masticdaled.handler import Handler, Parts
+from masticdaled.homes import Homes
+from masticdaled.limits import WorkspaceLimiter
+from masticdaled.orphans import OrphanSweeper
+from masticdaled.owners import Owners
+from masticdaled.settings import DaemonSettings
+from masticdaled.suspects import SuspectHome
+from masticdaled.tickets import TicketDesk
+from masticdaled.upstream_clients import UpstreamClients
+
+_PEER_CONNECTIONS = 256
+_OWNERS_PERIOD_S = 0.5
+_HOMES_PERIOD_S = 0.5
+_CONFIG_PERIOD_S = 0.25
+_LIST_PERIOD_S = 1.0
+_SUSPECTS_PERIOD_S = 1.0
+_ORPHANS_PERIOD_S = 5.0
+_POLL_S = 0.05
+
+
+class Daemon:
+    """Every part of one host, made by ``create_daemon``."""
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self.settings = settings
+        self.metrics = Metrics()
+        self.timers = TimerService()
+        self.state_dump = StateDump()
+        self.incarnation = new_incarnation()
+        self.in_force = ConfigInForce()
+        self.store = PlatformClient(
+            settings.platform_url, settings.platform_timeout_s, self.metrics
+        )
+        self.config_store = ConfigStore(self.store, self.in_force)
+        self.peers: PeerDirectory = connect(
+            settings.other_peers,
+            settings.tls,
+            self.metrics,
+            self.timers,
+            PoolLimits(connections=_PEER_CONNECTIONS),
+        )
+        self.membership = join(
+            self._own_beat,
+            [peer.name for peer in settings.other_peers],
+            self.peers,
+            self.timers,
+        )
+        self.cluster = Cluster(settings.host, self.membership, self.peers)
+        self.clients = UpstreamClients(self.metrics)
+        self.desk = TicketDesk(self.cluster)
+        self.homes = Homes(
+            self.cluster, self.in_force, self.clients, self.metrics
+        )
+        self.executor = UpstreamExecutor(
+            self.cluster,
+            self.in_force,
+            self.clients,
+            self.desk,
+            self.homes,
+            self.metrics,
+        )
+        self.owners = Owners(
+            self.cluster,
+            self.store,
+            self.executor,
+            self.in_force,
+            _shard_settings(settings),
+            self.incarnation,
+            self.metrics,
+        )
+        self.suspects = SuspectHome(self.store)
+        self.follower = ConfigFollower(
+            self.cluster, self.store, self.in_force, self.metrics
+        )
+        self.orphans = OrphanSweeper(
+            self.cluster, self.homes, self.clients, self.metrics
+        )
+        self.entry = Entry(self.cluster, self.metrics)
+        self.handler = Handler(self._parts)
+        self._leaving = False
+        self._started = False
+        self._peer_server: PeerServer | None = None
+        self._http_servers: list[_HttpServer] = []
+        self._http_tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """True while callers should be sent here."""
+        return self._started and self.follower.is_loaded and not self._leaving
+
+    async def start(self) -> None:
+        """Joins the other hosts, learns the configuration, then serves."""
+        settings = self.settings
+        known = frozenset(peer.name for peer in settings.other_peers)
+        self.cluster.attach(self.handler, known)
+        self._peer_server = await serve(
+            self.handler, settings.peer_listener, settings.tls
+        )
+        self.membership.subscribe(self._members_changed)
+        self.membership.start()
+        await self._hear_peers()
+        await self.follower.start()
+        await self._read_list()
+        self._register_dumps()
+        self._subscribe_timers()
+        await self._serve_http(settings.callers, self._callers_app())
+        self._started = True
+        logs.write("started", incarnation=self.incarnation)
+
+    async def stop(self) -> None:
+        """Stops without cutting off a request.
+
+        Unready first, so that the balancer sends no one; then shards are
+        handed over as their calls finish, and callers' connections are
+        answered to the end, also those of programs owned elsewhere.
+        """
+        logs.write("stopping")
+        stop = self.settings.stop
+        self._leaving = True
+        await asyncio.sleep(stop.unready_s)
+        await self.owners.stop(stop.finish_s)
+        for server in self._http_servers:
+            server.should_exit = True
+        await asyncio.gather(*self._http_tasks)
+        await self._close()
+        logs.write("stopped")
+
+    async def _close(self) -> None:
+        await self.timers.close()
+        await self.follower.close()
+        await self.membership.close()
+        await self.homes.close()
+        if self._peer_server is not None:
+            await self._peer_server.close(1.0)
+        self.peers.close()
+        await self.clients.close()
+        await self.store.close()
+
+    async def _hear_peers(self) -> None:
+        """Waits for one round of heartbeats.
+
+        Alone in its own eyes, a starting host would own every shard.
+        """
+        for peer in self.settings.other_peers:
+            await self.membership.beat(peer.name)
+
+    async def _read_list(self) -> None:
+        outcome = await self.store.hosts()
+        if not isinstance(outcome, Success):
+            return
+        listed = outcome.unwrap()
+        self.membership.set_listed(listed)
+        self.homes.set_leaving(item.name for item in listed if item.leaving)
+
+    def _own_beat(self) -> Heartbeat:
+        return Heartbeat(
+            host=self.settings.host,
+            domain=self.settings.domain,
+            incarnation=self.incarnation,
+            revision=self.in_force.number,
+            leaving=self._is_leaving(),
+        )
+
+    def _is_leaving(self) -> bool:
+        # Asked while the parts are still being made, too.
+        return getattr(self, "_leaving", False)
+
+    def _members_changed(self, change: MembershipChange) -> None:
+        self.homes.members_changed(change)
+        self.suspects.members_changed()
+        self.metrics.gauge("hosts_live", len(change.members))
+
+    def _parts(self) -> Parts:
+        return Parts(
+            self.membership,
+            self.owners,
+            self.homes,
+            self.desk,
+            self.suspects,
+            self.in_force,
+        )
+
+    def _register_dumps(self) -> None:
+        self.state_dump.register("membership", self.membership.state)
+        self.state_dump.register("config", self.in_force.dump)
+        self.state_dump.register("shards", self.owners.dump)
+        self.state_dump.register("homes", self.homes.dump)
+        self.state_dump.register("quarantine", self.suspects.dump)
+        self.state_dump.register("peers", self.peers.state)
+        self.state_dump.register("timers", lambda: list(self.timers.names()))
+
+    def _subscribe_timers(self) -> None:
+        rows = (
+            ("owners", _OWNERS_PERIOD_S, self.owners.tick),
+            ("homes", _HOMES_PERIOD_S, self.homes.tick),
+            ("config", _CONFIG_PERIOD_S, self.follower.tick),
+            ("list", _LIST_PERIOD_S, self._read_list),
+            ("suspects", _SUSPECTS_PERIOD_S, self.suspects.tick),
+            ("orphans", _ORPHANS_PERIOD_S, self.orphans.sweep),
+        )
+        for name, period_s, callback in rows:
+            self.timers.subscribe(Subscription(name, period_s, callback))
+
+    def _callers_app(self) -> litestar.Litestar:
+        return create_callers_app(
+            CallersContext(
+                self.entry,
+                self.in_force,
+                WorkspaceLimiter(self.cluster, self.in_force),
+                self,
+                self.settings.requests,
+                self.metrics,
+            )
+        )
+
+    async def _serve_http(
+        self, address: Address, app: litestar.Litestar
+    ) -> None:
+        config = uvicorn.Config(
+            app,
+            host=str(address.ip),
+            port=address.port,
+            log_level="warning",
+            access_log=False,
+            lifespan="off",
+            timeout_graceful_shutdown=int(self.settings.stop.finish_s),
+        )
+        server = _HttpServer(config)
+        self._http_servers.append(server)
+        self._http_tasks.append(asyncio.create_task(server.serve()))
+        while not server.started:
+            await asyncio.sleep(_POLL_S)
+
+
+class _HttpServer(uvicorn.Server):
+    """A server that leaves the process's signals to the daemon.
+
+    uvicorn would take SIGTERM itself and stop at once, before the balancer
+    had noticed that this host is not ready.
+    """
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Takes no signals."""
+        yield
+
+
+def create_daemon(settings: DaemonSettings) -> Daemon:
+    """Returns a daemon that has not started.
+
+    Raises:
+        MasticdaleError: INVALID_SETTINGS, where TLS files or addresses are
+            not usable.
+    """
+    return Daemon(settings)
+
+
+def _shard_settings(settings: DaemonSettings) -> ShardSettings:
+    programs = settings.programs
+    return ShardSettings(
+        unread_cancel_s=programs.unread_cancel_s,
+        idle_end_s=programs.idle_end_s,
+        retention_s=programs.retention_s,
+        commit_wait_s=programs.commit_wait_s,
+    )
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/handler.py
@@ -0,0 +1,148 @@
+"""What this host does for its peers: each call goes to the part it is for."""
+
+import dataclasses
+import time
+from collections.abc import Callable
+
+from returns.result import Failure as Failed
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_config import ConfigInForce
+from masticdale_peers import (
+    CopyReply,
+    CopyRequest,
+    Empty,
+    GrantNotice,
+    Heartbeat,
+    HeartbeatReply,
+    Membership,
+    ProbeReply,
+    ProbeRequest,
+    ReadReply,
+    ReadRequest,
+    RevisionsReply,
+    RevisionsRequest,
+    SealReply,
+    SealRequest,
+    StatesReply,
+    StatesRequest,
+    Submission,
+    SubmitReply,
+    SuspectReply,
+    SuspectRequest,
+    TicketRelease,
+    TicketReply,
+    TicketRequest,
+)
+from masticdale_programs import (
+    Caller,
+    RequestKey,
+    decode_operation,
+    encode_outcome,
+    encode_result,
+)
+from masticdaled.homes import Homes
+from masticdaled.owners import Owners
+from masticdaled.suspects import SuspectHome
+from masticdaled.tickets import TicketDesk
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """The parts of the daemon that serve peers."""
+
+    membership: Membership
+    owners: Owners
+    homes: Homes
+    desk: TicketDesk
+    suspects: SuspectHome
+    in_force: ConfigInForce
+
+
+class Handler:
+    """The daemon's ``PeerHandler``."""
+
+    def __init__(self, parts: Callable[[], Parts]) -> None:
+        self._parts = parts
+
+    async def heartbeat(self, beat: Heartbeat) -> HeartbeatReply:
+        """See ``PeerHandler.heartbeat``."""
+        return self._parts().membership.receive(beat)
+
+    async def submit(self, submission: Submission) -> SubmitReply:
+        """See ``PeerHandler.submit``."""
+        operation = decode_operation(submission.operation)
+        deadline = time.monotonic() + submission.deadline_ms / 1000
+        caller = Caller(submission.workspace, deadline)
+        outcome = await self._parts().owners.submit(operation, caller)
+        if isinstance(outcome, Failed):
+            return SubmitReply(failure=outcome.failure())
+        return SubmitReply(encode_result(outcome.unwrap()))
+
+    async def read(self, request: ReadRequest) -> ReadReply:
+        """See ``PeerHandler.read``."""
+        outcome = await self._parts().owners.read(
+            RequestKey(request.program_id, request.request_id),
+            request.workspace,
+            request.attempt,
+            request.offset,
+            request.wait_ms / 1000,
+        )
+        if isinstance(outcome, Failed):
+            return ReadReply(failure=outcome.failure(), refused=True)
+        part = outcome.unwrap()
+        reply = ReadReply(
+            text=part.text, attempt=part.attempt, offset=part.offset
+        )
+        if part.outcome is None:
+            return reply
+        if isinstance(part.outcome, Failed):
+            failure = part.outcome.failure()
+            return dataclasses.replace(reply, done=True, failure=failure)
+        result = encode_outcome(part.outcome.unwrap())
+        return dataclasses.replace(reply, done=True, result=result)
+
+    async def enqueue(self, request: TicketRequest) -> TicketReply:
+        """See ``PeerHandler.enqueue``."""
+        return self._parts().homes.enqueue(request)
+
+    async def release(self, release: TicketRelease) -> Empty:
+        """See ``PeerHandler.release``."""
+        await self._parts().homes.release(release)
+        return Empty()
+
+    async def withdraw(self, release: TicketRelease) -> Empty:
+        """See ``PeerHandler.withdraw``."""
+        self._parts().homes.withdraw(release)
+        return Empty()
+
+    async def grant(self, notice: GrantNotice) -> Empty:
+        """See ``PeerHandler.grant``."""
+        self._parts().desk.granted(notice)
+        return Empty()
+
+    async def probe(self, request: ProbeRequest) -> ProbeReply:
+        """See ``PeerHandler.probe``."""
+        return self._parts().homes.probe(request)
+
+    async def revisions(self, request: RevisionsRequest) -> RevisionsReply:
+        """See ``PeerHandler.revisions``."""
+        export = self._parts().in_force.export_after(request.after)
+        return RevisionsReply(export.newest, export.revisions, export.snapshot)
+
+    async def put_copy(self, request: CopyRequest) -> CopyReply:
+        """See ``PeerHandler.put_copy``."""
+        return CopyReply(failure=Failure(ErrorKind.NO_UPSTREAM, "no copies"))
+
+    async def seal_copies(self, request: SealRequest) -> SealReply:
+        """See ``PeerHandler.seal_copies``."""
+        return SealReply()
+
+    async def suspect(self, request: SuspectRequest) -> SuspectReply:
+        """See ``PeerHandler.suspect``."""
+        return await self._parts().suspects.handle(request)
+
+    async def states(self, request: StatesRequest) -> StatesReply:
+        """See ``PeerHandler.states``."""
+        gone = await self._parts().owners.gone_ids(request.program_ids)
+        return StatesReply(gone)
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -0,0 +1,476 @@
+"""Homes of replicas: the queue before each engine, its health and prefixes."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Iterable
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import (
+    ErrorKind,
+    Failure,
+    JsonValue,
+    Metrics,
+    logs,
+)
+from masticdale_config import ConfigInForce, RenderedEngine
+from masticdale_peers import (
+    GrantNotice,
+    MembershipChange,
+    ProbeReply,
+    ProbeRequest,
+    SuspectRequest,
+    TicketRelease,
+    TicketReply,
+    TicketRequest,
+)
+from masticdale_routing import (
+    BranchKey,
+    EngineSpeed,
+    Granted,
+    InFlightSettings,
+    LoadObservation,
+    PrefixIndex,
+    PrefixRequest,
+    Queued,
+    QueueSettings,
+    Refused,
+    ReplicaQueue,
+    Ticket,
+    TicketResult,
+    create_replica_queue,
+)
+from masticdale_upstreams import CacheEventKind
+from masticdaled.cluster import Cluster
+from masticdaled.upstream_clients import UpstreamClients
+
+CRASHED_ACTION = "crashed"
+_HEALTH_MISSES_TO_CLOSE = 2
+_LOAD_EVERY = 2
+_PROBE_ID = "probe"
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaHome:
+    """What this host keeps for one replica.
+
+    Attributes:
+        engine: The replica's declaration.
+        queue: Who runs there and who waits.
+        prefixes: What its cache holds.
+        request_by_ticket: The granted and waiting tickets as they came.
+        incarnation: Process of the engine when last asked; empty at first.
+        misses: Health checks without an answer since the last with one.
+        is_leaving: The engine or the platform's list says that it leaves.
+        events_position: Where the next cache events begin.
+        ticks: Health checks so far.
+        counted_ids: Tickets whose crash the suspects were told of.
+    """
+
+    engine: RenderedEngine
+    queue: ReplicaQueue
+    prefixes: PrefixIndex
+    request_by_ticket: dict[str, TicketRequest]
+    incarnation: str = ""
+    misses: int = 0
+    is_leaving: bool = False
+    events_position: int = 0
+    ticks: int = 0
+    counted_ids: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def is_usable(self) -> bool:
+        """True while it may get new work."""
+        return not self.is_leaving and self.misses < _HEALTH_MISSES_TO_CLOSE
+
+
+class Homes:
+    """The replicas whose home this host is."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        in_force: ConfigInForce,
+        clients: UpstreamClients,
+        metrics: Metrics,
+    ) -> None:
+        self._cluster = cluster
+        self._in_force = in_force
+        self._clients = clients
+        self._metrics = metrics
+        self._home_by_replica: dict[str, ReplicaHome] = {}
+        self._leaving_names: frozenset[str] = frozenset()
+        self._background: set[asyncio.Task[None]] = set()
+
+    def set_leaving(self, names: Iterable[str]) -> None:
+        """Takes the upstreams that the platform's list shows as leaving."""
+        self._leaving_names = frozenset(names)
+        for home in self._home_by_replica.values():
+            self._refresh_leaving(home, False)
+
+    def is_listed_leaving(self, name: str) -> bool:
+        """Returns whether the platform's list shows an upstream as leaving."""
+        return name in self._leaving_names
+
+    def enqueue(self, request: TicketRequest) -> TicketReply:
+        """Queues a call before its replica; idempotent by ticket id."""
+        home = self._find(request.replica)
+        if isinstance(home, Failure):
+            return TicketReply(failure=home)
+        now = time.monotonic()
+        home.request_by_ticket[request.ticket_id] = request
+        offer = home.queue.offer(_ticket(request, now), now)
+        self._flush(home)
+        if isinstance(offer, Granted):
+            home.prefixes.sent(_prefix_request(request), now)
+            return TicketReply(granted=True)
+        if isinstance(offer, Queued):
+            return TicketReply(
+                expected_wait_ms=int(offer.expected_wait_s * 1e3)
+            )
+        home.request_by_ticket.pop(request.ticket_id, None)
+        assert isinstance(offer, Refused)
+        return TicketReply(failure=offer.failure)
+
+    async def release(self, release: TicketRelease) -> None:
+        """Ends a granted ticket; a crash is told to its suspects' homes.
+
+        The call returns after the suspects' homes know, so that the owner's
+        retry, which asks them first, cannot overtake the news.
+        """
+        home = self._home_by_replica.get(release.replica)
+        if home is None:
+            return
+        if release.crashed:
+            await self._note_crash(home, release.ticket_id)
+        now = time.monotonic()
+        request = home.request_by_ticket.pop(release.ticket_id, None)
+        home.counted_ids.discard(release.ticket_id)
+        home.queue.finish(release.ticket_id, _result(release), now)
+        if request is not None and release.generated_tokens:
+            tokens = release.prompt_tokens + release.generated_tokens
+            branch = BranchKey(request.program_id, request.prefix.branch_id)
+            home.prefixes.finished(branch, tokens, now)
+        self._flush(home)
+
+    def withdraw(self, release: TicketRelease) -> None:
+        """Forgets a ticket whose caller left."""
+        home = self._home_by_replica.get(release.replica)
+        if home is None:
+            return
+        home.request_by_ticket.pop(release.ticket_id, None)
+        home.queue.withdraw(release.ticket_id, time.monotonic())
+        self._flush(home)
+
+    def probe(self, request: ProbeRequest) -> ProbeReply:
+        """Returns the wait to expect and what of the prompt is cached."""
+        home = self._find(request.replica)
+        if isinstance(home, Failure):
+            return ProbeReply(failure=home)
+        now = time.monotonic()
+        cached = home.prefixes.cached_tokens(_prefix_request(request))
+        ticket = Ticket(
+            ticket_id=_PROBE_ID,
+            origin="",
+            workspace=request.workspace,
+            program_id=request.program_id,
+            priority=request.priority,
+            queued_at=now,
+            deadline_at=now,
+            attained_s=request.attained_s,
+            prompt_tokens=request.prompt_tokens,
+            uncached_tokens=max(0, request.prompt_tokens - cached),
+            max_tokens=request.max_tokens,
+        )
+        speed = home.queue.speed
+        return ProbeReply(
+            expected_wait_ms=int(
+                home.queue.expected_wait_s(ticket, now) * 1000
+            ),
+            cached_tokens=cached,
+            usable=home.is_usable,
+            prefill_tokens_per_s=speed.prefill_tokens_per_s,
+            decode_tokens_per_s=speed.decode_tokens_per_s,
+            in_flight=home.queue.in_flight(now),
+        )
+
+    def released(self, replica: str, program_id: str) -> None:
+        """Notes that a replica holds nothing more for a program."""
+        home = self._home_by_replica.get(replica)
+        if home is not None:
+            home.prefixes.released(program_id)
+
+    def held_homes(self) -> tuple[ReplicaHome, ...]:
+        """Returns the homes this host holds."""
+        return tuple(self._home_by_replica.values())
+
+    def members_changed(self, change: MembershipChange) -> None:
+        """Drops homes that moved and tickets of hosts that died."""
+        now = time.monotonic()
+        live = {member.name for member in change.members}
+        for replica in list(self._home_by_replica):
+            home = self._home_by_replica[replica]
+            if self._cluster.home_of(replica) != self._cluster.host:
+                del self._home_by_replica[replica]
+                continue
+            origins = {r.origin for r in home.request_by_ticket.values()}
+            for origin in origins - live:
+                self._drop_origin(home, origin, now)
+            for origin in change.restarted:
+                self._drop_origin(home, origin, now)
+            self._flush(home)
+
+    async def tick(self) -> None:
+        """Checks the health of every replica; run twice a second."""
+        self._open_homes()
+        homes = list(self._home_by_replica.values())
+        await asyncio.gather(*(self._check(home) for home in homes))
+        for home in homes:
+            self._flush(home)
+
+    def dump(self) -> JsonValue:
+        """Returns every queue's state."""
+        now = time.monotonic()
+        return {
+            replica: {
+                "queue": home.queue.dump(now),
+                "usable": home.is_usable,
+                "leaving": home.is_leaving,
+                "incarnation": home.incarnation,
+                "prefix_tokens": home.prefixes.held_tokens,
+            }
+            for replica, home in self._home_by_replica.items()
+        }
+
+    async def close(self) -> None:
+        """Stops telling grants."""
+        for task in self._background:
+            task.cancel()
+        await asyncio.gather(*self._background, return_exceptions=True)
+
+    def _open_homes(self) -> None:
+        engines_by_model = self._in_force.current.upstreams.by_model
+        engines = {
+            e.name: e for each in engines_by_model.values() for e in each
+        }
+        for name, engine in engines.items():
+            if self._cluster.home_of(name) == self._cluster.host:
+                self._open(engine)
+        for name in list(self._home_by_replica):
+            if name not in engines:
+                del self._home_by_replica[name]
+
+    def _find(self, replica: str) -> ReplicaHome | Failure:
+        holder = self._cluster.home_of(replica)
+        if holder != self._cluster.host:
+            return Failure(ErrorKind.NOT_OWNER, replica, host=holder)
+        home = self._home_by_replica.get(replica)
+        if home is not None:
+            return home
+        engine = self._in_force.current.upstreams.by_name.get(replica)
+        if not isinstance(engine, RenderedEngine):
+            return Failure(ErrorKind.NO_UPSTREAM, replica)
+        return self._open(engine)
+
+    def _open(self, engine: RenderedEngine) -> ReplicaHome:
+        known = self._home_by_replica.get(engine.name)
+        if known is not None:
+            if known.engine != engine:
+                known.engine = engine
+                self._refresh_leaving(known, False)
+            return known
+        settings = QueueSettings(
+            in_flight=InFlightSettings(initial=engine.slots),
+            weight_by_workspace={
+                name: workspace.weight
+                for name, workspace in (
+                    self._in_force.current.workspace_by_name.items()
+                )
+            },
+        )
+        speed = EngineSpeed(prefill_tokens_per_s=engine.prefill_tokens_per_s)
+        home = ReplicaHome(
+            engine=engine,
+            queue=create_replica_queue(engine.name, settings, speed),
+            prefixes=PrefixIndex(engine.restore_interval),
+            request_by_ticket={},
+        )
+        self._home_by_replica[engine.name] = home
+        self._refresh_leaving(home, False)
+        return home
+
+    async def _check(self, home: ReplicaHome) -> None:
+        client = self._clients.engine(home.engine)
+        health = await client.health()
+        home.ticks += 1
+        if isinstance(health, Failed):
+            home.misses += 1
+            if home.misses == _HEALTH_MISSES_TO_CLOSE:
+                self._close(home, "does not answer")
+            return
+        report = health.unwrap()
+        was_unusable = home.misses >= _HEALTH_MISSES_TO_CLOSE
+        home.misses = 0
+        if home.incarnation and home.incarnation != report.incarnation:
+            home.prefixes.restarted()
+        home.incarnation = report.incarnation
+        self._refresh_leaving(home, report.leaving)
+        if was_unusable and not home.is_leaving:
+            home.queue.reopen()
+        if home.ticks % _LOAD_EVERY == 0:
+            await self._observe(home)
+
+    async def _observe(self, home: ReplicaHome) -> None:
+        client = self._clients.engine(home.engine)
+        now = time.monotonic()
+        load = await client.load()
+        if isinstance(load, Success):
+            report = load.unwrap()
+            home.prefixes.capacity_tokens = report.cache_capacity
+            observed_at = now - report.age_ms / 1000
+            home.queue.observe_load(
+                LoadObservation(report.running, report.waiting, observed_at),
+                now,
+            )
+        events = await client.cache_events(home.events_position, 0.0)
+        if not isinstance(events, Success):
+            return
+        batch = events.unwrap()
+        home.events_position = batch.position
+        if batch.gap:
+            home.prefixes.gap()
+        for event in batch.events:
+            branch = BranchKey(event.program_id, event.branch_id)
+            if event.kind is CacheEventKind.STORED:
+                home.prefixes.stored(branch, event.tokens, now)
+            else:
+                home.prefixes.evicted(branch, event.tokens, now)
+
+    def _refresh_leaving(self, home: ReplicaHome, says_itself: bool) -> None:
+        was_leaving = home.is_leaving
+        home.is_leaving = (
+            says_itself
+            or home.engine.draining
+            or home.engine.name in self._leaving_names
+        )
+        if home.is_leaving and not was_leaving:
+            self._close(home, "leaves")
+        if was_leaving and not home.is_leaving:
+            home.queue.reopen()
+
+    def _close(self, home: ReplicaHome, reason: str) -> None:
+        detail = f"{home.engine.name} {reason}"
+        failure = Failure(ErrorKind.NO_UPSTREAM, detail)
+        logs.write("replica_closed", replica=home.engine.name, reason=reason)
+        dropped = home.queue.close(failure, time.monotonic())
+        for ticket in dropped.waiting:
+            home.request_by_ticket.pop(ticket.ticket_id, None)
+        # Owners offer waiting tickets again within a second and are refused
+        # with NO_UPSTREAM, upon which they place the call elsewhere.
+        self._tell(home, [t.origin for t in dropped.waiting], [])
+
+    def _drop_origin(self, home: ReplicaHome, origin: str, now: float) -> None:
+        dropped = home.queue.drop_origin(origin, now)
+        for ticket in (*dropped.waiting, *dropped.running):
+            home.request_by_ticket.pop(ticket.ticket_id, None)
+
+    async def _note_crash(self, home: ReplicaHome, ticket_id: str) -> None:
+        """Makes every call in flight at a crash a suspect, once.
+
+        One crash breaks all streams of the replica and each owner reports
+        it. Counted each time, an innocent call would reach two crashes.
+        """
+        if ticket_id in home.counted_ids:
+            return
+        if not await self._has_crashed(home):
+            return
+        running = home.queue.running()
+        home.counted_ids.update(t.ticket_id for t in running)
+        digests = tuple({t.content_digest for t in running})
+        self._metrics.count("replica_crashes_total", replica=home.engine.name)
+        logs.write(
+            "replica_crashed", replica=home.engine.name, suspects=len(digests)
+        )
+        request = SuspectRequest(CRASHED_ACTION, digests, ticket_id)
+        hosts = {h for d in digests for h in self._cluster.digest_homes(d)}
+        await asyncio.gather(
+            *(self._cluster.calls(host).suspect(request) for host in hosts)
+        )
+
+    async def _has_crashed(self, home: ReplicaHome) -> bool:
+        health = await self._clients.engine(home.engine).health()
+        if isinstance(health, Failed):
+            return True
+        return health.unwrap().incarnation != home.incarnation
+
+    def _flush(self, home: ReplicaHome) -> None:
+        granted = home.queue.grantable(time.monotonic())
+        now = time.monotonic()
+        for ticket in granted:
+            request = home.request_by_ticket.get(ticket.ticket_id)
+            if request is not None:
+                home.prefixes.sent(_prefix_request(request), now)
+        ids_by_origin: dict[str, list[str]] = {}
+        for ticket in granted:
+            ids_by_origin.setdefault(ticket.origin, []).append(ticket.ticket_id)
+        for origin, ids in ids_by_origin.items():
+            self._tell(home, [origin], ids)
+
+    def _tell(
+        self, home: ReplicaHome, origins: list[str], ticket_ids: list[str]
+    ) -> None:
+        notice = GrantNotice(tuple(ticket_ids), home.engine.name, 0)
+        for origin in set(origins):
+            task = asyncio.create_task(self._send(origin, notice))
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+
+    async def _send(self, origin: str, notice: GrantNotice) -> None:
+        # A lost notice is made good by the owner, which offers its ticket
+        # again each second and is then told that it was granted.
+        await self._cluster.calls(origin).grant(notice)
+
+
+def _ticket(request: TicketRequest, now: float) -> Ticket:
+    return Ticket(
+        ticket_id=request.ticket_id,
+        origin=request.origin,
+        workspace=request.workspace,
+        program_id=request.program_id,
+        priority=request.priority,
+        queued_at=now - request.waited_ms / 1000,
+        deadline_at=now + request.deadline_ms / 1000,
+        attained_s=request.attained_s,
+        prompt_tokens=request.prompt_tokens,
+        uncached_tokens=request.uncached_tokens,
+        max_tokens=request.max_tokens,
+        content_digest=request.content_digest,
+        exclusive=request.exclusive,
+    )
+
+
+def _result(release: TicketRelease) -> TicketResult:
+    return TicketResult(
+        crashed=release.crashed,
+        prompt_tokens=release.prompt_tokens,
+        cached_tokens=release.cached_tokens,
+        generated_tokens=release.generated_tokens,
+        service_s=release.service_ms / 1000,
+    )
+
+
+def _prefix_request(request: TicketRequest | ProbeRequest) -> PrefixRequest:
+    note = request.prefix
+    parent = None
+    if note.parent_id:
+        parent = BranchKey(request.program_id, note.parent_id)
+    return PrefixRequest(
+        branch=BranchKey(request.program_id, note.branch_id),
+        prompt_tokens=request.prompt_tokens,
+        template=note.template_digest,
+        template_tokens=note.template_tokens,
+        parent=parent,
+        parent_tokens=note.parent_tokens,
+    )
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/limits.py
@@ -0,0 +1,59 @@
+"""Workspace limits at one entry host: its share of what holds over all."""
+
+import time
+
+from returns.result import Result, Success
+
+from masticdale_common import Failure
+from masticdale_config import ConfigInForce, RenderedWorkspace
+from masticdale_routing import WorkspaceGate, WorkspaceLimits, split_share
+from masticdaled.cluster import Cluster
+
+_BURST_S = 2.0
+
+
+class WorkspaceLimiter:
+    """One gate for each workspace that callers use at this host."""
+
+    def __init__(self, cluster: Cluster, in_force: ConfigInForce) -> None:
+        self._cluster = cluster
+        self._in_force = in_force
+        self._gate_by_workspace: dict[str, WorkspaceGate] = {}
+
+    def begin(self, workspace_name: str, turn_id: str) -> Result[None, Failure]:
+        """Begins a call within this host's share of the limits.
+
+        Returns:
+            LIMIT_REACHED with a time to come back.
+        """
+        workspace = self._in_force.current.workspace_by_name.get(workspace_name)
+        if workspace is None:
+            return Success(None)
+        now = time.monotonic()
+        return self._gate(workspace, now).begin(turn_id, now)
+
+    def end(self, workspace_name: str, turn_id: str) -> None:
+        """Ends a call; one that never began is ignored."""
+        gate = self._gate_by_workspace.get(workspace_name)
+        if gate is not None:
+            gate.end(turn_id)
+
+    def _gate(self, workspace: RenderedWorkspace, now: float) -> WorkspaceGate:
+        limits = WorkspaceLimits(
+            workspace.budget.turns,
+            workspace.limits.requests_per_s,
+            workspace.limits.requests_per_s * _BURST_S,
+        )
+        share = split_share(
+            limits,
+            workspace.name,
+            self._cluster.host,
+            self._cluster.membership.owner_names(),
+        )
+        gate = self._gate_by_workspace.get(workspace.name)
+        if gate is None:
+            gate = WorkspaceGate(share, now)
+            self._gate_by_workspace[workspace.name] = gate
+            return gate
+        gate.change(share, now)
+        return gate
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/owners.py
@@ -0,0 +1,294 @@
+"""The program shards that this host owns: taken over, served, handed over."""
+
+import asyncio
+import time
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import (
+    ErrorKind,
+    Failure,
+    JsonValue,
+    Metrics,
+    hashing,
+    logs,
+)
+from masticdale_config import ConfigInForce, RenderedConfig, RenderedProgram
+from masticdale_platform import ObjectStore
+from masticdale_programs import (
+    Budget,
+    Caller,
+    Executor,
+    Operation,
+    OperationResult,
+    ProgramKind,
+    RequestKey,
+    Shard,
+    ShardSettings,
+    StreamPart,
+    open_shard,
+    read_head,
+)
+from masticdaled.cluster import Cluster
+
+_PATIENCE_S = 3.0
+
+
+def render_kind(program: RenderedProgram, revision: int) -> ProgramKind:
+    """Returns what a program keeps of its declaration, and its budget."""
+    body = program.body
+    budget = program.budget
+    return ProgramKind(
+        name=program.name,
+        model=body.model,
+        system_prompt=body.system_prompt,
+        priority=program.priority,
+        max_tokens=body.max_tokens,
+        operations=body.tools,
+        budget=Budget(
+            budget.tokens, budget.calls, budget.turns, int(budget.wall_time_s)
+        ),
+        revision=revision,
+    )
+
+
+def find_kind(
+    config: RenderedConfig, workspace_name: str, kind_name: str
+) -> ProgramKind | None:
+    """Returns a program kind in force, or None where it is not declared."""
+    workspace = config.workspace_by_name.get(workspace_name)
+    if workspace is None:
+        return None
+    program = workspace.program_by_name.get(kind_name)
+    if program is None:
+        return None
+    return render_kind(program, config.revision)
+
+
+class Owners:
+    """Opens shards on demand and hands them over when they belong elsewhere."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        store: ObjectStore,
+        executor: Executor,
+        in_force: ConfigInForce,
+        settings: ShardSettings,
+        writer: str,
+        metrics: Metrics,
+    ) -> None:
+        self._cluster = cluster
+        self._store = store
+        self._executor = executor
+        self._in_force = in_force
+        self._settings = settings
+        self._writer = writer
+        self._metrics = metrics
+        self._shard_by_number: dict[int, Shard] = {}
+        self._opening_by_number: dict[int, asyncio.Lock] = {}
+        self._misplaced_since: dict[int, float] = {}
+        self._stopping = False
+
+    async def submit(
+        self, operation: Operation, caller: Caller
+    ) -> Result[OperationResult, Failure]:
+        """Runs or accepts an operation on a program owned here.
+
+        Returns:
+            NOT_OWNER, with the host to ask instead, where this is not it.
+        """
+        number = hashing.shard_of(operation.program_id)
+        if self._is_handing_over(number):
+            return Failed(self._not_owner(number))
+        found = await self._find(number)
+        if isinstance(found, Failed):
+            return Failed(found.failure())
+        return await found.unwrap().submit(operation, caller)
+
+    async def read(
+        self,
+        key: RequestKey,
+        workspace: str,
+        attempt: int,
+        offset: int,
+        wait_s: float,
+    ) -> Result[StreamPart, Failure]:
+        """Follows an answer; see ``Shard.read``."""
+        number = hashing.shard_of(key.program_id)
+        shard = self._shard_by_number.get(number)
+        if shard is None or not shard.is_held:
+            return Failed(self._not_owner(number))
+        return await shard.read(key, workspace, attempt, offset, wait_s)
+
+    async def gone_ids(self, program_ids: tuple[str, ...]) -> tuple[str, ...]:
+        """Returns which of the programs have ended or never existed here.
+
+        Programs of shards that this host cannot serve now are not named.
+        """
+        gone: list[str] = []
+        for program_id in program_ids:
+            found = await self._find(hashing.shard_of(program_id))
+            if isinstance(found, Failed):
+                continue
+            program = found.unwrap().state.program_by_id.get(program_id)
+            if program is None or program.end_reason is not None:
+                gone.append(program_id)
+        return tuple(gone)
+
+    def held_shards(self) -> tuple[Shard, ...]:
+        """Returns the shards this host holds now."""
+        return tuple(s for s in self._shard_by_number.values() if s.is_held)
+
+    async def tick(self) -> None:
+        """Sweeps shards and hands over those that belong elsewhere."""
+        for number, shard in list(self._shard_by_number.items()):
+            if not shard.is_held:
+                await self._drop(number, shard)
+                continue
+            await shard.sweep()
+            await self._rebalance(number, shard)
+        await self._take_orphans()
+        self._metrics.gauge("shards_held", len(self._shard_by_number))
+
+    async def stop(self, finish_s: float) -> None:
+        """Hands every shard over; calls in flight are finished first."""
+        self._stopping = True
+        await asyncio.gather(
+            *(
+                self._finish_and_hand_over(number, shard, finish_s)
+                for number, shard in list(self._shard_by_number.items())
+            )
+        )
+
+    def dump(self) -> JsonValue:
+        """Returns the shards' states."""
+        return {
+            str(number): shard.describe()
+            for number, shard in sorted(self._shard_by_number.items())
+        }
+
+    async def _find(self, number: int) -> Result[Shard, Failure]:
+        shard = self._shard_by_number.get(number)
+        if shard is not None and shard.is_held:
+            return Success(shard)
+        lock = self._opening_by_number.setdefault(number, asyncio.Lock())
+        async with lock:
+            shard = self._shard_by_number.get(number)
+            if shard is not None and shard.is_held:
+                return Success(shard)
+            return await self._open(number)
+
+    async def _open(self, number: int) -> Result[Shard, Failure]:
+        refused = await self._refuse_to_open(number)
+        if refused is not None:
+            return Failed(refused)
+        earlier = self._shard_by_number.get(number)
+        if earlier is not None:
+            await self._drop(number, earlier)
+        started = time.monotonic()
+        opened = await open_shard(
+            self._store,
+            number,
+            self._cluster.host,
+            self._writer,
+            self._executor,
+            lambda workspace, kind: find_kind(
+                self._in_force.current, workspace, kind
+            ),
+            self._settings,
+        )
+        if isinstance(opened, Failed):
+            return opened
+        shard = opened.unwrap()
+        self._shard_by_number[number] = shard
+        logs.write(
+            "shard_opened",
+            shard=number,
+            epoch=shard.epoch,
+            programs=len(shard.state.program_by_id),
+            seconds=round(time.monotonic() - started, 3),
+        )
+        return opened
+
+    async def _refuse_to_open(self, number: int) -> Failure | None:
+        """Returns why this host should not take a shard over now.
+
+        Taking it from a live owner would be safe, since that owner's next
+        commit fails, but every call it has in flight would be run again.
+        """
+        if self._stopping:
+            return self._not_owner(number)
+        if self._cluster.owner_of_shard(number) != self._cluster.host:
+            return self._not_owner(number)
+        head = await read_head(self._store, number)
+        if isinstance(head, Failed):
+            failure: Failure = head.failure()
+            return failure
+        found = head.unwrap()
+        if found is None or found.released:
+            return None
+        if found.owner == self._cluster.host:
+            return None
+        for member in self._cluster.membership.members():
+            is_same = member.name == found.owner
+            if is_same and member.beat.incarnation == found.writer:
+                detail = f"shard {number}"
+                return Failure(ErrorKind.NOT_OWNER, detail, host=found.owner)
+        return None
+
+    def _not_owner(self, number: int) -> Failure:
+        host = self._cluster.owner_of_shard(number)
+        hint = "" if host == self._cluster.host else host
+        return Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=hint)
+
+    def _is_handing_over(self, number: int) -> bool:
+        if self._stopping:
+            return True
+        since = self._misplaced_since.get(number)
+        return since is not None and time.monotonic() - since > _PATIENCE_S
+
+    async def _rebalance(self, number: int, shard: Shard) -> None:
+        if self._cluster.owner_of_shard(number) == self._cluster.host:
+            self._misplaced_since.pop(number, None)
+            return
+        self._misplaced_since.setdefault(number, time.monotonic())
+        # A shard that is never idle would never move: after a while new
+        # calls are refused with the new owner's name until it is.
+        if shard.in_flight == 0:
+            await self._hand_over(number, shard)
+
+    async def _hand_over(self, number: int, shard: Shard) -> None:
+        self._shard_by_number.pop(number, None)
+        self._misplaced_since.pop(number, None)
+        await shard.hand_over()
+        await shard.close()
+        logs.write("shard_handed_over", shard=number)
+
+    async def _finish_and_hand_over(
+        self, number: int, shard: Shard, finish_s: float
+    ) -> None:
+        deadline = time.monotonic() + finish_s
+        while shard.in_flight and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        await self._hand_over(number, shard)
+
+    async def _drop(self, number: int, shard: Shard) -> None:
+        self._shard_by_number.pop(number, None)
+        self._misplaced_since.pop(number, None)
+        await shard.close()
+
+    async def _take_orphans(self) -> None:
+        """Opens shards that belong here, so that nothing waits for a caller.
+
+        Programs of a dead owner expire, and owe releases of engine memory,
+        also when their callers never come back.
+        """
+        if self._stopping:
+            return
+        for number in range(hashing.SHARD_COUNT):
+            if number in self._shard_by_number:
+                continue
+            if self._cluster.owner_of_shard(number) == self._cluster.host:
+                await self._find(number)
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/settings.py
@@ -0,0 +1,107 @@
+"""The daemon's settings: one validated JSON file."""
+
+import pathlib
+
+import pydantic
+
+from masticdale_common import StrictModel
+from masticdale_peers import Address, PeerSettings, TlsSettings
+
+
+class StopSettings(StrictModel):
+    """How a planned stop goes.
+
+    Attributes:
+        unready_s: Time between being unready and refusing new connections,
+            so that the balancer notices first.
+        finish_s: Longest wait for what is in flight.
+    """
+
+    unready_s: float = pydantic.Field(default=2.0, ge=0)
+    finish_s: float = pydantic.Field(default=120.0, gt=0)
+
+
+class ProgramSettings(StrictModel):
+    """Times of programs.
+
+    Attributes:
+        unread_cancel_s: A model turn that nobody reads is cancelled then.
+        idle_end_s: A program without calls is ended as abandoned then.
+        retention_s: An ended program can be read that long.
+        commit_wait_s: Longest wait for an intent's commit before the call is
+            refused as not run.
+    """
+
+    unread_cancel_s: float = pydantic.Field(default=15.0, gt=0)
+    idle_end_s: float = pydantic.Field(default=3600.0, gt=0)
+    retention_s: float = pydantic.Field(default=3600.0, gt=0)
+    commit_wait_s: float = pydantic.Field(default=1.5, gt=0)
+
+
+class RequestSettings(StrictModel):
+    """Bounds of callers' requests.
+
+    Attributes:
+        max_bytes: Largest request body.
+        default_deadline_ms: Deadline of a request that names none.
+        max_deadline_ms: Longest deadline a request may name.
+    """
+
+    max_bytes: int = pydantic.Field(default=262_144, ge=1024)
+    default_deadline_ms: int = pydantic.Field(default=120_000, ge=1)
+    max_deadline_ms: int = pydantic.Field(default=900_000, ge=1)
+
+
+class OperatorToken(StrictModel):
+    """One operator's access.
+
+    Attributes:
+        name: Stands in the audit log.
+        digest: SHA-256 of the token, as hex.
+        role: ``read`` or ``operate``.
+    """
+
+    name: str = pydantic.Field(min_length=1)
+    digest: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
+    role: str = pydantic.Field(pattern="^(read|operate)$")
+
+
+class DaemonSettings(StrictModel):
+    """Everything one daemon is told.
+
+    Attributes:
+        host: Name of this host.
+        domain: Its failure domain.
+        callers: Where callers are served.
+        operators: Where operators are served.
+        peer_listener: Where other hosts are served.
+        peers: All hosts; this one may be among them.
+        platform_url: Base URL of the platform's object API.
+        platform_timeout_s: Longest wait for one of its answers.
+        tls: Certificates between hosts; plaintext on loopback where absent.
+        operator_tokens: Who may operate.
+        data_folder: Folder on a disk, where the host has one.
+        stop: How a planned stop goes.
+        programs: Times of programs.
+        requests: Bounds of callers' requests.
+    """
+
+    host: str = pydantic.Field(min_length=1)
+    domain: str = pydantic.Field(min_length=1)
+    callers: Address
+    operators: Address
+    peer_listener: Address
+    peers: tuple[PeerSettings, ...] = ()
+    platform_url: str
+    platform_timeout_s: float = pydantic.Field(default=2.0, gt=0)
+    tls: TlsSettings | None = None
+    operator_tokens: tuple[OperatorToken, ...] = ()
+    data_folder: pathlib.Path | None = None
+    stop: StopSettings = StopSettings()
+    programs: ProgramSettings = ProgramSettings()
+    requests: RequestSettings = RequestSettings()
+
+    @property
+    def other_peers(self) -> tuple[PeerSettings, ...]:
+        """Every host but this one."""
+        return tuple(peer for peer in self.peers if peer.name != self.host)
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/tickets.py
@@ -0,0 +1,130 @@
+"""An owner's side of admission: it waits for a ticket at a replica's home."""
+
+import asyncio
+import dataclasses
+import time
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_peers import (
+    GrantNotice,
+    TicketRelease,
+    TicketReply,
+    TicketRequest,
+)
+from masticdaled.cluster import Cluster
+
+_OFFER_AGAIN_S = 1.0
+_OFFER_TIMEOUT_S = 1.0
+_RELEASE_TRIES = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Wait:
+    replica: str
+    granted: bool = False
+    news: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+
+class TicketDesk:
+    """The tickets that this host's owners wait for."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._wait_by_ticket_id: dict[str, _Wait] = {}
+
+    def granted(self, notice: GrantNotice) -> None:
+        """Takes a home's notice; one without tickets says: offer again."""
+        for ticket_id in notice.ticket_ids:
+            wait = self._wait_by_ticket_id.get(ticket_id)
+            if wait is not None:
+                wait.granted = True
+                wait.news.set()
+        if notice.ticket_ids:
+            return
+        for wait in self._wait_by_ticket_id.values():
+            if wait.replica == notice.replica:
+                wait.news.set()
+
+    async def acquire(
+        self, request: TicketRequest, deadline: float
+    ) -> Result[None, Failure]:
+        """Waits until the call may be sent to its replica.
+
+        Args:
+            request: The ticket; its times are renewed with each offer.
+            deadline: Monotonic seconds after which nobody waits.
+
+        Returns:
+            The home's refusal, NO_UPSTREAM where it is not to be had, or
+            DEADLINE_EXCEEDED. After any failure the ticket is withdrawn.
+        """
+        wait = _Wait(request.replica)
+        self._wait_by_ticket_id[request.ticket_id] = wait
+        acquired = False
+        try:
+            outcome = await self._offer_until(request, wait, deadline)
+            acquired = isinstance(outcome, Success)
+            return outcome
+        finally:
+            del self._wait_by_ticket_id[request.ticket_id]
+            if not acquired:
+                self._withdraw(request)
+
+    async def release(self, release: TicketRelease) -> None:
+        """Gives a ticket back to the replica's home."""
+        for _ in range(_RELEASE_TRIES):
+            home = self._cluster.home_of(release.replica)
+            outcome = await self._cluster.calls(home).release(release)
+            if isinstance(outcome, Success):
+                return
+
+    async def _offer_until(
+        self, request: TicketRequest, wait: _Wait, deadline: float
+    ) -> Result[None, Failure]:
+        started = time.monotonic()
+        while True:
+            now = time.monotonic()
+            if now >= deadline:
+                return Failed(Failure(ErrorKind.DEADLINE_EXCEEDED))
+            wait.news.clear()
+            offer = dataclasses.replace(
+                request,
+                waited_ms=int((now - started) * 1000) + request.waited_ms,
+                deadline_ms=int((deadline - now) * 1000),
+            )
+            reply = await self._offer(offer)
+            if reply.granted or wait.granted:
+                return Success(None)
+            if reply.failure is not None and not _is_moving(reply.failure):
+                return Failed(reply.failure)
+            wait_s = min(_OFFER_AGAIN_S, max(0.0, deadline - now))
+            try:
+                async with asyncio.timeout(wait_s):
+                    await wait.news.wait()
+            except TimeoutError:
+                pass
+            if wait.granted:
+                return Success(None)
+
+    async def _offer(self, offer: TicketRequest) -> TicketReply:
+        home = self._cluster.home_of(offer.replica)
+        outcome = await self._cluster.calls(home).enqueue(
+            offer, _OFFER_TIMEOUT_S
+        )
+        if isinstance(outcome, Failed):
+            return TicketReply(failure=outcome.failure())
+        return outcome.unwrap()
+
+    def _withdraw(self, request: TicketRequest) -> None:
+        release = TicketRelease(request.ticket_id, request.replica)
+        home = self._cluster.home_of(request.replica)
+        work = self._cluster.calls(home).withdraw(release)
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(lambda done: done.exception())
+
+
+def _is_moving(failure: Failure) -> bool:
+    return failure.kind in (ErrorKind.NOT_OWNER, ErrorKind.PEER_UNAVAILABLE)
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/upstream_clients.py
@@ -0,0 +1,70 @@
+"""Clients of engines and services by upstream, made when first needed."""
+
+import asyncio
+import dataclasses
+
+from masticdale_common import Metrics
+from masticdale_config import (
+    RenderedEngine,
+    RenderedService,
+    RenderedUpstream,
+)
+from masticdale_upstreams import (
+    EngineClient,
+    EngineOptions,
+    ServiceClient,
+    ServiceOptions,
+    create_engine_client,
+    create_service_client,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Known:
+    address: str
+    client: EngineClient | ServiceClient
+
+
+class UpstreamClients:
+    """One client for each upstream that this host talks to."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._known_by_name: dict[str, _Known] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    def engine(self, upstream: RenderedEngine) -> EngineClient:
+        """Returns the client of an engine at its present address."""
+        known = self._known(upstream)
+        if known is not None and isinstance(known.client, EngineClient):
+            return known.client
+        options = EngineOptions(base_url=f"http://{upstream.address}")
+        client = create_engine_client(options, self._metrics)
+        self._known_by_name[upstream.name] = _Known(upstream.address, client)
+        return client
+
+    def service(self, upstream: RenderedService) -> ServiceClient:
+        """Returns the client of a service at its present address."""
+        known = self._known(upstream)
+        if known is not None and isinstance(known.client, ServiceClient):
+            return known.client
+        options = ServiceOptions(base_url=f"http://{upstream.address}")
+        client = create_service_client(options, self._metrics)
+        self._known_by_name[upstream.name] = _Known(upstream.address, client)
+        return client
+
+    async def close(self) -> None:
+        """Closes every client."""
+        for known in self._known_by_name.values():
+            await known.client.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def _known(self, upstream: RenderedUpstream) -> _Known | None:
+        known = self._known_by_name.get(upstream.name)
+        if known is None or known.address == upstream.address:
+            return known
+        del self._known_by_name[upstream.name]
+        task = asyncio.create_task(known.client.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+        return None
--- a/libs/config/src/masticdale_config/__init__.py
+++ b/libs/config/src/masticdale_config/__init__.py
@@ -1,5 +1,6 @@
 """Declarations, their rendering and the revision in force."""
 
+from masticdale_config.checks import engines_of
 from masticdale_config.inforce import ConfigInForce, RevisionsExport
 from masticdale_config.kinds import (
     Declaration,
@@ -67,6 +68,7 @@
     "WorkspaceBudget",
     "caller_key_digest",
     "catch_up",
+    "engines_of",
     "key_of",
     "parse",
 ]
--- a/libs/programs/src/masticdale_programs/__init__.py
+++ b/libs/programs/src/masticdale_programs/__init__.py
@@ -1,5 +1,6 @@
 """Program shards: journal, order, budget and unrepeatable calls."""
 
+from masticdale_programs.budgets import count_tokens
 from masticdale_programs.executors import (
     Executor,
     ModelCall,
@@ -76,6 +77,7 @@
     "StreamPart",
     "TextSink",
     "TurnOutcome",
+    "count_tokens",
     "decode_operation",
     "decode_outcome",
     "decode_result",
--- a/libs/programs/src/masticdale_programs/executors.py
+++ b/libs/programs/src/masticdale_programs/executors.py
@@ -27,6 +27,9 @@
         replica: Replica that holds the branch's prefix; may be empty.
         deadline: Monotonic seconds after which nobody waits.
         kind: Name of the program kind.
+        template_digest: Digest of the prompt's shared first part.
+        parent_id: Branch this one was opened from; empty for none.
+        parent_tokens: Tokens of the history it began with.
     """
 
     workspace: str
@@ -42,6 +45,9 @@
     replica: str
     deadline: float
     kind: str
+    template_digest: str = ""
+    parent_id: str = ""
+    parent_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/programs/src/masticdale_programs/turns.py
+++ b/libs/programs/src/masticdale_programs/turns.py
@@ -155,6 +155,18 @@
         replica=branch.replica,
         deadline=deadline,
         kind=kind.name,
+        template_digest=hashing.digest(kind.system_prompt),
+        parent_id=branch.parent_id,
+        parent_tokens=_inherited_tokens(branch),
+    )
+
+
+def _inherited_tokens(branch: Branch) -> int:
+    inherited = branch.entries[: branch.inherited]
+    return sum(
+        budgets.count_tokens(part)
+        for entry in inherited
+        for part in _prompt_parts(entry)
     )
 
 
--- /dev/null
+++ b/tools/standins/src/masticdale_standins/clusters.py
@@ -0,0 +1,292 @@
+"""A whole system on loopback: stand-ins and daemons, each a process."""
+
+import asyncio
+import dataclasses
+import json
+import sys
+from collections.abc import Sequence
+
+import httpx
+
+from masticdale_common import Metrics
+from masticdale_config import (
+    ABSENT,
+    Change,
+    ConfigInForce,
+    ConfigStore,
+    Declaration,
+    Edit,
+    catch_up,
+    key_of,
+    parse,
+)
+from masticdale_platform import PlatformClient
+from masticdale_standins.settings import (
+    EngineSettings,
+    ModelSettings,
+    PlatformSettings,
+    ServiceSettings,
+)
+from masticdale_standins.testing import (
+    Kind,
+    RunningProcess,
+    free_port,
+    start_command,
+    start_process,
+    wait_until_ready,
+)
+
+_IP = "127.0.0.1"
+_DOMAINS = 4
+_PLATFORM_TIMEOUT_S = 2.0
+_STOP_UNREADY_S = 0.5
+_READY_PATH = "/readyz"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClusterPlan:
+    """What a local system consists of.
+
+    Attributes:
+        hosts: Number of daemons.
+        engines: Settings of the engines but for their ports, by name.
+        services: Settings of the services but for their ports, by name.
+        platform: Settings of the platform but for its port.
+        daemon: Further settings of each daemon, as in its JSON file.
+    """
+
+    hosts: int
+    engines: dict[str, EngineSettings]
+    services: dict[str, ServiceSettings]
+    platform: PlatformSettings
+    daemon: dict[str, object] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class DaemonHandle:
+    """One daemon.
+
+    Attributes:
+        name: Name of its host.
+        callers_url: Where it serves callers.
+        operators_url: Where it serves operators.
+        peer_port: Where it serves peers.
+        settings: Its settings file's content.
+        process: The process.
+    """
+
+    name: str
+    callers_url: str
+    operators_url: str
+    peer_port: int
+    settings: dict[str, object]
+    process: RunningProcess
+
+
+class LocalCluster:
+    """Processes of one system; made by ``start_cluster``."""
+
+    def __init__(
+        self,
+        platform: RunningProcess,
+        engine_by_name: dict[str, RunningProcess],
+        service_by_name: dict[str, RunningProcess],
+    ) -> None:
+        self.platform = platform
+        self.engine_by_name = engine_by_name
+        self.service_by_name = service_by_name
+        self.daemon_by_name: dict[str, DaemonHandle] = {}
+
+    def address_of(self, upstream: str) -> str:
+        """Returns an upstream's IP number and port."""
+        processes = {**self.engine_by_name, **self.service_by_name}
+        return processes[upstream].base_url.removeprefix("http://")
+
+    def restart_daemon(self, name: str) -> None:
+        """Starts a host's daemon again after it ended."""
+        old = self.daemon_by_name[name]
+        process = _start_daemon(old.settings, old.callers_url)
+        self.daemon_by_name[name] = dataclasses.replace(old, process=process)
+
+    def wait_ready(self, name: str) -> None:
+        """Waits until a daemon would be sent callers."""
+        wait_until_ready(self.daemon_by_name[name].callers_url, _READY_PATH)
+
+    def faults(self, process: RunningProcess, **faults: object) -> None:
+        """Replaces a stand-in's faults."""
+        response = httpx.post(
+            f"{process.base_url}/admin/faults", json=faults, trust_env=False
+        )
+        response.raise_for_status()
+
+    def executions(self, service: str) -> list[dict[str, object]]:
+        """Returns what a service ran, with counts by key."""
+        base_url = self.service_by_name[service].base_url
+        response = httpx.get(f"{base_url}/admin/executions", trust_env=False)
+        response.raise_for_status()
+        listed: list[dict[str, object]] = response.json()
+        return listed
+
+    def apply(self, declarations: Sequence[Declaration]) -> int:
+        """Applies declarations straight to the platform.
+
+        Returns:
+            The accepted revision.
+        """
+        placed = [self._place(declaration) for declaration in declarations]
+        return asyncio.run(_apply(self.platform.base_url, placed))
+
+    def stop(self) -> None:
+        """Stops every process, daemons first, by pid."""
+        daemons = [handle.process for handle in self.daemon_by_name.values()]
+        for process in daemons:
+            process.resume()
+            process.terminate()
+        others = [
+            *self.engine_by_name.values(),
+            *self.service_by_name.values(),
+            self.platform,
+        ]
+        for process in [*daemons, *others]:
+            process.stop()
+
+    def _place(self, declaration: Declaration) -> Declaration:
+        """Returns a declaration with the address its upstream has here."""
+        known = {**self.engine_by_name, **self.service_by_name}
+        if declaration.name not in known:
+            return declaration
+        body = declaration.model_dump(mode="json")
+        body["spec"]["address"] = self.address_of(declaration.name)
+        return parse(json.dumps(body)).unwrap()
+
+
+def start_cluster(plan: ClusterPlan) -> LocalCluster:
+    """Starts a system and waits until its stand-ins serve.
+
+    The daemons are started by ``start_daemons``, after a configuration was
+    applied or before.
+
+    Args:
+        plan: What to start.
+    """
+    platform_settings = plan.platform.model_copy(update={"port": free_port()})
+    cluster = LocalCluster(
+        start_process(Kind.PLATFORM, platform_settings),
+        {
+            name: start_process(
+                Kind.ENGINE,
+                settings.model_copy(update={"port": free_port(), "name": name}),
+            )
+            for name, settings in plan.engines.items()
+        },
+        {
+            name: start_process(
+                Kind.SERVICE,
+                settings.model_copy(update={"port": free_port(), "name": name}),
+            )
+            for name, settings in plan.services.items()
+        },
+    )
+    processes = [
+        cluster.platform,
+        *cluster.engine_by_name.values(),
+        *cluster.service_by_name.values(),
+    ]
+    try:
+        for process in processes:
+            wait_until_ready(process.base_url)
+    except Exception:
+        cluster.stop()
+        raise
+    return cluster
+
+
+def start_daemons(cluster: LocalCluster, plan: ClusterPlan) -> None:
+    """Starts the plan's daemons and waits until all are ready."""
+    names = [f"host-{number + 1}" for number in range(plan.hosts)]
+    peers = [
+        {
+            "name": name,
+            "address": {"ip": _IP, "port": free_port()},
+            "domain": f"domain-{index % _DOMAINS + 1}",
+        }
+        for index, name in enumerate(names)
+    ]
+    for peer in peers:
+        settings: dict[str, object] = {
+            "host": peer["name"],
+            "domain": peer["domain"],
+            "callers": {"ip": _IP, "port": free_port()},
+            "operators": {"ip": _IP, "port": free_port()},
+            "peer_listener": peer["address"],
+            "peers": peers,
+            "platform_url": cluster.platform.base_url,
+            "platform_timeout_s": _PLATFORM_TIMEOUT_S,
+            "stop": {"unready_s": _STOP_UNREADY_S},
+            **plan.daemon,
+        }
+        handle = _handle(settings)
+        cluster.daemon_by_name[handle.name] = handle
+    for name in names:
+        cluster.wait_ready(name)
+
+
+def fast_engine(**fields: object) -> EngineSettings:
+    """Returns settings of an engine that answers within milliseconds."""
+    model = ModelSettings(
+        prefill_tokens_per_s=2_000_000, decode_tokens_per_s=20_000
+    )
+    base = EngineSettings(port=1, model=model, line_interval_ms=1)
+    return base.model_copy(update=fields)
+
+
+def _handle(settings: dict[str, object]) -> DaemonHandle:
+    ports = {
+        role: json.loads(json.dumps(settings[role]))["port"]
+        for role in ("callers", "operators", "peer_listener")
+    }
+    callers_url = f"http://{_IP}:{ports['callers']}"
+    return DaemonHandle(
+        name=str(settings["host"]),
+        callers_url=callers_url,
+        operators_url=f"http://{_IP}:{ports['operators']}",
+        peer_port=ports["peer_listener"],
+        settings=settings,
+        process=_start_daemon(settings, callers_url),
+    )
+
+
+def _start_daemon(
+    settings: dict[str, object], callers_url: str
+) -> RunningProcess:
+    command = [sys.executable, "-m", "masticdaled.main", "run"]
+    return start_command(command, json.dumps(settings), callers_url)
+
+
+async def _apply(platform_url: str, declarations: list[Declaration]) -> int:
+    store = PlatformClient(platform_url, _PLATFORM_TIMEOUT_S, Metrics())
+    in_force = ConfigInForce()
+    try:
+        (await catch_up(store, in_force)).unwrap()
+        seen = in_force.state.declaration_by_key
+        edits = tuple(
+            Edit(key_of(d), seen[key_of(d)].digest, d)
+            if key_of(d) in seen
+            else Edit(key_of(d), ABSENT, d)
+            for d in declarations
+        )
+        change = Change(f"change-{in_force.number}", "local", "apply", edits)
+        accepted = await ConfigStore(store, in_force).apply(change)
+        return accepted.unwrap().revision
+    finally:
+        await store.close()
+
+
+__all__ = [
+    "ClusterPlan",
+    "DaemonHandle",
+    "LocalCluster",
+    "fast_engine",
+    "start_cluster",
+    "start_daemons",
+]
