--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,194 @@
+"""Starts the whole system on loopback, runs two programs, stops it again.
+
+Three daemons, nine model engines, two services and the platform's stand-in
+run as processes. A permit program of Tengri Trails and a renewal program of
+Halvorsen run through different hosts, with a sub-agent and a tool pause.
+"""
+
+import concurrent.futures
+import itertools
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import httpx
+
+from masticdale_config.testing import (
+    HALVORSEN,
+    HALVORSEN_KEY,
+    TENGRI,
+    TENGRI_KEY,
+    halvorsen,
+    tengri_trails,
+)
+from masticdale_standins.clusters import (
+    ClusterPlan,
+    LocalCluster,
+    fast_engine,
+    select_declarations,
+    start_cluster,
+    start_daemons,
+)
+from masticdale_standins.settings import PlatformSettings, ServiceSettings
+
+HOSTS = 3
+TOOL_PAUSE_S = 1.0
+TIMEOUT_S = 30.0
+SHOWN_CHARACTERS = 40
+
+
+class DemoProgram:
+    """One program as its caller drives it, each call through another host."""
+
+    def __init__(self, label: str, key: str, urls: Iterator[str]) -> None:
+        self._label = label
+        self._urls = urls
+        self._numbers = itertools.count()
+        self._http = httpx.Client(
+            headers={"authorization": f"Bearer {key}"},
+            timeout=TIMEOUT_S,
+            trust_env=False,
+        )
+        self._path = "/v1/programs"
+
+    def begin(self, kind: str) -> None:
+        """Begins the program."""
+        answer = self._post("", {"request_id": self._label, "program": kind})
+        self._path += f"/{answer['program_id']}"
+        self._say("began", kind, answer["program_id"])
+
+    def turn(self, message: str, branch: str = "main") -> None:
+        """Sends a message and shows the answer's beginning."""
+        body = {"message": message, "branch": branch, "max_tokens": 64}
+        answer = self._post("/turns", body | self._request_id())
+        self._say(
+            f"turn on {branch}",
+            f"{answer['text'][:SHOWN_CHARACTERS]}...",
+            f"{answer['cached_tokens']} of {answer['prompt_tokens']} prompt"
+            f" tokens cached at {answer['replica']}",
+        )
+
+    def call(self, operation: str, **payload: Any) -> None:
+        """Calls a service."""
+        body = {"operation": operation, "payload": payload}
+        answer = self._post("/calls", body | self._request_id())
+        self._say("call", operation, answer["status"])
+
+    def branch(self, name: str) -> None:
+        """Opens a sub-agent's branch."""
+        self._post("/branches", {"branch": name})
+        self._say("sub-agent", name, "opened")
+
+    def end(self) -> None:
+        """Ends the program."""
+        answer = self._post("/end", {})
+        self._say(
+            "ended",
+            answer["state"],
+            f"{answer['turns_spent']} turns, {answer['calls_spent']} calls,"
+            f" {answer['tokens_spent']} tokens",
+        )
+
+    def _request_id(self) -> dict[str, str]:
+        return {"request_id": f"{self._label}-{next(self._numbers)}"}
+
+    def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        url = next(self._urls)
+        self._host = url
+        response = self._http.post(url + self._path + path, json=body)
+        response.raise_for_status()
+        answer: dict[str, Any] = response.json()
+        return answer
+
+    def _say(self, *parts: str) -> None:
+        port = self._host.rsplit(":", 1)[1]
+        print(f"[{self._label}] via :{port} ", " | ".join(parts), flush=True)
+
+
+def run_permit(urls: Iterator[str]) -> None:
+    """Runs a dossier of Tengri Trails."""
+    program = DemoProgram("permit", TENGRI_KEY, urls)
+    program.begin("dossier-build")
+    program.turn("Assemble the dossier of the Karakol party of six.")
+    program.branch("maps")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        sub_agent = pool.submit(program.turn, "Check the zones.", "maps")
+        program.turn("Draft the cover letter meanwhile.")
+        sub_agent.result()
+    program.call("zones.lookup", zone="Inylchek")
+    time.sleep(TOOL_PAUSE_S)
+    program.turn("The zone office answered: open. Finish the file.")
+    program.call("permits.file", party=6, zone="Inylchek")
+    program.end()
+
+
+def run_renewal(urls: Iterator[str]) -> None:
+    """Runs a prescription renewal of Halvorsen."""
+    program = DemoProgram("renewal", HALVORSEN_KEY, urls)
+    program.begin("prescription-renewal")
+    program.turn("The wearer asks to renew; the last exam was in March.")
+    program.call("stock.check", lens="daily -2.25")
+    time.sleep(TOOL_PAUSE_S)
+    program.turn("In stock. The optometrist approved.")
+    program.call("shipments.place", boxes=2)
+    program.call("cards.charge", cents=5400)
+    program.turn("Write the confirmation.")
+    program.end()
+
+
+def demo_plan() -> ClusterPlan:
+    """Returns the demo's processes."""
+    engines = [f"permit-{n + 1}" for n in range(5)]
+    engines += [f"refill-{n + 1}" for n in range(4)]
+    hosts = tuple(f"host-{n + 1}" for n in range(HOSTS))
+    return ClusterPlan(
+        hosts=HOSTS,
+        engines={name: fast_engine() for name in engines},
+        services={
+            name: ServiceSettings(port=1, duration_ms=20)
+            for name in ("permit-desk-1", "optical-1")
+        },
+        platform=PlatformSettings(port=1, hosts=hosts),
+    )
+
+
+def run(cluster: LocalCluster, plan: ClusterPlan) -> None:
+    """Applies the sample declarations and runs both programs."""
+    declarations = select_declarations(
+        (*tengri_trails(), *halvorsen()), cluster
+    )
+    revision = cluster.apply(declarations)
+    print(f"revision {revision}: workspaces {TENGRI} and {HALVORSEN}")
+    start_daemons(cluster, plan)
+    urls = [handle.callers_url for handle in cluster.daemon_by_name.values()]
+    print(f"{HOSTS} daemons serve callers at {', '.join(urls)}")
+    run_permit(itertools.cycle(urls))
+    run_renewal(itertools.cycle(reversed(urls)))
+    for service in cluster.service_by_name:
+        for execution in cluster.executions(service):
+            print(
+                f"{service} ran {execution['operation']}"
+                f" {execution['count']} time(s)"
+            )
+
+
+def main() -> int:
+    """Runs the demo.
+
+    Returns:
+        The exit code.
+    """
+    plan = demo_plan()
+    print("starting the platform, nine engines and two services")
+    cluster = start_cluster(plan)
+    try:
+        run(cluster, plan)
+    finally:
+        cluster.stop()
+        print("stopped everything that was started")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/standins/src/masticdale_standins/clusters.py
+++ b/tools/standins/src/masticdale_standins/clusters.py
@@ -16,6 +16,8 @@
     ConfigStore,
     Declaration,
     Edit,
+    Upstream,
+    Workspace,
     catch_up,
     key_of,
     parse,
@@ -231,6 +233,32 @@
         cluster.wait_ready(name)
 
 
+def select_declarations(
+    declarations: Sequence[Declaration], cluster: LocalCluster
+) -> list[Declaration]:
+    """Returns declarations without the upstreams that a cluster lacks.
+
+    Args:
+        declarations: Templates, workspaces and upstreams.
+        cluster: Its upstreams are kept, also in the workspaces' lists.
+    """
+    present = {*cluster.engine_by_name, *cluster.service_by_name}
+    selected: list[Declaration] = []
+    for declaration in declarations:
+        if isinstance(declaration, Upstream):
+            if declaration.name in present:
+                selected.append(declaration)
+            continue
+        if not isinstance(declaration, Workspace):
+            selected.append(declaration)
+            continue
+        kept = [u for u in declaration.spec.upstreams if u in present]
+        body = declaration.model_dump(mode="json")
+        body["spec"]["upstreams"] = kept
+        selected.append(parse(json.dumps(body)).unwrap())
+    return selected
+
+
 def fast_engine(**fields: object) -> EngineSettings:
     """Returns settings of an engine that answers within milliseconds."""
     model = ModelSettings(
@@ -287,6 +315,7 @@
     "DaemonHandle",
     "LocalCluster",
     "fast_engine",
+    "select_declarations",
     "start_cluster",
     "start_daemons",
 ]
