Tie crash suspects to the engine process they ran at; take shards over in parallel

Cause: a crash was recognised by comparing the engine's process with the one the home saw last; a health check between crash and report hid the crash. The takeover of 64 shards one by one would have stood still for two seconds each in an outage. Change: tickets remember the process they were granted at; takeovers run eight at a time and stop at the first sign of an outage; runs get a new id at each try. Conclusion: not yet proved on real crashes.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -177,8 +177,8 @@
 
         Alone in its own eyes, a starting host would own every shard.
         """
-        for peer in self.settings.other_peers:
-            await self.membership.beat(peer.name)
+        names = [peer.name for peer in self.settings.other_peers]
+        await asyncio.gather(*(self.membership.beat(name) for name in names))
 
     async def _read_list(self) -> None:
         outcome = await self.store.hosts()
@@ -228,6 +228,7 @@
     def _subscribe_timers(self) -> None:
         rows = (
             ("owners", _OWNERS_PERIOD_S, self.owners.tick),
+            ("takeovers", _OWNERS_PERIOD_S, self.owners.take_misplaced),
             ("homes", _HOMES_PERIOD_S, self.homes.tick),
             ("config", _CONFIG_PERIOD_S, self.follower.tick),
             ("list", _LIST_PERIOD_S, self._read_list),
--- a/apps/masticdaled/src/masticdaled/entry.py
+++ b/apps/masticdaled/src/masticdaled/entry.py
@@ -25,7 +25,7 @@
 
 _RETRY_FIRST_S = 0.02
 _RETRY_MOST_S = 0.5
-_SUBMIT_TIMEOUT_S = 5.0
+_SUBMIT_TIMEOUT_S = 2.5
 _READ_WAIT_MS = 1000
 _MOVING_KINDS = frozenset(
     {ErrorKind.NOT_OWNER, ErrorKind.PEER_UNAVAILABLE, ErrorKind.CONFLICT}
--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -4,6 +4,7 @@
 import dataclasses
 import secrets
 import time
+from typing import Any
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -63,7 +64,7 @@
 
     Attributes:
         call: The call.
-        run_id: Names the run to the digest's home.
+        run_id: Names the present try to the digest's home.
         prompt_tokens: Tokens of the prompt, estimated.
         failed_replicas: Where it failed; not tried again.
         attempts: Times it was sent.
@@ -99,13 +100,14 @@
         self._policy = CostInSeconds()
         self._retry_budget_by_model: dict[str, RetryBudget] = {}
         self._service_turn = 0
+        self._background: set[asyncio.Task[Any]] = set()
 
     async def run_model(
         self, call: ModelCall, sink: TextSink
     ) -> Result[ModelResult, Failure]:
         """See ``Executor.run_model``."""
         tokens = sum(count_tokens(part) for part in call.prompt)
-        run = _Run(call, secrets.token_hex(8), tokens)
+        run = _Run(call, "", tokens)
         budget = self._retry_budget_by_model.setdefault(
             call.model, RetryBudget(RetrySettings())
         )
@@ -191,19 +193,20 @@
     async def _try_once(
         self, run: _Run, sink: TextSink
     ) -> Result[ModelResult, Failure]:
+        # A new id each time: the last try's end is told off the path and
+        # must not end this one.
+        run.run_id = secrets.token_hex(8)
         admitted = await self._admit(run, sink)
         if isinstance(admitted, Failed):
             return Failed(admitted.failure())
-        reported = False
+        action = "ended"
         try:
             outcome = await self._place_and_send(run, sink)
             if isinstance(outcome, Success):
-                reported = True
-                await self._tell_digest_home(run, "succeeded")
+                action = "succeeded"
             return outcome
         finally:
-            if not reported:
-                await asyncio.shield(self._tell_digest_home(run, "ended"))
+            self._tell_digest_home(run, action)
 
     async def _admit(self, run: _Run, sink: TextSink) -> Result[None, Failure]:
         """Asks the content digest's home whether the call may run.
@@ -231,9 +234,12 @@
         # so that a crash still has one cause.
         return Admission.RUN_EXCLUSIVE
 
-    async def _tell_digest_home(self, run: _Run, action: str) -> None:
-        for host in self._cluster.digest_homes(run.call.content_digest):
-            await self._suspect(host, run, action)
+    def _tell_digest_home(self, run: _Run, action: str) -> None:
+        """Ends the run at its digest's home, off the answer's path."""
+        for host in self._cluster.digest_homes(run.call.content_digest)[:1]:
+            task = asyncio.create_task(self._suspect(host, run, action))
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
 
     async def _suspect(
         self, host: str, run: _Run, action: str
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -66,7 +66,7 @@
         is_leaving: The engine or the platform's list says that it leaves.
         events_position: Where the next cache events begin.
         ticks: Health checks so far.
-        counted_ids: Tickets whose crash the suspects were told of.
+        incarnation_by_ticket: Engine process that each ticket was granted at.
     """
 
     engine: RenderedEngine
@@ -78,7 +78,9 @@
     is_leaving: bool = False
     events_position: int = 0
     ticks: int = 0
-    counted_ids: set[str] = dataclasses.field(default_factory=set)
+    incarnation_by_ticket: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def is_usable(self) -> bool:
@@ -124,7 +126,7 @@
         offer = home.queue.offer(_ticket(request, now), now)
         self._flush(home)
         if isinstance(offer, Granted):
-            home.prefixes.sent(_prefix_request(request), now)
+            self._note_granted(home, request, now)
             return TicketReply(granted=True)
         if isinstance(offer, Queued):
             return TicketReply(
@@ -144,10 +146,10 @@
         if home is None:
             return
         if release.crashed:
-            await self._note_crash(home, release.ticket_id)
+            await self._ask_for_crash(home)
         now = time.monotonic()
         request = home.request_by_ticket.pop(release.ticket_id, None)
-        home.counted_ids.discard(release.ticket_id)
+        home.incarnation_by_ticket.pop(release.ticket_id, None)
         home.queue.finish(release.ticket_id, _result(release), now)
         if request is not None and release.generated_tokens:
             tokens = release.prompt_tokens + release.generated_tokens
@@ -161,6 +163,7 @@
         if home is None:
             return
         home.request_by_ticket.pop(release.ticket_id, None)
+        home.incarnation_by_ticket.pop(release.ticket_id, None)
         home.queue.withdraw(release.ticket_id, time.monotonic())
         self._flush(home)
 
@@ -315,7 +318,12 @@
         home.misses = 0
         if home.incarnation and home.incarnation != report.incarnation:
             home.prefixes.restarted()
+        if not home.incarnation:
+            # Granted before the first check: at the process seen first.
+            for ticket_id in home.incarnation_by_ticket:
+                home.incarnation_by_ticket[ticket_id] = report.incarnation
         home.incarnation = report.incarnation
+        await self._note_crash(home, report.incarnation)
         self._refresh_leaving(home, report.leaving)
         if was_unusable and not home.is_leaving:
             home.queue.reopen()
@@ -375,49 +383,69 @@
         dropped = home.queue.drop_origin(origin, now)
         for ticket in (*dropped.waiting, *dropped.running):
             home.request_by_ticket.pop(ticket.ticket_id, None)
+            home.incarnation_by_ticket.pop(ticket.ticket_id, None)
+
+    async def _ask_for_crash(self, home: ReplicaHome) -> None:
+        """Finds out whether a call broke off because its replica crashed."""
+        health = await self._clients.engine(home.engine).health()
+        present = ""
+        if isinstance(health, Success):
+            present = health.unwrap().incarnation
+        await self._note_crash(home, present)
 
-    async def _note_crash(self, home: ReplicaHome, ticket_id: str) -> None:
+    async def _note_crash(self, home: ReplicaHome, present: str) -> None:
         """Makes every call in flight at a crash a suspect, once.
 
         One crash breaks all streams of the replica and each owner reports
-        it. Counted each time, an innocent call would reach two crashes.
+        it. Counted each time, an innocent call would reach two crashes; so a
+        ticket is a suspect only for the process that it was granted at, and
+        is forgotten with its first report.
+
+        Args:
+            home: The replica's home.
+            present: The engine's process now; empty where none answers.
         """
-        if ticket_id in home.counted_ids:
-            return
-        if not await self._has_crashed(home):
+        granted_at = home.incarnation_by_ticket
+        lost = {i for i, process in granted_at.items() if process != present}
+        if not lost:
             return
-        running = home.queue.running()
-        home.counted_ids.update(t.ticket_id for t in running)
+        running = [t for t in home.queue.running() if t.ticket_id in lost]
+        for ticket_id in lost:
+            del granted_at[ticket_id]
         digests = tuple({t.content_digest for t in running})
+        if not digests:
+            return
         self._metrics.count("replica_crashes_total", replica=home.engine.name)
         logs.write(
             "replica_crashed", replica=home.engine.name, suspects=len(digests)
         )
-        request = SuspectRequest(CRASHED_ACTION, digests, ticket_id)
+        request = SuspectRequest(CRASHED_ACTION, digests, "")
         hosts = {h for d in digests for h in self._cluster.digest_homes(d)}
         await asyncio.gather(
             *(self._cluster.calls(host).suspect(request) for host in hosts)
         )
 
-    async def _has_crashed(self, home: ReplicaHome) -> bool:
-        health = await self._clients.engine(home.engine).health()
-        if isinstance(health, Failed):
-            return True
-        return health.unwrap().incarnation != home.incarnation
-
     def _flush(self, home: ReplicaHome) -> None:
         granted = home.queue.grantable(time.monotonic())
         now = time.monotonic()
         for ticket in granted:
             request = home.request_by_ticket.get(ticket.ticket_id)
             if request is not None:
-                home.prefixes.sent(_prefix_request(request), now)
+                self._note_granted(home, request, now)
         ids_by_origin: dict[str, list[str]] = {}
         for ticket in granted:
             ids_by_origin.setdefault(ticket.origin, []).append(ticket.ticket_id)
         for origin, ids in ids_by_origin.items():
             self._tell(home, [origin], ids)
 
+    def _note_granted(
+        self, home: ReplicaHome, request: TicketRequest, now: float
+    ) -> None:
+        home.prefixes.sent(_prefix_request(request), now)
+        home.incarnation_by_ticket.setdefault(
+            request.ticket_id, home.incarnation
+        )
+
     def _tell(
         self, home: ReplicaHome, origins: list[str], ticket_ids: list[str]
     ) -> None:
--- a/apps/masticdaled/src/masticdaled/owners.py
+++ b/apps/masticdaled/src/masticdaled/owners.py
@@ -33,6 +33,10 @@
 from masticdaled.cluster import Cluster
 
 _PATIENCE_S = 3.0
+_OPEN_AT_ONCE = 8
+_OUTAGE_KINDS = frozenset(
+    {ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.WRITE_UNKNOWN}
+)
 
 
 def render_kind(program: RenderedProgram, revision: int) -> ProgramKind:
@@ -149,7 +153,6 @@
                 continue
             await shard.sweep()
             await self._rebalance(number, shard)
-        await self._take_orphans()
         self._metrics.gauge("shards_held", len(self._shard_by_number))
 
     async def stop(self, finish_s: float) -> None:
@@ -279,7 +282,7 @@
         self._misplaced_since.pop(number, None)
         await shard.close()
 
-    async def _take_orphans(self) -> None:
+    async def take_misplaced(self) -> None:
         """Opens shards that belong here, so that nothing waits for a caller.
 
         Programs of a dead owner expire, and owe releases of engine memory,
@@ -287,8 +290,16 @@
         """
         if self._stopping:
             return
-        for number in range(hashing.SHARD_COUNT):
-            if number in self._shard_by_number:
-                continue
-            if self._cluster.owner_of_shard(number) == self._cluster.host:
-                await self._find(number)
+        mine = [
+            number
+            for number in range(hashing.SHARD_COUNT)
+            if number not in self._shard_by_number
+            and self._cluster.owner_of_shard(number) == self._cluster.host
+        ]
+        for start in range(0, len(mine), _OPEN_AT_ONCE):
+            batch = mine[start : start + _OPEN_AT_ONCE]
+            found = await asyncio.gather(*(self._find(n) for n in batch))
+            failures = [f.failure() for f in found if isinstance(f, Failed)]
+            # One round of timeouts is enough to learn of an outage.
+            if any(f.kind in _OUTAGE_KINDS for f in failures):
+                return
--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -104,7 +104,10 @@
         503, Ran.NO, 2000, "The queue is too long for this priority."
     ),
     ErrorKind.QUARANTINED: Answer(
-        422, Ran.NO, None, "The request crashed its replicas; it is given up."
+        422,
+        Ran.UNKNOWN,
+        None,
+        "The request crashed its replicas; it is given up.",
     ),
     ErrorKind.NO_UPSTREAM: Answer(
         503, Ran.NO, 2000, "No replica can serve the call now."
