Add the operators' listener and the masticctl tool

Change: libs/config gains the messages that listener and tool share (messages.py), plan reports and the edits of a rollback. masticdaled gains the listener (operators.py), tokens with roles and an audit log line for each accepted change and refused attempt (access.py), and the conversion of failures to HTTP answers for both listeners (answers.py). masticctl reads a folder of declarations, plans, applies, edits single fields, rolls back, waits for a revision and runs repairs; a command runs only once its whole line is understood, and an apply without an answer is sent again under its change_id. The new tests run the tool against the listener over HTTP in one process. Conclusion: the daemon has to provide operator_models.OperatorContext. `edit` sets fields on the command line and starts no editor, because a process starts no other process.

--- /dev/null
+++ b/apps/masticctl/tests/test_commands.py
@@ -0,0 +1,269 @@
+"""Tests of the commands against hosts in memory."""
+
+import json
+import os
+import pathlib
+import tempfile
+import unittest
+
+import hosts
+
+from masticctl.declarations import to_text
+from masticdale_config import caller_key_digest, testing
+from masticdaled.operator_testing import (
+    QUARANTINED_DIGEST,
+    READ_TOKEN,
+    program,
+)
+
+
+class CommandsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.tool = hosts.Tool()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.addCleanup(os.chdir, os.getcwd())
+        os.chdir(folder.name)
+        self.folder = pathlib.Path("declarations")
+        self.folder.mkdir()
+
+    def write(self, *declarations, name="all.json"):
+        texts = [to_text(d) for d in declarations]
+        text = texts[0] if len(texts) == 1 else f"[{','.join(texts)}]"
+        (self.folder / name).write_text(text)
+
+    def write_key(self, key):
+        pathlib.Path("key").write_text(key)
+
+    async def apply(self, *declarations):
+        self.write(*declarations)
+        done = await self.tool.run("apply", "declarations", "--yes")
+        self.assertEqual(done.code, 0, done.err)
+
+    async def run_json(self, *argv):
+        done = await self.tool.run(*argv, "--output", "json")
+        self.assertEqual(done.code, 0, done.err)
+        return json.loads(done.out)
+
+    async def test_plan_then_apply_then_nothing_is_left_to_change(self):
+        self.write(*testing.tengri_trails())
+        planned = await self.tool.run("plan", "declarations")
+        self.assertIn("+ Workspace/tengri-trails (create)", planned.out)
+        self.assertIn("tengri-trails: created", planned.out)
+        self.assertEqual(self.tool.context.in_force.number, 0)
+        done = await self.tool.run("apply", "--yes", "declarations")
+        self.assertIn("Accepted as revision 1.", done.out)
+        again = await self.tool.run("apply", "declarations", "--yes")
+        self.assertIn("Nothing would change at revision 1.", again.out)
+        self.assertEqual(again.code, 0)
+
+    async def test_diff_names_fields_and_its_exit_code_can_be_asked_for(self):
+        await self.apply(testing.engine("e", "m"))
+        self.write(testing.engine("e", "m", port=9000))
+        done = await self.tool.run("diff", "declarations", "--exit-code")
+        self.assertEqual(done.code, 1)
+        line = '    spec.address: "127.0.0.1:7001" -> "127.0.0.1:9000"\n'
+        self.assertIn(line, done.out)
+
+    async def test_a_saved_plan_conflicts_with_a_change_made_since(self):
+        """An operator reviews a plan while another changes the same upstream.
+
+        Applying the saved plan must not undo the other's change unseen: it
+        is refused with exit code 5 and names the change that came first.
+        """
+        await self.apply(testing.engine("e", "m"))
+        self.write(testing.engine("e", "m", port=9000))
+        await self.tool.run("plan", "declarations", "--save", "p.json")
+        await self.tool.run("edit", "Upstream/e", "spec.slots=4", "--yes")
+        done = await self.tool.run("apply", "--plan", "p.json", "--yes")
+        self.assertEqual(done.code, 5)
+        self.assertIn("Upstream/e: spec.slots: changed by revision 2", done.err)
+
+    async def test_an_apply_whose_answer_was_lost_is_recognised(self):
+        """The daemon accepts a change and the connection goes silent.
+
+        The tool times out, sends the change again under the same change_id
+        to the next host, and reports the revision it was accepted as.
+        """
+        self.write(testing.engine("e", "m"))
+        await self.tool.run("plan", "declarations", "--save", "p.json")
+        self.tool.faults.lose_answers = 1
+        done = await self.tool.run("apply", "--plan", "p.json", "--yes")
+        self.assertIn("Accepted as revision 1.", done.out)
+        self.assertEqual(self.tool.context.in_force.number, 1)
+
+    async def test_a_change_with_no_answer_at_all_is_kept_to_send_again(self):
+        """Every answer to an apply is lost until the tool gives up.
+
+        It cannot say whether the change was accepted: it says so, keeps the
+        change in a file, and sending that file later settles it.
+        """
+        self.write(testing.engine("e", "m"))
+        await self.tool.run("plan", "declarations", "--save", "p.json")
+        self.tool.faults.lose_answers = 100
+        done = await self.tool.run("apply", "--plan", "p.json", "--yes")
+        self.assertEqual(done.code, 8)
+        self.assertIn("may or may not have been accepted", done.err)
+        self.tool.faults.lose_answers = 0
+        (kept,) = [f for f in os.listdir() if f.startswith("masticctl-")]
+        again = await self.tool.run("apply", "--plan", kept, "--yes")
+        self.assertIn("Accepted as revision 1.", again.out)
+
+    async def test_the_next_server_is_tried_where_one_is_down(self):
+        self.tool.faults.down.add("host-1")
+        status = await self.run_json("status")
+        self.assertEqual(status["host"], "host-1")
+        self.assertIn("http://host-2", self.tool.transport.requests[-1])
+        self.tool.faults.down.add("host-2")
+        done = await self.tool.run("status")
+        self.assertEqual(done.code, 8)
+
+    async def test_a_write_that_may_have_arrived_is_not_sent_elsewhere(self):
+        """A takeover is sent and its answer is lost.
+
+        Sent to the next host it would be carried out twice, so the tool
+        ends and says that it may have been carried out.
+        """
+        self.tool.faults.lose_answers = 1
+        done = await self.tool.run("takeover", "7", "--yes")
+        self.assertEqual(done.code, 8)
+        self.assertEqual(len(self.tool.transport.requests), 1)
+
+    async def test_wrong_declarations_are_all_named_before_anything_is_sent(
+        self,
+    ):
+        self.write(testing.engine("e", "m"))
+        wrong = {"kind": "Upstream", "name": "Bad Name", "spec": {}}
+        (self.folder / "wrong.json").write_text(json.dumps(wrong))
+        (self.folder / "broken.json").write_text("{")
+        done = await self.tool.run("plan", "declarations")
+        self.assertEqual(done.code, 2)
+        self.assertIn("broken.json: not JSON", done.err)
+        self.assertIn("wrong.json: Upstream/Bad Name.name", done.err)
+        self.assertEqual(self.tool.transport.requests, [])
+
+    async def test_a_folder_that_cannot_be_accepted_is_refused_whole(self):
+        self.write(*testing.tengri_trails()[:-2], testing.tengri_trails()[-1])
+        done = await self.tool.run("apply", "declarations", "--yes")
+        self.assertEqual(done.code, 2)
+        self.assertIn("there is no upstream 'permit-desk-4'", done.err)
+        self.assertEqual(self.tool.context.in_force.number, 0)
+
+    async def test_get_shows_what_can_be_applied_again(self):
+        await self.apply(testing.engine("e", "m"))
+        done = await self.tool.run("get", "upstream/e")
+        self.assertEqual(done.out, to_text(testing.engine("e", "m")))
+        listed = await self.run_json("get", "Upstream")
+        self.assertEqual(len(listed["items"]), 1)
+        missing = await self.tool.run("get", "Upstream/f")
+        self.assertEqual(missing.code, 2)
+
+    async def test_edit_sets_and_unsets_fields(self):
+        await self.apply(testing.engine("e", "m"))
+        await self.tool.run("edit", "Upstream/e", "spec.draining=true", "--yes")
+        name = self.tool.context.in_force.current.upstreams.by_name
+        self.assertTrue(name["e"].draining)
+        await self.tool.run("edit", "Upstream/e", "spec.draining=", "--yes")
+        name = self.tool.context.in_force.current.upstreams.by_name
+        self.assertFalse(name["e"].draining)
+        wrong = await self.tool.run("edit", "Upstream/e", "spec.slots=x")
+        self.assertEqual(wrong.code, 2)
+        self.assertIn("Upstream/e.spec.slots", wrong.err)
+
+    async def test_delete_prune_and_rollback(self):
+        await self.apply(testing.engine("e", "m"), testing.engine("f", "m", 1))
+        self.write(testing.engine("e", "m"))
+        planned = await self.tool.run("plan", "declarations", "--prune")
+        self.assertIn("- Upstream/f (delete)", planned.out)
+        done = await self.tool.run("delete", "Upstream/e", "--yes")
+        self.assertEqual(done.code, 0, done.err)
+        done = await self.tool.run("rollback", "1", "--yes")
+        self.assertIn("Accepted as revision 3.", done.out)
+        upstreams = self.tool.context.in_force.current.upstreams.by_name
+        self.assertEqual(sorted(upstreams), ["e", "f"])
+        shown = await self.tool.run("revisions", "show", "3")
+        self.assertIn("rollback to revision 1", shown.out)
+
+    async def test_drain_marks_the_upstream_and_reports(self):
+        await self.apply(testing.engine("e", "m"))
+        done = await self.tool.run("upstream", "drain", "e", "--yes", "--wait")
+        self.assertEqual(done.code, 0, done.err)
+        self.assertIn("e: 0 calls in flight", done.out)
+
+    async def test_a_workspace_is_created_from_a_template(self):
+        await self.apply(*testing.tengri_trails()[:-1])
+        self.write_key("altai-guide-key\n")
+        done = await self.tool.run(
+            *("workspace", "create", "altai", "model=permit-70b"),
+            *("--from", "permit-desk", "--caller", "guides"),
+            *("--upstreams", "permit-1,permit-desk-1"),
+            *("--key-file", "key", "--yes"),
+        )
+        self.assertEqual(done.code, 0, done.err)
+        current = self.tool.context.in_force.current
+        digest = caller_key_digest("altai-guide-key")
+        found = current.workspace_by_caller_digest[digest]
+        self.assertEqual(found.name, "altai")
+        unknown = await self.tool.run(
+            *("workspace", "create", "ili", "modle=m"),
+            *("--from", "permit-desk", "--upstreams", "permit-1"),
+        )
+        self.assertIn("no parameter 'modle'", unknown.err)
+
+    async def test_status_wait_returns_when_all_hosts_have_it(self):
+        await self.apply(testing.engine("e", "m"))
+        self.tool.context.revision_by_host = {"host-2": 1}
+        done = await self.tool.run("status", "--wait", "--timeout", "0")
+        self.assertEqual(done.code, 0)
+
+    async def test_status_wait_names_the_hosts_that_lag(self):
+        """One host is paused and reports an old revision.
+
+        The change is in force on the others; the operator must learn which
+        host lags rather than wait for ever.
+        """
+        await self.apply(testing.engine("e", "m"))
+        self.tool.context.revision_by_host = {"host-2": 0}
+        done = await self.tool.run("status", "--wait", "--timeout", "0")
+        self.assertEqual(done.code, 7)
+        self.assertIn("Revision 1 is not in force on: host-2 (at 0", done.err)
+
+    async def test_programs_quarantine_and_takeover(self):
+        self.tool.context.program_by_id["12e4"] = program("12e4")
+        self.tool.context.quarantined_digests.add(QUARANTINED_DIGEST)
+        listed = await self.run_json("program", "list")
+        self.assertEqual(listed["programs"][0]["program_id"], "12e4")
+        shown = await self.tool.run("program", "inspect", "12e4")
+        self.assertIn("waiting: r-3: queued at permit-1", shown.out)
+        done = await self.tool.run("program", "stop", "12e4", "--yes")
+        self.assertIn("program 12e4: stopped", done.out)
+        missing = await self.tool.run("program", "stop", "p", "--yes")
+        self.assertEqual(missing.code, 4)
+        await self.tool.run("quarantine", "release", QUARANTINED_DIGEST, "-y")
+        listed = await self.run_json("quarantine", "list")
+        self.assertEqual(listed["requests"], [])
+        done = await self.tool.run("takeover", "7", "--yes")
+        self.assertIn("may be lost: program p-1: turn r-3", done.out)
+
+    async def test_dump_and_metrics(self):
+        self.tool.context.metrics.count("calls_total")
+        self.assertIn("calls_total", (await self.tool.run("metrics")).out)
+        self.assertIn("config", await self.run_json("dump"))
+
+    async def test_a_reading_token_is_told_which_role_it_lacks(self):
+        self.tool.token = READ_TOKEN
+        self.write(testing.engine("e", "m"))
+        done = await self.tool.run("apply", "declarations", "--yes")
+        self.assertEqual(done.code, 3)
+        self.assertIn("this needs operate", done.err)
+
+    async def test_an_outage_ends_with_6_and_nothing_written(self):
+        self.write(testing.engine("e", "m"))
+        self.tool.context.store.faults.down = True
+        done = await self.tool.run("apply", "declarations", "--yes")
+        self.assertEqual(done.code, 6)
+        self.assertIn("nothing was written", done.err)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/answers.py
@@ -0,0 +1,100 @@
+"""Turning failures into HTTP answers, by the one table of error kinds."""
+
+import http
+import math
+from typing import Any
+
+import litestar
+from litestar import exceptions as http_errors
+from litestar.types import ExceptionHandlersMap
+
+from masticdale_common import ErrorKind, Failure, MasticdaleError, logs
+from masticdale_config.messages import ErrorBody
+
+MS_PER_S = 1000
+
+_KIND_BY_STATUS: dict[int, ErrorKind] = {
+    http.HTTPStatus.UNAUTHORIZED: ErrorKind.UNAUTHENTICATED,
+    http.HTTPStatus.FORBIDDEN: ErrorKind.FORBIDDEN,
+    http.HTTPStatus.NOT_FOUND: ErrorKind.NOT_FOUND,
+    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorKind.TOO_LARGE,
+}
+
+AnyRequest = litestar.Request[Any, Any, Any]
+
+
+def error_body(failure: Failure) -> ErrorBody:
+    """Returns what is said of a failure."""
+    answer = failure.answer
+    return ErrorBody(
+        kind=failure.kind.value,
+        message=answer.message,
+        detail=failure.detail,
+        ran=answer.ran.value,
+        retry_after_ms=failure.come_back_ms,
+    )
+
+
+def error_response(failure: Failure) -> litestar.Response[ErrorBody]:
+    """Returns the answer to a failed request.
+
+    Args:
+        failure: What failed.
+
+    Returns:
+        The table's status and body, with ``Retry-After`` in whole seconds,
+        rounded up: a client that came back earlier would be refused again.
+    """
+    headers = {}
+    if failure.come_back_ms is not None:
+        seconds = math.ceil(failure.come_back_ms / MS_PER_S)
+        headers["Retry-After"] = str(seconds)
+    return litestar.Response(
+        error_body(failure),
+        status_code=failure.answer.status,
+        headers=headers,
+        media_type=litestar.MediaType.JSON,
+    )
+
+
+def failure_of(error: Exception) -> Failure:
+    """Returns the failure behind an exception of a request."""
+    if isinstance(error, MasticdaleError):
+        return error.failure
+    if not isinstance(error, http_errors.HTTPException):
+        # The text of an unforeseen exception may hold a caller's prompt.
+        return Failure(ErrorKind.INTERNAL)
+    status = error.status_code
+    kind = _KIND_BY_STATUS.get(status)
+    if kind is not None:
+        return Failure(kind, _describe(error))
+    if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return Failure(ErrorKind.BAD_REQUEST, _describe(error))
+    return Failure(ErrorKind.INTERNAL)
+
+
+def exception_handlers() -> ExceptionHandlersMap:
+    """Returns the handlers that every listener of the daemon installs."""
+    return {Exception: _handle}
+
+
+def _handle(
+    request: AnyRequest, error: Exception
+) -> litestar.Response[ErrorBody]:
+    failure = failure_of(error)
+    if failure.kind is ErrorKind.INTERNAL:
+        logs.write(
+            "request_failed", path=request.url.path, error=type(error).__name__
+        )
+    return error_response(failure)
+
+
+def _describe(error: http_errors.HTTPException) -> str:
+    lines = [error.detail]
+    extra = error.extra if isinstance(error.extra, list) else []
+    for item in extra:
+        if not isinstance(item, dict):
+            continue
+        field = item.get("key", "(whole)")
+        lines.append(f"{field}: {item.get('message', 'is wrong')}")
+    return "\n".join(lines)
--- a/libs/config/src/masticdale_config/state.py
+++ b/libs/config/src/masticdale_config/state.py
@@ -76,6 +76,21 @@
     digest: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """One field that differs between two JSON values.
+
+    Attributes:
+        path: Names of the fields that lead to it, joined by dots.
+        before: Its earlier value; None where there was none.
+        after: Its later value; None where there is none.
+    """
+
+    path: str
+    before: Any
+    after: Any
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TouchedDeclaration:
     """What one change did to one declaration.
@@ -242,20 +257,28 @@
     """
     if before is None or after is None:
         return ("spec",)
-    paths: list[str] = []
-    _differences(canonical.dump(before), canonical.dump(after), "", paths)
-    return tuple(paths[:limit])
+    found = differences(canonical.dump(before), canonical.dump(after))
+    return tuple(difference.path for difference in found[:limit])
+
+
+def differences(before: Any, after: Any) -> list[Difference]:
+    """Returns the innermost fields in which two JSON values differ."""
+    found: list[Difference] = []
+    _collect_differences(before, after, "", found)
+    return found
 
 
-def _differences(before: Any, after: Any, path: str, paths: list[str]) -> None:
+def _collect_differences(
+    before: Any, after: Any, path: str, found: list[Difference]
+) -> None:
     if before == after:
         return
     if not (isinstance(before, dict) and isinstance(after, dict)):
-        paths.append(path)
+        found.append(Difference(path, before, after))
         return
     for name in sorted(before.keys() | after.keys()):
         inner = f"{path}.{name}" if path else name
-        _differences(before.get(name), after.get(name), inner, paths)
+        _collect_differences(before.get(name), after.get(name), inner, found)
 
 
 class _TouchedModel(_Stored):
