Follow revisions off the event loop, trim old ones, start from the newest

Cause: a template shared by 4,600 workspaces takes about a second to render; on the loop that stalls every stream and heartbeat of the host.

Conclusion: the daemon should call learn_newest at start, follow_export and make_export in place of apply_export and export_after, and gc.collect() and gc.freeze() once its configuration is loaded.

--- a/libs/config/src/masticdale_config/__init__.py
+++ b/libs/config/src/masticdale_config/__init__.py
@@ -33,6 +33,7 @@
     Edit,
     Plan,
 )
+from masticdale_config.starting import RevisionSource, learn_newest
 from masticdale_config.state import ABSENT, ConfigState, Revision
 from masticdale_config.storage import catch_up
 from masticdale_config.watching import ConfigWatcher
@@ -60,6 +61,7 @@
     "RenderedUpstream",
     "RenderedWorkspace",
     "Revision",
+    "RevisionSource",
     "RevisionsExport",
     "Template",
     "Upstream",
@@ -70,5 +72,6 @@
     "catch_up",
     "engines_of",
     "key_of",
+    "learn_newest",
     "parse",
 ]
--- a/libs/config/src/masticdale_config/checks.py
+++ b/libs/config/src/masticdale_config/checks.py
@@ -123,7 +123,7 @@
     programs, found = workspaces.render_programs(
         spec, placeholders.samples(spec)
     )
-    names = [program.name for program in programs]
+    names = [program.kind.name for program in programs]
     if len(set(names)) < len(names):
         found.append(FieldProblem("spec.programs", "two have the same name"))
     return found
--- a/libs/config/src/masticdale_config/inforce.py
+++ b/libs/config/src/masticdale_config/inforce.py
@@ -1,5 +1,6 @@
 """The revision in force on this host."""
 
+import asyncio
 import collections
 import dataclasses
 from collections.abc import Callable, Iterable
@@ -32,6 +33,18 @@
     snapshot: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Step:
+    stored: bytes
+    state: states.ConfigState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Progress:
+    steps: tuple[_Step, ...]
+    failure: Failure | None
+
+
 class ConfigInForce:
     """Follows revisions in order and never goes back.
 
@@ -46,6 +59,7 @@
         )
         self._subscribers: list[Subscriber] = []
         self._snapshot = b""
+        self._lock = asyncio.Lock()
 
     @property
     def state(self) -> states.ConfigState:
@@ -85,11 +99,22 @@
             The number in force; OUT_OF_ORDER at a gap and INTERNAL at a
             revision that cannot be read, with those before it in force.
         """
-        before = self.number
-        outcome = self._follow_all(revisions)
-        if self.number > before:
-            self._notify()
-        return outcome.map(lambda _: self.number)
+        return self._take(_follow_all(self._state, revisions))
+
+    async def follow_revisions(
+        self, revisions: Iterable[bytes]
+    ) -> Result[int, Failure]:
+        """Does what ``apply_revisions`` does, off the event loop.
+
+        A template that thousands of workspaces share takes over a second to
+        render. On the loop that would hold up every stream and heartbeat of
+        this host, and its peers would think it dead.
+        """
+        async with self._lock:
+            progress = await asyncio.to_thread(
+                _follow_all, self._state, tuple(revisions)
+            )
+            return self._take(progress)
 
     def apply_snapshot(self, snapshot: bytes) -> Result[int, Failure]:
         """Brings a whole state into force if it is newer.
@@ -101,16 +126,23 @@
             The number in force, or INTERNAL where the digest does not come
             out; then nothing has changed.
         """
-        outcome = states.decode_snapshot(snapshot)
-        if isinstance(outcome, Failed):
-            return outcome
-        state = outcome.unwrap()
-        if state.number <= self.number:
-            return Success(self.number)
-        self._kept.clear()
-        self._set(state)
-        self._notify()
-        return Success(self.number)
+        return self._take_snapshot(states.decode_snapshot(snapshot))
+
+    async def follow_snapshot(self, snapshot: bytes) -> Result[int, Failure]:
+        """Does what ``apply_snapshot`` does, off the event loop."""
+        async with self._lock:
+            decoded = await asyncio.to_thread(states.decode_snapshot, snapshot)
+            return self._take_snapshot(decoded)
+
+    async def follow_export(
+        self, export: RevisionsExport
+    ) -> Result[int, Failure]:
+        """Does what ``apply_export`` does, off the event loop."""
+        if export.snapshot:
+            outcome = await self.follow_snapshot(export.snapshot)
+            if isinstance(outcome, Failed):
+                return outcome
+        return await self.follow_revisions(export.revisions)
 
     def apply_export(self, export: RevisionsExport) -> Result[int, Failure]:
         """Brings what a peer handed over into force."""
@@ -126,16 +158,23 @@
         Args:
             number: The revision in force at the peer.
         """
-        missing = self.number - number
-        if missing <= 0:
-            return RevisionsExport(self.number, (), b"")
-        if missing <= len(self._kept):
-            kept = tuple(self._kept)[-missing:]
-            return RevisionsExport(self.number, kept, b"")
+        export = self._export_kept(number)
+        if export is not None:
+            return export
         if not self._snapshot:
             self._snapshot = states.encode_snapshot(self._state)
         return RevisionsExport(self.number, (), self._snapshot)
 
+    async def make_export(self, number: int) -> RevisionsExport:
+        """Does what ``export_after`` does, encoding off the event loop."""
+        state = self._state
+        if self._export_kept(number) is None and not self._snapshot:
+            encoded = await asyncio.to_thread(states.encode_snapshot, state)
+            if self._state is not state:
+                return RevisionsExport(state.number, (), encoded)
+            self._snapshot = encoded
+        return self.export_after(number)
+
     def dump(self) -> JsonValue:
         """Returns what a state dump shows."""
         return {
@@ -146,20 +185,39 @@
             "kept_revisions": len(self._kept),
         }
 
-    def _follow_all(self, revisions: Iterable[bytes]) -> Result[None, Failure]:
-        for stored in revisions:
-            decoded = states.decode_revision(stored)
-            if isinstance(decoded, Failed):
-                return decoded
-            revision = decoded.unwrap()
-            if revision.number <= self.number:
+    def _export_kept(self, number: int) -> RevisionsExport | None:
+        missing = self.number - number
+        if missing <= 0:
+            return RevisionsExport(self.number, (), b"")
+        if missing > len(self._kept):
+            return None
+        return RevisionsExport(self.number, tuple(self._kept)[-missing:], b"")
+
+    def _take(self, progress: _Progress) -> Result[int, Failure]:
+        before = self.number
+        for step in progress.steps:
+            # Another way may have brought it while this one was rendered.
+            if step.state.number <= self.number:
                 continue
-            followed = states.follow(self._state, revision)
-            if isinstance(followed, Failed):
-                return followed
-            self._kept.append(stored)
-            self._set(followed.unwrap())
-        return Success(None)
+            self._kept.append(step.stored)
+            self._set(step.state)
+        if self.number > before:
+            self._notify()
+        if progress.failure is not None:
+            return Failed(progress.failure)
+        return Success(self.number)
+
+    def _take_snapshot(
+        self, decoded: Result[states.ConfigState, Failure]
+    ) -> Result[int, Failure]:
+        if isinstance(decoded, Failed):
+            return decoded
+        state = decoded.unwrap()
+        if state.number > self.number:
+            self._kept.clear()
+            self._set(state)
+            self._notify()
+        return Success(self.number)
 
     def _set(self, state: states.ConfigState) -> None:
         self._snapshot = b""
@@ -171,3 +229,23 @@
                 subscriber(self.current)
             except Exception as error:
                 logs.write("config_subscriber_failed", error=repr(error))
+
+
+def _follow_all(
+    state: states.ConfigState, revisions: Iterable[bytes]
+) -> _Progress:
+    # Runs on a thread too, so it touches immutable values only.
+    steps: list[_Step] = []
+    for stored in revisions:
+        decoded = states.decode_revision(stored)
+        if isinstance(decoded, Failed):
+            return _Progress(tuple(steps), decoded.failure())
+        revision = decoded.unwrap()
+        if revision.number <= state.number:
+            continue
+        followed = states.follow(state, revision)
+        if isinstance(followed, Failed):
+            return _Progress(tuple(steps), followed.failure())
+        state = followed.unwrap()
+        steps.append(_Step(stored, state))
+    return _Progress(tuple(steps), None)
--- a/libs/config/src/masticdale_config/placeholders.py
+++ b/libs/config/src/masticdale_config/placeholders.py
@@ -50,6 +50,9 @@
             takes the parameter's value with its type; within a longer string
             the value is written as text.
         value_by_name: A value for each parameter that is referred to.
+
+    Raises:
+        KeyError: A parameter that is referred to has no value.
     """
     if isinstance(value, list):
         return [substitute(item, value_by_name) for item in value]
--- a/libs/config/src/masticdale_config/revisions.py
+++ b/libs/config/src/masticdale_config/revisions.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, hashing, logs
-from masticdale_config import checks, storage
+from masticdale_config import checks, storage, trimming
 from masticdale_config import state as states
 from masticdale_config.inforce import ConfigInForce
 from masticdale_config.kinds import Declaration, DeclarationKey
@@ -127,7 +127,7 @@
         loaded = await self.load()
         if isinstance(loaded, Failed):
             return loaded
-        return _prepare(loaded.unwrap(), change)
+        return await asyncio.to_thread(_prepare, loaded.unwrap(), change)
 
     async def apply(self, change: Change) -> Result[Accepted, Failure]:
         """Accepts a change as the next revision, whole or not at all.
@@ -153,12 +153,12 @@
     async def revision(
         self, number: int
     ) -> Result[states.Revision | None, Failure]:
-        """Returns an accepted revision, or None where there is none."""
+        """Returns a revision, or None where none is stored any more."""
         read = await self._store.read(storage.revision_key(number))
         if isinstance(read, Failed):
             return read
         stored = read.unwrap()
-        if stored is None:
+        if stored is None or stored.value == trimming.TRIMMED:
             return Success(None)
         return states.decode_revision(stored.value)
 
@@ -177,7 +177,9 @@
             known = _recognise(state, change)
             if known is not None:
                 return known
-            prepared = _prepare(state, change)
+            # Off the event loop: a template's change may reach thousands of
+            # workspaces.
+            prepared = await asyncio.to_thread(_prepare, state, change)
             if isinstance(prepared, Failed):
                 return _refuse(prepared.failure(), unknown)
             plan = prepared.unwrap()
@@ -225,7 +227,7 @@
     ) -> Result[Accepted, Failure]:
         # This host's watch may have brought it, and later ones, into force
         # before the write was answered; then this passes over it.
-        applied = self._in_force.apply_revisions(
+        applied = await self._in_force.follow_revisions(
             (states.encode_revision(revision),)
         )
         if isinstance(applied, Failed):
--- a/libs/config/src/masticdale_config/storage.py
+++ b/libs/config/src/masticdale_config/storage.py
@@ -1,8 +1,10 @@
 """Where revisions and snapshots lie in the platform's service.
 
-    config/revisions/{n}               one revision, never written again
+    config/revisions/{n}               one revision, immutable until it is
+                                       trimmed
     config/snapshots/{n}/{digest}/{p}  the state after revision n, in parts
-    config/head                        a hint at the newest whole snapshot
+    config/head                        a hint at the newest whole snapshot,
+                                       and at what of the older is left
 
 Creating ``config/revisions/{n+1}`` is the commit point of a change of any
 number of declarations: the platform lets exactly one writer create it, so
@@ -11,13 +13,14 @@
 """
 
 import asyncio
+import dataclasses
 
 import pydantic
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, StrictModel
-from masticdale_config import canonical
+from masticdale_config import canonical, trimming
 from masticdale_config import state as states
 from masticdale_config.inforce import ConfigInForce
 from masticdale_platform.types import MUST_NOT_EXIST, ObjectStore
@@ -31,10 +34,11 @@
 BLOCK_DIGITS = 2
 _DIGITS = 10
 _TAIL_BATCH = 64
+KEPT_SNAPSHOTS = 2
 
 
-class SnapshotHint(StrictModel):
-    """What ``config/head`` holds.
+class SnapshotRef(StrictModel):
+    """Names one snapshot.
 
     Attributes:
         number: Revision the snapshot was taken after.
@@ -42,11 +46,34 @@
         parts: Number of its parts.
     """
 
+    # While an upgrade is rolling, a host of the earlier release must read
+    # what one of the later release wrote.
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
     number: int
     digest: str
     parts: int
 
 
+class SnapshotHint(SnapshotRef):
+    """What ``config/head`` holds: the newest snapshot, and what is kept.
+
+    Attributes:
+        earlier: Older snapshots that are still stored, newest first.
+        trimmed: Number of the last trimmed revision.
+    """
+
+    earlier: tuple[SnapshotRef, ...] = ()
+    trimmed: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Tail:
+    revisions: tuple[bytes, ...]
+    is_trimmed: bool
+    is_whole: bool
+
+
 def revision_key(number: int) -> str:
     """Returns the key of a revision."""
     return f"{REVISION_PREFIX}{number:0{_DIGITS}d}"
@@ -57,7 +84,7 @@
     return revision_key(number)[:-BLOCK_DIGITS]
 
 
-def part_key(hint: SnapshotHint, part: int) -> str:
+def part_key(hint: SnapshotRef, part: int) -> str:
     """Returns the key of a snapshot's part."""
     folder = f"{SNAPSHOT_PREFIX}{hint.number:0{_DIGITS}d}/{hint.digest}"
     return f"{folder}/{part:04d}"
@@ -81,12 +108,16 @@
         if isinstance(begun, Failed):
             return begun
     while True:
-        tail = await _read_tail(store, in_force.number)
-        if isinstance(tail, Failed):
-            return tail
-        revisions = tail.unwrap()
-        applied = in_force.apply_revisions(revisions)
-        if isinstance(applied, Failed) or len(revisions) < _TAIL_BATCH:
+        outcome = await _read_tail(store, in_force.number)
+        if isinstance(outcome, Failed):
+            return outcome
+        tail = outcome.unwrap()
+        applied = await in_force.follow_revisions(tail.revisions)
+        if tail.is_trimmed:
+            # This host was paused for so long that revisions it misses are
+            # gone. Taken for the end of the sequence, it would lag for good.
+            applied = await _skip_trimmed(store, in_force)
+        if isinstance(applied, Failed) or tail.is_whole:
             return applied
 
 
@@ -117,27 +148,57 @@
         state: What to write. All parts stand before the hint is moved, and a
             reader checks the digest of the whole.
     """
-    value = states.encode_snapshot(state)
+    value = await asyncio.to_thread(states.encode_snapshot, state)
     parts = [
         value[start : start + PART_BYTES]
         for start in range(0, len(value), PART_BYTES)
     ]
     digest = states.bytes_digest(value)
-    hint = SnapshotHint(number=state.number, digest=digest, parts=len(parts))
+    ref = SnapshotRef(number=state.number, digest=digest, parts=len(parts))
     for part, chunk in enumerate(parts):
-        written = await store.write(part_key(hint, part), chunk, MUST_NOT_EXIST)
+        written = await store.write(part_key(ref, part), chunk, MUST_NOT_EXIST)
         if isinstance(written, Failed) and not _stands(written.failure()):
             return written
     found = await read_hint(store)
     if isinstance(found, Failed):
         return found
     present, version = found.unwrap()
-    if present is not None and present.number >= hint.number:
+    if present is not None and present.number >= ref.number:
         return Success(None)
+    hint = await _next_hint(store, ref, present)
     encoded = canonical.to_bytes(hint.model_dump())
     return (await store.write(HEAD_KEY, encoded, version)).map(lambda _: None)
 
 
+async def _next_hint(
+    store: ObjectStore, ref: SnapshotRef, present: SnapshotHint | None
+) -> SnapshotHint:
+    # What is removed here follows from the hint that stands already, so a
+    # reader always finds a snapshot that is newer than whatever is gone.
+    if present is None:
+        return SnapshotHint(**ref.model_dump())
+    first = present.trimmed + 1
+    last = present.number - trimming.KEPT_REVISIONS
+    numbers = range(first, last + 1)[: trimming.MAX_TRIMMED_AT_ONCE]
+    trimmed = await trimming.trim_revisions(store, numbers, revision_key)
+    earlier = [
+        SnapshotRef(
+            number=present.number, digest=present.digest, parts=present.parts
+        ),
+        *present.earlier,
+    ]
+    kept = earlier[: KEPT_SNAPSHOTS - 1]
+    for old in earlier[KEPT_SNAPSHOTS - 1 :]:
+        keys = [part_key(old, part) for part in range(old.parts)]
+        if not await trimming.delete_keys(store, keys):
+            kept.append(old)
+    return SnapshotHint(
+        **ref.model_dump(),
+        earlier=tuple(kept),
+        trimmed=present.trimmed + trimmed,
+    )
+
+
 def _stands(failure: Failure) -> bool:
     # The key holds the content's digest: whoever created it wrote the same.
     return failure.kind is ErrorKind.CONFLICT
@@ -164,12 +225,21 @@
     value = b"".join(chunks)
     if states.bytes_digest(value) != hint.digest:
         return _broken(hint, "its digest does not come out")
-    return in_force.apply_snapshot(value)
+    return await in_force.follow_snapshot(value)
+
+
+async def _skip_trimmed(
+    store: ObjectStore, in_force: ConfigInForce
+) -> Result[int, Failure]:
+    before = in_force.number
+    begun = await _start_from_snapshot(store, in_force)
+    if isinstance(begun, Success) and in_force.number == before:
+        detail = f"revision {before + 1} is trimmed and no snapshot is newer"
+        return Failed(Failure(ErrorKind.INTERNAL, detail))
+    return begun
 
 
-async def _read_tail(
-    store: ObjectStore, after: int
-) -> Result[tuple[bytes, ...], Failure]:
+async def _read_tail(store: ObjectStore, after: int) -> Result[_Tail, Failure]:
     revisions: list[bytes] = []
     while len(revisions) < _TAIL_BATCH:
         number = after + 1 + len(revisions)
@@ -178,11 +248,13 @@
             return outcome
         stored = outcome.unwrap()
         if stored is None:
-            break
+            return Success(_Tail(tuple(revisions), False, True))
+        if stored.value == trimming.TRIMMED:
+            return Success(_Tail(tuple(revisions), True, False))
         revisions.append(stored.value)
-    return Success(tuple(revisions))
+    return Success(_Tail(tuple(revisions), False, False))
 
 
-def _broken(hint: SnapshotHint, message: str) -> Failed[Failure]:
+def _broken(hint: SnapshotRef, message: str) -> Failed[Failure]:
     detail = f"snapshot {hint.number}: {message}"
     return Failed(Failure(ErrorKind.INTERNAL, detail))
--- /dev/null
+++ b/libs/config/src/masticdale_config/trimming.py
@@ -0,0 +1,74 @@
+"""Bounding what old revisions and snapshots take in the platform's service.
+
+An old revision is overwritten and not deleted. A host paused for days between
+reading the newest revision and creating the next would otherwise find its key
+free again, and its change would be accepted into a sequence that has long
+gone on: its operator would be told that it holds, and no host would apply it.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import logs
+from masticdale_platform.types import ObjectStore
+
+TRIMMED = b"{}"
+KEPT_REVISIONS = 5000
+MAX_TRIMMED_AT_ONCE = 400
+_CALLS_AT_ONCE = 8
+
+
+async def trim_revisions(
+    store: ObjectStore,
+    numbers: range,
+    key_of: Callable[[int], str],
+) -> int:
+    """Overwrites old revisions.
+
+    Args:
+        store: The platform's service.
+        numbers: Numbers of the revisions to trim, in order.
+        key_of: Returns the key of a revision.
+
+    Returns:
+        How many of them, from the first on, are trimmed for certain.
+    """
+    done = 0
+    for start in range(0, len(numbers), _CALLS_AT_ONCE):
+        batch = numbers[start : start + _CALLS_AT_ONCE]
+        trims = [_overwrite(store, key_of(number)) for number in batch]
+        if not all(await asyncio.gather(*trims)):
+            logs.write("revision_trim_failed", first=batch[0])
+            return done
+        done += len(batch)
+    return done
+
+
+async def delete_keys(store: ObjectStore, keys: Iterable[str]) -> bool:
+    """Deletes objects; returns whether all are gone for certain."""
+    outcomes = [await _delete(store, key) for key in keys]
+    return all(outcomes)
+
+
+async def _overwrite(store: ObjectStore, key: str) -> bool:
+    found = await store.read(key)
+    if isinstance(found, Failed):
+        return False
+    stored = found.unwrap()
+    if stored is None or stored.value == TRIMMED:
+        return True
+    written = await store.write(key, TRIMMED, stored.version)
+    return isinstance(written, Success)
+
+
+async def _delete(store: ObjectStore, key: str) -> bool:
+    found = await store.read(key)
+    if isinstance(found, Failed):
+        return False
+    stored = found.unwrap()
+    if stored is None:
+        return True
+    return isinstance(await store.delete(key, stored.version), Success)
--- a/libs/config/src/masticdale_config/watching.py
+++ b/libs/config/src/masticdale_config/watching.py
@@ -84,7 +84,9 @@
         changed = sorted(batch.changed, key=lambda stored: stored.key)
         if not changed:
             return
-        applied = self._in_force.apply_revisions(s.value for s in changed)
+        applied = await self._in_force.follow_revisions(
+            stored.value for stored in changed
+        )
         if isinstance(applied, Failed):
             await self._catch_up()
 
--- a/libs/config/src/masticdale_config/workspaces.py
+++ b/libs/config/src/masticdale_config/workspaces.py
@@ -1,5 +1,6 @@
 """Rendering one workspace: its template filled in with its parameters."""
 
+import dataclasses
 from collections.abc import Mapping
 
 import pydantic
@@ -31,9 +32,22 @@
 DeclarationByKey = Mapping[DeclarationKey, Declaration]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FilledProgram:
+    """A program kind after substitution.
+
+    Attributes:
+        digest: Digest of the filled body.
+        kind: The program kind.
+    """
+
+    digest: str
+    kind: ProgramKind
+
+
 def render_programs(
     template: TemplateSpec, value_by_name: Mapping[str, ParameterValue]
-) -> tuple[list[ProgramKind], list[FieldProblem]]:
+) -> tuple[list[FilledProgram], list[FieldProblem]]:
     """Fills a template's body.
 
     Args:
@@ -47,17 +61,20 @@
     found = []
     for index, body in enumerate(template.programs):
         path = f"spec.programs.{index}"
-        unknown = placeholders.names_in(body) - set(value_by_name)
-        if unknown:
+        try:
+            filled = placeholders.substitute(body, value_by_name)
+        except KeyError:
+            unknown = placeholders.names_in(body) - set(value_by_name)
             names = ", ".join(sorted(unknown))
             found.append(FieldProblem(path, f"unknown parameters: {names}"))
             continue
-        filled = placeholders.substitute(body, value_by_name)
+        text = canonical.to_bytes(filled)
         try:
-            text = canonical.to_bytes(filled)
-            programs.append(ProgramKind.model_validate_json(text))
+            kind = ProgramKind.model_validate_json(text)
         except pydantic.ValidationError as error:
             found.extend(problems.from_validation(error, path))
+            continue
+        programs.append(FilledProgram(hashing.digest(text.decode()), kind))
     return programs, found
 
 
@@ -102,11 +119,11 @@
 
 
 def _assemble(
-    workspace: Workspace, programs: list[ProgramKind]
+    workspace: Workspace, programs: list[FilledProgram]
 ) -> RenderedWorkspace:
     spec = workspace.spec
-    rendered = [_program(program) for program in programs]
-    digests = [canonical.digest(program) for program in programs]
+    rendered = [_program(program.kind) for program in programs]
+    digests = [program.digest for program in programs]
     return RenderedWorkspace(
         name=workspace.name,
         template=spec.template,
--- a/libs/config/tests/test_inforce.py
+++ b/libs/config/tests/test_inforce.py
@@ -1,5 +1,6 @@
 """Tests that a host follows revisions in order and never goes back."""
 
+import asyncio
 import unittest
 
 from hypothesis import given, settings
@@ -64,6 +65,37 @@
             self.assertIs(outcome.failure().kind, ErrorKind.INTERNAL)
         self.assertEqual(fresh.number, 0)
 
+    async def test_what_is_followed_off_the_loop_never_goes_back(self):
+        """One revision is rendered on a thread while a peer hands over more.
+
+        The thread's result comes last and is older. It must not replace what
+        came into force in the meantime, and nothing may be kept twice.
+        """
+        holder = ConfigInForce()
+        slow = asyncio.create_task(holder.follow_revisions(self.revisions[:2]))
+        await asyncio.sleep(0)
+        holder.apply_revisions(self.revisions).unwrap()
+        await slow
+        self.assertEqual(holder.number, REVISION_COUNT)
+        export = holder.export_after(REVISION_COUNT - 3)
+        self.assertEqual(export.revisions, tuple(self.revisions[-3:]))
+        self.assertEqual(
+            holder.export_after(0).revisions, tuple(self.revisions)
+        )
+
+    async def test_exports_made_off_the_loop_are_the_same(self):
+        holder = ConfigInForce()
+        holder.apply_revisions(self.revisions)
+        for number in (-1, 2, REVISION_COUNT):
+            made = await holder.make_export(number)
+            self.assertEqual(made, holder.export_after(number))
+            peer = ConfigInForce()
+            peer.apply_revisions(self.revisions[:2])
+            self.assertEqual(
+                (await peer.follow_export(made)).unwrap(),
+                2 if number > 2 else REVISION_COUNT,
+            )
+
     def test_no_order_of_arrival_takes_a_host_back(self):
         """Revisions reach a host by watch, poll and peers at once.
 
--- /dev/null
+++ b/libs/config/tests/test_starting.py
@@ -0,0 +1,118 @@
+"""Tests of what a host learns before it serves."""
+
+import unittest
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_config import (
+    ConfigInForce,
+    ConfigStore,
+    learn_newest,
+    storage,
+    testing,
+)
+from masticdale_platform.testing import MemoryStore
+
+NEWEST = 7
+
+
+class _Peer:
+    """A peer that holds a revision and can be out of reach."""
+
+    def __init__(self, revisions, is_reachable=True):
+        self.in_force = ConfigInForce()
+        self.in_force.apply_revisions(revisions).unwrap()
+        self.is_reachable = is_reachable
+        self.sent_bytes = 0
+
+    async def revisions_after(self, number):
+        if not self.is_reachable:
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE))
+        export = self.in_force.export_after(number)
+        self.sent_bytes += len(export.snapshot) + sum(
+            map(len, export.revisions)
+        )
+        return Success(export)
+
+
+class StartingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        operator = ConfigStore(self.store, ConfigInForce())
+        for number in range(NEWEST):
+            engine = testing.engine(f"e{number}", "m")
+            change = testing.change(f"c{number}", testing.put(engine))
+            (await operator.apply(change)).unwrap()
+        stored = (await self.store.list(storage.REVISION_PREFIX)).unwrap()
+        self.revisions = [item.value for item in stored]
+        self.restarted = ConfigInForce()
+
+    def peer(self, number, is_reachable=True):
+        return _Peer(self.revisions[:number], is_reachable)
+
+    async def learn(self, **source_by_host):
+        return await learn_newest(self.store, self.restarted, source_by_host)
+
+    async def test_a_restart_in_an_outage_takes_the_newest_peer(self):
+        """A host restarts while the platform is down.
+
+        It holds nothing. One peer lags at revision 5, another has 7, which
+        this host applied before its restart. Served from the first answer,
+        its callers would go back to revision 5.
+        """
+        self.store.faults.down = True
+        self.assertTrue(await self.learn(b=self.peer(5), c=self.peer(NEWEST)))
+        self.assertEqual(self.restarted.number, NEWEST)
+
+    async def test_a_restart_in_an_outage_waits_for_every_live_peer(self):
+        """The platform is down and the one peer with revision 7 is silent.
+
+        Only the one that lags answers. The host does not serve yet; it does
+        once the other answers or membership no longer holds it for live.
+        """
+        self.store.faults.down = True
+        silent = self.peer(NEWEST, is_reachable=False)
+        self.assertFalse(await self.learn(b=self.peer(5), c=silent))
+        silent.is_reachable = True
+        self.assertTrue(await self.learn(b=self.peer(5), c=silent))
+        self.assertEqual(self.restarted.number, NEWEST)
+
+    async def test_hosts_that_all_restarted_in_an_outage_do_not_serve(self):
+        """Every host restarts while the platform is down.
+
+        Each asks the others and is told of nothing. Taken for an answer,
+        they would serve an empty configuration to one another's callers.
+        """
+        self.store.faults.down = True
+        self.assertFalse(await self.learn(b=self.peer(0), c=self.peer(0)))
+        self.assertFalse(await self.learn())
+
+    async def test_a_stale_read_does_not_win_over_a_peer(self):
+        """The platform answers a read from before the last two revisions.
+
+        The peers have them already; the host must not serve without them.
+        """
+        for number in (NEWEST - 1, NEWEST):
+            key = storage.revision_key(number)
+            stored = (await self.store.read(key)).unwrap()
+            await self.store.delete(key, stored.version)
+        self.assertTrue(await self.learn(b=self.peer(NEWEST)))
+        self.assertEqual(self.restarted.number, NEWEST)
+
+    async def test_the_platform_alone_suffices(self):
+        silent = self.peer(NEWEST, is_reachable=False)
+        self.assertTrue(await self.learn(b=silent))
+        self.assertEqual(self.restarted.number, NEWEST)
+
+    async def test_only_one_peer_sends_the_configuration(self):
+        self.store.faults.down = True
+        peers = {f"host_{n}": self.peer(NEWEST) for n in range(5)}
+        self.assertTrue(await self.learn(**peers))
+        senders = [peer for peer in peers.values() if peer.sent_bytes]
+        self.assertEqual(len(senders), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/scripts/measure_config.py
+++ b/scripts/measure_config.py
@@ -3,13 +3,15 @@
 For each number of workspaces: bytes, processor time and memory of the whole
 state, and of one change to a workspace, to an upstream and to a template. The
 last column is the slope per workspace between the smallest and the largest
-size, for docs/CAPACITY.md. One process, no network, no wall clock: times are
-processor time, medians of several changes.
+size, for docs/CAPACITY.md. One process, no network. Times are processor time,
+medians of several changes, but for the stall of the event loop, which is the
+longest wall time it did not run while a change was followed.
 """
 
 import argparse
 import asyncio
 import dataclasses
+import gc
 import statistics
 import time
 import tracemalloc
@@ -36,6 +38,7 @@
 PROMPT_SENTENCES = 60
 REPEATS = 9
 LOAD_BATCH = 500
+STALL_PROBE_S = 0.001
 MS_PER_S = 1000.0
 
 ValueT = TypeVar("ValueT")
@@ -86,12 +89,14 @@
     return testing.engine(name, f"model-{model}", replica, port)
 
 
-def workspace(index: int, weight: float = 1.0) -> Declaration:
+def workspace(
+    index: int, weight: float = 1.0, templates: int = MODEL_COUNT
+) -> Declaration:
     """Returns one workspace."""
     model = index % MODEL_COUNT
     return testing.workspace(
         f"workspace-{index}",
-        f"template-{model}",
+        f"template-{index % templates}",
         [f"engine-{model}-{r}" for r in range(UPSTREAMS_PER_WORKSPACE)],
         f"key-{index}",
         parameters={"model": f"model-{model}", "brand": f"Brand {index}"},
@@ -99,13 +104,15 @@
     )
 
 
-def declarations(workspaces: int) -> list[Declaration]:
+def declarations(
+    workspaces: int, templates: int = MODEL_COUNT
+) -> list[Declaration]:
     """Returns every declaration of a fleet with so many workspaces."""
     models = range(MODEL_COUNT)
     return [
-        *(template(model) for model in models),
+        *(template(index) for index in range(templates)),
         *(engine(m, r) for m in models for r in range(REPLICAS_PER_MODEL)),
-        *(workspace(index) for index in range(workspaces)),
+        *(workspace(i, templates=templates) for i in range(workspaces)),
     ]
 
 
@@ -157,6 +164,21 @@
             Figure(f"{name} plan report ms", _median_ms(planned)),
         ]
 
+    async def share(self) -> list[Figure]:
+        """Measures a change to the one template that all workspaces share."""
+        await self._apply([template(0, "Look again.")])
+        export = self._accepting.export_after(self.following.number)
+        stalls = asyncio.create_task(_longest_stall())
+        await asyncio.sleep(STALL_PROBE_S)
+        start = time.process_time()
+        (await self.following.follow_export(export)).unwrap()
+        elapsed = (time.process_time() - start) * MS_PER_S
+        stalls.cancel()
+        return [
+            Figure("shared template follow ms", elapsed),
+            Figure("shared template loop stall wall ms", await stalls),
+        ]
+
     async def _apply(self, wanted: Sequence[Declaration]) -> None:
         self._count += 1
         edits = [self._edit(declaration) for declaration in wanted]
@@ -168,8 +190,14 @@
         return Edit(key, self.state.digest_of(key), declaration)
 
 
-async def measure(workspaces: int) -> SizeReport:
-    """Returns the figures of one size."""
+async def measure(workspaces: int, freeze_gc: bool) -> SizeReport:
+    """Returns the figures of one size.
+
+    Args:
+        workspaces: Number of workspaces.
+        freeze_gc: True to take what is loaded out of the garbage collector
+            before the loop's stall is measured.
+    """
     fleet = Fleet()
     await fleet.load(declarations(workspaces))
     encoded = _timed(lambda: states.encode_snapshot(fleet.state))
@@ -191,6 +219,15 @@
     figures += await fleet.change(
         "template change", [template(i, "Look again.") for i in rounds]
     )
+    shared = Fleet()
+    await shared.load(declarations(workspaces, templates=1))
+    snapshot = states.encode_snapshot(shared.state)
+    shared.following.apply_snapshot(snapshot).unwrap()
+    if freeze_gc:
+        gc.collect()
+        gc.freeze()
+    figures += await shared.share()
+    gc.unfreeze()
     return SizeReport(workspaces, tuple(figures))
 
 
@@ -216,6 +253,19 @@
     return Timed(value, (time.process_time() - start) * MS_PER_S)
 
 
+async def _longest_stall() -> float:
+    longest = 0.0
+    last = time.monotonic()
+    try:
+        while True:
+            await asyncio.sleep(STALL_PROBE_S)
+            now = time.monotonic()
+            longest = max(longest, now - last - STALL_PROBE_S)
+            last = now
+    except asyncio.CancelledError:
+        return longest * MS_PER_S
+
+
 def _median_ms(timed: Sequence[Timed]) -> float:
     return statistics.median(item.ms for item in timed)
 
@@ -238,11 +288,17 @@
     parser.add_argument(
         "--sizes", type=int, nargs="+", default=list(DEFAULT_SIZES)
     )
+    parser.add_argument(
+        "--freeze-gc",
+        action="store_true",
+        help="freeze what is loaded before the loop's stall is measured",
+    )
     options = parser.parse_args()
     sizes = sorted(set(options.sizes))
     if len(sizes) < 2:
         parser.error("--sizes: a slope needs two sizes")
-    print(format_reports([asyncio.run(measure(size)) for size in sizes]))
+    measured = [asyncio.run(measure(size, options.freeze_gc)) for size in sizes]
+    print(format_reports(measured))
 
 
 if __name__ == "__main__":
