--- a/libs/config/src/masticdale_config/__init__.py
+++ b/libs/config/src/masticdale_config/__init__.py
@@ -1,5 +1,6 @@
 """Declarations, their rendering and the revision in force."""
 
+from masticdale_config.checks import engines_of
 from masticdale_config.inforce import ConfigInForce, RevisionsExport
 from masticdale_config.kinds import (
     Declaration,
@@ -32,6 +33,7 @@
     Edit,
     Plan,
 )
+from masticdale_config.starting import RevisionSource, learn_newest
 from masticdale_config.state import ABSENT, ConfigState, Revision
 from masticdale_config.storage import catch_up
 from masticdale_config.watching import ConfigWatcher
@@ -59,6 +61,7 @@
     "RenderedUpstream",
     "RenderedWorkspace",
     "Revision",
+    "RevisionSource",
     "RevisionsExport",
     "Template",
     "Upstream",
@@ -67,6 +70,8 @@
     "WorkspaceBudget",
     "caller_key_digest",
     "catch_up",
+    "engines_of",
     "key_of",
+    "learn_newest",
     "parse",
 ]
--- a/libs/programs/src/masticdale_programs/__init__.py
+++ b/libs/programs/src/masticdale_programs/__init__.py
@@ -1,5 +1,6 @@
 """Program shards: journal, order, budget and unrepeatable calls."""
 
+from masticdale_programs.budgets import count_tokens
 from masticdale_programs.executors import (
     Executor,
     ModelCall,
@@ -36,7 +37,7 @@
     ProgramKind,
 )
 from masticdale_programs.shards import Shard, open_shard
-from masticdale_programs.state import MAIN_BRANCH
+from masticdale_programs.state import MAIN_BRANCH, Program
 from masticdale_programs.streams import StreamPart
 from masticdale_programs.types import (
     Caller,
@@ -66,6 +67,7 @@
     "OperationResult",
     "Outcome",
     "OutcomeStatus",
+    "Program",
     "ProgramKind",
     "ProgramView",
     "RequestKey",
@@ -76,6 +78,7 @@
     "StreamPart",
     "TextSink",
     "TurnOutcome",
+    "count_tokens",
     "decode_operation",
     "decode_outcome",
     "decode_result",
