Acknowledge repeatable turns through two copy holders in an outage

Cause: with the platform down each turn waited for it, until its caller gave up. Change: commits are numbered and wait in a buffer for the platform; after 0.5 s of silence each is acknowledged once both holders named in the head hold it, and drained in order. A taker seals one holder before it takes the head. Holders are named only once both confirmed under the epoch, so that one that lost its copies is told from one that held none. Conclusion: interface ready for the daemon; not yet proved.

--- a/libs/programs/src/masticdale_programs/__init__.py
+++ b/libs/programs/src/masticdale_programs/__init__.py
@@ -1,6 +1,15 @@
 """Program shards: journal, order, budget and unrepeatable calls."""
 
 from masticdale_programs.budgets import count_tokens
+from masticdale_programs.copies import (
+    CopyBatch,
+    CopyEntry,
+    CopyHolders,
+    decode_batch,
+    encode_batch,
+)
+from masticdale_programs.copies import choose as choose_holders
+from masticdale_programs.copy_store import CopyStore
 from masticdale_programs.executors import (
     Executor,
     ModelCall,
@@ -8,7 +17,7 @@
     ServiceCall,
     TextSink,
 )
-from masticdale_programs.journal import Head, read_head
+from masticdale_programs.heads import Head, read_head
 from masticdale_programs.operations import (
     Accepted,
     CallOutcome,
@@ -53,6 +62,10 @@
     "CallOutcome",
     "CallService",
     "Caller",
+    "CopyBatch",
+    "CopyEntry",
+    "CopyHolders",
+    "CopyStore",
     "CreateProgram",
     "EndProgram",
     "EndReason",
@@ -78,10 +91,13 @@
     "StreamPart",
     "TextSink",
     "TurnOutcome",
+    "choose_holders",
     "count_tokens",
+    "decode_batch",
     "decode_operation",
     "decode_outcome",
     "decode_result",
+    "encode_batch",
     "encode_operation",
     "encode_outcome",
     "encode_result",
--- a/libs/programs/src/masticdale_programs/calls.py
+++ b/libs/programs/src/masticdale_programs/calls.py
@@ -135,7 +135,7 @@
     the call was not run, so the intent must never lead to a send: it is
     voided by a record that the journal's order puts behind it.
     """
-    commit = asyncio.ensure_future(shard.commit([intent]))
+    commit = asyncio.ensure_future(shard.commit([intent], needs_platform=True))
     wait_s = shard.settings.commit_wait_s
     done, _ = await asyncio.wait([commit], timeout=wait_s)
     if done and not _may_be_written(commit.result()):
--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -8,45 +8,30 @@
 
 import asyncio
 import dataclasses
-import uuid
-from collections.abc import Callable, Sequence
+import functools
+from collections import deque
+from collections.abc import Awaitable, Callable, Sequence
 
-import pydantic
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore
 from masticdale_programs import records as codec
-from masticdale_programs.records import Record, TaggedRecord
+from masticdale_programs.copies import CopyEntry, CopyHolders
+from masticdale_programs.heads import Head, head_key, segment_key
+from masticdale_programs.records import Record
+from masticdale_programs.write_behind import CopyWriter
 
 TAIL_LIMIT_BYTES = 64_000
 BATCH_LIMIT_BYTES = 600_000
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 2.0
-_NONCE_DIGITS = 12
-
-
-class Head(pydantic.BaseModel):
-    """The head object of a shard.
-
-    Attributes:
-        epoch: Grows with each owner.
-        owner: Host that holds the shard.
-        writer: Names one opening by one process.
-        sequence: Number of the newest commit.
-        released: True once the owner handed the shard over.
-        segments: Keys of the sealed segments, oldest first.
-        tail: Records since the newest segment.
-    """
-
-    epoch: int
-    owner: str
-    writer: str
-    sequence: int
-    released: bool
-    segments: tuple[str, ...]
-    tail: tuple[TaggedRecord, ...]
+_RETRY_COPY_S = 0.2
+_OUTAGE_AFTER_S = 0.5
+COPY_LIMIT_BYTES = 4_000_000
+# The rest is for the calls that run when the limit is reached.
+_ADMIT_BYTES = COPY_LIMIT_BYTES * 3 // 4
 
 
 OnCommitted = Callable[[Record], None]
@@ -58,12 +43,25 @@
 
     records: tuple[Record, ...]
     size: int
+    needs_platform: bool
     done: asyncio.Future[Result[None, Failure]]
 
 
-def head_key(shard: int) -> str:
-    """Returns the key of a shard's head object."""
-    return f"shards/{shard:03d}/head"
+@dataclasses.dataclass(slots=True)
+class _Batch:
+    """One commit of the journal, from its number to the platform.
+
+    Attributes:
+        entry: Its number and records.
+        size: Its size in bytes.
+        pending: Who waits for it.
+        is_applied: Whether it is acknowledged, by the platform or the copies.
+    """
+
+    entry: CopyEntry
+    size: int
+    pending: list[_Pending]
+    is_applied: bool = False
 
 
 class Journal:
@@ -80,6 +78,7 @@
         head: Head,
         version: int,
         on_committed: OnCommitted,
+        copies: CopyHolders | None = None,
     ) -> None:
         self._on_committed = on_committed
         self._store = store
@@ -88,13 +87,20 @@
         self._version = version
         self._tail_bytes = len(codec.encode(head.tail))
         self._pending: list[_Pending] = []
-        self._writing: list[_Pending] = []
+        self._buffer: deque[_Batch] = deque()
+        self._last = head.sequence
         self._wake = asyncio.Event()
+        self._wake_copies = asyncio.Event()
         self._deposed = False
         self._releasing = False
-        self._task = asyncio.create_task(
-            self._write_batches(), name=f"journal-{shard}"
-        )
+        self._out = False
+        self._named: tuple[str, ...] | None = None
+        self._raises_epoch = False
+        self._copier = CopyWriter(copies, shard) if copies else None
+        self._tasks = [asyncio.create_task(self._guard(self._write_batches))]
+        if self._copier is not None:
+            copying = functools.partial(self._copy_batches, self._copier)
+            self._tasks.append(asyncio.create_task(self._guard(copying)))
 
     @property
     def epoch(self) -> int:
@@ -106,21 +112,44 @@
         """False once another host took the shard over."""
         return not self._deposed
 
-    async def commit(self, records: Sequence[Record]) -> Result[None, Failure]:
+    @property
+    def copied_bytes(self) -> int:
+        """Size of what is not yet known to be in the platform."""
+        return sum(batch.size for batch in self._buffer)
+
+    def refusal(self) -> Failure | None:
+        """Returns why a new call could not be acknowledged now.
+
+        To refuse before a call runs is true and cheap; a call that ran while
+        nobody can hold its record is lost work for its caller.
+        """
+        if self._copier is None or not self._out:
+            return None
+        is_full = self.copied_bytes > _ADMIT_BYTES
+        if not is_full and not self._copier.is_failing:
+            return None
+        detail = "copies are full" if is_full else "a copy holder is gone"
+        return Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+
+    async def commit(
+        self, records: Sequence[Record], needs_platform: bool = False
+    ) -> Result[None, Failure]:
         """Appends records durably.
 
         Commits that arrive while a write is in flight share the next write.
 
         Args:
             records: Appended together or not at all.
+            needs_platform: Copies do not do: refuses during an outage.
 
         Returns:
-            Success once the platform holds them; NOT_OWNER when this host was
+            Success once the platform or, in an outage, owner and both copy
+            holders have them; NOT_OWNER when this host was
             deposed and TOO_LARGE when they fit no object, which both mean
-            that they were not written; WRITE_UNKNOWN when this host was
-            deposed and the next owner may have found them. The call waits
-            through an outage: a caller that gives up must assume they may be
-            written.
+            that they were not written, as does PLATFORM_UNAVAILABLE;
+            WRITE_UNKNOWN when the next owner may find them. Without copies
+            the call waits through an outage: a caller that gives up must
+            assume they may be written.
         """
         if self._deposed or self._releasing:
             return _not_owner(self._shard)
@@ -129,7 +158,35 @@
             # The platform would refuse the head for ever, and every later
             # commit of the shard would wait behind it.
             return Failed(Failure(ErrorKind.TOO_LARGE, f"{size} bytes"))
-        return await self._enqueue(records, size)
+        if self._out and self._copier is not None and needs_platform:
+            return _unavailable()
+        return await self._enqueue(records, size, needs_platform)
+
+    async def renew_copies(self) -> None:
+        """Names the copy holders that should be, once they confirm.
+
+        Call it every few seconds: a holder that was restarted begins anew,
+        so that a later taker can tell "nothing held" from "lost".
+        """
+        if self._copier is None or self._deposed or self._releasing:
+            return
+        wanted = self._copier.wanted(self._head)
+        confirmed = await self._copier.confirm(wanted, self._head, self._last)
+        if self._out or self._deposed or self._releasing or self._buffer:
+            return
+        if self._copier.is_sealed:
+            # Sealed by a taker that never took the head: the holders take
+            # copies again under an epoch beyond that one's.
+            self._raises_epoch = True
+            wanted = ()
+        elif not confirmed:
+            wanted = ()
+        if wanted != self._head.copy_holders or self._raises_epoch:
+            self._named = wanted
+            outcome = await self._enqueue((), 0, needs_platform=True)
+            if _is_unavailable(outcome):
+                self._named = None
+                self._raises_epoch = False
 
     async def check_head(self) -> Result[None, Failure]:
         """Finds out whether another host took the shard over.
@@ -149,17 +206,18 @@
         return self._depose()
 
     def _is_own(self, value: bytes) -> bool:
-        found = Head.model_validate_json(value)
-        held = self._head
-        return (found.epoch, found.writer) == (held.epoch, held.writer)
+        return Head.model_validate_json(value).writer == self._head.writer
 
     async def _enqueue(
-        self, records: Sequence[Record], size: int
+        self, records: Sequence[Record], size: int, needs_platform: bool
     ) -> Result[None, Failure]:
         future: asyncio.Future[Result[None, Failure]]
         future = asyncio.get_running_loop().create_future()
-        self._pending.append(_Pending(tuple(records), size, future))
+        self._pending.append(
+            _Pending(tuple(records), size, needs_platform, future)
+        )
         self._wake.set()
+        self._wake_copies.set()
         return await asyncio.shield(future)
 
     async def release(self) -> Result[None, Failure]:
@@ -172,7 +230,7 @@
         if self._deposed or self._releasing:
             return _not_owner(self._shard)
         self._releasing = True
-        outcome = await self._enqueue((), 0)
+        outcome = await self._enqueue((), 0, needs_platform=True)
         await self.close()
         return outcome
 
@@ -183,25 +241,104 @@
         with WRITE_UNKNOWN, because the write may have taken effect.
         """
         self._depose()
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _write_batches(self) -> None:
+    async def _guard(self, work: Callable[[], Awaitable[None]]) -> None:
         try:
-            while not self._deposed:
-                await self._wake.wait()
-                self._wake.clear()
-                while self._pending and not self._deposed:
-                    await self._write_batch(self._take_batch())
+            await work()
         except Exception as error:
             # A dead writer would leave every later commit waiting for ever;
             # given up, the shard is opened again from what is stored.
             logs.write("journal_failed", shard=self._shard, error=repr(error))
         finally:
-            self._resolve(self._writing, _unknown(self._shard))
             self._depose()
 
-    def _take_batch(self) -> list[_Pending]:
+    async def _write_batches(self) -> None:
+        try:
+            while not self._deposed:
+                await self._wake.wait()
+                self._wake.clear()
+                while (self._pending or self._buffer) and not self._deposed:
+                    await self._write_batch()
+        finally:
+            for batch in self._buffer:
+                self._resolve(batch.pending, _unknown(self._shard))
+
+    async def _write_batch(self) -> None:
+        if not self._buffer:
+            self._number_batch()
+        batches = self._take_batches()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        outage = loop.call_later(_OUTAGE_AFTER_S, self._begin_outage)
+        try:
+            outcome = await self._append(batches)
+        finally:
+            outage.cancel()
+        if isinstance(outcome, Failed):
+            for batch in batches:
+                self._resolve(batch.pending, outcome)
+            return
+        for batch in batches:
+            self._buffer.popleft()
+            self._acknowledge(batch, outcome)
+        if loop.time() - began < _OUTAGE_AFTER_S:
+            self._out = False
+
+    def _begin_outage(self) -> None:
+        if self._copier is None:
+            return
+        self._out = True
+        self._copier.is_failing = False
+        self._wake_copies.set()
+
+    async def _copy_batches(self, copier: CopyWriter) -> None:
+        """Acknowledges through copies while the platform is silent."""
+        while not self._deposed:
+            await self._wake_copies.wait()
+            self._wake_copies.clear()
+            while self._out and not self._deposed:
+                batch = self._next_to_copy()
+                if batch is None:
+                    break
+                if not await self._copy(copier, batch):
+                    await asyncio.sleep(_RETRY_COPY_S)
+
+    def _next_to_copy(self) -> _Batch | None:
+        refused = [p for p in self._pending if p.needs_platform]
+        self._pending = [p for p in self._pending if not p.needs_platform]
+        self._resolve(refused, _unavailable())
+        for batch in self._buffer:
+            if not batch.is_applied:
+                return batch
+        if not self._pending or self.copied_bytes > COPY_LIMIT_BYTES:
+            return None
+        return self._number_batch()
+
+    async def _copy(self, copier: CopyWriter, batch: _Batch) -> bool:
+        """Returns whether the batch is acknowledged, one way or the other."""
+        if self._named is not None:
+            # It is unknown which holders a taker would find in the head.
+            copier.is_failing = True
+            return False
+        entries = [
+            each.entry
+            for each in self._buffer
+            if each.entry.sequence <= batch.entry.sequence
+        ]
+        is_held = await copier.hold(self._head, entries)
+        if batch.is_applied or self._deposed:
+            return True
+        if is_held:
+            for pending in batch.pending:
+                if pending.needs_platform:
+                    self._resolve([pending], _unknown(self._shard))
+            self._acknowledge(batch, Success(None))
+        return is_held
+
+    def _number_batch(self) -> _Batch:
         taken: list[_Pending] = []
         size = 0
         while self._pending:
@@ -209,29 +346,45 @@
             if taken and size > BATCH_LIMIT_BYTES:
                 break
             taken.append(self._pending.pop(0))
+        self._last += 1
+        records = tuple(r for pending in taken for r in pending.records)
+        entry = CopyEntry(self._last, records)
+        batch = _Batch(entry, sum(p.size for p in taken), taken)
+        self._buffer.append(batch)
+        return batch
+
+    def _take_batches(self) -> list[_Batch]:
+        taken: list[_Batch] = []
+        size = 0
+        for batch in self._buffer:
+            size += batch.size
+            if taken and size > BATCH_LIMIT_BYTES:
+                break
+            taken.append(batch)
         return taken
 
-    async def _write_batch(self, batch: list[_Pending]) -> None:
-        self._writing = batch
-        added = [record for pending in batch for record in pending.records]
-        outcome = await self._append(added)
-        if isinstance(outcome, Success):
-            # Applied here, in the journal's order, so that memory never
-            # differs from what a replay of the journal would build.
-            for record in added:
+    def _acknowledge(
+        self, batch: _Batch, outcome: Result[None, Failure]
+    ) -> None:
+        # Applied here, in the journal's order, so that memory never differs
+        # from what a replay of the journal would build.
+        if not batch.is_applied:
+            batch.is_applied = True
+            for record in batch.entry.records:
                 self._on_committed(record)
-        self._resolve(batch, outcome)
+        self._resolve(batch.pending, outcome)
 
     def _resolve(
-        self, batch: list[_Pending], outcome: Result[None, Failure]
+        self, batch: Sequence[_Pending], outcome: Result[None, Failure]
     ) -> None:
         for pending in batch:
             if not pending.done.done():
                 pending.done.set_result(outcome)
 
-    async def _append(self, added: list[Record]) -> Result[None, Failure]:
-        is_last = self._releasing and not self._pending
-        size = len(codec.encode(added))
+    async def _append(self, batches: list[_Batch]) -> Result[None, Failure]:
+        added = [r for batch in batches for r in batch.entry.records]
+        is_last = len(batches) == len(self._buffer) and not self._pending
+        size = sum(batch.size for batch in batches)
         segments = self._head.segments
         tail = self._head.tail
         tail_bytes = self._tail_bytes
@@ -239,27 +392,29 @@
             segments = (*segments, await self._seal(tail))
             tail = ()
             tail_bytes = 0
+        holders = self._head.copy_holders
+        named = self._named
         head = self._head.model_copy(
             update={
-                "sequence": self._head.sequence + 1,
+                "epoch": self._head.epoch + self._raises_epoch,
+                "sequence": batches[-1].entry.sequence,
                 "segments": segments,
                 "tail": (*tail, *added),
-                "released": is_last,
+                "released": self._releasing and is_last,
+                "copy_holders": holders if named is None else named,
             }
         )
         outcome = await self._swap(head)
         if isinstance(outcome, Success):
             self._tail_bytes = tail_bytes + size
+            if named is not None:
+                self._named = None
+                self._raises_epoch = False
         return outcome
 
     async def _seal(self, tail: Sequence[Record]) -> str:
-        """Writes the tail as a segment and returns its key.
-
-        The key carries the writer, so only this owner writes it and an
-        existing object is this same segment, written before.
-        """
-        name = f"{self._head.sequence:012d}-{self._head.writer}"
-        key = f"shards/{self._shard:03d}/segments/{name}"
+        """Writes the tail as a segment and returns its key."""
+        key = segment_key(self._shard, self._head.sequence, self._head.writer)
         value = codec.encode(tail)
         delay_s = _RETRY_FIRST_S
         while True:
@@ -329,120 +484,23 @@
         self._resolve(self._pending, failed)
         self._pending.clear()
         self._wake.set()
+        self._wake_copies.set()
         return failed
 
 
-async def read_head(
-    store: ObjectStore, shard: int
-) -> Result[Head | None, Failure]:
-    """Returns a shard's head as it is stored now."""
-    outcome = await store.read(head_key(shard))
-    if isinstance(outcome, Failed):
-        return outcome
-    stored = outcome.unwrap()
-    if stored is None:
-        return Success(None)
-    return Success(Head.model_validate_json(stored.value))
-
-
-async def open_journal(
-    store: ObjectStore,
-    shard: int,
-    host: str,
-    writer: str,
-    on_committed: OnCommitted,
-) -> Result[Journal, Failure]:
-    """Takes a shard over: from now on every earlier owner's commit fails.
-
-    Args:
-        store: The platform's objects.
-        shard: Which shard.
-        host: This host.
-        writer: Incarnation of this process.
-        on_committed: Called with every record, also those found in the
-            journal, in the journal's order.
-
-    Returns:
-        The opened journal; CONFLICT when another host was faster.
-    """
-    outcome = await store.read(head_key(shard))
-    if isinstance(outcome, Failed):
-        return outcome
-    stored = outcome.unwrap()
-    version = stored.version if stored else MUST_NOT_EXIST
-    found = (
-        Head.model_validate_json(stored.value)
-        if stored
-        else Head(
-            epoch=0,
-            owner="",
-            writer="",
-            sequence=0,
-            released=True,
-            segments=(),
-            tail=(),
-        )
-    )
-    head = found.model_copy(
-        update={
-            "epoch": found.epoch + 1,
-            "owner": host,
-            # Two openings by one process must differ, or each would take
-            # the other's writes for its own with a lost answer.
-            "writer": f"{writer}-{uuid.uuid4().hex[:_NONCE_DIGITS]}",
-            "released": False,
-        }
-    )
-    taken = await _take(store, shard, head, version)
-    if isinstance(taken, Failed):
-        return taken
-    # The segments are read after the head is ours: an earlier owner may
-    # replace segments until then, and none may afterwards.
-    loaded = await _load_segments(store, head)
-    if isinstance(loaded, Failed):
-        return loaded
-    for record in (*loaded.unwrap(), *head.tail):
-        on_committed(record)
-    return Success(Journal(store, shard, head, taken.unwrap(), on_committed))
-
-
-async def _take(
-    store: ObjectStore, shard: int, head: Head, version: int
-) -> Result[int, Failure]:
-    value = head.model_dump_json().encode()
-    outcome = await store.write(head_key(shard), value, version)
-    if isinstance(outcome, Success):
-        return outcome
-    if outcome.failure().kind is not ErrorKind.WRITE_UNKNOWN:
-        return outcome
-    read = await store.read(head_key(shard))
-    if isinstance(read, Failed):
-        return read
-    stored = read.unwrap()
-    if stored is None or Head.model_validate_json(stored.value) != head:
-        return Failed(Failure(ErrorKind.CONFLICT, f"shard {shard}"))
-    return Success(stored.version)
-
-
-async def _load_segments(
-    store: ObjectStore, head: Head
-) -> Result[list[Record], Failure]:
-    loaded: list[Record] = []
-    for key in head.segments:
-        outcome = await store.read(key)
-        if isinstance(outcome, Failed):
-            return outcome
-        stored = outcome.unwrap()
-        if stored is None:
-            detail = f"segment {key} is missing"
-            return Failed(Failure(ErrorKind.INTERNAL, detail))
-        loaded.extend(codec.decode(stored.value))
-    return Success(loaded)
-
-
 def _not_owner(shard: int) -> Failed[Failure]:
     return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {shard}"))
 
 
 def _unknown(shard: int) -> Failed[Failure]:
     return Failed(Failure(ErrorKind.WRITE_UNKNOWN, f"shard {shard}"))
+
+
+def _unavailable() -> Failed[Failure]:
+    return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+
+
+def _is_unavailable(outcome: Result[None, Failure]) -> bool:
+    if not isinstance(outcome, Failed):
+        return False
+    return outcome.failure().kind is ErrorKind.PLATFORM_UNAVAILABLE
--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -13,7 +13,8 @@
 
 from masticdale_common import ErrorKind, Failure, hashing, logs
 from masticdale_platform import ObjectStore
-from masticdale_programs import calls, journal, turns, views
+from masticdale_programs import calls, journal, takeovers, turns, views
+from masticdale_programs.copies import CopyHolders
 from masticdale_programs.executors import Executor
 from masticdale_programs.operations import (
     Accepted,
@@ -83,6 +84,7 @@
         self._releasing: set[str] = set()
         self._forgetting: set[str] = set()
         self._attempts = itertools.count()
+        self._copies_renewed = time.monotonic()
         self._background: set[asyncio.Task[Any]] = set()
 
     @property
@@ -103,15 +105,18 @@
     def attach(self, held: journal.Journal) -> None:
         """Sets the journal and resumes what its records left open."""
         self._journal = held
+        self.spawn(held.renew_copies())
         for program in self.state.program_by_id.values():
             program.touched_ms = _wall_ms()
             for intent in list(program.intent_by_request_id.values()):
                 key = RequestKey(program.program_id, intent.request_id)
                 self._resume_call(key, program)
 
-    async def commit(self, records: Sequence[Record]) -> Result[None, Failure]:
+    async def commit(
+        self, records: Sequence[Record], needs_platform: bool = False
+    ) -> Result[None, Failure]:
         """Commits records to the journal; see ``Journal.commit``."""
-        return await self._held_journal().commit(records)
+        return await self._held_journal().commit(records, needs_platform)
 
     def kind_of(self, program: Program) -> ProgramKind:
         """Returns the program's kind with budget and priority in force.
@@ -264,6 +269,9 @@
         refused = self._refuse_ended(program)
         if refused is not None:
             return refused
+        unacceptable = self._held_journal().refusal()
+        if unacceptable is not None:
+            return Failed(unacceptable)
         branch = program.branch_by_id.get(operation.branch_id)
         if branch is None:
             return Failed(Failure(ErrorKind.NOT_FOUND, operation.branch_id))
@@ -412,6 +420,9 @@
         """Ends, cancels, releases and forgets what is due; run each second."""
         now = time.monotonic()
         self._forget_streams(now)
+        if now - self._copies_renewed > self.settings.copy_check_s:
+            self._copies_renewed = now
+            self.spawn(self._held_journal().renew_copies())
         busy_ids = {key.program_id for key in self._task_by_key}
         busy_ids.update(key.program_id for key in self.voiding)
         for program in list(self.state.program_by_id.values()):
@@ -434,6 +445,7 @@
         return {
             "epoch": self.epoch,
             "held": self.is_held,
+            "copied_bytes": self._held_journal().copied_bytes,
             "programs": len(self.state.program_by_id),
             "in_flight": self.in_flight,
         }
@@ -566,6 +578,8 @@
     executor: Executor,
     kind_in_force: KindInForce,
     settings: ShardSettings,
+    copies: CopyHolders | None = None,
+    forced: bool = False,
 ) -> Result[Shard, Failure]:
     """Takes a shard over and rebuilds its programs.
 
@@ -577,17 +591,24 @@
         executor: Runs calls at upstreams.
         kind_in_force: Program kind now in force by workspace and name.
         settings: Times.
+        copies: Hosts that hold copies during an outage of the platform; None
+            to wait for it.
+        forced: Takes the shard although no holder gave its copies; the log
+            names what may be lost.
 
     Returns:
-        The shard; CONFLICT when another host was faster.
+        The shard; CONFLICT when another host was faster; PEER_UNAVAILABLE
+        when no holder gave its copies.
     """
     shard = Shard(number, executor, kind_in_force, settings)
-    opened = await journal.open_journal(
+    opened = await takeovers.open_journal(
         store,
         number,
         host,
         writer,
         lambda record: apply_record(record, shard.state),
+        copies,
+        forced,
     )
     if isinstance(opened, Failed):
         return opened
--- /dev/null
+++ b/libs/programs/src/masticdale_programs/takeovers.py
@@ -0,0 +1,202 @@
+"""Taking a shard over: seal the copies, take the head, read the records."""
+
+import uuid
+from collections.abc import Sequence
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, logs
+from masticdale_platform import MUST_NOT_EXIST, ObjectStore
+from masticdale_programs import records as codec
+from masticdale_programs.copies import CopyBatch, CopyEntry, CopyHolders
+from masticdale_programs.heads import Head, head_key, segment_key
+from masticdale_programs.journal import (
+    TAIL_LIMIT_BYTES,
+    Journal,
+    OnCommitted,
+)
+from masticdale_programs.records import Record
+
+_NONCE_DIGITS = 12
+
+
+async def open_journal(
+    store: ObjectStore,
+    shard: int,
+    host: str,
+    writer: str,
+    on_committed: OnCommitted,
+    copies: CopyHolders | None = None,
+    forced: bool = False,
+) -> Result[Journal, Failure]:
+    """Takes a shard over: from now on every earlier owner's commit fails.
+
+    Args:
+        store: The platform's objects.
+        shard: Which shard.
+        host: This host.
+        writer: Incarnation of this process.
+        on_committed: Called with every record, also those found in the
+            journal, in the journal's order.
+        copies: Hosts that hold copies; None to do without.
+        forced: Takes the shard although no holder gave its copies: what was
+            acknowledged during an outage may be lost.
+
+    Returns:
+        The opened journal; CONFLICT when another host was faster;
+        PEER_UNAVAILABLE when no holder gave its copies.
+    """
+    outcome = await store.read(head_key(shard))
+    if isinstance(outcome, Failed):
+        return outcome
+    stored = outcome.unwrap()
+    version = stored.version if stored else MUST_NOT_EXIST
+    found = Head.model_validate_json(stored.value) if stored else _empty_head()
+    # Sealed before the head is taken: an owner that is cut off from the
+    # platform alone could otherwise acknowledge records after they were read.
+    sealed = await _seal_copies(copies, shard, found)
+    if isinstance(sealed, Failed):
+        if not forced:
+            return sealed
+        logs.write("copies_given_up", shard=shard, lost=str(sealed.failure()))
+    head = found.model_copy(
+        update={
+            "epoch": found.epoch + 1,
+            "owner": host,
+            # Two openings by one process must differ, or each would take
+            # the other's writes for its own with a lost answer.
+            "writer": f"{writer}-{uuid.uuid4().hex[:_NONCE_DIGITS]}",
+            "released": False,
+            "copy_holders": (),
+        }
+    )
+    extended = await _extend(store, shard, head, sealed.value_or(()))
+    if isinstance(extended, Failed):
+        return extended
+    head = extended.unwrap()
+    taken = await _take(store, shard, head, version)
+    if isinstance(taken, Failed):
+        return taken
+    # The segments are read after the head is ours: an earlier owner may
+    # replace segments until then, and none may afterwards.
+    loaded = await _load_segments(store, head)
+    if isinstance(loaded, Failed):
+        return loaded
+    for record in (*loaded.unwrap(), *head.tail):
+        on_committed(record)
+    return Success(
+        Journal(store, shard, head, taken.unwrap(), on_committed, copies)
+    )
+
+
+def _empty_head() -> Head:
+    return Head(
+        epoch=0,
+        owner="",
+        writer="",
+        sequence=0,
+        released=True,
+        segments=(),
+        tail=(),
+    )
+
+
+async def _seal_copies(
+    copies: CopyHolders | None, shard: int, found: Head
+) -> Result[tuple[CopyEntry, ...], Failure]:
+    if found.released or not found.copy_holders:
+        return Success(())
+    for holder in found.copy_holders if copies is not None else ():
+        assert copies is not None
+        sealed = await copies.seal(holder, shard, found.epoch + 1)
+        if isinstance(sealed, Success):
+            entries = _entries_beyond(found, sealed.unwrap())
+            if entries is not None:
+                return Success(entries)
+    holders = " and ".join(found.copy_holders)
+    detail = (
+        f"shard {shard}: neither {holders} gave its copies of epoch "
+        f"{found.epoch}; what {found.owner} acknowledged after commit "
+        f"{found.sequence} may be lost"
+    )
+    return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
+
+
+def _entries_beyond(
+    found: Head, sealed: CopyBatch
+) -> tuple[CopyEntry, ...] | None:
+    """Returns the commits beyond the head; None where the copies have gaps."""
+    if sealed.epoch != found.epoch:
+        return None
+    entries = tuple(e for e in sealed.entries if e.sequence > found.sequence)
+    expected = range(found.sequence + 1, found.sequence + 1 + len(entries))
+    if [entry.sequence for entry in entries] != list(expected):
+        return None
+    return entries
+
+
+async def _extend(
+    store: ObjectStore, shard: int, head: Head, entries: Sequence[CopyEntry]
+) -> Result[Head, Failure]:
+    """Adds commits to a head that is not stored yet, sealing what is long."""
+    segments = list(head.segments)
+    tail = list(head.tail)
+    size = len(codec.encode(tail))
+    sequence = head.sequence
+    for entry in entries:
+        added = len(codec.encode(entry.records))
+        if tail and size + added > TAIL_LIMIT_BYTES:
+            key = segment_key(shard, sequence, head.writer)
+            outcome = await store.write(key, codec.encode(tail), MUST_NOT_EXIST)
+            if isinstance(outcome, Failed):
+                return outcome
+            segments.append(key)
+            tail = []
+            size = 0
+        tail.extend(entry.records)
+        size += added
+        sequence = entry.sequence
+    return Success(
+        head.model_copy(
+            update={
+                "sequence": sequence,
+                "segments": tuple(segments),
+                "tail": tuple(tail),
+            }
+        )
+    )
+
+
+async def _take(
+    store: ObjectStore, shard: int, head: Head, version: int
+) -> Result[int, Failure]:
+    value = head.model_dump_json().encode()
+    outcome = await store.write(head_key(shard), value, version)
+    if isinstance(outcome, Success):
+        return outcome
+    if outcome.failure().kind is not ErrorKind.WRITE_UNKNOWN:
+        return outcome
+    read = await store.read(head_key(shard))
+    if isinstance(read, Failed):
+        return read
+    stored = read.unwrap()
+    if stored is None or Head.model_validate_json(stored.value) != head:
+        return Failed(Failure(ErrorKind.CONFLICT, f"shard {shard}"))
+    return Success(stored.version)
+
+
+async def _load_segments(
+    store: ObjectStore, head: Head
+) -> Result[list[Record], Failure]:
+    loaded: list[Record] = []
+    for key in head.segments:
+        outcome = await store.read(key)
+        if isinstance(outcome, Failed):
+            return outcome
+        stored = outcome.unwrap()
+        if stored is None:
+            detail = f"segment {key} is missing"
+            return Failed(Failure(ErrorKind.INTERNAL, detail))
+        loaded.extend(codec.decode(stored.value))
+    return Success(loaded)
--- a/libs/programs/src/masticdale_programs/types.py
+++ b/libs/programs/src/masticdale_programs/types.py
@@ -28,6 +28,7 @@
         stream_keep_s: A finished answer stays in flight memory that long.
         commit_wait_s: Longest wait for an intent's commit before the call is
             refused as not run.
+        copy_check_s: Copy holders are asked that often whether they hold.
     """
 
     unread_cancel_s: float = 15.0
@@ -35,6 +36,7 @@
     retention_s: float = 3600.0
     stream_keep_s: float = 30.0
     commit_wait_s: float = 1.5
+    copy_check_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +73,9 @@
         """The epoch this host owns the shard under."""
         ...
 
-    async def commit(self, records: Sequence[Record]) -> Result[None, Failure]:
+    async def commit(
+        self, records: Sequence[Record], needs_platform: bool = False
+    ) -> Result[None, Failure]:
         """Commits records to the journal."""
         ...
 
--- a/libs/programs/tests/test_journal.py
+++ b/libs/programs/tests/test_journal.py
@@ -7,8 +7,8 @@
 
 from masticdale_common import ErrorKind
 from masticdale_platform.testing import MemoryStore
-from masticdale_programs.journal import open_journal
 from masticdale_programs.records import ProgramForgotten
+from masticdale_programs.takeovers import open_journal
 
 SHARD = 3
 HUGE = ProgramForgotten("p" * 700_000)
