--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -112,6 +112,11 @@
         """False once another host took the shard over."""
         return not self._deposed
 
+    @property
+    def copy_holders(self) -> tuple[str, ...]:
+        """The hosts that hold copies in an outage."""
+        return self._head.copy_holders
+
     @property
     def copied_bytes(self) -> int:
         """Size of what is not yet known to be in the platform."""
--- a/libs/programs/src/masticdale_programs/testing_hosts.py
+++ b/libs/programs/src/masticdale_programs/testing_hosts.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 from collections import Counter, deque
+from collections.abc import Sequence
 
 from returns.result import Failure as Failed
 from returns.result import Result
@@ -10,6 +11,9 @@
 from masticdale_common import ErrorKind, Failure
 from masticdale_platform import ListedHost, StoredObject, WatchBatch
 from masticdale_platform.testing import MemoryStore
+from masticdale_programs import copies
+from masticdale_programs.copies import CopyBatch, decode_batch, encode_batch
+from masticdale_programs.copy_store import CopyStore
 from masticdale_programs.executors import (
     ModelCall,
     ModelResult,
@@ -178,6 +182,45 @@
         return await self._shared.release(program_id, replica)
 
 
+class HostCopies:
+    """The shared copy holders as one host reaches them; a ``CopyHolders``.
+
+    Attributes:
+        store_by_holder: Every holder; one that was taken out is gone.
+    """
+
+    def __init__(
+        self, store_by_holder: dict[str, CopyStore], faults: HostFaults
+    ) -> None:
+        self.store_by_holder = store_by_holder
+        self._faults = faults
+
+    def choose(self, shard: int, current: Sequence[str]) -> tuple[str, ...]:
+        """See ``CopyHolders.choose``."""
+        domain_by_host = {name: name for name in self.store_by_holder}
+        return copies.choose(shard, "", domain_by_host, current)
+
+    async def put(self, holder: str, batch: CopyBatch) -> Result[None, Failure]:
+        """See ``CopyHolders.put``."""
+        await self._faults.step()
+        store = self.store_by_holder.get(holder)
+        if store is None:
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, holder))
+        outcome = store.put(decode_batch(encode_batch(batch)))
+        await self._faults.step()
+        return outcome
+
+    async def seal(
+        self, holder: str, shard: int, epoch: int
+    ) -> Result[CopyBatch, Failure]:
+        """See ``CopyHolders.seal``."""
+        await self._faults.step()
+        store = self.store_by_holder.get(holder)
+        if store is None:
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, holder))
+        return store.seal(shard, epoch)
+
+
 def _unavailable() -> Failed[Failure]:
     return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
 
--- a/libs/programs/tests/test_interleavings.py
+++ b/libs/programs/tests/test_interleavings.py
@@ -23,6 +23,7 @@
     Caller,
     CallOutcome,
     CallService,
+    CopyStore,
     CreateProgram,
     GetProgram,
     OpenBranch,
@@ -41,6 +42,7 @@
     sample_kind,
 )
 from masticdale_programs.testing_hosts import (
+    HostCopies,
     HostExecutor,
     HostFaults,
     HostStore,
@@ -53,6 +55,7 @@
 PLACES = (("p1", MAIN_BRANCH), ("p1", "sub"), ("p2", MAIN_BRANCH))
 CALLER_WAITS_S = 2.0
 SHORT_S = 0.003
+OUTAGE_S = 1.6
 RECOVERY_S = 120.0
 
 
@@ -82,6 +85,8 @@
         self.store = MemoryStore()
         self.executor = FakeExecutor()
         self.hosts = []
+        self.holders = {name: CopyStore() for name in ("c1", "c2", "c3")}
+        self.lost_holders = {}
         self.answers = []
         self.sent = []
         self.done_before = {}
@@ -109,6 +114,7 @@
             executor,
             lambda *_: None,
             SETTINGS,
+            HostCopies(self.holders, faults),
         )
         if isinstance(opened, Success):
             self.hosts.append(Host(opened.unwrap(), faults, executor))
@@ -139,12 +145,20 @@
             if is_filing(operation):
                 assert was_sent_once == 1, "done, but not run once"
 
+    async def sweep(self):
+        while True:
+            await asyncio.sleep(1.0)
+            for host in self.hosts:
+                if host.shard.is_held:
+                    await host.shard.sweep()
+
     async def recover(self):
         for host in self.hosts:
             host.faults.cut = False
             host.faults.write_faults.clear()
             host.faults.resume()
         self.executor.faults.delay_s = 0.0
+        self.holders.update(self.lost_holders)
         await asyncio.sleep(RECOVERY_S)
         await self.take_over()
         await asyncio.sleep(RECOVERY_S)
@@ -212,6 +226,35 @@
 
         return run
 
+    @staticmethod
+    def die_in_outage(operations, is_killed):
+        async def run(world):
+            host = world.hosts[-1]
+            host.faults.cut = True
+            for operation in operations:
+                world.submit(operation, host)
+            await asyncio.sleep(OUTAGE_S)
+            if is_killed:
+                await host.shard.close()
+            else:
+                host.faults.pause()
+            await world.take_over()
+
+        return run
+
+    @staticmethod
+    def holder(name, change):
+        async def run(world):
+            if change == "restart" and name in world.holders:
+                world.holders[name] = CopyStore()
+            elif change == "lose" and not world.lost_holders:
+                world.lost_holders[name] = world.holders.pop(name)
+            elif change == "find":
+                world.holders.update(world.lost_holders)
+                world.lost_holders.clear()
+
+        return run
+
     @staticmethod
     def burst(operations):
         async def run(world):
@@ -297,6 +340,16 @@
     Step.outage, OPERATION, OPERATION, st.sampled_from((0.3, 3.0))
 )
 BURST = st.builds(Step.burst, st.lists(OPERATION, min_size=2, max_size=5))
+DIE_IN_OUTAGE = st.builds(
+    Step.die_in_outage,
+    st.lists(OPERATION, min_size=1, max_size=4),
+    st.booleans(),
+)
+HOLDER = st.builds(
+    Step.holder,
+    st.sampled_from(("c1", "c2", "c3")),
+    st.sampled_from(("restart", "lose", "find", "find")),
+)
 INTERRUPT = st.builds(
     Step.interrupt,
     OPERATION,
@@ -327,6 +380,8 @@
         OUTAGE,
         BURST,
         INTERRUPT,
+        DIE_IN_OUTAGE,
+        HOLDER,
         st.builds(Step.take_over),
     ),
     min_size=12,
@@ -346,11 +401,13 @@
     async def run_steps(self, steps):
         world = World()
         await world.start()
+        sweeper = asyncio.create_task(world.sweep())
         for step in steps:
             await step(world)
         await world.recover()
         self.check_executions(world)
         await self.check_histories(world)
+        sweeper.cancel()
         await world.close()
 
     def check_executions(self, world):
