--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -287,8 +287,8 @@
                 self._resolve(batch.pending, outcome)
             return
         for batch in batches:
-            self._buffer.popleft()
             self._acknowledge(batch, outcome)
+            self._buffer.popleft()
         if loop.time() - began < _OUTAGE_AFTER_S:
             self._out = False
 
