--- a/libs/programs/tests/test_copies.py
+++ b/libs/programs/tests/test_copies.py
@@ -56,6 +56,8 @@
         self.store = CopyStore()
         self.assertIs(self.refused_as(batch(1, 4, 5, 6)), ErrorKind.NOT_FOUND)
         self.assertIs(self.refused_as(batch(1, 4, 5)), ErrorKind.NOT_FOUND)
+        sealed = self.store.seal(SHARD, 1)
+        self.assertIs(sealed.failure().kind, ErrorKind.NOT_FOUND)
         self.assertIsInstance(self.store.put(batch(1, 4, 4, 5, 6)), Success)
 
     def test_sealed_holder_refuses_earlier_epochs(self):
@@ -154,6 +156,18 @@
 
         run(check())
 
+    def test_intent_under_way_when_the_outage_begins_is_not_acknowledged(self):
+        # Its write may have reached the platform, so its commit is copied
+        # whole; but the call must not be sent, and its owner voids it.
+        async def check():
+            world = World()
+            journal = await world.start()
+            intent = await journal.commit([record("i")], needs_platform=True)
+            self.assertIs(intent.failure().kind, ErrorKind.WRITE_UNKNOWN)
+            await journal.close()
+
+        run(check())
+
     def test_return_of_the_platform_drains_in_order(self):
         async def check():
             world = World()
