Heartbeat a constant number of neighbours and pass on news of the rest

Change: with more peers than MembershipLimits.fan_out (8) a host calls its nearest live successors on a hash ring, those dead ones that lie between, and some chosen by rendezvous; all else it knows by bounded PeerNews in heartbeats and replies. A silent neighbour is accused; the accused host refutes by raising its version; an accusation takes effect after refute_s (two accusers) or suspect_s (one). Views and owners are kept until something is heard, so that placing a call does not look through all hosts. Conversion of messages uses codecs made once. Heartbeats, failures and pauses are counted. PeerNews gets version, domain and accusers, Heartbeat gets version.

--- a/libs/peers/src/masticdale_peers/__init__.py
+++ b/libs/peers/src/masticdale_peers/__init__.py
@@ -14,11 +14,7 @@
     was_sent,
 )
 from masticdale_peers.membership import (
-    ListedPeer,
-    Member,
     Membership,
-    MembershipChange,
-    MembershipLimits,
     join,
     new_incarnation,
 )
@@ -50,6 +46,12 @@
 )
 from masticdale_peers.server import PeerServer, serve
 from masticdale_peers.settings import Address, PeerSettings, TlsSettings
+from masticdale_peers.views import (
+    ListedPeer,
+    Member,
+    MembershipChange,
+    MembershipLimits,
+)
 
 __all__ = [
     "Address",
--- a/libs/peers/src/masticdale_peers/messages.py
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -5,8 +5,10 @@
 """
 
 import dataclasses
+import functools
 import importlib.resources
 import typing
+from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
 import thriftpy2
@@ -30,6 +32,9 @@
         revision: The configuration revision in force there.
         leaving: True once it hands its work over.
         suspect: It did not answer its neighbours' heartbeats.
+        version: Rises with each change within an incarnation.
+        domain: Its failure domain.
+        accusers: The neighbours it did not answer, two at most.
     """
 
     host: str
@@ -37,6 +42,9 @@
     revision: int = 0
     leaving: bool = False
     suspect: bool = False
+    version: int = 0
+    domain: str = ""
+    accusers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +59,7 @@
         leaving: True once it hands its work over.
         quarantine_version: Version of its list of given-up requests.
         news: What it learnt of other hosts lately.
+        version: Rises with each change within an incarnation.
     """
 
     host: str
@@ -60,6 +69,7 @@
     leaving: bool = False
     quarantine_version: int = 0
     news: tuple[PeerNews, ...] = ()
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -388,10 +398,13 @@
 
 def to_wire(message: Any) -> Any:
     """Returns the thrift struct of a message."""
-    struct = getattr(_IDL, type(message).__name__)()
-    for field in dataclasses.fields(message):
-        value = getattr(message, field.name)
-        setattr(struct, field.name, _value_to_wire(value))
+    message_type = type(message)
+    struct = getattr(_IDL, message_type.__name__)()
+    for codec in _CODECS_BY_TYPE[message_type]:
+        value = getattr(message, codec.name)
+        if codec.encode is not None:
+            value = codec.encode(value)
+        setattr(struct, codec.name, value)
     return struct
 
 
@@ -404,37 +417,57 @@
             the message.
     """
     values = {}
-    hint_by_field = _HINTS_BY_TYPE[message_type]
-    for name, hint in hint_by_field.items():
-        values[name] = _value_from_wire(hint, getattr(struct, name, None))
+    for codec in _CODECS_BY_TYPE[message_type]:
+        value = getattr(struct, codec.name, None)
+        values[codec.name] = codec.decode(value)
     return message_type(**values)
 
 
-def _value_to_wire(value: Any) -> Any:
-    if isinstance(value, Failure):
-        return _failure_to_wire(value)
-    if dataclasses.is_dataclass(value):
-        return to_wire(value)
-    if isinstance(value, tuple):
-        return [_value_to_wire(item) for item in value]
-    return value
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FieldCodec:
+    """How one field is converted.
+
+    Attributes:
+        name: The field.
+        encode: Makes the struct's value; None where it is the same.
+        decode: Makes the message's value.
+    """
+
+    name: str
+    encode: Callable[[Any], Any] | None
+    decode: Callable[[Any], Any]
 
 
-def _value_from_wire(hint: Any, value: Any) -> Any:
+def _field_codec(name: str, hint: Any) -> _FieldCodec:
     if hint == Failure | None:
-        return None if value is None else _failure_from_wire(value)
+        return _FieldCodec(name, _failure_to_wire, _failure_from_wire)
     if dataclasses.is_dataclass(hint):
-        return from_wire(hint, value)  # type: ignore[arg-type]
-    if typing.get_origin(hint) is tuple:
-        item_hint = typing.get_args(hint)[0]
-        return tuple(_value_from_wire(item_hint, item) for item in value or ())
+        message_type: Any = hint
+        decode_message = functools.partial(from_wire, message_type)
+        return _FieldCodec(name, to_wire, decode_message)
+    if typing.get_origin(hint) is not tuple:
+        return _FieldCodec(name, None, functools.partial(_or_zero, hint))
+    item = _field_codec(name, typing.get_args(hint)[0])
+
+    def encode(values: Any) -> Any:
+        return [item.encode(v) if item.encode else v for v in values]
+
+    def decode(values: Any) -> Any:
+        return tuple(item.decode(value) for value in values or ())
+
+    return _FieldCodec(name, encode, decode)
+
+
+def _or_zero(hint: Any, value: Any) -> Any:
     # A host of an earlier version leaves new fields out; thriftpy2 reads them
     # as None. They take their type's zero, as thrift defines it, so that hosts
     # of two versions understand each other during a rolling restart.
     return hint() if value is None else value
 
 
-def _failure_to_wire(failure: Failure) -> Any:
+def _failure_to_wire(failure: Failure | None) -> Any:
+    if failure is None:
+        return None
     retry_after_ms = failure.retry_after_ms
     return _IDL.WireFailure(
         kind=failure.kind.value,
@@ -446,7 +479,9 @@
     )
 
 
-def _failure_from_wire(struct: Any) -> Failure:
+def _failure_from_wire(struct: Any) -> Failure | None:
+    if struct is None:
+        return None
     retry_after_ms = struct.retry_after_ms
     if retry_after_ms is not None and retry_after_ms < 0:
         retry_after_ms = None
@@ -460,12 +495,13 @@
     return Failure(kind, detail, retry_after_ms, struct.host or "")
 
 
-def _field_hints(message_type: type[Any]) -> dict[str, Any]:
-    return typing.get_type_hints(message_type)
+def _field_codecs(message_type: type[Any]) -> tuple[_FieldCodec, ...]:
+    hint_by_field = typing.get_type_hints(message_type)
+    return tuple(_field_codec(n, h) for n, h in hint_by_field.items())
 
 
-_HINTS_BY_TYPE = {
-    message_type: _field_hints(message_type)
-    for rpc in ALL_RPCS
-    for message_type in (rpc.request_type, rpc.reply_type)
-} | {PeerNews: _field_hints(PeerNews)}
+_MESSAGE_TYPES: tuple[type[Any], ...] = (
+    PeerNews,
+    *(t for rpc in ALL_RPCS for t in (rpc.request_type, rpc.reply_type)),
+)
+_CODECS_BY_TYPE = {t: _field_codecs(t) for t in _MESSAGE_TYPES}
--- a/libs/peers/src/masticdale_peers/peer.thrift
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -15,6 +15,9 @@
   3: i64 revision,
   4: bool leaving,
   5: bool suspect,
+  6: i64 version,           // rises with each change within an incarnation
+  7: string domain,
+  8: list<string> accusers, // neighbours it did not answer, two at most
 }
 
 struct Heartbeat {
@@ -25,6 +28,7 @@
   5: bool leaving,
   6: i64 quarantine_version,
   7: list<PeerNews> news,
+  8: i64 version,           // rises with each change within an incarnation
 }
 
 struct HeartbeatReply {
--- /dev/null
+++ b/libs/peers/tests/test_neighbours.py
@@ -0,0 +1,42 @@
+"""Tests of the choice of the peers that a host heartbeats."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from masticdale_peers.neighbours import choose_neighbours, order_peers
+
+NAMES = tuple(f"h{number:02}" for number in range(20))
+FAN_OUT = 4
+
+
+def neighbours_of(name, live, names=NAMES):
+    order = order_peers(name, names)
+    return choose_neighbours(order, live.__contains__, FAN_OUT)
+
+
+class NeighboursTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(st.sets(st.sampled_from(NAMES), min_size=1))
+    def test_every_host_is_watched_and_none_calls_too_many(self, live):
+        # Whichever hosts are dead, each of the rest, and each dead one that
+        # may return, has as many live watchers as there can be up to two.
+        watched = dict.fromkeys(NAMES, 0)
+        for name in live:
+            found = neighbours_of(name, live)
+            self.assertEqual(len(found), len(set(found)))
+            self.assertLessEqual(len(live.intersection(found)), FAN_OUT)
+            for host in found:
+                watched[host] += 1
+        for host in NAMES:
+            least = min(FAN_OUT // 2, len(live - {host}))
+            self.assertGreaterEqual(watched[host], least)
+
+    def test_few_peers_are_all_neighbours(self):
+        found = neighbours_of("h00", set(), NAMES[: FAN_OUT + 1])
+        self.assertEqual(set(found), set(NAMES[1 : FAN_OUT + 1]))
+
+
+if __name__ == "__main__":
+    unittest.main()
