Add the fault run of the whole system

Cause: nothing drove the daemons under faults and compared what callers were told with histories and executions.

--- /dev/null
+++ b/tools/load/src/masticdale_load/system_checks.py
@@ -0,0 +1,131 @@
+"""Compares what callers were told with histories and executions."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from masticdale_load.system_ledger import BranchHistory, ProgramLedger
+from masticdale_programs.calls import idempotency_key
+from masticdale_upstreams.testing import expected_answer
+from masticdaled.caller_models import HistoryItemBody
+
+TOLD_DONE = "done"
+TOLD_NOT_RUN = "not_run"
+TOLD_UNKNOWN = "unknown"
+_TURN_KIND = "turn"
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What the checks found; all lists but the counts are to stay empty.
+
+    Attributes:
+        acknowledged: Acknowledged turns.
+        lost: Acknowledged turns that their history lacks.
+        duplicated: Requests that stand in a history more than once.
+        mixed: Answers that are not their prompt's, or not what was told.
+        disordered: Branches whose history is not in the callers' order.
+        twice: Unrepeatable calls that were executed more than once.
+        untrue: Unrepeatable calls whose execution differs from what was told.
+        unknown: Unrepeatable calls told to have an unknown outcome.
+        executed: Unrepeatable calls that were executed.
+    """
+
+    acknowledged: int = 0
+    lost: list[str] = dataclasses.field(default_factory=list)
+    duplicated: list[str] = dataclasses.field(default_factory=list)
+    mixed: list[str] = dataclasses.field(default_factory=list)
+    disordered: list[str] = dataclasses.field(default_factory=list)
+    twice: list[str] = dataclasses.field(default_factory=list)
+    untrue: list[str] = dataclasses.field(default_factory=list)
+    unknown: int = 0
+    executed: int = 0
+
+    @property
+    def is_clean(self) -> bool:
+        """True where nothing was lost, duplicated, mixed or untrue."""
+        return not any(
+            (
+                self.lost,
+                self.duplicated,
+                self.mixed,
+                self.disordered,
+                self.twice,
+                self.untrue,
+            )
+        )
+
+
+def check_history(
+    ledger: ProgramLedger, history: BranchHistory, verdict: Verdict
+) -> None:
+    """Checks one branch's history and adds to the verdict.
+
+    Args:
+        ledger: What the callers were told.
+        history: What the system kept.
+        verdict: Changed in place.
+    """
+    label = f"{history.program_id}/{history.branch}"
+    ids = [item.request_id for item in history.items]
+    counts = collections.Counter(ids)
+    verdict.duplicated += [f"{label}/{i}" for i, n in counts.items() if n > 1]
+    verdict.mixed += [f"{label}/{i}" for i in counts.keys() - ledger.sent_ids]
+    told = ledger.acknowledged_by_branch.get(history.branch, [])
+    verdict.acknowledged += len(told)
+    item_by_id = {item.request_id: item for item in history.items}
+    for one in told:
+        item = item_by_id.get(one.request_id)
+        if item is None:
+            verdict.lost.append(f"{label}/{one.request_id}")
+        elif (item.sent, item.answer) != (one.sent, one.answer):
+            verdict.mixed.append(f"{label}/{one.request_id}")
+    told_ids = {one.request_id for one in told}
+    kept = [i for i in ids if i in told_ids]
+    if kept != [one.request_id for one in told if one.request_id in item_by_id]:
+        verdict.disordered.append(label)
+    _check_answers(ledger, history.items, label, verdict)
+
+
+def check_executions(
+    ledgers: Iterable[ProgramLedger],
+    count_by_key: collections.Counter[str],
+    verdict: Verdict,
+) -> None:
+    """Checks every unrepeatable call against what the services ran.
+
+    Args:
+        ledgers: What the callers were told.
+        count_by_key: Executions over all services by idempotency key.
+        verdict: Changed in place.
+    """
+    for ledger in ledgers:
+        for request_id, told in ledger.finish_by_request_id.items():
+            label = f"{ledger.program_id}/{request_id}"
+            count = count_by_key[idempotency_key(ledger.program_id, request_id)]
+            verdict.executed += min(count, 1)
+            verdict.unknown += told == TOLD_UNKNOWN
+            if count > 1:
+                verdict.twice.append(label)
+            is_untrue = (told == TOLD_DONE and count == 0) or (
+                told == TOLD_NOT_RUN and count > 0
+            )
+            if is_untrue:
+                verdict.untrue.append(f"{label}: told {told}, ran {count}")
+
+
+def _check_answers(
+    ledger: ProgramLedger,
+    items: Sequence[HistoryItemBody],
+    label: str,
+    verdict: Verdict,
+) -> None:
+    parts = [ledger.system_prompt]
+    for item in items:
+        if item.kind != _TURN_KIND:
+            parts += [f"{item.kind} {item.sent}", item.answer]
+            continue
+        parts.append(item.sent)
+        if item.answer != expected_answer(parts, ledger.max_tokens):
+            verdict.mixed.append(f"{label}/{item.request_id}")
+        parts.append(item.answer)
--- /dev/null
+++ b/tools/load/src/masticdale_load/system_client.py
@@ -0,0 +1,222 @@
+"""An honest caller: it sends again under the same request id, elsewhere."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import time
+from typing import TypeVar
+
+import httpx
+import pydantic
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind
+from masticdale_config.messages import ErrorBody
+from masticdale_load.system_hosts import Balancer
+from masticdaled.caller_models import (
+    CallAnswerBody,
+    CallServiceBody,
+    CreateProgramBody,
+    EndProgramBody,
+    OpenBranchBody,
+    ProgramBody,
+    SendTurnBody,
+    TurnAnswerBody,
+)
+
+BodyT = TypeVar("BodyT", bound=pydantic.BaseModel)
+_ERROR_BODY = pydantic.TypeAdapter(ErrorBody)
+_PATH = "/v1/programs"
+_RESEND_S = 0.1
+_DATA_PREFIX = "data:"
+_EVENT_PREFIX = "event:"
+# Without a time to come back, and yet nothing says that the request must not
+# be sent again: its id makes that safe.
+_RESENT_KINDS = frozenset({ErrorKind.INTERNAL, ErrorKind.CANCELLED})
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What callers met on the way to their answers.
+
+    Attributes:
+        count_by_refusal: Refusals by error kind.
+        not_accepted: Connections that a closed listener refused.
+        broken: Connections that broke or went silent after the request.
+        garbled: Streams whose text is not the text of their last event.
+    """
+
+    count_by_refusal: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    not_accepted: int = 0
+    broken: int = 0
+    garbled: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """How patient a caller is.
+
+    Attributes:
+        timeout_s: Longest wait for one answer, or for news on a stream.
+        patience_s: Longest time over all tries of one request.
+    """
+
+    timeout_s: float = 20.0
+    patience_s: float = 120.0
+
+
+class SystemClient:
+    """A workspace's caller."""
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        key: str,
+        tally: Tally,
+        settings: CallerSettings | None = None,
+    ) -> None:
+        self._balancer = balancer
+        self._tally = tally
+        self._settings = settings or CallerSettings()
+        self._http = httpx.AsyncClient(
+            headers={"authorization": f"Bearer {key}"},
+            timeout=self._settings.timeout_s,
+            limits=httpx.Limits(max_connections=None),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.aclose()
+
+    async def create(
+        self, body: CreateProgramBody
+    ) -> Result[ProgramBody, ErrorBody]:
+        """Begins a program."""
+        return await self._until_told("", body, ProgramBody)
+
+    async def turn(
+        self, program_id: str, body: SendTurnBody
+    ) -> Result[TurnAnswerBody, ErrorBody]:
+        """Sends a turn and waits for its whole answer."""
+        path = f"/{program_id}/turns"
+        return await self._until_told(path, body, TurnAnswerBody)
+
+    async def call(
+        self, program_id: str, body: CallServiceBody
+    ) -> Result[CallAnswerBody, ErrorBody]:
+        """Calls a service."""
+        path = f"/{program_id}/calls"
+        return await self._until_told(path, body, CallAnswerBody)
+
+    async def branch(
+        self, program_id: str, body: OpenBranchBody
+    ) -> Result[ProgramBody, ErrorBody]:
+        """Opens a sub-agent's branch."""
+        path = f"/{program_id}/branches"
+        return await self._until_told(path, body, ProgramBody)
+
+    async def end(self, program_id: str) -> Result[ProgramBody, ErrorBody]:
+        """Ends a program."""
+        path = f"/{program_id}/end"
+        return await self._until_told(path, EndProgramBody(), ProgramBody)
+
+    async def read(
+        self, program_id: str, branch: str
+    ) -> Result[ProgramBody, ErrorBody]:
+        """Reads status and a branch's history."""
+        path = f"/{program_id}?history={branch}"
+        return await self._until_told(path, None, ProgramBody)
+
+    async def once(
+        self,
+        url: str,
+        path: str,
+        body: pydantic.BaseModel | None,
+        kind: type[BodyT],
+    ) -> Result[BodyT, ErrorBody]:
+        """Sends a request once, to one host.
+
+        Raises:
+            httpx.TransportError: The connection failed or fell silent.
+        """
+        whole = f"{url}{_PATH}{path}"
+        if body is None:
+            return _told(await self._http.get(whole), kind)
+        data = body.model_dump(mode="json")
+        if isinstance(body, SendTurnBody) and body.stream:
+            return await self._stream(whole, data, kind)
+        return _told(await self._http.post(whole, json=data), kind)
+
+    async def _until_told(
+        self, path: str, body: pydantic.BaseModel | None, kind: type[BodyT]
+    ) -> Result[BodyT, ErrorBody]:
+        deadline = time.monotonic() + self._settings.patience_s
+        refusal = ErrorBody(
+            kind=ErrorKind.PEER_UNAVAILABLE.value,
+            message="No host answered.",
+            detail="",
+            ran="unknown",
+            retry_after_ms=None,
+        )
+        while time.monotonic() < deadline:
+            url = self._balancer.next_url()
+            try:
+                outcome = await self.once(url, path, body, kind)
+            except httpx.ConnectError:
+                self._tally.not_accepted += 1
+                await asyncio.sleep(_RESEND_S)
+                continue
+            except httpx.TransportError:
+                self._tally.broken += 1
+                await asyncio.sleep(_RESEND_S)
+                continue
+            if isinstance(outcome, Success):
+                return outcome
+            refusal = outcome.failure()
+            self._tally.count_by_refusal[refusal.kind] += 1
+            wait_ms = refusal.retry_after_ms
+            if wait_ms is None and refusal.kind not in _RESENT_KINDS:
+                return outcome
+            await asyncio.sleep(max(_RESEND_S, (wait_ms or 0) / 1000))
+        return Failed(refusal)
+
+    async def _stream(
+        self, url: str, data: object, kind: type[BodyT]
+    ) -> Result[BodyT, ErrorBody]:
+        event = ""
+        text = ""
+        async with self._http.stream("POST", url, json=data) as response:
+            if not response.is_success:
+                await response.aread()
+                return _told(response, kind)
+            async for line in response.aiter_lines():
+                if line.startswith(_EVENT_PREFIX):
+                    event = line.removeprefix(_EVENT_PREFIX).strip()
+                if not line.startswith(_DATA_PREFIX):
+                    continue
+                value = line.removeprefix(_DATA_PREFIX).strip()
+                if event == "error":
+                    return Failed(_ERROR_BODY.validate_json(value))
+                if event == "done":
+                    self._check_text(text, value)
+                    return Success(kind.model_validate_json(value))
+                part = str(json.loads(value)["text"])
+                text = part if event == "restart" else text + part
+        raise httpx.RemoteProtocolError("the stream has no last event")
+
+    def _check_text(self, text: str, done: str) -> None:
+        if json.loads(done)["text"] != text:
+            self._tally.garbled += 1
+
+
+def _told(
+    response: httpx.Response, kind: type[BodyT]
+) -> Result[BodyT, ErrorBody]:
+    if response.is_success:
+        return Success(kind.model_validate_json(response.content))
+    return Failed(_ERROR_BODY.validate_json(response.content))
--- /dev/null
+++ b/tools/load/src/masticdale_load/system_faults.py
@@ -0,0 +1,265 @@
+"""Brings faults about on a running system and takes them back."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import httpx
+
+from masticdale_load.system_plans import FaultKind, SystemPlan
+from masticdale_load.system_takeover import TakeoverProbe
+from masticdale_standins.clusters import LocalCluster
+from masticdale_standins.testing import RunningProcess
+
+_LEAVING_GRACE_S = 5.0
+_LEAVING_POLL_S = 0.1
+_STOP_S = 60.0
+_SLOW_MS = 400
+_LOST_ANSWERS = 3
+_HTTP_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class FaultNotes:
+    """What the faults showed.
+
+    Attributes:
+        count_by_fault: How often each was brought about.
+        takeover_s: Time until each shard of a killed host was served again,
+            with the platform answering.
+        takeover_without_platform_s: The same where the platform was down or
+            slow meanwhile.
+        leaving_s: Time until a leaving upstream got its last new call.
+        stops: Planned stops.
+        failed_stops: Those whose exit code was not 0, or that were cut off.
+        stop_seconds: How long planned stops took.
+    """
+
+    count_by_fault: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    takeover_s: list[float] = dataclasses.field(default_factory=list)
+    takeover_without_platform_s: list[float] = dataclasses.field(
+        default_factory=list
+    )
+    leaving_s: list[float] = dataclasses.field(default_factory=list)
+    stops: int = 0
+    failed_stops: list[str] = dataclasses.field(default_factory=list)
+    stop_seconds: list[float] = dataclasses.field(default_factory=list)
+
+
+class FaultDriver:
+    """Draws faults from a plan and brings them about, two at most at once."""
+
+    def __init__(
+        self, plan: SystemPlan, cluster: LocalCluster, probe: TakeoverProbe
+    ) -> None:
+        self.notes = FaultNotes()
+        self._plan = plan
+        self._cluster = cluster
+        self._probe = probe
+        self._random = random.Random(f"faults-{plan.seed}")
+        self._busy: set[str] = set()
+        self._platform_faults = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._act_by_kind: dict[FaultKind, Callable[[], Awaitable[None]]] = {
+            FaultKind.KILL_HOST: self._kill_host,
+            FaultKind.PAUSE_HOST: self._pause_host,
+            FaultKind.RESTART_HOST: self._restart_some_host,
+            FaultKind.PLATFORM_DOWN: self._platform_down,
+            FaultKind.PLATFORM_SLOW: self._platform_slow,
+            FaultKind.PLATFORM_LOSES_ANSWERS: self._platform_loses,
+            FaultKind.ENGINE_CRASH: self._engine_crash,
+            FaultKind.ENGINE_FREEZES_STREAMS: self._engine_freeze,
+            FaultKind.ENGINE_CROSSES_ANSWERS: self._engine_cross,
+            FaultKind.ENGINE_TRUNCATES: self._engine_truncate,
+            FaultKind.ENGINE_LEAVES: self._engine_leaves,
+            FaultKind.ENGINE_LISTED_LEAVING: self._engine_listed,
+            FaultKind.SERVICE_LOSES_ANSWERS: self._service_loses,
+            FaultKind.SERVICE_REFUSES: self._service_refuses,
+        }
+
+    async def run(self) -> None:
+        """Brings faults about until cancelled."""
+        if not self._plan.faults:
+            return
+        while True:
+            await asyncio.sleep(self._plan.fault_period_s)
+            kind = self._random.choice(self._plan.faults)
+            self.notes.count_by_fault[kind.value] += 1
+            task = asyncio.ensure_future(self._act_by_kind[kind]())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def settle(self) -> None:
+        """Waits until every fault is taken back."""
+        await asyncio.gather(*self._tasks)
+
+    async def restart_all(self) -> None:
+        """Stops every host as planned and starts it again, one by one."""
+        for host in list(self._cluster.daemon_by_name):
+            await self._restart(host)
+
+    def _pick_host(self) -> str | None:
+        hosts = sorted(set(self._cluster.daemon_by_name) - self._busy)
+        # Two hosts down at once at most, and always two that work.
+        if len(hosts) < max(3, len(self._cluster.daemon_by_name) - 1):
+            return None
+        return self._random.choice(hosts)
+
+    async def _kill_host(self) -> None:
+        host = self._pick_host()
+        if host is None:
+            return
+        self._busy.add(host)
+        try:
+            shards = await self._probe.shards_of(host)
+            before = self._platform_faults
+            self._cluster.daemon_by_name[host].process.kill()
+            others = sorted(set(self._cluster.daemon_by_name) - self._busy)
+            url = self._cluster.daemon_by_name[others[0]].callers_url
+            seconds = await self._probe.measure(shards, url)
+            is_alone = before == self._platform_faults == 0
+            notes = self.notes
+            (
+                notes.takeover_s
+                if is_alone
+                else notes.takeover_without_platform_s
+            ).extend(seconds)
+            await self._start(host)
+        finally:
+            self._busy.discard(host)
+
+    async def _pause_host(self) -> None:
+        host = self._pick_host()
+        if host is None:
+            return
+        self._busy.add(host)
+        process = self._cluster.daemon_by_name[host].process
+        process.pause()
+        try:
+            await asyncio.sleep(2 * self._plan.fault_s)
+        finally:
+            process.resume()
+            await asyncio.sleep(self._plan.fault_s)
+            self._busy.discard(host)
+
+    async def _restart_some_host(self) -> None:
+        host = self._pick_host()
+        if host is not None:
+            await self._restart(host)
+
+    async def _restart(self, host: str) -> None:
+        self._busy.add(host)
+        process = self._cluster.daemon_by_name[host].process
+        started = time.monotonic()
+        process.terminate()
+        self.notes.stops += 1
+        while process.exit_code is None:
+            if time.monotonic() - started > _STOP_S:
+                self.notes.failed_stops.append(f"{host}: still runs")
+                process.kill()
+                break
+            await asyncio.sleep(_LEAVING_POLL_S)
+        self.notes.stop_seconds.append(time.monotonic() - started)
+        if process.exit_code != 0:
+            detail = f"{host}: exit code {process.exit_code}"
+            self.notes.failed_stops.append(detail)
+        await self._start(host)
+        self._busy.discard(host)
+
+    async def _start(self, host: str) -> None:
+        self._cluster.restart_daemon(host)
+        await asyncio.to_thread(self._cluster.wait_ready, host)
+
+    async def _platform_down(self) -> None:
+        await self._platform_fault(down=True)
+
+    async def _platform_slow(self) -> None:
+        await self._platform_fault(delay_ms=_SLOW_MS)
+
+    async def _platform_loses(self) -> None:
+        await self._platform_fault(lose_write_answers=_LOST_ANSWERS)
+
+    async def _platform_fault(self, **faults: object) -> None:
+        self._platform_faults += 1
+        await self._set(self._cluster.platform, **faults)
+        await asyncio.sleep(self._plan.fault_s)
+        await self._set(self._cluster.platform)
+        self._platform_faults -= 1
+
+    async def _engine_crash(self) -> None:
+        await self._set(self._pick_engine(), crash_now=True)
+
+    async def _engine_freeze(self) -> None:
+        await self._set(self._pick_engine(), freeze_streams=True)
+
+    async def _engine_cross(self) -> None:
+        await self._set(self._pick_engine(), cross_answers=2)
+
+    async def _engine_truncate(self) -> None:
+        await self._set(self._pick_engine(), truncate=2)
+
+    async def _engine_leaves(self) -> None:
+        process = self._pick_engine()
+        await self._set(process, leaving=True)
+        await self._watch_leaving(process)
+        await self._set(process)
+
+    async def _engine_listed(self) -> None:
+        name = self._random.choice(sorted(self._cluster.engine_by_name))
+        await self._list(name, leaving=True)
+        await self._watch_leaving(self._cluster.engine_by_name[name])
+        await self._list(name, leaving=False)
+
+    async def _service_loses(self) -> None:
+        await self._set(self._pick_service(), lose_answers=2)
+
+    async def _service_refuses(self) -> None:
+        await self._set(self._pick_service(), refuse_before_running=2)
+
+    def _pick_engine(self) -> RunningProcess:
+        engines = self._cluster.engine_by_name
+        return engines[self._random.choice(sorted(engines))]
+
+    def _pick_service(self) -> RunningProcess:
+        services = self._cluster.service_by_name
+        return services[self._random.choice(sorted(services))]
+
+    async def _watch_leaving(self, process: RunningProcess) -> None:
+        """Notes when the last new call came after it began to leave."""
+        started = time.monotonic()
+        last_s = 0.0
+        calls = await self._calls(process)
+        while time.monotonic() - started < _LEAVING_GRACE_S:
+            await asyncio.sleep(_LEAVING_POLL_S)
+            now_calls = await self._calls(process)
+            if now_calls != calls:
+                last_s = time.monotonic() - started
+            calls = now_calls
+        self.notes.leaving_s.append(last_s)
+
+    async def _calls(self, process: RunningProcess) -> int:
+        url = f"{process.base_url}/admin/stats"
+        async with _http() as http:
+            response = await http.get(url)
+        calls: int = response.json()["calls"]
+        return calls
+
+    async def _list(self, name: str, leaving: bool) -> None:
+        url = f"{self._cluster.platform.base_url}/admin/hosts"
+        async with _http() as http:
+            response = await http.post(
+                url, json={"name": name, "leaving": leaving}
+            )
+        response.raise_for_status()
+
+    async def _set(self, process: RunningProcess, **faults: object) -> None:
+        await asyncio.to_thread(self._cluster.faults, process, **faults)
+
+
+def _http() -> httpx.AsyncClient:
+    return httpx.AsyncClient(timeout=_HTTP_TIMEOUT_S, trust_env=False)
--- /dev/null
+++ b/tools/load/src/masticdale_load/system_hosts.py
@@ -0,0 +1,48 @@
+"""The balancer's part: which hosts callers are sent to."""
+
+import asyncio
+import itertools
+
+import httpx
+
+_POLL_S = 0.2
+_TIMEOUT_S = 1.0
+_READY_PATH = "/readyz"
+
+
+class Balancer:
+    """Sends each request to the next host that was ready when last asked."""
+
+    def __init__(self, url_by_host: dict[str, str]) -> None:
+        self._url_by_host = url_by_host
+        self._ready = frozenset(url_by_host)
+        self._numbers = itertools.count()
+
+    def next_url(self) -> str:
+        """Returns where to send a request; any host if none is ready."""
+        hosts = sorted(self._ready) or sorted(self._url_by_host)
+        return self._url_by_host[hosts[next(self._numbers) % len(hosts)]]
+
+    def urls(self) -> tuple[str, ...]:
+        """Returns the URLs of every host."""
+        return tuple(self._url_by_host.values())
+
+    async def run(self) -> None:
+        """Asks every host for its readiness until cancelled."""
+        async with httpx.AsyncClient(
+            timeout=_TIMEOUT_S, trust_env=False
+        ) as http:
+            while True:
+                hosts = list(self._url_by_host)
+                ready = await asyncio.gather(
+                    *(_is_ready(http, self._url_by_host[h]) for h in hosts)
+                )
+                self._ready = frozenset(itertools.compress(hosts, ready))
+                await asyncio.sleep(_POLL_S)
+
+
+async def _is_ready(http: httpx.AsyncClient, url: str) -> bool:
+    try:
+        return (await http.get(url + _READY_PATH)).is_success
+    except httpx.TransportError:
+        return False
--- /dev/null
+++ b/tools/load/src/masticdale_load/system_takeover.py
@@ -0,0 +1,80 @@
+"""Measures how long a killed host's programs cannot be read by anyone."""
+
+import asyncio
+import time
+
+import httpx
+from returns.result import Success
+
+from masticdale_common import Metrics, hashing
+from masticdale_load.system_client import SystemClient
+from masticdale_platform import PlatformClient
+from masticdale_programs import MAIN_BRANCH, read_head
+from masticdaled.caller_models import CreateProgramBody, ProgramBody
+
+_PLATFORM_TIMEOUT_S = 2.0
+_POLL_S = 0.05
+_LONGEST_S = 60.0
+
+
+class TakeoverProbe:
+    """One idle program in each shard, read until someone answers."""
+
+    def __init__(self, client: SystemClient, platform_url: str) -> None:
+        self._client = client
+        self._platform_url = platform_url
+        self._program_by_shard: dict[int, str] = {}
+
+    async def prepare(self, kind: str, seed: int) -> None:
+        """Begins programs until each shard has one."""
+        number = 0
+        while len(self._program_by_shard) < hashing.SHARD_COUNT:
+            body = CreateProgramBody(
+                request_id=f"probe-{seed}-{number}", program=kind
+            )
+            begun = (await self._client.create(body)).unwrap()
+            shard = hashing.shard_of(begun.program_id)
+            self._program_by_shard.setdefault(shard, begun.program_id)
+            number += 1
+
+    async def shards_of(self, host: str) -> tuple[int, ...]:
+        """Returns the shards that the platform says a host holds."""
+        store = PlatformClient(
+            self._platform_url, _PLATFORM_TIMEOUT_S, Metrics()
+        )
+        held: list[int] = []
+        for shard in range(hashing.SHARD_COUNT):
+            head = await read_head(store, shard)
+            if not isinstance(head, Success):
+                continue
+            found = head.unwrap()
+            if found is not None and found.owner == host and not found.released:
+                held.append(shard)
+        await store.close()
+        return tuple(held)
+
+    async def measure(
+        self, shards: tuple[int, ...], url: str
+    ) -> tuple[float, ...]:
+        """Returns how long each shard's program could not be read.
+
+        Args:
+            shards: Shards that the killed host held.
+            url: A living host.
+        """
+        started = time.monotonic()
+        return tuple(
+            await asyncio.gather(*(self._wait(s, url, started) for s in shards))
+        )
+
+    async def _wait(self, shard: int, url: str, started: float) -> float:
+        path = f"/{self._program_by_shard[shard]}?history={MAIN_BRANCH}"
+        while time.monotonic() < started + _LONGEST_S:
+            try:
+                told = await self._client.once(url, path, None, ProgramBody)
+            except httpx.TransportError:
+                told = None
+            if isinstance(told, Success):
+                break
+            await asyncio.sleep(_POLL_S)
+        return time.monotonic() - started
