Give engines their orders from one home, fenced or after the earlier lease

Cause: orders to engines must come from one home only, and some engines ignore fencing numbers. Change: an object for each replica names holder, number and what was obeyed; the lease is taken only when something must be ordered, so it costs no writes at rest. Declarations list orders. Conclusion: a home paused between its last check and the send can still reach an engine that ignores numbers; the margin covers clock drift, not that.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -42,6 +42,7 @@
 from masticdaled.limits import WorkspaceLimiter
 from masticdaled.operator_desk import OperatorDesk
 from masticdaled.operators import create_operator_app
+from masticdaled.orders import OrderGiver
 from masticdaled.orphans import OrphanSweeper
 from masticdaled.owners import Owners
 from masticdaled.programs_desk import ProgramsDesk
@@ -92,7 +93,11 @@
         self.clients = UpstreamClients(self.metrics)
         self.desk = TicketDesk(self.cluster)
         self.homes = Homes(
-            self.cluster, self.in_force, self.clients, self.metrics
+            self.cluster,
+            self.in_force,
+            self.clients,
+            OrderGiver(self.store, self.incarnation, self.metrics),
+            self.metrics,
         )
         self.executor = UpstreamExecutor(
             self.cluster,
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -44,6 +44,7 @@
 )
 from masticdale_upstreams import CacheEventKind
 from masticdaled.cluster import Cluster
+from masticdaled.orders import OrderGiver
 from masticdaled.upstream_clients import UpstreamClients
 
 CRASHED_ACTION = "crashed"
@@ -96,8 +97,11 @@
         cluster: Cluster,
         in_force: ConfigInForce,
         clients: UpstreamClients,
+        orders: OrderGiver,
         metrics: Metrics,
     ) -> None:
+        self._orders = orders
+        self._ordering: dict[str, asyncio.Task[None]] = {}
         self._cluster = cluster
         self._in_force = in_force
         self._clients = clients
@@ -251,9 +255,10 @@
 
     async def close(self) -> None:
         """Stops telling grants."""
-        for task in self._background:
+        tasks = [*self._background, *self._ordering.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._background, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _open_homes(self) -> None:
         engines_by_model = self._in_force.current.upstreams.by_model
@@ -329,9 +334,20 @@
         self._refresh_leaving(home, report.leaving)
         if was_unusable and not home.is_leaving:
             home.queue.reopen()
+        self._give_orders(home)
         if home.ticks % _LOAD_EVERY == 0:
             await self._observe(home)
 
+    def _give_orders(self, home: ReplicaHome) -> None:
+        """Gives orders beside the health checks, which must not wait."""
+        running = self._ordering.get(home.engine.name)
+        if running is not None and not running.done():
+            return
+        client = self._clients.engine(home.engine)
+        self._ordering[home.engine.name] = asyncio.create_task(
+            self._orders.reconcile(home.engine, client, home.incarnation)
+        )
+
     async def _observe(self, home: ReplicaHome) -> None:
         client = self._clients.engine(home.engine)
         now = time.monotonic()
--- a/libs/config/src/masticdale_config/kinds.py
+++ b/libs/config/src/masticdale_config/kinds.py
@@ -244,6 +244,18 @@
     draining: bool = False
 
 
+class EngineOrder(_Strict):
+    """Something an engine is told to load or to be.
+
+    Attributes:
+        kind: What to do.
+        argument: Model, adapter, version or role.
+    """
+
+    kind: Literal["load_model", "load_adapter", "load_version", "change_role"]
+    argument: Annotated[str, StringConstraints(min_length=1, max_length=200)]
+
+
 class EngineSpec(_UpstreamBase):
     """One replica of a model.
 
@@ -260,6 +272,7 @@
         restore_interval: Tokens between the boundaries at which a cached
             prefix can be resumed; 1 where any token will do.
         cache_tokens: Tokens its prefix cache holds.
+        orders: What it is told after each of its starts, in this order.
     """
 
     role: Literal["model"]
@@ -268,6 +281,7 @@
     prefill_tokens_per_s: float = Field(gt=0)
     restore_interval: Count = 1
     cache_tokens: Count
+    orders: tuple[EngineOrder, ...] = Field(default=(), max_length=32)
 
 
 class Operation(_Strict):
--- a/libs/config/src/masticdale_config/rendered.py
+++ b/libs/config/src/masticdale_config/rendered.py
@@ -100,6 +100,14 @@
     limits: Limits
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RenderedOrder:
+    """Something an engine is told; see ``kinds.EngineOrder``."""
+
+    kind: str
+    argument: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RenderedEngine:
     """One replica of a model; see ``kinds.EngineSpec``."""
@@ -116,6 +124,7 @@
     prefill_tokens_per_s: float
     restore_interval: int
     cache_tokens: int
+    orders: tuple[RenderedOrder, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/config/src/masticdale_config/upstreams.py
+++ b/libs/config/src/masticdale_config/upstreams.py
@@ -11,6 +11,7 @@
 )
 from masticdale_config.rendered import (
     RenderedEngine,
+    RenderedOrder,
     RenderedService,
     RenderedUpstream,
     UpstreamTable,
@@ -42,6 +43,7 @@
         prefill_tokens_per_s=spec.prefill_tokens_per_s,
         restore_interval=spec.restore_interval,
         cache_tokens=spec.cache_tokens,
+        orders=tuple(RenderedOrder(o.kind, o.argument) for o in spec.orders),
     )
 
 
