Count refused operators and name the field that does not exist

Cause: an alert on refused operators had nothing to stand on, the listener's module held routes and access, and "Extra inputs are not permitted" says less than it could. Change: guarding.py takes access and audit out of operators.py; metrics operator_refusals_total, config_changes_total and config_revision; "there is no such field" and "is missing"; request bodies over 2 MB are refused, since a stored revision has at most one. docs/CONFIGURATION.md's tables are written from the models by scripts/write_field_tables.py.

--- a/apps/masticctl/src/masticctl/errors.py
+++ b/apps/masticctl/src/masticctl/errors.py
@@ -16,7 +16,8 @@
     ErrorKind.UNAUTHENTICATED: "give --token-file with a token that the"
     " host's settings list.",
     ErrorKind.FORBIDDEN: "use a token with the role 'operate'.",
-    ErrorKind.NOT_FOUND: "'masticctl get' lists what there is.",
+    ErrorKind.NOT_FOUND: "'masticctl get', 'masticctl program list' and"
+    " 'masticctl revisions list' show what there is.",
     ErrorKind.CONFLICT: "see the other change with 'masticctl revisions"
     " show', then plan again.",
     ErrorKind.PLATFORM_UNAVAILABLE: "nothing was written; try again once the"
@@ -58,7 +59,8 @@
         self.kind = ErrorKind(body.kind)
         text = body.message
         if body.detail:
-            text = f"{text}\n{body.detail}"
+            gap = "\n" if "\n" in body.detail else " "
+            text = f"{text}{gap}{body.detail}"
         super().__init__(
             text,
             HINT_BY_KIND.get(self.kind, ""),
--- a/apps/masticctl/src/masticctl/views.py
+++ b/apps/masticctl/src/masticctl/views.py
@@ -17,6 +17,7 @@
     TakeoverReport,
 )
 
+_UNSET = "(unset)"
 _SIGN_BY_ACTION = {"create": "+", "update": "~", "delete": "-"}
 
 
@@ -41,8 +42,8 @@
         sign = _SIGN_BY_ACTION.get(edit.action, "?")
         lines.append(f"{sign} {edit.kind}/{edit.name} ({edit.action})\n")
         for field in edit.fields:
-            before = field.before or "(none)"
-            after = field.after or "(none)"
+            before = field.before or _UNSET
+            after = field.after or _UNSET
             lines.append(f"    {field.path}: {before} -> {after}\n")
     return "".join(lines)
 
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/guarding.py
@@ -0,0 +1,121 @@
+"""Letting operators in, and recording what they changed or were refused."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import litestar
+from litestar.connection import ASGIConnection
+from litestar.handlers import BaseRouteHandler
+from litestar.types import Scope
+from returns.result import Failure as Failed
+
+from masticdale_common import (
+    ErrorKind,
+    Failure,
+    MasticdaleError,
+    Metrics,
+)
+from masticdaled import access as access_lib
+from masticdaled import answers
+from masticdaled.access import (
+    UNKNOWN_OPERATOR,
+    Access,
+    AuditEntry,
+    Operator,
+    Role,
+)
+
+ACCEPTED = "accepted"
+PUBLIC = {"public": True}
+OPERATE = {"role": Role.OPERATE}
+
+_OPERATOR_KEY = "operator"
+_ACCESS_KINDS = {ErrorKind.UNAUTHENTICATED, ErrorKind.FORBIDDEN}
+
+OperatorRequest = litestar.Request[Any, Any, Any]
+Connection = ASGIConnection[Any, Any, Any, Any]
+
+
+def create_guard(
+    access: Access,
+) -> Callable[[Connection, BaseRouteHandler], None]:
+    """Returns the guard of every route.
+
+    A route's ``opt`` says whether it is open to all (``PUBLIC``), needs the
+    role ``operate`` (``OPERATE``), or ``read`` without either.
+
+    Args:
+        access: The tokens that are known.
+    """
+
+    def guard(connection: Connection, handler: BaseRouteHandler) -> None:
+        if handler.opt.get("public"):
+            return
+        identified = access.identify(
+            connection.headers.get("authorization", "")
+        )
+        if isinstance(identified, Failed):
+            raise MasticdaleError(identified.failure())
+        operator = identified.unwrap()
+        connection.state[_OPERATOR_KEY] = operator
+        wanted = handler.opt.get("role", Role.READ)
+        if not operator.may(wanted):
+            detail = f"it has the role {operator.role}; this needs {wanted}"
+            raise MasticdaleError(Failure(ErrorKind.FORBIDDEN, detail))
+
+    return guard
+
+
+def operator_of(request: OperatorRequest) -> Operator:
+    """Returns the operator whom the guard let in."""
+    operator: Operator = request.state[_OPERATOR_KEY]
+    return operator
+
+
+def audit_accepted(request: OperatorRequest, detail: str) -> None:
+    """Records an accepted change.
+
+    Args:
+        request: The request that asked for it.
+        detail: What it changed.
+    """
+    access_lib.record(
+        AuditEntry(
+            operator=operator_of(request).name,
+            action=f"{request.method} {request.url.path}",
+            outcome=ACCEPTED,
+            detail=detail,
+            client=request.client.host if request.client else "",
+        )
+    )
+
+
+def create_refusal_audit(
+    metrics: Metrics,
+) -> Callable[[Exception, Scope], Awaitable[None]]:
+    """Returns what records refused changes and refused access.
+
+    Args:
+        metrics: Counts the refusals by their kind.
+    """
+
+    async def audit_refusal(error: Exception, scope: Scope) -> None:
+        handler = scope.get("route_handler")
+        changes = handler is not None and "role" in handler.opt
+        failure = answers.failure_of(error)
+        if not changes and failure.kind not in _ACCESS_KINDS:
+            return
+        metrics.count("operator_refusals_total", kind=failure.kind.value)
+        operator: Operator | None = scope.get("state", {}).get(_OPERATOR_KEY)
+        client = scope.get("client")
+        access_lib.record(
+            AuditEntry(
+                operator=operator.name if operator else UNKNOWN_OPERATOR,
+                action=f"{scope.get('method', '')} {scope['path']}",
+                outcome=failure.kind.value,
+                detail=failure.detail,
+                client=client[0] if client else "",
+            )
+        )
+
+    return audit_refusal
--- a/apps/masticdaled/src/masticdaled/operators.py
+++ b/apps/masticdaled/src/masticdaled/operators.py
@@ -5,18 +5,15 @@
 """
 
 import dataclasses
-from collections.abc import Callable
 from typing import Annotated, Any, TypeVar
 
 import litestar
 import pydantic
-from litestar import MediaType, Request, Response, get, post
-from litestar.connection import ASGIConnection
+from litestar import MediaType, Response, get, post
 from litestar.handlers import BaseRouteHandler
 from litestar.openapi import OpenAPIConfig
 from litestar.openapi.plugins import JsonRenderPlugin
 from litestar.params import FromPath, FromQuery, QueryParameter, RawBody
-from litestar.types import Scope
 from returns.result import Failure as Failed
 from returns.result import Result
 
@@ -26,7 +23,13 @@
     MasticdaleError,
     hashing,
 )
-from masticdale_config import ConfigStore, DeclarationKey, Kind, reports
+from masticdale_config import (
+    ConfigStore,
+    DeclarationKey,
+    Kind,
+    problems,
+    reports,
+)
 from masticdale_config.messages import (
     ApplyReport,
     ChangeRequest,
@@ -47,30 +50,27 @@
     TakeoverReport,
 )
 from masticdale_config.rollback import restoring_edits
-from masticdaled import access as access_lib
 from masticdaled import answers
-from masticdaled.access import (
-    UNKNOWN_OPERATOR,
-    Access,
-    AuditEntry,
-    Operator,
-    Role,
+from masticdaled.access import Access
+from masticdaled.guarding import (
+    OPERATE,
+    PUBLIC,
+    OperatorRequest,
+    audit_accepted,
+    create_guard,
+    create_refusal_audit,
+    operator_of,
 )
 from masticdaled.operator_models import OperatorContext
 
-MAX_BODY_BYTES = 8_000_000
+# A stored revision has at most a megabyte; a body over twice that could
+# not become one.
+MAX_BODY_BYTES = 2_000_000
 MAX_PAGE = 1000
 DEFAULT_PAGE = 100
-ACCEPTED = "accepted"
-
-_PUBLIC = {"public": True}
-_OPERATE = {"role": Role.OPERATE}
-_OPERATOR_KEY = "operator"
-_ACCESS_KINDS = {ErrorKind.UNAUTHENTICATED, ErrorKind.FORBIDDEN}
 
 ValueT = TypeVar("ValueT")
 Limit = Annotated[int, QueryParameter(ge=1, le=MAX_PAGE)]
-OperatorRequest = Request[Any, Any, Any]
 
 
 def create_operator_app(
@@ -90,9 +90,9 @@
             *_program_routes(context),
             *_repair_routes(context),
         ],
-        guards=[_guard(access)],
+        guards=[create_guard(access)],
         exception_handlers=dict(answers.exception_handlers()),
-        after_exception=[_audit_refusal],
+        after_exception=[create_refusal_audit(context.metrics)],
         request_max_body_size=MAX_BODY_BYTES,
         logging_config=None,
         openapi_config=OpenAPIConfig(
@@ -105,17 +105,19 @@
 
 
 def _process_routes(context: OperatorContext) -> list[BaseRouteHandler]:
-    @get("/healthz", opt=_PUBLIC, media_type=MediaType.TEXT)
+    @get("/healthz", opt=PUBLIC, media_type=MediaType.TEXT)
     async def healthz() -> str:
         return "ok\n"
 
-    @get("/readyz", opt=_PUBLIC)
+    @get("/readyz", opt=PUBLIC)
     async def readyz() -> Response[Readiness]:
         readiness = context.readiness()
         return Response(readiness, status_code=200 if readiness.ready else 503)
 
     @get("/metrics", media_type=MediaType.TEXT)
     async def metrics() -> bytes:
+        number = context.in_force.number
+        context.metrics.gauge("config_revision", number)
         return context.metrics.render()
 
     @get("/v1/dump")
@@ -148,16 +150,21 @@
 
     @post("/v1/config/plan", status_code=200)
     async def plan(request: OperatorRequest, body: RawBody) -> PlanReport:
-        change = _parse(body, ChangeRequest).to_change(_operator(request).name)
+        change = _parse(body, ChangeRequest).to_change(
+            operator_of(request).name
+        )
         planned = _value(await _store(context).plan(change))
         return reports.plan_report(planned)
 
-    @post("/v1/config/apply", opt=_OPERATE, status_code=200)
+    @post("/v1/config/apply", opt=OPERATE, status_code=200)
     async def apply(request: OperatorRequest, body: RawBody) -> ApplyReport:
-        change = _parse(body, ChangeRequest).to_change(_operator(request).name)
+        change = _parse(body, ChangeRequest).to_change(
+            operator_of(request).name
+        )
         accepted = _value(await _store(context).apply(change))
+        context.metrics.count("config_changes_total")
         detail = f"revision {accepted.revision} change {change.change_id}"
-        _audit_accepted(request, detail)
+        audit_accepted(request, detail)
         return ApplyReport(accepted.revision, accepted.digest, accepted.changed)
 
     return [get_config, plan, apply]
@@ -202,12 +209,12 @@
     async def inspect_program(program_id: FromPath[str]) -> ProgramDetail:
         return _value(await context.inspect_program(program_id))
 
-    @post("/v1/programs/{program_id:str}/stop", opt=_OPERATE, status_code=200)
+    @post("/v1/programs/{program_id:str}/stop", opt=OPERATE, status_code=200)
     async def stop_program(
         request: OperatorRequest, program_id: FromPath[str]
     ) -> ProgramDetail:
         detail = _value(await context.stop_program(program_id))
-        _audit_accepted(request, f"program {program_id}")
+        audit_accepted(request, f"program {program_id}")
         return detail
 
     return [list_programs, inspect_program, stop_program]
@@ -218,12 +225,12 @@
     async def list_quarantine() -> QuarantineReport:
         return QuarantineReport(_value(await context.quarantined()))
 
-    @post("/v1/quarantine/{digest:str}/release", opt=_OPERATE, status_code=200)
+    @post("/v1/quarantine/{digest:str}/release", opt=OPERATE, status_code=200)
     async def release(request: OperatorRequest, digest: FromPath[str]) -> None:
         _value(await context.release_quarantined(digest))
-        _audit_accepted(request, f"request {digest}")
+        audit_accepted(request, f"request {digest}")
 
-    @post("/v1/shards/{shard:int}/takeover", opt=_OPERATE, status_code=200)
+    @post("/v1/shards/{shard:int}/takeover", opt=OPERATE, status_code=200)
     async def takeover(
         request: OperatorRequest, shard: FromPath[int]
     ) -> TakeoverReport:
@@ -232,15 +239,15 @@
             raise _error(ErrorKind.NOT_FOUND, f"shards are 0 to {last}")
         report = _value(await context.force_takeover(shard))
         lost = len(report.possibly_lost)
-        _audit_accepted(request, f"shard {shard}, possibly lost {lost}")
+        audit_accepted(request, f"shard {shard}, possibly lost {lost}")
         return report
 
-    @post("/v1/upstreams/{name:str}/drain", opt=_OPERATE, status_code=200)
+    @post("/v1/upstreams/{name:str}/drain", opt=OPERATE, status_code=200)
     async def drain(
         request: OperatorRequest, name: FromPath[str]
     ) -> DrainReport:
         report = _value(await context.drain_upstream(name))
-        _audit_accepted(request, f"upstream {name}")
+        audit_accepted(request, f"upstream {name}")
         return report
 
     return [list_quarantine, release, takeover, drain]
@@ -288,11 +295,8 @@
     try:
         return model.model_validate_json(body)
     except pydantic.ValidationError as error:
-        lines = [
-            f"{'.'.join(map(str, item['loc'])) or '(whole)'}: {item['msg']}"
-            for item in error.errors(include_url=False, include_input=False)
-        ]
-        raise _error(ErrorKind.BAD_REQUEST, "\n".join(lines)) from error
+        found = problems.from_validation(error, "change")
+        raise MasticdaleError(problems.to_failure(found)) from error
 
 
 def _value(outcome: Result[ValueT, Failure]) -> ValueT:
@@ -303,60 +307,3 @@
 
 def _error(kind: ErrorKind, detail: str) -> MasticdaleError:
     return MasticdaleError(Failure(kind, detail))
-
-
-def _guard(
-    access: Access,
-) -> Callable[[ASGIConnection[Any, Any, Any, Any], BaseRouteHandler], None]:
-    def guard(
-        connection: ASGIConnection[Any, Any, Any, Any],
-        handler: BaseRouteHandler,
-    ) -> None:
-        if handler.opt.get("public"):
-            return
-        header = connection.headers.get("authorization", "")
-        operator: Operator = _value(access.identify(header))
-        connection.state[_OPERATOR_KEY] = operator
-        wanted = handler.opt.get("role", Role.READ)
-        if not operator.may(wanted):
-            detail = f"it has the role {operator.role}; this needs {wanted}"
-            raise _error(ErrorKind.FORBIDDEN, detail)
-
-    return guard
-
-
-async def _audit_refusal(error: Exception, scope: Scope) -> None:
-    handler = scope.get("route_handler")
-    changes = handler is not None and "role" in handler.opt
-    failure = answers.failure_of(error)
-    if not changes and failure.kind not in _ACCESS_KINDS:
-        return
-    operator: Operator | None = scope.get("state", {}).get(_OPERATOR_KEY)
-    client = scope.get("client")
-    access_lib.record(
-        AuditEntry(
-            operator=operator.name if operator else UNKNOWN_OPERATOR,
-            action=f"{scope.get('method', '')} {scope['path']}",
-            outcome=failure.kind.value,
-            detail=failure.detail,
-            client=client[0] if client else "",
-        )
-    )
-
-
-def _operator(request: OperatorRequest) -> Operator:
-    operator: Operator = request.state[_OPERATOR_KEY]
-    return operator
-
-
-def _audit_accepted(request: OperatorRequest, detail: str) -> None:
-    client = request.client.host if request.client else ""
-    access_lib.record(
-        AuditEntry(
-            operator=_operator(request).name,
-            action=f"{request.method} {request.url.path}",
-            outcome=ACCEPTED,
-            detail=detail,
-            client=client,
-        )
-    )
--- a/libs/config/src/masticdale_config/problems.py
+++ b/libs/config/src/masticdale_config/problems.py
@@ -7,6 +7,11 @@
 
 from masticdale_common import ErrorKind, Failure
 
+_MESSAGE_BY_TYPE = {
+    "extra_forbidden": "there is no such field",
+    "missing": "is missing",
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class FieldProblem:
@@ -49,5 +54,6 @@
         if parts[:1] == ["spec"] and parts[1:2] and parts[1] in union_tags:
             del parts[1]
         path = ".".join([prefix, *parts])
-        problems.append(FieldProblem(path, item["msg"]))
+        message = _MESSAGE_BY_TYPE.get(item["type"], item["msg"])
+        problems.append(FieldProblem(path, message))
     return problems
--- /dev/null
+++ b/scripts/write_field_tables.py
@@ -0,0 +1,207 @@
+"""Writes the tables of fields in docs/CONFIGURATION.md from the models.
+
+A line ``<!-- fields: module.Model -->`` is followed by the table of that
+model's fields and by ``<!-- end -->``; what stands between them is replaced.
+Descriptions are those of the model's docstring, so that page and code cannot
+drift; a test fails where the page is not current.
+"""
+
+import dataclasses
+import importlib
+import inspect
+import json
+import pathlib
+import re
+import sys
+import textwrap
+from typing import Any
+
+import pydantic
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "CONFIGURATION.md"
+_BLOCK = re.compile(r"<!-- fields: ([\w.]+) -->\n.*?<!-- end -->", re.S)
+MAX_COUNT = 2**53
+_PATTERN_NAMES = {
+    r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$": "a name",
+    r"^[0-9a-f]{64}$": "64 hexadecimal digits",
+}
+_HEADER = (
+    "| field | meaning | unit | default | bounds |\n"
+    "| --- | --- | --- | --- | --- |\n"
+)
+_UNITS = (
+    ("tokens_per_s", "tokens a second"),
+    ("requests_per_s", "requests a second"),
+    ("tokens_per_hour", "tokens an hour"),
+    ("_ms", "milliseconds"),
+    ("_s", "seconds"),
+    ("_bytes", "bytes"),
+    ("_tokens", "tokens"),
+    ("tokens", "tokens"),
+    ("_interval", "tokens"),
+)
+_BOUNDS = (
+    ("minimum", "at least {}"),
+    ("exclusiveMinimum", "above {}"),
+    ("maximum", "at most {}"),
+    ("minLength", "at least {} characters"),
+    ("maxLength", "at most {} characters"),
+    ("minItems", "at least {} items"),
+    ("maxItems", "at most {} items"),
+    ("minProperties", "at least {} entries"),
+    ("pattern", "{}"),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldRow:
+    """One field of a model."""
+
+    name: str
+    meaning: str
+    unit: str
+    default: str
+    bounds: str
+
+    def __str__(self) -> str:
+        cells = (
+            f"`{self.name}`",
+            self.meaning,
+            self.unit,
+            self.default,
+            self.bounds,
+        )
+        return f"| {' | '.join(_escape(cell) for cell in cells)} |"
+
+
+def current_page(text: str) -> str:
+    """Returns the page with each table as the models say."""
+    return _BLOCK.sub(_replace, text)
+
+
+def documented_models(text: str) -> set[str]:
+    """Returns the models whose tables a page holds."""
+    return set(_BLOCK.findall(text))
+
+
+def field_rows(model: type[pydantic.BaseModel]) -> list[FieldRow]:
+    """Returns the fields of a model in their order."""
+    schema = model.model_json_schema()
+    meaning_by_name = _read_meanings(model)
+    return [
+        FieldRow(
+            name=name,
+            meaning=meaning_by_name.get(name, ""),
+            unit=_unit(name, field),
+            default=_default(name, field, schema),
+            bounds=_bounds(field, schema),
+        )
+        for name, field in schema["properties"].items()
+    ]
+
+
+def _replace(match: re.Match[str]) -> str:
+    module_name, _, model_name = match[1].rpartition(".")
+    model = getattr(importlib.import_module(module_name), model_name)
+    rows = "\n".join(str(row) for row in field_rows(model))
+    return f"<!-- fields: {match[1]} -->\n\n{_HEADER}{rows}\n\n<!-- end -->"
+
+
+def _read_meanings(model: type[pydantic.BaseModel]) -> dict[str, str]:
+    found: dict[str, str] = {}
+    for base in reversed(model.__mro__):
+        _, _, attributes = (inspect.getdoc(base) or "").partition(
+            "Attributes:\n"
+        )
+        name = ""
+        for line in textwrap.dedent(attributes).splitlines():
+            begun = re.match(r"^(\w+): (.*)", line)
+            if begun:
+                name = begun.group(1)
+                found[name] = begun.group(2)
+            elif name and line.strip():
+                found[name] += f" {line.strip()}"
+    return {name: text.replace("``", "`") for name, text in found.items()}
+
+
+def _unit(name: str, field: dict[str, Any]) -> str:
+    if not _types(field) & {"integer", "number"}:
+        return ""
+    for suffix, unit in _UNITS:
+        if name.endswith(suffix):
+            return unit
+    return ""
+
+
+def _types(field: dict[str, Any]) -> set[str]:
+    variants = field.get("anyOf", [field])
+    return {variant.get("type", "") for variant in variants}
+
+
+def _default(name: str, field: dict[str, Any], schema: dict[str, Any]) -> str:
+    if name in schema.get("required", ()):
+        return "required"
+    if "default" not in field:
+        return "empty"
+    value = field["default"]
+    if value is None:
+        return "none"
+    if value in ("", [], {}):
+        return "empty"
+    if isinstance(value, dict):
+        return "see below"
+    return f"`{json.dumps(value)}`"
+
+
+def _bounds(field: dict[str, Any], schema: dict[str, Any]) -> str:
+    found: list[str] = []
+    for variant in field.get("anyOf", [field]):
+        reference = variant.get("$ref", "").rpartition("/")[2]
+        resolved = schema.get("$defs", {}).get(reference, {})
+        merged = variant | {
+            k: resolved[k] for k in ("enum", "pattern") if k in resolved
+        }
+        if "enum" in merged:
+            found.append("one of " + ", ".join(map(str, merged["enum"])))
+        if "const" in merged:
+            found.append(f"`{merged['const']}`")
+        found += [
+            text.format(_bound(merged[key]))
+            for key, text in _BOUNDS
+            if key in merged
+        ]
+    items = field.get("items", {})
+    if "pattern" in items:
+        found.append(f"each {_pattern(items['pattern'])}")
+    return ", ".join(found)
+
+
+def _bound(value: float | str) -> str:
+    if isinstance(value, str):
+        return _pattern(value)
+    if value == MAX_COUNT:
+        return "2^53"
+    return str(int(value)) if float(value).is_integer() else str(value)
+
+
+def _pattern(pattern: str) -> str:
+    return _PATTERN_NAMES.get(pattern, f"`{pattern}`")
+
+
+def _escape(cell: str) -> str:
+    return cell.replace("|", "\\|")
+
+
+def main() -> int:
+    """Rewrites the page; with ``--check`` only says whether it is current."""
+    text = PAGE.read_text()
+    current = current_page(text)
+    if "--check" in sys.argv[1:]:
+        return 0 if current == text else 1
+    PAGE.write_text(current)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
