--- a/apps/masticctl/src/masticctl/help.py
+++ b/apps/masticctl/src/masticctl/help.py
@@ -55,6 +55,17 @@
     return " ".join([f"Usage: {words} [OPTIONS]", *arguments])
 
 
+def command_names() -> list[str]:
+    """Returns every command as it is typed, sorted."""
+    names: list[str] = []
+    for name, member in _members(Commands()).items():
+        if isinstance(member, Group):
+            names += [f"{name} {inner}" for inner in _members(member)]
+        else:
+            names.append(name)
+    return sorted(names)
+
+
 def flags(argv: Sequence[str]) -> frozenset[str]:
     """Returns the options without a value of the command that is named."""
     component = _find(argv).component
--- a/scripts/write_field_tables.py
+++ b/scripts/write_field_tables.py
@@ -1,7 +1,8 @@
-"""Writes the tables of fields in docs/CONFIGURATION.md from the models.
+"""Writes the tables in the pages of docs/ that follow from the code.
 
 A line ``<!-- fields: module.Model -->`` is followed by the table of that
-model's fields and by ``<!-- end -->``; what stands between them is replaced.
+model's fields, ``<!-- errors -->`` by the table of error kinds, and each by
+``<!-- end -->``; what stands between them is replaced.
 Descriptions are those of the model's docstring, so that page and code cannot
 drift; a test fails where the page is not current.
 """
@@ -18,14 +19,21 @@
 
 import pydantic
 
+from masticdale_common import ANSWER_BY_KIND, Answer
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PAGE = ROOT / "docs" / "CONFIGURATION.md"
+DOCS = ROOT / "docs"
 _BLOCK = re.compile(r"<!-- fields: ([\w.]+) -->\n.*?<!-- end -->", re.S)
 MAX_COUNT = 2**53
 _PATTERN_NAMES = {
     r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$": "a name",
     r"^[0-9a-f]{64}$": "64 hexadecimal digits",
 }
+_ERRORS = re.compile(r"<!-- errors -->\n.*?<!-- end -->", re.S)
+_ERRORS_HEADER = (
+    "| kind | status | ran | retry after | exit code | message |\n"
+    "| --- | --- | --- | --- | --- | --- |\n"
+)
 _HEADER = (
     "| field | meaning | unit | default | bounds |\n"
     "| --- | --- | --- | --- | --- |\n"
@@ -77,7 +85,7 @@
 
 def current_page(text: str) -> str:
     """Returns the page with each table as the models say."""
-    return _BLOCK.sub(_replace, text)
+    return _ERRORS.sub(_replace_errors, _BLOCK.sub(_replace, text))
 
 
 def documented_models(text: str) -> set[str]:
@@ -85,6 +93,15 @@
     return set(_BLOCK.findall(text))
 
 
+def load_model(name: str) -> type[pydantic.BaseModel]:
+    """Returns a model by its module and name."""
+    module_name, _, model_name = name.rpartition(".")
+    model: type[pydantic.BaseModel] = getattr(
+        importlib.import_module(module_name), model_name
+    )
+    return model
+
+
 def field_rows(model: type[pydantic.BaseModel]) -> list[FieldRow]:
     """Returns the fields of a model in their order."""
     schema = model.model_json_schema()
@@ -102,12 +119,26 @@
 
 
 def _replace(match: re.Match[str]) -> str:
-    module_name, _, model_name = match[1].rpartition(".")
-    model = getattr(importlib.import_module(module_name), model_name)
-    rows = "\n".join(str(row) for row in field_rows(model))
+    rows = "\n".join(str(row) for row in field_rows(load_model(match[1])))
     return f"<!-- fields: {match[1]} -->\n\n{_HEADER}{rows}\n\n<!-- end -->"
 
 
+def _replace_errors(match: re.Match[str]) -> str:
+    del match
+    rows = "\n".join(
+        f"| `{kind.value}` | {answer.status} | {answer.ran.value}"
+        f" | {_retry(answer)} | {answer.exit_code} | {answer.message} |"
+        for kind, answer in ANSWER_BY_KIND.items()
+    )
+    return f"<!-- errors -->\n\n{_ERRORS_HEADER}{rows}\n\n<!-- end -->"
+
+
+def _retry(answer: Answer) -> str:
+    if answer.retry_after_ms is None:
+        return "never"
+    return f"{answer.retry_after_ms} ms"
+
+
 def _read_meanings(model: type[pydantic.BaseModel]) -> dict[str, str]:
     found: dict[str, str] = {}
     for base in reversed(model.__mro__):
@@ -194,13 +225,23 @@
 
 
 def main() -> int:
-    """Rewrites the page; with ``--check`` only says whether it is current."""
-    text = PAGE.read_text()
-    current = current_page(text)
-    if "--check" in sys.argv[1:]:
-        return 0 if current == text else 1
-    PAGE.write_text(current)
-    return 0
+    """Rewrites the pages; with ``--check`` only says whether they are current.
+
+    Returns:
+        The exit code: 1 where ``--check`` found a page that is not current.
+    """
+    check_only = "--check" in sys.argv[1:]
+    stale = []
+    for page in sorted(DOCS.glob("*.md")):
+        text = page.read_text()
+        current = current_page(text)
+        if current == text:
+            continue
+        stale.append(page.name)
+        if not check_only:
+            page.write_text(current)
+    print(f"{len(stale)} page(s) not current: {', '.join(stale)}")
+    return 1 if check_only and stale else 0
 
 
 if __name__ == "__main__":
