Take peers of changed settings while running; tell routine news at random

Cause: hosts join later than the settings of the others; news of a revision reached all neighbours of a host in the same order, mostly for nothing. News carry no address: a host is called only where its settings name it, because an address taken from news would be believed without the operators' say. Routine news are chosen at random, two in a message; old ones are repeated in every fourth quiet message. Conclusion: deployment pushes settings, and no host waits for absent ones.

--- a/libs/peers/src/masticdale_peers/connections.py
+++ b/libs/peers/src/masticdale_peers/connections.py
@@ -175,6 +175,11 @@
         # busy peer would be taken for a dead one.
         self._heartbeat_pool = _Pool(peer, context, 1, clock)
 
+    @property
+    def peer(self) -> PeerSettings:
+        """The peer that is called."""
+        return self._peer
+
     async def call(
         self,
         rpc: Rpc[RequestT, ReplyT],
@@ -280,13 +285,42 @@
 class PeerDirectory:
     """The clients of all peers; made by ``connect``."""
 
-    def __init__(self, client_by_host: dict[str, PeerClient]) -> None:
-        self._client_by_host = client_by_host
+    def __init__(
+        self,
+        tls: TlsSettings | None,
+        metrics: Metrics,
+        limits: PoolLimits,
+    ) -> None:
+        self._is_plain = tls is None
+        self._context = tls_contexts.client_context(tls) if tls else None
+        self._metrics = metrics
+        self._limits = limits
+        self._client_by_host: dict[str, PeerClient] = {}
 
     def client(self, host: str) -> PeerCalls:
         """See ``Peers.client``."""
         return self._client_by_host.get(host) or _UnknownPeer(host)
 
+    def set_peers(self, peers: Iterable[PeerSettings]) -> None:
+        """Takes the hosts of changed settings; unchanged ones keep theirs.
+
+        Args:
+            peers: Every other host.
+
+        Raises:
+            MasticdaleError: INVALID_SETTINGS, where plaintext is not allowed;
+                nothing is changed then.
+        """
+        wanted = list(peers)
+        if self._is_plain:
+            for peer in wanted:
+                require_loopback(peer.address)
+        kept = self._client_by_host
+        self._client_by_host = {p.name: self._client(p, kept) for p in wanted}
+        for host, client in kept.items():
+            if self._client_by_host.get(host) is not client:
+                client.close()
+
     async def close_idle(self) -> None:
         """Closes connections that were idle for too long."""
         for client in self._client_by_host.values():
@@ -304,6 +338,14 @@
             for host, client in self._client_by_host.items()
         }
 
+    def _client(
+        self, peer: PeerSettings, kept: dict[str, PeerClient]
+    ) -> PeerClient:
+        client = kept.get(peer.name)
+        if client is not None and client.peer == peer:
+            return client
+        return PeerClient(peer, self._context, self._limits, self._metrics)
+
 
 def connect(
     peers: Iterable[PeerSettings],
@@ -325,14 +367,9 @@
         MasticdaleError: INVALID_SETTINGS, where plaintext is not allowed or a
             certificate cannot be used.
     """
-    context = tls_contexts.client_context(tls) if tls else None
     limits = limits or PoolLimits()
-    client_by_host = {}
-    for peer in peers:
-        if tls is None:
-            require_loopback(peer.address)
-        client_by_host[peer.name] = PeerClient(peer, context, limits, metrics)
-    directory = PeerDirectory(client_by_host)
+    directory = PeerDirectory(tls, metrics, limits)
+    directory.set_peers(peers)
     timers.subscribe(
         Subscription(_IDLE_TIMER, limits.idle_s / 2, directory.close_idle)
     )
--- a/libs/peers/src/masticdale_peers/membership.py
+++ b/libs/peers/src/masticdale_peers/membership.py
@@ -85,12 +85,8 @@
         self._limits = limits
         self._clock = clock
         self._metrics = metrics
-        self._record_by_host = {
-            name: PeerRecord() for name in peer_names if name != self._name
-        }
-        self._order = neighbours.order_peers(self._name, self._record_by_host)
-        self._uses_news = len(self._record_by_host) > limits.fan_out
-        self._board = NewsBoard(limits.news_per_beat)
+        self._record_by_host: dict[str, PeerRecord] = {}
+        self._board = NewsBoard(limits.news_per_beat, self._name)
         self._version = 0
         self._said: Heartbeat | None = None
         self._unknown_hosts: set[str] = set()
@@ -106,8 +102,8 @@
         self._cached_own: _Place | None = None
         self._owner_by_key: dict[str, str] = {}
         self._owners_view: tuple[_Place, ...] = ()
-        self._choose_neighbours()
-        self._last_view = self._view()
+        self._last_view: tuple[_Place, ...] = ()
+        self.set_peers(peer_names)
 
     def start(self) -> None:
         """Starts one task for each neighbour and the tick."""
@@ -178,6 +174,25 @@
         """
         self._pause_callbacks.append(callback)
 
+    def set_peers(self, peer_names: Iterable[str]) -> None:
+        """Takes the hosts of changed settings; those named before stay.
+
+        Args:
+            peer_names: Every other host in the settings now.
+        """
+        names = sorted(set(peer_names) - {self._name})
+        for host in self._record_by_host.keys() - set(names):
+            self._board.forget(host)
+        self._record_by_host = {
+            name: self._record_by_host.get(name) or PeerRecord()
+            for name in names
+        }
+        self._unknown_hosts -= set(names)
+        self._order = neighbours.order_peers(self._name, names)
+        self._uses_news = len(names) > self._limits.fan_out
+        self._choose_neighbours()
+        self._notify_changes()
+
     def set_listed(self, listed: Iterable[ListedPeer]) -> None:
         """Takes the platform's list of hosts.
 
@@ -217,12 +232,16 @@
 
     async def beat(self, host: str) -> None:
         """Sends one heartbeat to a peer and takes its answer."""
-        record = self._record_by_host[host]
+        record = self._record_by_host.get(host)
+        if record is None:
+            return  # New settings have just dropped it.
         said = self._say_to(host)
         started_at = self._clock()
         result = await self._peers.client(host).heartbeat(
             said, self._limits.timeout_s
         )
+        if self._record_by_host.get(host) is not record:
+            return  # New settings dropped it during the call.
         if not isinstance(result, Success):
             self._board.put_back(host, said.news)
             self._note_failure(record, host)
@@ -333,14 +352,16 @@
             if host in chosen:
                 record.become_neighbour(now)
             else:
-                record.is_neighbour = False
+                record.become_distant(now, self._limits)
 
     def _is_live(self, host: str) -> bool:
         record = self._record_by_host[host]
         return record.is_live(self._clock(), self._limits)
 
     def _is_linked(self, host: str) -> bool:
-        record = self._record_by_host[host]
+        record = self._record_by_host.get(host)
+        if record is None:
+            return False
         if record.is_neighbour or record.called_at is None:
             return record.is_neighbour
         return self._clock() - record.called_at <= self._limits.lease_s
--- a/libs/peers/src/masticdale_peers/news.py
+++ b/libs/peers/src/masticdale_peers/news.py
@@ -1,11 +1,15 @@
 """News of other hosts, passed on to each neighbour once."""
 
 import dataclasses
+import itertools
+import random
 
 from masticdale_peers.messages import Heartbeat, PeerNews
 
 MAX_ACCUSERS = 2
 
+_QUIET_MESSAGES_PER_REPEAT = 4
+
 
 def news_of(beat: Heartbeat) -> PeerNews:
     """Returns what a host says about itself as news for others."""
@@ -68,12 +72,14 @@
         routine: Hosts that only changed their revision, and those that a new
             neighbour has not heard of.
         repeated: The place in the repetition of old news.
+        quiet_messages: Messages without news.
     """
 
     incarnation: str
     urgent: dict[str, None] = dataclasses.field(default_factory=dict)
     routine: dict[str, None] = dataclasses.field(default_factory=dict)
     repeated: int = 0
+    quiet_messages: int = 0
 
     def add(self, host: str, *, urgent: bool) -> None:
         """Queues a host's news."""
@@ -92,8 +98,9 @@
 class NewsBoard:
     """The latest news of each host and who has still to hear it."""
 
-    def __init__(self, per_message: int) -> None:
+    def __init__(self, per_message: int, seed: str = "") -> None:
         self._per_message = per_message
+        self._random = random.Random(seed)
         self._news_by_host: dict[str, PeerNews] = {}
         self._link_by_host: dict[str, _Link] = {}
 
@@ -113,6 +120,13 @@
         """Drops the news queued for a host that is no neighbour any more."""
         self._link_by_host.pop(neighbour, None)
 
+    def forget(self, host: str) -> None:
+        """Drops a host that is no peer any more."""
+        self._news_by_host.pop(host, None)
+        self.close_link(host)
+        for link in self._link_by_host.values():
+            link.drop(host)
+
     def links(self) -> tuple[str, ...]:
         """Returns the neighbours that news is queued for."""
         return tuple(self._link_by_host)
@@ -150,12 +164,10 @@
         if own is not None and own.accusers:
             # Only the accused host itself can refute the accusation.
             link.add(neighbour, urgent=True)
-        queued = [*link.urgent, *link.routine][: self._per_message]
-        for host in queued:
+        chosen = self._next(link) or self._repeat(link)
+        for host in chosen:
             link.drop(host)
-        return tuple(
-            self._news_by_host[host] for host in queued or self._repeat(link)
-        )
+        return tuple(self._news_by_host[host] for host in chosen)
 
     def put_back(self, neighbour: str, news: tuple[PeerNews, ...]) -> None:
         """Queues news again that may not have reached the neighbour."""
@@ -163,19 +175,28 @@
         if link is None:
             return
         for item in news:
-            link.add(item.host, urgent=True)
+            if item.host in self._news_by_host:
+                link.add(item.host, urgent=True)
 
     def _queue(self, item: PeerNews, *, urgent: bool) -> None:
         for neighbour, link in self._link_by_host.items():
             if neighbour != item.host or item.accusers:
                 link.add(item.host, urgent=urgent)
 
+    def _next(self, link: _Link) -> list[str]:
+        chosen = list(itertools.islice(link.urgent, self._per_message))
+        count = min(self._per_message - len(chosen), len(link.routine))
+        # At random: in the same order, all neighbours of a host would tell it
+        # the same news at the same time, and most of them for nothing.
+        return chosen + self._random.sample(list(link.routine), count)
+
     def _repeat(self, link: _Link) -> list[str]:
         # A reply may be lost after its news were taken off the queue, and the
         # neighbour would keep a stale view for good. One old item in each
-        # quiet message mends that in time.
+        # few quiet messages mends that in time.
+        link.quiet_messages += 1
         hosts = list(self._news_by_host)
-        if not hosts:
+        if not hosts or link.quiet_messages % _QUIET_MESSAGES_PER_REPEAT:
             return []
         link.repeated = (link.repeated + 1) % len(hosts)
         return [hosts[link.repeated]]
--- a/libs/peers/src/masticdale_peers/records.py
+++ b/libs/peers/src/masticdale_peers/records.py
@@ -97,6 +97,14 @@
             self.answered_at = now
         self.is_neighbour = True
 
+    def become_distant(self, now: float, limits: MembershipLimits) -> None:
+        """Starts to go by the news of the peer."""
+        if self.is_neighbour and self.heard_at is None:
+            # With a ninth peer the calls to all turn into calls to a few:
+            # those that answered until now stay, though no news has come.
+            self.heard_at = now if self.has_answered(now, limits) else None
+        self.is_neighbour = False
+
     def shift(self, seconds: float) -> None:
         """Moves every time limit on by a pause of this process."""
         if self.answered_at is not None:
--- a/libs/peers/src/masticdale_peers/views.py
+++ b/libs/peers/src/masticdale_peers/views.py
@@ -27,7 +27,7 @@
     timeout_s: float = 0.75
     lease_s: float = 2.5
     fan_out: int = 8
-    news_per_beat: int = 4
+    news_per_beat: int = 2
     refute_s: float = 2.0
     suspect_s: float = 4.0
     accuse_again_s: float = 10.0
