Measure the policies under load in virtual time

Change: tools/load with `mastic-load policy` (fake engines at the engine interface, programs with heavy tails, tool pauses, sub-agents and shared templates, late and gappy reports, crash, slow and leave) and `mastic-load decisions`.

--- /dev/null
+++ b/tools/load/src/masticdale_load/engine.py
@@ -0,0 +1,244 @@
+"""A fake model engine: continuous batching, shared prefill, prefix cache.
+
+It stands at the engine's interface only. As the real ones it knows no
+priority, admits calls in order of arrival, and slows as its batch grows.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import heapq
+import itertools
+
+from masticdale_load.cache import PrefixCache
+
+_EPSILON = 1e-6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """How fast an engine is.
+
+    Attributes:
+        slots: Calls in its batch at most.
+        step_base_s: Seconds of one decode step before any call.
+        step_per_call_s: Seconds that each call in the batch adds to a step.
+        prefill_tokens_per_s: Speed of prompts, computed one after another.
+        decode_share: Decode speed left while a prompt is computed.
+        restore_interval: A cached prefix is usable at multiples of this.
+        transfer_tokens_per_s: Speed of export and import; 0 if it can't.
+    """
+
+    slots: int
+    step_base_s: float
+    step_per_call_s: float
+    prefill_tokens_per_s: float
+    decode_share: float
+    restore_interval: int
+    transfer_tokens_per_s: float
+
+    def decode_tokens_per_s(self, batch: int) -> float:
+        """Returns one call's generation speed in a batch."""
+        return 1 / (self.step_base_s + self.step_per_call_s * batch)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineCall:
+    """One model call as the engine sees it.
+
+    Attributes:
+        branch: Cache key of the branch.
+        template: Cache key of the shared first part.
+        template_tokens: Tokens of the shared first part.
+        prompt_tokens: Tokens of the whole prompt.
+        generated_tokens: Tokens it will generate.
+        imported_tokens: Prompt tokens to import before it begins.
+    """
+
+    branch: str
+    template: str
+    template_tokens: int
+    prompt_tokens: int
+    generated_tokens: int
+    imported_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineResult:
+    """How a call ended.
+
+    Attributes:
+        crashed: The engine died under it, or was down.
+        cached_tokens: Prompt tokens that were not computed.
+    """
+
+    crashed: bool
+    cached_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Active:
+    call: EngineCall
+    done: asyncio.Future[EngineResult]
+    cached_tokens: int = 0
+    prefill_left: float = 0.0
+    finish_at_decoded: float = 0.0
+
+
+class EngineModel:
+    """Runs calls in virtual time.
+
+    All calls that decode advance alike, so one counter of decoded tokens per
+    call serves the whole batch.
+    """
+
+    def __init__(self, spec: EngineSpec, cache: PrefixCache) -> None:
+        self.spec = spec
+        self.cache = cache
+        self.up = True
+        self.speed = 1.0
+        self._loop = asyncio.get_running_loop()
+        self._waiting: collections.deque[_Active] = collections.deque()
+        self._prefill: collections.deque[_Active] = collections.deque()
+        self._decode: list[tuple[float, int, _Active]] = []
+        self._counter = itertools.count()
+        self._decoded = 0.0
+        self._advanced_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        self._link_free_at = 0.0
+
+    @property
+    def running(self) -> int:
+        """Calls in the batch."""
+        return len(self._prefill) + len(self._decode)
+
+    @property
+    def waiting(self) -> int:
+        """Calls admitted and not begun."""
+        return len(self._waiting)
+
+    async def run(self, call: EngineCall) -> EngineResult:
+        """Runs a call to its end.
+
+        Args:
+            call: The call.
+
+        Returns:
+            Its result; ``crashed`` when the engine is or goes down.
+        """
+        if call.imported_tokens > 0:
+            await self.transfer(call.imported_tokens)
+            own = call.imported_tokens - call.template_tokens
+            self.cache.hold(call.branch, max(0, own))
+        if not self.up:
+            return EngineResult(crashed=True)
+        self._advance()
+        active = _Active(call, self._loop.create_future())
+        self._waiting.append(active)
+        self._fill()
+        self._schedule()
+        return await active.done
+
+    async def transfer(self, tokens: int) -> None:
+        """Exports or imports tokens over the engine's one link."""
+        now = self._loop.time()
+        begin = max(now, self._link_free_at)
+        rate = self.spec.transfer_tokens_per_s
+        self._link_free_at = begin + tokens / rate
+        await asyncio.sleep(self._link_free_at - now)
+
+    def crash(self) -> None:
+        """Ends every call and loses the cache."""
+        self._advance()
+        active = [*self._waiting, *self._prefill, *(x[2] for x in self._decode)]
+        self._waiting.clear()
+        self._prefill.clear()
+        self._decode.clear()
+        self.cache.clear()
+        self.up = False
+        self._schedule()
+        for each in active:
+            each.done.set_result(EngineResult(crashed=True))
+
+    def restart(self) -> None:
+        """Comes back with an empty cache."""
+        self.up = True
+
+    def set_speed(self, speed: float) -> None:
+        """Sets the share of its normal speed that the engine runs at."""
+        self._advance()
+        self.speed = speed
+        self._schedule()
+
+    def _decode_rate(self) -> float:
+        rate = self.spec.decode_tokens_per_s(len(self._decode)) * self.speed
+        return rate * self.spec.decode_share if self._prefill else rate
+
+    def _prefill_rate(self) -> float:
+        return self.spec.prefill_tokens_per_s * self.speed
+
+    def _advance(self) -> None:
+        now = self._loop.time()
+        passed = now - self._advanced_at
+        self._advanced_at = now
+        if self._decode:
+            self._decoded += passed * self._decode_rate()
+        if self._prefill:
+            self._prefill[0].prefill_left -= passed * self._prefill_rate()
+
+    def _fill(self) -> None:
+        while self._waiting and self.running < self.spec.slots:
+            active = self._waiting.popleft()
+            self._begin(active)
+            self._prefill.append(active)
+
+    def _begin(self, active: _Active) -> None:
+        call, cache = active.call, self.cache
+        held = min(cache.tokens(call.template), call.template_tokens)
+        if held == call.template_tokens:
+            held += cache.tokens(call.branch)
+        held = min(held, call.prompt_tokens - 1)
+        active.cached_tokens = held - held % self.spec.restore_interval
+        active.prefill_left = float(call.prompt_tokens - active.cached_tokens)
+        for key in (call.template, call.branch):
+            cache.pin(key)
+        cache.hold(call.branch, call.prompt_tokens - call.template_tokens)
+        cache.hold(call.template, call.template_tokens)
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        delays = []
+        if self._prefill:
+            delays.append(self._prefill[0].prefill_left / self._prefill_rate())
+        if self._decode:
+            left = self._decode[0][0] - self._decoded
+            delays.append(left / self._decode_rate())
+        if delays:
+            delay = max(0.0, min(delays))
+            self._timer = self._loop.call_later(delay, self._step)
+
+    def _step(self) -> None:
+        self._advance()
+        while self._prefill and self._prefill[0].prefill_left <= _EPSILON:
+            self._start_decode(self._prefill.popleft())
+        while self._decode and self._decode[0][0] <= self._decoded + _EPSILON:
+            self._end(heapq.heappop(self._decode)[2])
+        self._fill()
+        self._schedule()
+
+    def _start_decode(self, active: _Active) -> None:
+        finish_at = self._decoded + active.call.generated_tokens
+        entry = (finish_at, next(self._counter), active)
+        heapq.heappush(self._decode, entry)
+
+    def _end(self, active: _Active) -> None:
+        call = active.call
+        tokens = call.prompt_tokens + call.generated_tokens
+        self.cache.hold(call.branch, tokens - call.template_tokens)
+        for key in (call.template, call.branch):
+            self.cache.unpin(key)
+        active.done.set_result(
+            EngineResult(crashed=False, cached_tokens=active.cached_tokens)
+        )
--- /dev/null
+++ b/tools/load/src/masticdale_load/homes.py
@@ -0,0 +1,244 @@
+"""The home of one model replica: queue, prefix index, circuit, fake engine."""
+
+import asyncio
+import dataclasses
+import random
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_load.cache import PrefixCache
+from masticdale_load.engine import EngineModel
+from masticdale_load.experiments import Engine, Experiment, Policy
+from masticdale_load.gates import Gate
+from masticdale_routing import (
+    BranchKey,
+    CachePressure,
+    Candidate,
+    Circuit,
+    InFlightSettings,
+    LoadObservation,
+    PrefixIndex,
+    PrefixRequest,
+    QueueSettings,
+    Ticket,
+    TicketResult,
+    create_replica_queue,
+)
+
+_AWAY = Failure(ErrorKind.NO_UPSTREAM, "the replica is away")
+_PRESSURE_WINDOW_S = 60.0
+_UNPRESSED_S = 1e9
+_KEY_SEPARATOR = "/"
+
+
+def cache_key(branch: BranchKey) -> str:
+    """Returns the engine's key of a branch."""
+    return f"{branch.program_id}{_KEY_SEPARATOR}{branch.branch_id}"
+
+
+class EvictionRate:
+    """Tokens evicted per second, forgotten over a window."""
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._at = 0.0
+
+    def add(self, tokens: int, now: float) -> None:
+        """Notes evicted tokens."""
+        self._tokens = self._remembered(now) + tokens
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        """Returns the present rate."""
+        return self._remembered(now) / _PRESSURE_WINDOW_S
+
+    def _remembered(self, now: float) -> float:
+        passed = now - self._at
+        return self._tokens * max(0.0, 1 - passed / (2 * _PRESSURE_WINDOW_S))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """A call as a home is asked about it.
+
+    Attributes:
+        ticket: The call.
+        request: Its prompt.
+        importable_tokens: Prompt tokens that could be imported.
+    """
+
+    ticket: Ticket
+    request: PrefixRequest
+    importable_tokens: int
+
+
+class ReplicaHome:
+    """Answers probes and learns from late reports and events."""
+
+    def __init__(
+        self, replica: str, domain: str, engine: EngineModel, gate: Gate
+    ) -> None:
+        self.replica = replica
+        self.domain = domain
+        self.engine = engine
+        self.gate = gate
+        self.circuit = Circuit()
+        self.index = PrefixIndex(engine.spec.restore_interval)
+        self.index.capacity_tokens = engine.cache.capacity_tokens
+        self.evictions = EvictionRate()
+        self.present = True
+        self._template_tokens_by_program: dict[str, int] = {}
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def usable(self) -> bool:
+        """Whether it gets calls."""
+        return self.present and self.circuit.allows(self._loop.time())
+
+    def candidate(self, probe: Probe) -> Candidate:
+        """Answers a probe."""
+        now = self._loop.time()
+        queue, request = self.gate.queue, probe.request
+        cached = max(
+            self.index.cached_tokens(request),
+            self._import_worth(probe.importable_tokens),
+        )
+        uncached = max(0, request.prompt_tokens - cached)
+        asked = dataclasses.replace(probe.ticket, uncached_tokens=uncached)
+        return Candidate(
+            self.replica,
+            self.domain,
+            queue.expected_wait_s(asked, now),
+            cached,
+            queue.speed.prefill_tokens_per_s,
+            queue.speed.decode_tokens_per_s,
+            queue.in_flight(now) + queue.waiting,
+            self.usable,
+        )
+
+    def worth_importing(self, probe: Probe) -> bool:
+        """Returns whether importing saves time here."""
+        held = self.index.cached_tokens(probe.request)
+        return self._import_worth(probe.importable_tokens) > held
+
+    def pressure(self) -> CachePressure:
+        """Returns what a held token costs here."""
+        rate = self.evictions.per_s(self._loop.time())
+        capacity = self.engine.cache.capacity_tokens
+        return CachePressure(
+            capacity / rate if rate > 0 else _UNPRESSED_S,
+            self.gate.queue.speed.prefill_tokens_per_s,
+            self.engine.spec.transfer_tokens_per_s,
+        )
+
+    def sent(self, request: PrefixRequest) -> None:
+        """Notes a call sent to the engine."""
+        program_id = request.branch.program_id
+        self._template_tokens_by_program[program_id] = request.template_tokens
+        self.index.sent(request, self._loop.time())
+
+    def finish(self, ticket_id: str, result: TicketResult) -> None:
+        """Ends a granted call."""
+        if not result.crashed:
+            self.circuit.succeeded()
+            self.gate.finish(ticket_id, result)
+            return
+        self.circuit.failed(self._loop.time())
+        # Granting on would send every waiting call into the same failure and
+        # spend a retry on each.
+        if not self.usable:
+            self.gate.close(_AWAY)
+        self.gate.finish(ticket_id, result)
+
+    def leave(self) -> None:
+        """Takes no new work; what waits is given back."""
+        self.present = False
+        self.gate.close(_AWAY)
+
+    def come_back(self) -> None:
+        """Takes work again, from an engine that lost its memory."""
+        self.index.restarted()
+        self.gate.queue.reopen()
+        self.present = True
+
+    def release(self, branch: BranchKey) -> None:
+        """Frees a prefix at the engine."""
+        self.engine.cache.release(cache_key(branch))
+
+    def forget(self, program_id: str) -> None:
+        """Forgets a program that ended."""
+        self.index.released(program_id)
+        self._template_tokens_by_program.pop(program_id, None)
+
+    def evicted(self, key: str, left: int) -> None:
+        """Applies a cache event to the index."""
+        program_id, _, branch_id = key.partition(_KEY_SEPARATOR)
+        template = self._template_tokens_by_program.get(program_id)
+        if template is None:
+            return
+        tokens = left + template if left > 0 else 0
+        branch = BranchKey(program_id, branch_id)
+        self.index.evicted(branch, tokens, self._loop.time())
+
+    def _import_worth(self, tokens: int) -> int:
+        # Importing takes time too; the tokens count for what they save.
+        rate = self.engine.spec.transfer_tokens_per_s
+        speed = self.gate.queue.speed.prefill_tokens_per_s
+        return int(tokens * max(0.0, 1 - speed / rate)) if rate > 0 else 0
+
+
+class EventChannel:
+    """Carries an engine's events to its home: late, and with gaps."""
+
+    def __init__(self, home: ReplicaHome, settings: Engine, seed: int) -> None:
+        self._home = home
+        self._settings = settings
+        self._random = random.Random(seed)
+        self._loop = asyncio.get_running_loop()
+        home.engine.cache.listen(self._evicted)
+
+    async def report_load(self) -> None:
+        """Reports load again and again."""
+        engine, gate = self._home.engine, self._home.gate
+        while True:
+            observation = LoadObservation(
+                engine.running, engine.waiting, self._loop.time()
+            )
+            await asyncio.sleep(self._settings.event_lag_s)
+            gate.queue.observe_load(observation, self._loop.time())
+            gate.pump()
+            await asyncio.sleep(self._settings.report_period_s)
+
+    def _evicted(self, key: str, left: int, freed: int) -> None:
+        self._home.evictions.add(freed, self._loop.time())
+        if self._random.random() < self._settings.event_loss:
+            return
+        lag_s = self._settings.event_lag_s
+        self._loop.call_later(lag_s, self._home.evicted, key, left)
+
+
+def create_home(
+    number: int, experiment: Experiment, policy: Policy, capacity: int
+) -> ReplicaHome:
+    """Returns the home of a model replica with its fake engine.
+
+    Args:
+        number: Number of the replica.
+        experiment: The experiment.
+        policy: The policy under test.
+        capacity: Tokens of its prefix cache.
+    """
+    spec = experiment.engine.spec()
+    replica = f"model-{number}"
+    domain = f"domain-{number % experiment.deployment.failure_domains}"
+    queue = create_replica_queue(
+        replica,
+        QueueSettings(
+            order=policy.order,
+            age_bound_s=policy.age_bound_s,
+            max_wait_s_by_priority=policy.max_wait_s,
+            in_flight=InFlightSettings(initial=spec.slots),
+        ),
+    )
+    cache = PrefixCache(capacity, spec.restore_interval)
+    engine = EngineModel(spec, cache)
+    return ReplicaHome(replica, domain, engine, Gate(queue))
--- /dev/null
+++ b/tools/load/src/masticdale_load/pausing.py
@@ -0,0 +1,90 @@
+"""Acts on the pause model: keeps, exports or releases prefixes."""
+
+import asyncio
+import dataclasses
+
+from masticdale_load.experiments import PauseKind
+from masticdale_load.exports import ExportStore
+from masticdale_load.homes import ReplicaHome, cache_key
+from masticdale_load.measures import Counters
+from masticdale_routing import BranchKey, PauseAction, PauseKey, PauseModel
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PausedBranch:
+    """A branch that waits for a tool.
+
+    Attributes:
+        branch: The branch.
+        kind: Kind of its program.
+        tool: The tool.
+        tokens: Its context.
+        replica: Where its prefix is.
+    """
+
+    branch: BranchKey
+    kind: str
+    tool: str
+    tokens: int
+    replica: str
+
+
+class PauseKeeper:
+    """Decides at the begin of each pause what happens to the prefix."""
+
+    def __init__(
+        self,
+        homes: list[ReplicaHome],
+        kind: PauseKind,
+        exports: ExportStore,
+        counters: Counters,
+    ) -> None:
+        self._home_by_replica = {home.replica: home for home in homes}
+        self._kind = kind
+        self._exports = exports
+        self._counters = counters
+        self._model = PauseModel()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+
+    def begin(self, paused: PausedBranch) -> None:
+        """Notes the begin of a pause."""
+        if self._kind is PauseKind.KEEP:
+            return
+        home = self._home_by_replica[paused.replica]
+        pressure = home.pressure()
+        key = PauseKey(paused.kind, paused.tool)
+        decision = self._model.decide(key, paused.tokens, 0.0, pressure)
+        if decision.action is PauseAction.KEEP:
+            return
+        if decision.action is PauseAction.RELEASE:
+            if self._kind is PauseKind.MODEL:
+                home.release(paused.branch)
+            return
+        task = asyncio.create_task(self._export(paused, home))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def returned(self, paused: PausedBranch, pause_s: float) -> None:
+        """Learns from the end of a pause."""
+        key = PauseKey(paused.kind, paused.tool)
+        self._model.observe(key, pause_s)
+
+    def end(self, branch: BranchKey) -> None:
+        """Frees whatever an ended program's branch holds."""
+        self._exports.drop(cache_key(branch))
+        for home in self._home_by_replica.values():
+            home.release(branch)
+            home.forget(branch.program_id)
+
+    async def _export(self, paused: PausedBranch, home: ReplicaHome) -> None:
+        key = cache_key(paused.branch)
+        # Only what grew since the last export is transferred.
+        fresh = max(0, paused.tokens - self._exports.tokens(key))
+        await home.engine.transfer(fresh)
+        if home.engine.cache.tokens(key) <= 0:
+            return
+        self._exports.put(key, paused.tokens)
+        self._counters.exported_tokens += fresh
+        if self._kind is PauseKind.MODEL:
+            home.release(paused.branch)
--- /dev/null
+++ b/tools/load/src/masticdale_load/policies.py
@@ -0,0 +1,71 @@
+"""Runs all combinations of an experiment in a few processes."""
+
+import concurrent.futures
+import dataclasses
+import itertools
+from collections.abc import Iterable
+
+from masticdale_load.experiments import Experiment
+from masticdale_load.fleet import RunKey, run_once
+from masticdale_load.reports import Report, Run
+from masticdale_load.workloads import measure_demand
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selection:
+    """Which combinations to run; an empty set stands for all.
+
+    Attributes:
+        policies: Names of policies.
+        loads: Loads.
+        caches: Names of cache sizes.
+        faults: Names of faults.
+    """
+
+    policies: frozenset[str] = frozenset()
+    loads: frozenset[float] = frozenset()
+    caches: frozenset[str] = frozenset()
+    faults: frozenset[str] = frozenset()
+
+
+def select_runs(experiment: Experiment, selection: Selection) -> list[RunKey]:
+    """Returns the runs of an experiment that are selected."""
+    return [
+        RunKey(policy, load, cache, fault)
+        for policy, load, cache, fault in itertools.product(
+            _keep(experiment.policy_by_name, selection.policies),
+            [x for x in experiment.loads if _fits(x, selection.loads)],
+            _keep(experiment.fill_by_cache, selection.caches),
+            _keep(experiment.fault_by_name, selection.faults),
+        )
+    ]
+
+
+def run_experiment(
+    experiment: Experiment, keys: list[RunKey], processes: int
+) -> Report:
+    """Runs an experiment.
+
+    Args:
+        experiment: The experiment.
+        keys: Its runs.
+        processes: How many run at once.
+    """
+    demand = measure_demand(experiment)
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        summaries = pool.map(
+            run_once,
+            itertools.repeat(experiment),
+            itertools.repeat(demand),
+            keys,
+        )
+        runs = tuple(map(Run, keys, summaries))
+    return Report(experiment.name, experiment.seed, runs)
+
+
+def _keep(names: Iterable[str], wanted: frozenset[str]) -> list[str]:
+    return [name for name in names if not wanted or name in wanted]
+
+
+def _fits(load: float, wanted: frozenset[float]) -> bool:
+    return not wanted or load in wanted
