--- a/tools/load/src/masticdale_load/calls.py
+++ b/tools/load/src/masticdale_load/calls.py
@@ -181,9 +181,6 @@
         self, call: ModelCall, home: ReplicaHome, probe: Probe
     ) -> Result[CallDone, Failure]:
         began_at = self._loop.time()
-        imported = 0
-        if home.worth_importing(probe):
-            imported = probe.importable_tokens
         home.sent(probe.request)
         engine_call = EngineCall(
             cache_key(call.branch),
@@ -191,7 +188,7 @@
             call.program.template_tokens,
             call.prompt_tokens,
             call.generated_tokens,
-            imported,
+            probe.importable_tokens,
         )
         result = await home.engine.run(engine_call)
         service_s = self._loop.time() - began_at
--- a/tools/load/src/masticdale_load/engine.py
+++ b/tools/load/src/masticdale_load/engine.py
@@ -52,7 +52,8 @@
         template_tokens: Tokens of the shared first part.
         prompt_tokens: Tokens of the whole prompt.
         generated_tokens: Tokens it will generate.
-        imported_tokens: Prompt tokens to import before it begins.
+        imported_tokens: Prompt tokens that can be imported; only those that
+            the engine does not hold are.
     """
 
     branch: str
@@ -126,10 +127,7 @@
         Returns:
             Its result; ``crashed`` when the engine is or goes down.
         """
-        if call.imported_tokens > 0:
-            await self.transfer(call.imported_tokens)
-            own = call.imported_tokens - call.template_tokens
-            self.cache.hold(call.branch, max(0, own))
+        await self._import(call)
         if not self.up:
             return EngineResult(crashed=True)
         self._advance()
@@ -170,6 +168,16 @@
         self.speed = speed
         self._schedule()
 
+    async def _import(self, call: EngineCall) -> None:
+        own = call.imported_tokens - call.template_tokens
+        missing = own - self.cache.tokens(call.branch)
+        if missing <= 0:
+            return
+        self.cache.pin(call.branch)
+        await self.transfer(missing)
+        self.cache.hold(call.branch, own)
+        self.cache.unpin(call.branch)
+
     def _decode_rate(self) -> float:
         rate = self.spec.decode_tokens_per_s(len(self._decode)) * self.speed
         return rate * self.spec.decode_share if self._prefill else rate
--- a/tools/load/src/masticdale_load/homes.py
+++ b/tools/load/src/masticdale_load/homes.py
@@ -115,11 +115,6 @@
             self.usable,
         )
 
-    def worth_importing(self, probe: Probe) -> bool:
-        """Returns whether importing saves time here."""
-        held = self.index.cached_tokens(probe.request)
-        return self._import_worth(probe.importable_tokens) > held
-
     def pressure(self) -> CachePressure:
         """Returns what a held token costs here."""
         rate = self.evictions.per_s(self._loop.time())
