Count a kept prefix's own eviction in the pause decision

Cause: keeping never cost more than releasing, so pauses that outlast the cache's residence kept prefixes that were then evicted. Change: the cost of keeping includes the program's own recomputation.

--- a/libs/routing/src/masticdale_routing/pauses.py
+++ b/libs/routing/src/masticdale_routing/pauses.py
@@ -55,7 +55,8 @@
 
     Attributes:
         action: The cheapest action.
-        keep_s: Recomputation that holding the prefix causes to others.
+        keep_s: Recomputation that holding the prefix causes to others, and
+            to its own program where it is evicted all the same.
         export_s: Transfer out, and back if the program returns.
         release_s: Recomputation if the program returns.
     """
@@ -135,8 +136,10 @@
         remaining_s = self.expected_remaining_s(key, elapsed_s)
         recompute_s = tokens / pressure.prefill_tokens_per_s
         displaced = min(1.0, remaining_s / pressure.residence_s)
-        keep_s = recompute_s * displaced * pressure.reuse_share
         release_s = recompute_s * return_share
+        # A pause that outlasts the residence costs twice: others are evicted
+        # for the prefix, and it is evicted itself before its program returns.
+        keep_s = displaced * (recompute_s * pressure.reuse_share + release_s)
         export_s = _NEVER_S
         if pressure.export_tokens_per_s > 0:
             transfer_s = tokens / pressure.export_tokens_per_s
