--- a/tools/load/src/masticdale_load/main.py
+++ b/tools/load/src/masticdale_load/main.py
@@ -27,7 +27,8 @@
 
 def _unwrap(loaded: Result[ValueT, Failure]) -> ValueT:
     if isinstance(loaded, Success):
-        return loaded.unwrap()
+        value: ValueT = loaded.unwrap()
+        return value
     failure = loaded.failure()
     print(failure, file=sys.stderr)
     sys.exit(failure.answer.exit_code)
