Match leaving upstreams by their name on the platform's list

Cause: a declaration may name its replica otherwise than itself; the list shows the replica's name, so such an upstream would have gone on getting work.

--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -400,7 +400,7 @@
         return untried or engines
 
     def _may_get_work(self, upstream: RenderedEngine | RenderedService) -> bool:
-        is_leaving = self._homes.is_listed_leaving(upstream.name)
+        is_leaving = self._homes.is_listed_leaving(upstream.replica)
         return not upstream.draining and not is_leaving
 
     async def _probe(self, run: _Run, replica: str) -> ProbeReply:
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -116,9 +116,9 @@
         for home in self._home_by_replica.values():
             self._refresh_leaving(home, False)
 
-    def is_listed_leaving(self, name: str) -> bool:
+    def is_listed_leaving(self, replica: str) -> bool:
         """Returns whether the platform's list shows an upstream as leaving."""
-        return name in self._leaving_names
+        return replica in self._leaving_names
 
     def enqueue(self, request: TicketRequest) -> TicketReply:
         """Queues a call before its replica; idempotent by ticket id."""
@@ -379,7 +379,7 @@
         home.is_leaving = (
             says_itself
             or home.engine.draining
-            or home.engine.name in self._leaving_names
+            or home.engine.replica in self._leaving_names
         )
         if home.is_leaving and not was_leaving:
             self._close(home, "leaves")
