--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -53,7 +53,7 @@
 
 _PEER_CONNECTIONS = 256
 _OWNERS_PERIOD_S = 0.5
-_HOMES_PERIOD_S = 0.5
+_HOMES_PERIOD_S = 1.0
 _CONFIG_PERIOD_S = 0.25
 _LIST_PERIOD_S = 1.0
 _SUSPECTS_PERIOD_S = 1.0
