End a dead host's runs at the homes of their digests

A try that was cancelled between admission and placement left its run open as well, and with the platform down a home read it anew for each admission. Change: runs carry their origin host; a home ends the runs of hosts that die or restart. Every home that was asked is told of a run's end. A stale home reads the platform once a second at most.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -212,7 +212,7 @@
 
     def _members_changed(self, change: MembershipChange) -> None:
         self.homes.members_changed(change)
-        self.suspects.members_changed()
+        self.suspects.members_changed(change)
         self.metrics.gauge("hosts_live", len(change.members))
 
     def _parts(self) -> Parts:
--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -71,6 +71,7 @@
         failed_replicas: Where it failed; not tried again.
         attempts: Times it was sent.
         exclusive: Whether it must run with nothing else in flight.
+        asked_hosts: Digest homes that this try asked for admission.
     """
 
     call: ModelCall
@@ -79,6 +80,7 @@
     failed_replicas: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     exclusive: bool = False
+    asked_hosts: set[str] = dataclasses.field(default_factory=set)
 
 
 class UpstreamExecutor:
@@ -198,6 +200,19 @@
         # A new id each time: the last try's end is told off the path and
         # must not end this one.
         run.run_id = secrets.token_hex(8)
+        run.asked_hosts.clear()
+        action = "ended"
+        try:
+            outcome = await self._admit_and_send(run, sink)
+            if isinstance(outcome, Success):
+                action = "succeeded"
+            return outcome
+        finally:
+            self._tell_digest_homes(run, action)
+
+    async def _admit_and_send(
+        self, run: _Run, sink: TextSink
+    ) -> Result[ModelResult, Failure]:
         sink.waits("placement")
         started = time.monotonic()
         admission, placed = await asyncio.gather(
@@ -212,16 +227,9 @@
         if admission is Admission.WAIT:
             return Failed(Failure(ErrorKind.DEADLINE_EXCEEDED))
         run.exclusive = admission is Admission.RUN_EXCLUSIVE
-        action = "ended"
-        try:
-            if isinstance(placed, Failed):
-                return Failed(placed.failure())
-            outcome = await self._queue_and_send(run, placed.unwrap(), sink)
-            if isinstance(outcome, Success):
-                action = "succeeded"
-            return outcome
-        finally:
-            self._tell_digest_home(run, action)
+        if isinstance(placed, Failed):
+            return Failed(placed.failure())
+        return await self._queue_and_send(run, placed.unwrap(), sink)
 
     async def _wait_for_admission(self, run: _Run, sink: TextSink) -> Admission:
         """Asks the content digest's home again until the call may run.
@@ -239,6 +247,7 @@
 
     async def _ask_digest_home(self, run: _Run) -> Admission:
         for host in self._cluster.digest_homes(run.call.content_digest):
+            run.asked_hosts.add(host)
             reply = await self._suspect(host, run, "admit")
             if isinstance(reply, Success) and not reply.unwrap().failure:
                 return Admission(reply.unwrap().admission)
@@ -246,15 +255,24 @@
         # so that a crash still has one cause.
         return Admission.RUN_EXCLUSIVE
 
-    def _tell_digest_home(self, run: _Run, action: str) -> None:
-        """Ends the run at its digest's home, off the answer's path."""
-        for host in self._cluster.digest_homes(run.call.content_digest)[:1]:
+    def _tell_digest_homes(self, run: _Run, action: str) -> None:
+        """Ends the run at every home that was asked, off the answer's path.
+
+        A home that answered too late began the run as well; left open there,
+        it would hold up the same content for as long as its lease.
+        """
+        for host in run.asked_hosts:
             self._spawn(self._suspect(host, run, action))
 
     async def _suspect(
         self, host: str, run: _Run, action: str
     ) -> Result[SuspectReply, Failure]:
-        request = SuspectRequest(action, (run.call.content_digest,), run.run_id)
+        request = SuspectRequest(
+            action,
+            (run.call.content_digest,),
+            run.run_id,
+            self._cluster.host,
+        )
         calls = self._cluster.calls(host)
         return await calls.suspect(request, _SUSPECT_TIMEOUT_S)
 
--- a/apps/masticdaled/src/masticdaled/suspects.py
+++ b/apps/masticdaled/src/masticdaled/suspects.py
@@ -1,14 +1,20 @@
 """Homes of content digests: which requests may run after a crash."""
 
+import dataclasses
 import json
 import time
 
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure, JsonValue, logs
-from masticdale_peers import SuspectReply, SuspectRequest
+from masticdale_peers import (
+    MembershipChange,
+    SuspectReply,
+    SuspectRequest,
+)
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore
 from masticdale_routing import (
+    Admission,
     SuspectRecord,
     SuspectRegistry,
     SuspectState,
@@ -16,6 +22,13 @@
 
 PREFIX = "quarantine/"
 _REFRESH_S = 5.0
+_REFRESH_AGAIN_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Run:
+    digest: str
+    origin: str
 
 
 class SuspectHome:
@@ -29,27 +42,33 @@
         self._store = store
         self._registry = SuspectRegistry()
         self._version_by_digest: dict[str, int] = {}
-        self._refreshed_at = 0.0
+        self._run_by_id: dict[str, _Run] = {}
+        self._refreshed_at = -_REFRESH_AGAIN_S
         self._is_stale = True
 
-    def members_changed(self) -> None:
-        """Notes that digests may have moved here: read before admitting."""
+    def members_changed(self, change: MembershipChange) -> None:
+        """Ends runs of dead hosts; digests may have moved here, too.
+
+        A dead owner never ends its run. Its turn is run again by the next
+        owner, with the same content, and would wait for the dead run.
+        """
         self._is_stale = True
+        live = {member.name for member in change.members}
+        gone = live.intersection(change.restarted)
+        for run_id, run in list(self._run_by_id.items()):
+            if run.origin not in live or run.origin in gone:
+                self._end(run_id, run.digest)
 
     async def handle(self, request: SuspectRequest) -> SuspectReply:
         """Admits or notes a run; see ``SuspectRequest``."""
         if request.action == "admit":
-            if self._is_stale:
-                await self.refresh()
-            admission = self._registry.admit(
-                request.digests[0], request.run_id, time.monotonic()
-            )
-            return SuspectReply(admission.value)
+            return await self._admit(request)
         if request.action == "crashed":
             for record in self._registry.crashed(request.digests):
                 await self._store_record(record)
             return SuspectReply()
         if request.action == "succeeded":
+            self._run_by_id.pop(request.run_id, None)
             cleared = self._registry.succeeded(
                 request.digests[0], request.run_id
             )
@@ -57,7 +76,7 @@
                 await self._store_record(cleared)
             return SuspectReply()
         if request.action == "ended":
-            self._registry.ended(request.digests[0], request.run_id)
+            self._end(request.run_id, request.digests[0])
             return SuspectReply()
         detail = f"action {request.action!r}"
         return SuspectReply(failure=Failure(ErrorKind.BAD_REQUEST, detail))
@@ -104,6 +123,25 @@
             for record in self._registry.records()
         ]
 
+    async def _admit(self, request: SuspectRequest) -> SuspectReply:
+        since_s = time.monotonic() - self._refreshed_at
+        # With the platform down each read takes its whole timeout, and every
+        # turn would wait for one; what is known must do until it answers.
+        if self._is_stale and since_s > _REFRESH_AGAIN_S:
+            self._refreshed_at = time.monotonic()
+            await self.refresh()
+        digest = request.digests[0]
+        admission = self._registry.admit(
+            digest, request.run_id, time.monotonic()
+        )
+        if admission in (Admission.RUN, Admission.RUN_EXCLUSIVE):
+            self._run_by_id[request.run_id] = _Run(digest, request.origin)
+        return SuspectReply(admission.value)
+
+    def _end(self, run_id: str, digest: str) -> None:
+        self._run_by_id.pop(run_id, None)
+        self._registry.ended(digest, run_id)
+
     async def _store_record(self, record: SuspectRecord) -> None:
         key = PREFIX + record.digest
         version = self._version_by_digest.get(record.digest, MUST_NOT_EXIST)
--- a/libs/peers/src/masticdale_peers/messages.py
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -325,11 +325,13 @@
         action: ``admit``, ``succeeded``, ``ended`` or ``crashed``.
         digests: One digest, or all that a crash may be due to.
         run_id: The run it is about.
+        origin: Host of the owner that runs it.
     """
 
     action: str
     digests: tuple[str, ...]
     run_id: str
+    origin: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/peers/src/masticdale_peers/peer.thrift
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -170,6 +170,7 @@
   1: string action,         // admit, succeeded, ended, crashed
   2: list<string> digests,
   3: string run_id,
+  4: string origin,         // host of the owner that runs it
 }
 
 struct SuspectReply {
--- a/tools/load/src/masticdale_load/system_plans.py
+++ b/tools/load/src/masticdale_load/system_plans.py
@@ -39,6 +39,8 @@
         programs_at_once: Programs under way at a time.
         steps: Steps of one program, most of them turns.
         max_tokens: Most tokens of an answer.
+        tokens_per_s: Speed at which an engine generates one answer.
+        service_ms: How long a service's operation takes.
         pause_ms: Longest tool pause.
         faults: What goes wrong, drawn evenly; empty for nothing.
         fault_period_s: Time from one fault's begin to the next one's.
@@ -57,6 +59,8 @@
     programs_at_once: int = pydantic.Field(default=24, ge=1)
     steps: int = pydantic.Field(default=10, ge=1)
     max_tokens: int = pydantic.Field(default=24, ge=1)
+    tokens_per_s: float = pydantic.Field(default=20_000, gt=0)
+    service_ms: int = pydantic.Field(default=5, ge=0)
     pause_ms: int = pydantic.Field(default=100, ge=0)
     faults: tuple[FaultKind, ...] = ()
     fault_period_s: float = pydantic.Field(default=4.0, gt=0)
--- a/tools/load/src/masticdale_load/system_runs.py
+++ b/tools/load/src/masticdale_load/system_runs.py
@@ -41,10 +41,14 @@
     start_cluster,
     start_daemons,
 )
-from masticdale_standins.settings import PlatformSettings, ServiceSettings
+from masticdale_standins.settings import (
+    ModelSettings,
+    PlatformSettings,
+    ServiceSettings,
+)
 from masticdaled.caller_models import ProgramBody
 
-_SERVICE_MS = 5
+_PREFILL_TOKENS_PER_S = 2_000_000
 _RELEASE_WAIT_S = 40.0
 _RELEASE_POLL_S = 0.5
 _READERS = 16
@@ -63,11 +67,15 @@
     engines = [n for d in DEPLOYMENTS for n in d.engines(plan.engines)]
     services = [n for d in DEPLOYMENTS for n in d.services(plan.services)]
     hosts = tuple(f"host-{n + 1}" for n in range(plan.hosts))
+    model = ModelSettings(
+        prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
+        decode_tokens_per_s=plan.tokens_per_s,
+    )
     return ClusterPlan(
         hosts=plan.hosts,
-        engines={name: fast_engine() for name in engines},
+        engines={name: fast_engine(model=model) for name in engines},
         services={
-            name: ServiceSettings(port=1, duration_ms=_SERVICE_MS)
+            name: ServiceSettings(port=1, duration_ms=plan.service_ms)
             for name in services
         },
         platform=PlatformSettings(
--- a/tools/standins/src/masticdale_standins/clusters.py
+++ b/tools/standins/src/masticdale_standins/clusters.py
@@ -109,6 +109,7 @@
     def restart_daemon(self, name: str) -> None:
         """Starts a host's daemon again after it ended."""
         old = self.daemon_by_name[name]
+        old.process.stop()
         process = _start_daemon(old.settings, old.callers_url)
         self.daemon_by_name[name] = dataclasses.replace(old, process=process)
 
