Answer from memory only while the shard is surely this host's

A host paused past its lease answered what waited in its sockets from old memory before the check after a pause had run: an acknowledged turn looked lost, a program begun meanwhile did not exist. Commits were ruled out, they are fenced. Where the platform does not answer, owners carry on, but 'not found' becomes platform_unavailable. Calls broken off with a lost shard end as not_owner, so that the entry asks the next owner, not as cancelled.

--- a/apps/masticdaled/src/masticdaled/owners.py
+++ b/apps/masticdaled/src/masticdaled/owners.py
@@ -34,6 +34,7 @@
     read_head,
 )
 from masticdaled.cluster import Cluster
+from masticdaled.ownership import Ownership, OwnershipChecks
 
 _PATIENCE_S = 3.0
 _OPEN_AT_ONCE = 8
@@ -82,6 +83,12 @@
     program: Program
 
 
+def _is_not_found(outcome: Result[OperationResult, Failure]) -> bool:
+    if isinstance(outcome, Success):
+        return False
+    return outcome.failure().kind is ErrorKind.NOT_FOUND
+
+
 class Owners:
     """Opens shards on demand and hands them over when they belong elsewhere."""
 
@@ -106,6 +113,7 @@
         self._opening_by_number: dict[int, asyncio.Lock] = {}
         self._misplaced_since: dict[int, float] = {}
         self._stopping = False
+        self._ownership = OwnershipChecks()
 
     async def submit(
         self, operation: Operation, caller: Caller
@@ -121,7 +129,15 @@
         found = await self._find(number)
         if isinstance(found, Failed):
             return Failed(found.failure())
-        return await found.unwrap().submit(operation, caller)
+        shard = found.unwrap()
+        ownership = await self._ownership.check(shard)
+        if ownership is Ownership.LOST:
+            return Failed(self._not_owner(number))
+        outcome = await shard.submit(operation, caller)
+        if ownership is Ownership.UNSURE and _is_not_found(outcome):
+            detail = f"shard {number} cannot be checked"
+            return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
+        return outcome
 
     async def read(
         self,
@@ -148,6 +164,9 @@
             found = await self._find(hashing.shard_of(program_id))
             if isinstance(found, Failed):
                 continue
+            ownership = await self._ownership.check(found.unwrap())
+            if ownership is not Ownership.HELD:
+                continue
             program = found.unwrap().state.program_by_id.get(program_id)
             if program is None or program.end_reason is not None:
                 gone.append(program_id)
@@ -196,6 +215,7 @@
                 continue
             await shard.sweep()
             await self._rebalance(number, shard)
+        self._ownership.renew(self.held_shards())
         self._metrics.gauge("shards_held", len(self._shard_by_number))
 
     async def stop(self, finish_s: float) -> None:
@@ -258,6 +278,7 @@
             return opened
         shard = opened.unwrap()
         self._shard_by_number[number] = shard
+        self._ownership.opened(number, started)
         logs.write(
             "shard_opened",
             shard=number,
--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -484,7 +484,11 @@
         try:
             outcome = await work
         except asyncio.CancelledError:
-            outcome = Failed(Failure(ErrorKind.CANCELLED))
+            # Where the shard was lost, the next owner runs the call: its
+            # reader must ask there and not take it for cancelled.
+            is_lost = not self.is_held
+            kind = ErrorKind.NOT_OWNER if is_lost else ErrorKind.CANCELLED
+            outcome = Failed(Failure(kind))
         except Exception as error:
             logs.write("call_failed", error=repr(error), program=key.program_id)
             outcome = Failed(Failure(ErrorKind.INTERNAL))
