--- a/libs/config/src/masticdale_config/__init__.py
+++ b/libs/config/src/masticdale_config/__init__.py
@@ -13,6 +13,7 @@
     key_of,
     parse,
 )
+from masticdale_config.peersources import RevisionSource, follow_peers
 from masticdale_config.rendered import (
     Budget,
     Limits,
@@ -33,7 +34,7 @@
     Edit,
     Plan,
 )
-from masticdale_config.starting import RevisionSource, learn_newest
+from masticdale_config.starting import learn_newest
 from masticdale_config.state import ABSENT, ConfigState, Revision
 from masticdale_config.storage import catch_up
 from masticdale_config.watching import ConfigWatcher
@@ -71,6 +72,7 @@
     "caller_key_digest",
     "catch_up",
     "engines_of",
+    "follow_peers",
     "key_of",
     "learn_newest",
     "parse",
--- /dev/null
+++ b/libs/config/src/masticdale_config/peersources.py
@@ -0,0 +1,90 @@
+"""Taking revisions from peers."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import Protocol
+
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from masticdale_common import Failure, logs
+from masticdale_config.inforce import ConfigInForce, RevisionsExport
+
+HEDGE_S = 0.2
+MAX_ASKED = 4
+
+
+class RevisionSource(Protocol):
+    """A peer that can be asked for revisions."""
+
+    async def revisions_after(
+        self, number: int
+    ) -> Result[RevisionsExport, Failure]:
+        """Returns what a host at a revision needs."""
+        ...
+
+
+async def take_from(
+    in_force: ConfigInForce, host: str, source: RevisionSource
+) -> bool:
+    """Brings what a peer has more into force; returns whether it answered."""
+    answer = await source.revisions_after(in_force.number)
+    if isinstance(answer, Failed):
+        return False
+    followed = await in_force.follow_export(answer.unwrap())
+    if isinstance(followed, Failed):
+        error = str(followed.failure())
+        logs.write("revisions_refused", peer=host, error=error)
+        return False
+    return True
+
+
+async def follow_peers(
+    in_force: ConfigInForce,
+    source_by_host: Mapping[str, RevisionSource],
+    hedge_s: float = HEDGE_S,
+) -> bool:
+    """Catches up with peers that have reported a higher revision.
+
+    A peer may have been paused or cut off since its last heartbeat, and
+    waiting for its timeout would hold up a change for seconds. So another is
+    asked as well soon after, whoever answers first ends it, and the order is
+    drawn, so that hundreds of hosts do not all ask the same one.
+
+    Args:
+        in_force: Where revisions come into force.
+        source_by_host: The peers with a higher revision.
+        hedge_s: How long one is waited for before the next is asked too.
+
+    Returns:
+        Whether one of them answered.
+    """
+    hosts = random.sample(
+        sorted(source_by_host), min(MAX_ASKED, len(source_by_host))
+    )
+    asked: set[asyncio.Task[bool]] = set()
+    try:
+        for host in hosts:
+            taking = take_from(in_force, host, source_by_host[host])
+            asked.add(asyncio.create_task(taking))
+            if await _any_answered(asked, hedge_s):
+                return True
+        while asked:
+            if await _any_answered(asked, None):
+                return True
+        return False
+    finally:
+        for task in asked:
+            task.cancel()
+        await asyncio.gather(*asked, return_exceptions=True)
+
+
+async def _any_answered(
+    asked: set[asyncio.Task[bool]], wait_s: float | None
+) -> bool:
+    done, _ = await asyncio.wait(
+        asked, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    asked -= done
+    return any(task.result() for task in done)
--- a/libs/config/src/masticdale_config/starting.py
+++ b/libs/config/src/masticdale_config/starting.py
@@ -3,14 +3,13 @@
 import asyncio
 import dataclasses
 from collections.abc import Mapping
-from typing import Protocol
 
 from returns.result import Failure as Failed
-from returns.result import Result, Success
+from returns.result import Success
 
-from masticdale_common import Failure, logs
 from masticdale_config import storage
-from masticdale_config.inforce import ConfigInForce, RevisionsExport
+from masticdale_config.inforce import ConfigInForce
+from masticdale_config.peersources import RevisionSource, take_from
 from masticdale_platform.types import ObjectStore
 
 # Higher than any revision, so a peer answers with its number alone. Asked for
@@ -18,16 +17,6 @@
 NEWEST_ONLY = 2**62
 
 
-class RevisionSource(Protocol):
-    """A peer that can be asked for revisions."""
-
-    async def revisions_after(
-        self, number: int
-    ) -> Result[RevisionsExport, Failure]:
-        """Returns what a host at a revision needs."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Peer:
     host: str
@@ -66,7 +55,7 @@
     for peer in sorted(peers, key=_newest_first):
         if in_force.number >= newest:
             break
-        await _take_from(peer, in_force)
+        await take_from(in_force, peer.host, peer.source)
     peers_know = newest > 0 and len(peers) == len(source_by_host)
     is_complete = isinstance(platform, Success) or peers_know
     return is_complete and in_force.number >= newest
@@ -79,18 +68,5 @@
     return _Peer(host, source, answer.unwrap().newest)
 
 
-async def _take_from(peer: _Peer, in_force: ConfigInForce) -> None:
-    answer = await peer.source.revisions_after(in_force.number)
-    if isinstance(answer, Failed):
-        return
-    followed = await in_force.follow_export(answer.unwrap())
-    if isinstance(followed, Failed):
-        logs.write(
-            "revisions_refused",
-            peer=peer.host,
-            error=str(followed.failure()),
-        )
-
-
 def _newest_first(peer: _Peer) -> int:
     return -peer.newest
--- /dev/null
+++ b/libs/config/tests/test_peersources.py
@@ -0,0 +1,68 @@
+"""Tests of catching up with peers."""
+
+import asyncio
+import unittest
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_config import ConfigInForce, follow_peers, testing
+
+PATIENCE_S = 20.0
+
+
+class _Peer:
+    """A peer at revision 1 that answers, refuses or hangs."""
+
+    def __init__(self, is_paused=False, is_down=False):
+        self.in_force = testing.in_force(testing.engine("e", "m"))
+        self.is_paused = is_paused
+        self.is_down = is_down
+        self.was_cancelled = False
+
+    async def revisions_after(self, number):
+        if self.is_paused:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                self.was_cancelled = True
+                raise
+        if self.is_down:
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE))
+        return Success(self.in_force.export_after(number))
+
+
+class FollowPeersTest(unittest.IsolatedAsyncioTestCase):
+    async def follow(self, **source_by_host):
+        self.in_force = ConfigInForce()
+        async with asyncio.timeout(PATIENCE_S):
+            return await follow_peers(
+                self.in_force, source_by_host, hedge_s=0.001
+            )
+
+    async def test_a_paused_peer_does_not_hold_up_a_change(self):
+        """Peers report a new revision by heartbeat; then some are paused.
+
+        The host asks a paused one first and gets no answer. It must not wait
+        for the timeout while another peer could hand the revision over.
+        """
+        for _ in range(10):
+            paused = [_Peer(is_paused=True) for _ in range(3)]
+            answered = await self.follow(
+                a=paused[0], b=paused[1], c=paused[2], d=_Peer()
+            )
+            self.assertTrue(answered)
+            self.assertEqual(self.in_force.number, 1)
+            pending = asyncio.all_tasks() - {asyncio.current_task()}
+            self.assertEqual(pending, set())
+
+    async def test_peers_that_refuse_are_passed_over(self):
+        down = {name: _Peer(is_down=True) for name in "abc"}
+        self.assertTrue(await self.follow(**down, d=_Peer()))
+        self.assertFalse(await self.follow(**down))
+        self.assertFalse(await self.follow())
+
+
+if __name__ == "__main__":
+    unittest.main()
