--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -42,6 +42,7 @@
 from masticdaled.limits import WorkspaceLimiter
 from masticdaled.operator_desk import OperatorDesk
 from masticdaled.operators import create_operator_app
+from masticdaled.orders import OrderGiver
 from masticdaled.orphans import OrphanSweeper
 from masticdaled.owners import Owners
 from masticdaled.programs_desk import ProgramsDesk
@@ -52,7 +53,7 @@
 
 _PEER_CONNECTIONS = 256
 _OWNERS_PERIOD_S = 0.5
-_HOMES_PERIOD_S = 0.5
+_HOMES_PERIOD_S = 1.0
 _CONFIG_PERIOD_S = 0.25
 _LIST_PERIOD_S = 1.0
 _SUSPECTS_PERIOD_S = 1.0
@@ -92,7 +93,11 @@
         self.clients = UpstreamClients(self.metrics)
         self.desk = TicketDesk(self.cluster)
         self.homes = Homes(
-            self.cluster, self.in_force, self.clients, self.metrics
+            self.cluster,
+            self.in_force,
+            self.clients,
+            OrderGiver(self.store, self.incarnation, self.metrics),
+            self.metrics,
         )
         self.executor = UpstreamExecutor(
             self.cluster,
--- a/tools/load/src/masticdale_load/main.py
+++ b/tools/load/src/masticdale_load/main.py
@@ -1,14 +1,38 @@
-"""Command ``mastic-load``: runs of the whole system under faults."""
+"""Command ``mastic-load``: fault runs, policy experiments, decision costs."""
 
 import pathlib
 import sys
+from typing import TypeVar
 
 import fire
-from returns.result import Success
+from returns.result import Result, Success
 
+from masticdale_common import Failure
+from masticdale_load.decisions import format_costs, measure_decisions
+from masticdale_load.experiments import load_experiment
+from masticdale_load.policies import Selection, run_experiment, select_runs
+from masticdale_load.reports import format_table
 from masticdale_load.system_reports import format_report
 from masticdale_load.system_runs import load_plan, run_system
 
+_MOST_PROCESSES = 4
+
+ValueT = TypeVar("ValueT")
+
+
+def _names(value: str | tuple[object, ...]) -> frozenset[str]:
+    parts = value.split(",") if isinstance(value, str) else value
+    return frozenset(str(part) for part in parts if part)
+
+
+def _unwrap(loaded: Result[ValueT, Failure]) -> ValueT:
+    if isinstance(loaded, Success):
+        value: ValueT = loaded.unwrap()
+        return value
+    failure = loaded.failure()
+    print(failure, file=sys.stderr)
+    sys.exit(failure.answer.exit_code)
+
 
 def system(plan: str, output: str) -> None:
     """Runs a fault plan on real processes and checks every promise.
@@ -17,21 +41,56 @@
         plan: The plan file.
         output: Where the JSON report goes.
     """
-    loaded = load_plan(pathlib.Path(plan))
-    if not isinstance(loaded, Success):
-        failure = loaded.failure()
-        print(failure, file=sys.stderr)
-        sys.exit(failure.answer.exit_code)
-    report = run_system(loaded.unwrap())
+    report = run_system(_unwrap(load_plan(pathlib.Path(plan))))
     pathlib.Path(output).write_text(report.model_dump_json(indent=2))
     print(format_report(report))
     if not report.is_clean:
         sys.exit(1)
 
 
+def policy(
+    experiment: str,
+    output: str,
+    policies: str | tuple[str, ...] = "",
+    loads: str | float | tuple[float, ...] = "",
+    caches: str | tuple[str, ...] = "",
+    faults: str | tuple[str, ...] = "none",
+    processes: int = _MOST_PROCESSES,
+) -> None:
+    """Runs an experiment and prints its table.
+
+    Args:
+        experiment: The experiment file.
+        output: Where the JSON report goes.
+        policies: Names of policies to run, separated by commas; all if empty.
+        loads: Loads to run; all if empty.
+        caches: Cache sizes to run; all if empty.
+        faults: Faults to run; all if empty.
+        processes: How many runs at once, four at most.
+    """
+    value = _unwrap(load_experiment(pathlib.Path(experiment)))
+    chosen = loads if isinstance(loads, (str, tuple)) else str(loads)
+    selection = Selection(
+        _names(policies),
+        frozenset(float(x) for x in _names(chosen)),
+        _names(caches),
+        _names(faults),
+    )
+    keys = select_runs(value, selection)
+    report = run_experiment(value, keys, min(processes, _MOST_PROCESSES))
+    pathlib.Path(output).write_text(report.to_json())
+    print(f"{report.experiment}, seed {report.seed}")
+    print(format_table(report.runs))
+
+
+def decisions() -> None:
+    """Prints what placements and queue operations cost on this machine."""
+    print(format_costs(measure_decisions()))
+
+
 def main() -> None:
     """Runs the command line."""
-    fire.Fire({"system": system})
+    fire.Fire({"system": system, "policy": policy, "decisions": decisions})
 
 
 if __name__ == "__main__":
