Copy prefixes out in pauses and count what was exported before

Change: PauseModel.decide knows the tokens exported already and a fourth action, COPY, which exports and leaves the prefix in the cache; an import brings the template with it.

--- a/libs/routing/src/masticdale_routing/pauses.py
+++ b/libs/routing/src/masticdale_routing/pauses.py
@@ -11,9 +11,13 @@
 
 
 class PauseAction(enum.StrEnum):
-    """What happens to the prefix."""
+    """What happens to the prefix.
+
+    COPY exports it and leaves it in the cache too; EXPORT frees it there.
+    """
 
     KEEP = "keep"
+    COPY = "copy"
     EXPORT = "export"
     RELEASE = "release"
 
@@ -57,12 +61,15 @@
         action: The cheapest action.
         keep_s: Recomputation that holding the prefix causes to others, and
             to its own program where it is evicted all the same.
+        copy_s: Transfer out, and back where it is evicted meanwhile, besides
+            the recomputation that holding it causes to others.
         export_s: Transfer out, and back if the program returns.
         release_s: Recomputation if the program returns.
     """
 
     action: PauseAction
     keep_s: float
+    copy_s: float
     export_s: float
     release_s: float
 
@@ -122,6 +129,7 @@
         tokens: int,
         elapsed_s: float,
         pressure: CachePressure,
+        exported_tokens: int = 0,
     ) -> PauseDecision:
         """Weighs keeping, exporting and releasing a prefix.
 
@@ -130,6 +138,8 @@
             tokens: Length of the prefix.
             elapsed_s: How long the pause has lasted.
             pressure: What a held token costs.
+            exported_tokens: Tokens of the prefix that an earlier export
+                holds; only the rest has to be transferred out.
         """
         samples = self._samples_by_key.get(key)
         return_share = samples.return_share() if samples else 1.0
@@ -140,16 +150,21 @@
         # A pause that outlasts the residence costs twice: others are evicted
         # for the prefix, and it is evicted itself before its program returns.
         keep_s = displaced * (recompute_s * pressure.reuse_share + release_s)
-        export_s = _NEVER_S
+        copy_s = export_s = _NEVER_S
         if pressure.export_tokens_per_s > 0:
-            transfer_s = tokens / pressure.export_tokens_per_s
-            export_s = transfer_s * (1 + return_share)
+            fresh = max(0, tokens - exported_tokens)
+            out_s = fresh / pressure.export_tokens_per_s
+            back_s = return_share * tokens / pressure.export_tokens_per_s
+            others_s = recompute_s * pressure.reuse_share
+            copy_s = out_s + displaced * (others_s + back_s)
+            export_s = out_s + back_s
         action = min(
             (keep_s, 0, PauseAction.KEEP),
-            (export_s, 1, PauseAction.EXPORT),
-            (release_s, 2, PauseAction.RELEASE),
+            (copy_s, 1, PauseAction.COPY),
+            (export_s, 2, PauseAction.EXPORT),
+            (release_s, 3, PauseAction.RELEASE),
         )[2]
-        return PauseDecision(action, keep_s, export_s, release_s)
+        return PauseDecision(action, keep_s, copy_s, export_s, release_s)
 
     def _samples(self, key: PauseKey) -> _Samples:
         samples = self._samples_by_key.get(key)
--- a/tools/load/src/masticdale_load/engine.py
+++ b/tools/load/src/masticdale_load/engine.py
@@ -170,13 +170,22 @@
 
     async def _import(self, call: EngineCall) -> None:
         own = call.imported_tokens - call.template_tokens
-        missing = own - self.cache.tokens(call.branch)
-        if missing <= 0:
+        if own <= 0:
             return
-        self.cache.pin(call.branch)
+        wanted = {call.branch: own, call.template: call.template_tokens}
+        missing = sum(
+            max(0, tokens - self.cache.tokens(key))
+            for key, tokens in wanted.items()
+        )
+        if missing == 0:
+            return
+        for key in wanted:
+            self.cache.pin(key)
         await self.transfer(missing)
-        self.cache.hold(call.branch, own)
-        self.cache.unpin(call.branch)
+        for key, tokens in wanted.items():
+            self.cache.hold(key, tokens)
+        for key in wanted:
+            self.cache.unpin(key)
 
     def _decode_rate(self) -> float:
         rate = self.spec.decode_tokens_per_s(len(self._decode)) * self.speed
--- a/tools/load/src/masticdale_load/pausing.py
+++ b/tools/load/src/masticdale_load/pausing.py
@@ -54,14 +54,20 @@
         home = self._home_by_replica[paused.replica]
         pressure = home.pressure()
         key = PauseKey(paused.kind, paused.tool)
-        decision = self._model.decide(key, paused.tokens, 0.0, pressure)
+        exported = self._exports.tokens(cache_key(paused.branch))
+        decision = self._model.decide(
+            key, paused.tokens, 0.0, pressure, exported
+        )
         if decision.action is PauseAction.KEEP:
             return
         if decision.action is PauseAction.RELEASE:
             if self._kind is PauseKind.MODEL:
                 home.release(paused.branch)
             return
-        task = asyncio.create_task(self._export(paused, home))
+        frees = decision.action is PauseAction.EXPORT
+        if self._kind is PauseKind.COPY:
+            frees = False
+        task = asyncio.create_task(self._export(paused, home, frees))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -77,7 +83,9 @@
             home.release(branch)
             home.forget(branch.program_id)
 
-    async def _export(self, paused: PausedBranch, home: ReplicaHome) -> None:
+    async def _export(
+        self, paused: PausedBranch, home: ReplicaHome, frees: bool
+    ) -> None:
         key = cache_key(paused.branch)
         # Only what grew since the last export is transferred.
         fresh = max(0, paused.tokens - self._exports.tokens(key))
@@ -86,5 +94,5 @@
             return
         self._exports.put(key, paused.tokens)
         self._counters.exported_tokens += fresh
-        if self._kind is PauseKind.MODEL:
+        if frees:
             home.release(paused.branch)
