Learn the in-flight limit from a smoothed decode speed

Change: TicketResult.first_token_s gives the decode time exactly where the stream tells it; the limit compares smoothed speeds. Conclusion: callers of ReplicaQueue.finish should give first_token_s.

--- a/libs/routing/src/masticdale_routing/inflight.py
+++ b/libs/routing/src/masticdale_routing/inflight.py
@@ -7,6 +7,7 @@
 
 _MIN_LIMIT = 1.0
 _BEST_DECAY = 0.999
+_SMOOTHING = 0.1
 _DECREASE = 0.9
 _CEILING_HOLD_S = 30.0
 _REPORT_LIFE_S = 10.0
@@ -42,6 +43,7 @@
         self._limit = float(settings.initial)
         self._ceiling = float(settings.maximum)
         self._ceiling_until = 0.0
+        self._speed = 0.0
         self._best_speed = 0.0
         self._finishes_to_next_decrease = 0
 
@@ -58,9 +60,14 @@
             full: Whether the limit was reached while it ran.
             now: Present time.
         """
-        self._best_speed = max(speed, self._best_speed * _BEST_DECAY)
+        # One call's speed is noisy: a single fast outlier as the best made
+        # every later batch look too large, and the limit fell to one.
+        if self._speed == 0.0:
+            self._speed = speed
+        self._speed += _SMOOTHING * (speed - self._speed)
+        self._best_speed = max(self._speed, self._best_speed * _BEST_DECAY)
         self._finishes_to_next_decrease -= 1
-        if speed < self._best_speed * self._settings.least_speed_share:
+        if self._speed < self._best_speed * self._settings.least_speed_share:
             self._decrease()
             return
         if not full:
--- a/libs/routing/src/masticdale_routing/speeds.py
+++ b/libs/routing/src/masticdale_routing/speeds.py
@@ -43,7 +43,10 @@
     def decode_speed(self, result: TicketResult) -> float | None:
         """Returns a call's own decode speed, or None if it can't be told."""
         uncached = result.prompt_tokens - result.cached_tokens
-        decode_s = result.service_s - uncached / self.prefill_tokens_per_s
+        prefill_s = result.first_token_s
+        if prefill_s <= 0:
+            prefill_s = uncached / self.prefill_tokens_per_s
+        decode_s = result.service_s - prefill_s
         if result.generated_tokens <= 0 or decode_s <= 0:
             return None
         return result.generated_tokens / decode_s
--- a/libs/routing/src/masticdale_routing/tickets.py
+++ b/libs/routing/src/masticdale_routing/tickets.py
@@ -52,6 +52,8 @@
         cached_tokens: Prompt tokens the engine had cached.
         generated_tokens: Tokens generated.
         service_s: Seconds from the grant to the end; 0 when it never ran.
+        first_token_s: Seconds from the grant to the first token; 0 while
+            unknown.
     """
 
     crashed: bool = False
@@ -59,6 +61,7 @@
     cached_tokens: int = 0
     generated_tokens: int = 0
     service_s: float = 0.0
+    first_token_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tools/load/src/masticdale_load/calls.py
+++ b/tools/load/src/masticdale_load/calls.py
@@ -200,6 +200,7 @@
                 result.cached_tokens,
                 call.generated_tokens,
                 service_s,
+                max(0.0, result.first_token_at - began_at),
             ),
         )
         if result.crashed:
--- a/tools/load/src/masticdale_load/engine.py
+++ b/tools/load/src/masticdale_load/engine.py
@@ -71,10 +71,12 @@
     Attributes:
         crashed: The engine died under it, or was down.
         cached_tokens: Prompt tokens that were not computed.
+        first_token_at: When it began to generate.
     """
 
     crashed: bool
     cached_tokens: int = 0
+    first_token_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,7 +85,7 @@
     done: asyncio.Future[EngineResult]
     cached_tokens: int = 0
     prefill_left: float = 0.0
-    finish_at_decoded: float = 0.0
+    first_token_at: float = 0.0
 
 
 class EngineModel:
@@ -247,6 +249,7 @@
 
     def _start_decode(self, active: _Active) -> None:
         finish_at = self._decoded + active.call.generated_tokens
+        active.first_token_at = self._loop.time()
         entry = (finish_at, next(self._counter), active)
         heapq.heappush(self._decode, entry)
 
@@ -257,5 +260,5 @@
         for key in (call.template, call.branch):
             self.cache.unpin(key)
         active.done.set_result(
-            EngineResult(crashed=False, cached_tokens=active.cached_tokens)
+            EngineResult(False, active.cached_tokens, active.first_token_at)
         )
--- a/tools/load/src/masticdale_load/experiments.py
+++ b/tools/load/src/masticdale_load/experiments.py
@@ -146,6 +146,8 @@
         max_wait_s: Longest expected wait of a new program, by class.
         pause: What happens to prefixes in pauses: keep them, what the pause
             model decides, or export a copy and keep the prefix.
+        reuse_share: How much the pause decision minds that a kept prefix
+            displaces others.
         reconsider_s: A waiting call is placed anew after each such time; 0
             for never.
     """
@@ -159,6 +161,7 @@
     age_bound_s: Positive = 120.0
     max_wait_s: tuple[float, ...] = (90.0, 60.0, 20.0)
     pause: PauseKind = PauseKind.KEEP
+    reuse_share: Share = 1.0
     reconsider_s: float = 0.0
 
 
--- a/tools/load/src/masticdale_load/fleet.py
+++ b/tools/load/src/masticdale_load/fleet.py
@@ -64,7 +64,7 @@
     runner = ProgramRunner(
         ModelCaller(homes, policy, exports, counters, hop_s),
         create_services(experiment.deployment),
-        PauseKeeper(homes, policy.pause, exports, counters),
+        PauseKeeper(homes, policy, exports, counters),
         spec,
         window,
     )
--- a/tools/load/src/masticdale_load/homes.py
+++ b/tools/load/src/masticdale_load/homes.py
@@ -115,14 +115,19 @@
             self.usable,
         )
 
-    def pressure(self) -> CachePressure:
-        """Returns what a held token costs here."""
+    def pressure(self, reuse_share: float) -> CachePressure:
+        """Returns what a held token costs here.
+
+        Args:
+            reuse_share: Share of evicted tokens that are asked for again.
+        """
         rate = self.evictions.per_s(self._loop.time())
         capacity = self.engine.cache.capacity_tokens
         return CachePressure(
             capacity / rate if rate > 0 else _UNPRESSED_S,
             self.gate.queue.speed.prefill_tokens_per_s,
             self.engine.spec.transfer_tokens_per_s,
+            reuse_share,
         )
 
     def sent(self, request: PrefixRequest) -> None:
--- a/tools/load/src/masticdale_load/pausing.py
+++ b/tools/load/src/masticdale_load/pausing.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from masticdale_load.experiments import PauseKind
+from masticdale_load.experiments import PauseKind, Policy
 from masticdale_load.exports import ExportStore
 from masticdale_load.homes import ReplicaHome, cache_key
 from masticdale_load.measures import Counters
@@ -35,12 +35,13 @@
     def __init__(
         self,
         homes: list[ReplicaHome],
-        kind: PauseKind,
+        policy: Policy,
         exports: ExportStore,
         counters: Counters,
     ) -> None:
         self._home_by_replica = {home.replica: home for home in homes}
-        self._kind = kind
+        self._kind = policy.pause
+        self._reuse_share = policy.reuse_share
         self._exports = exports
         self._counters = counters
         self._model = PauseModel()
@@ -52,7 +53,7 @@
         if self._kind is PauseKind.KEEP:
             return
         home = self._home_by_replica[paused.replica]
-        pressure = home.pressure()
+        pressure = home.pressure(self._reuse_share)
         key = PauseKey(paused.kind, paused.tool)
         exported = self._exports.tokens(cache_key(paused.branch))
         decision = self._model.decide(
