Copy prefixes out in pauses and bring them back where that is cheaper

Change: CacheKeeper at the owner decides after each turn from the eviction rate that the replica's home tells with a probe; the next turn counts an export as cached for what it saves and imports it where it goes; the time of the first token goes to the home. Declarations tell an engine's transfer speed. Not yet measured on real processes. Conclusion: frees nothing on export, since an engine frees whole programs only.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -45,6 +45,7 @@
 from masticdaled.orders import OrderGiver
 from masticdaled.orphans import OrphanSweeper
 from masticdaled.owners import Owners
+from masticdaled.pausing import CacheKeeper
 from masticdaled.programs_desk import ProgramsDesk
 from masticdaled.settings import DaemonSettings
 from masticdaled.suspects import SuspectHome
@@ -105,6 +106,7 @@
             self.clients,
             self.desk,
             self.homes,
+            CacheKeeper(self.metrics),
             self.metrics,
         )
         self.owners = Owners(
--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -51,6 +51,7 @@
 from masticdale_upstreams import Chunk, GenerateRequest, ServiceRequest
 from masticdaled.cluster import Cluster
 from masticdaled.homes import Homes
+from masticdaled.pausing import CacheKeeper, Residence
 from masticdaled.tickets import TicketDesk
 from masticdaled.upstream_clients import UpstreamClients
 
@@ -70,6 +71,7 @@
         prompt_tokens: Tokens of the prompt, estimated.
         failed_replicas: Where it failed; not tried again.
         attempts: Times it was sent.
+        reply_by_replica: What the homes last told of the probed replicas.
         exclusive: Whether it must run with nothing else in flight.
         asked_hosts: Digest homes that this try asked for admission.
     """
@@ -79,6 +81,9 @@
     prompt_tokens: int
     failed_replicas: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    reply_by_replica: dict[str, ProbeReply] = dataclasses.field(
+        default_factory=dict
+    )
     exclusive: bool = False
     asked_hosts: set[str] = dataclasses.field(default_factory=set)
 
@@ -93,8 +98,10 @@
         clients: UpstreamClients,
         desk: TicketDesk,
         homes: Homes,
+        keeper: CacheKeeper,
         metrics: Metrics,
     ) -> None:
+        self._keeper = keeper
         self._cluster = cluster
         self._in_force = in_force
         self._clients = clients
@@ -116,6 +123,7 @@
             call.model, RetryBudget(RetrySettings())
         )
         budget.first_sent()
+        self._keeper.returned(call)
         while True:
             outcome = await self._try_once(run, sink)
             if isinstance(outcome, Success):
@@ -192,6 +200,7 @@
         outcome = await self._clients.engine(engine).release(program_id)
         if isinstance(outcome, Success):
             self._homes.released(replica, program_id)
+        self._keeper.forget(program_id)
         return outcome
 
     async def _try_once(
@@ -315,13 +324,18 @@
         sink.restart()
         sink.placed(engine.name)
 
+        first_token_at = 0.0
+
         def on_chunk(chunk: Chunk) -> None:
+            nonlocal first_token_at
+            first_token_at = first_token_at or time.monotonic()
             sink.append(chunk.text)
 
+        client = self._clients.engine(engine)
+        reply = run.reply_by_replica.get(engine.name, ProbeReply())
         try:
-            outcome = await self._clients.engine(engine).generate(
-                request, on_chunk
-            )
+            await self._keeper.bring(run.call, client, reply.cached_tokens)
+            outcome = await client.generate(request, on_chunk)
             service_ms = int((time.monotonic() - started) * 1000)
             self._observe("engine", started)
             if isinstance(outcome, Failed):
@@ -340,17 +354,19 @@
                 cached_tokens=completion.cached_tokens,
                 generated_tokens=completion.generated_tokens,
                 service_ms=service_ms,
+                first_token_ms=int(max(0, first_token_at - started) * 1000),
             )
-            return Success(
-                ModelResult(
-                    completion.text,
-                    engine.name,
-                    completion.prompt_tokens,
-                    completion.cached_tokens,
-                    completion.generated_tokens,
-                    service_ms,
-                )
+            result = ModelResult(
+                completion.text,
+                engine.name,
+                completion.prompt_tokens,
+                completion.cached_tokens,
+                completion.generated_tokens,
+                service_ms,
             )
+            residence = Residence(reply.residence_ms / 1000)
+            self._keeper.finished(run.call, engine, client, result, residence)
+            return Success(result)
         finally:
             await self._give_back(release)
 
@@ -387,9 +403,11 @@
         replies = await asyncio.gather(
             *(self._probe(run, name) for name in names)
         )
+        run.reply_by_replica.update(zip(names, replies, strict=True))
+        importable = self._keeper.importable_tokens(run.call)
         fastest = max(reply.decode_tokens_per_s for reply in replies)
         candidates = [
-            _candidate(engine_by_name[name], reply, fastest)
+            _candidate(engine_by_name[name], reply, fastest, importable)
             for name, reply in zip(names, replies, strict=True)
         ]
         request = PlacementRequest(
@@ -472,7 +490,7 @@
 
 
 def _candidate(
-    engine: RenderedEngine, reply: ProbeReply, fastest: float
+    engine: RenderedEngine, reply: ProbeReply, fastest: float, importable: int
 ) -> Candidate:
     """Returns a probed replica as placement sees it.
 
@@ -485,13 +503,25 @@
         engine.name,
         engine.failure_domain,
         expected_wait_s=reply.expected_wait_ms / 1000,
-        cached_tokens=reply.cached_tokens,
+        cached_tokens=max(
+            reply.cached_tokens, _import_worth(engine, reply, importable)
+        ),
         prefill_tokens_per_s=reply.prefill_tokens_per_s,
         decode_tokens_per_s=reply.decode_tokens_per_s or fastest or _GUESS,
         in_flight=reply.in_flight,
     )
 
 
+def _import_worth(
+    engine: RenderedEngine, reply: ProbeReply, importable: int
+) -> int:
+    """Returns what an import saves, in tokens that need not be computed."""
+    if engine.transfer_tokens_per_s <= 0:
+        return 0
+    spent = reply.prefill_tokens_per_s / engine.transfer_tokens_per_s
+    return int(importable * max(0.0, 1 - spent))
+
+
 def _prefix_note(call: ModelCall) -> PrefixNote:
     return PrefixNote(
         branch_id=call.branch_id,
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -44,6 +44,7 @@
 )
 from masticdale_upstreams import CacheEventKind
 from masticdaled.cluster import Cluster
+from masticdaled.evictions import EvictionRate
 from masticdaled.orders import OrderGiver
 from masticdaled.upstream_clients import UpstreamClients
 
@@ -67,6 +68,7 @@
         is_leaving: The engine or the platform's list says that it leaves.
         events_position: Where the next cache events begin.
         ticks: Health checks so far.
+        evictions: Tokens its cache evicts a second.
         incarnation_by_ticket: Engine process that each ticket was granted at.
     """
 
@@ -79,10 +81,18 @@
     is_leaving: bool = False
     events_position: int = 0
     ticks: int = 0
+    evictions: EvictionRate = dataclasses.field(default_factory=EvictionRate)
     incarnation_by_ticket: dict[str, str] = dataclasses.field(
         default_factory=dict
     )
 
+    def residence_ms(self, now: float) -> int:
+        """Returns how long an unused token stays; 0 while nothing presses."""
+        rate = self.evictions.per_s(now)
+        if rate <= 0 or not self.prefixes.capacity_tokens:
+            return 0
+        return int(self.prefixes.capacity_tokens / rate * 1000)
+
     @property
     def is_usable(self) -> bool:
         """True while it may get new work."""
@@ -202,7 +212,8 @@
             decode_tokens_per_s=(
                 speed.decode_tokens_per_s if speed.is_learned else 0.0
             ),
-            in_flight=home.queue.in_flight(now),
+            in_flight=home.queue.in_flight(now) + home.queue.waiting,
+            residence_ms=home.residence_ms(now),
         )
 
     def released(self, replica: str, program_id: str) -> None:
@@ -367,12 +378,15 @@
         home.events_position = batch.position
         if batch.gap:
             home.prefixes.gap()
+        held_before = home.prefixes.held_tokens
         for event in batch.events:
             branch = BranchKey(event.program_id, event.branch_id)
             if event.kind is CacheEventKind.STORED:
                 home.prefixes.stored(branch, event.tokens, now)
             else:
                 home.prefixes.evicted(branch, event.tokens, now)
+        freed = held_before - home.prefixes.held_tokens
+        home.evictions.add(max(0, freed), now)
 
     def _refresh_leaving(self, home: ReplicaHome, says_itself: bool) -> None:
         was_leaving = home.is_leaving
@@ -504,6 +518,7 @@
         cached_tokens=release.cached_tokens,
         generated_tokens=release.generated_tokens,
         service_s=release.service_ms / 1000,
+        first_token_s=release.first_token_ms / 1000,
     )
 
 
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/pausing.py
@@ -0,0 +1,162 @@
+"""Prefixes through tool pauses: copied out where that is cheaper.
+
+At the end of each turn the owner weighs, by the routing library's pause model,
+what the pause is expected to cost: a prefix that will probably be evicted
+before its program returns is exported, and imported back, or into the replica
+that the next turn goes to, instead of being computed again.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import time
+
+from returns.result import Failure as Failed
+
+from masticdale_common import ErrorKind, Metrics, logs
+from masticdale_config import RenderedEngine
+from masticdale_programs import ModelCall, ModelResult
+from masticdale_routing import (
+    BranchKey,
+    CachePressure,
+    PauseAction,
+    PauseKey,
+    PauseModel,
+)
+from masticdale_upstreams import ModelEngine
+
+_MOST_BRANCHES = 20_000
+_ANY_TOOL = ""
+# What a kept prefix displaces of others is left out: measured with it, more
+# was recomputed (docs/POLICY.md).
+_REUSE_SHARE = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Paused:
+    """What is known of a branch between two turns.
+
+    Attributes:
+        finished_at: When its last turn ended.
+        handle: Its exported prefix; empty for none.
+        tokens: Tokens of the export.
+    """
+
+    finished_at: float
+    handle: str = ""
+    tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Residence:
+    """How long an unused token stays at a replica; 0 while nothing presses."""
+
+    seconds: float = 0.0
+
+
+class CacheKeeper:
+    """Decides for the branches whose turns run from this host."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._model = PauseModel()
+        self._paused_by_branch: collections.OrderedDict[BranchKey, _Paused] = (
+            collections.OrderedDict()
+        )
+        self._background: set[asyncio.Task[None]] = set()
+
+    def returned(self, call: ModelCall) -> None:
+        """Learns how long a branch's pause was."""
+        paused = self._paused_by_branch.get(_branch(call))
+        if paused is not None:
+            pause_s = time.monotonic() - paused.finished_at
+            self._model.observe(PauseKey(call.kind, _ANY_TOOL), pause_s)
+
+    def importable_tokens(self, call: ModelCall) -> int:
+        """Returns the tokens of a branch's export, 0 for none."""
+        paused = self._paused_by_branch.get(_branch(call))
+        return paused.tokens if paused is not None else 0
+
+    async def bring(
+        self, call: ModelCall, engine: ModelEngine, cached_tokens: int
+    ) -> None:
+        """Imports a branch's prefix where the replica has less of it.
+
+        Args:
+            call: The call about to be sent.
+            engine: Where it goes.
+            cached_tokens: Tokens the replica is believed to hold.
+        """
+        paused = self._paused_by_branch.get(_branch(call))
+        if paused is None or paused.tokens <= cached_tokens:
+            return
+        outcome = await engine.import_cache(paused.handle)
+        if isinstance(outcome, Failed):
+            # The export is gone or the engine cannot: computed again instead.
+            paused.handle, paused.tokens = "", 0
+            return
+        self._metrics.count("cache_imports_total")
+        self._metrics.count("cache_imported_tokens_total", outcome.unwrap())
+
+    def finished(
+        self,
+        call: ModelCall,
+        engine: RenderedEngine,
+        client: ModelEngine,
+        result: ModelResult,
+        residence: Residence,
+    ) -> None:
+        """Begins a branch's pause and copies its prefix out if that pays."""
+        branch = _branch(call)
+        earlier = self._paused_by_branch.pop(branch, None)
+        paused = earlier or _Paused(0.0)
+        paused.finished_at = time.monotonic()
+        self._paused_by_branch[branch] = paused
+        while len(self._paused_by_branch) > _MOST_BRANCHES:
+            self._paused_by_branch.popitem(last=False)
+        if engine.transfer_tokens_per_s <= 0 or residence.seconds <= 0:
+            return
+        pressure = CachePressure(
+            residence.seconds,
+            engine.prefill_tokens_per_s,
+            engine.transfer_tokens_per_s,
+            _REUSE_SHARE,
+        )
+        tokens = result.prompt_tokens + result.generated_tokens
+        decision = self._model.decide(
+            PauseKey(call.kind, _ANY_TOOL), tokens, 0.0, pressure, paused.tokens
+        )
+        if decision.action not in (PauseAction.COPY, PauseAction.EXPORT):
+            return
+        task = asyncio.create_task(self._export(branch, paused, client, tokens))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def forget(self, program_id: str) -> None:
+        """Forgets an ended program."""
+        ended = [
+            b for b in self._paused_by_branch if b.program_id == program_id
+        ]
+        for branch in ended:
+            del self._paused_by_branch[branch]
+
+    async def _export(
+        self,
+        branch: BranchKey,
+        paused: _Paused,
+        client: ModelEngine,
+        tokens: int,
+    ) -> None:
+        outcome = await client.export_cache(branch.program_id, branch.branch_id)
+        if isinstance(outcome, Failed):
+            kind = outcome.failure().kind
+            if kind is not ErrorKind.NOT_FOUND:
+                logs.write("cache_export_failed", kind=kind.value)
+            return
+        paused.handle, paused.tokens = outcome.unwrap(), tokens
+        self._metrics.count("cache_exports_total")
+        self._metrics.count("cache_exported_tokens_total", tokens)
+
+
+def _branch(call: ModelCall) -> BranchKey:
+    return BranchKey(call.program_id, call.branch_id)
--- a/libs/config/src/masticdale_config/kinds.py
+++ b/libs/config/src/masticdale_config/kinds.py
@@ -272,6 +272,8 @@
         restore_interval: Tokens between the boundaries at which a cached
             prefix can be resumed; 1 where any token will do.
         cache_tokens: Tokens its prefix cache holds.
+        transfer_tokens_per_s: Speed at which it exports and imports cached
+            prefixes; 0 where it can't.
         orders: What it is told after each of its starts, in this order.
     """
 
@@ -281,6 +283,7 @@
     prefill_tokens_per_s: float = Field(gt=0)
     restore_interval: Count = 1
     cache_tokens: Count
+    transfer_tokens_per_s: float = Field(default=0, ge=0)
     orders: tuple[EngineOrder, ...] = Field(default=(), max_length=32)
 
 
--- a/libs/config/src/masticdale_config/rendered.py
+++ b/libs/config/src/masticdale_config/rendered.py
@@ -124,6 +124,7 @@
     prefill_tokens_per_s: float
     restore_interval: int
     cache_tokens: int
+    transfer_tokens_per_s: float = 0.0
     orders: tuple[RenderedOrder, ...] = ()
 
 
--- a/libs/config/src/masticdale_config/upstreams.py
+++ b/libs/config/src/masticdale_config/upstreams.py
@@ -43,6 +43,7 @@
         prefill_tokens_per_s=spec.prefill_tokens_per_s,
         restore_interval=spec.restore_interval,
         cache_tokens=spec.cache_tokens,
+        transfer_tokens_per_s=spec.transfer_tokens_per_s,
         orders=tuple(RenderedOrder(o.kind, o.argument) for o in spec.orders),
     )
 
--- a/libs/peers/src/masticdale_peers/messages.py
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -227,6 +227,7 @@
     cached_tokens: int = 0
     generated_tokens: int = 0
     service_ms: int = 0
+    first_token_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -255,6 +256,7 @@
     prefill_tokens_per_s: float = 0.0
     decode_tokens_per_s: float = 0.0
     in_flight: int = 0
+    residence_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/peers/src/masticdale_peers/peer.thrift
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -108,6 +108,7 @@
   5: i64 cached_tokens,
   6: i64 generated_tokens,
   7: i64 service_ms,
+  8: i64 first_token_ms,    // 0: not known
 }
 
 struct ProbeRequest {
@@ -130,6 +131,7 @@
   5: double prefill_tokens_per_s,
   6: double decode_tokens_per_s,
   7: i32 in_flight,
+  8: i64 residence_ms,      // how long an unused token stays; 0: not pressed
 }
 
 struct RevisionsRequest {
