Let a starting host take no shard over before a lease has passed

Change: where the owner in the head is no member and no newer process of it is known, a host that runs for less than a lease answers not_owner.

--- a/apps/masticdaled/src/masticdaled/owners.py
+++ b/apps/masticdaled/src/masticdaled/owners.py
@@ -17,6 +17,7 @@
     logs,
 )
 from masticdale_config import ConfigInForce, RenderedConfig, RenderedProgram
+from masticdale_peers import MembershipLimits
 from masticdale_platform import ObjectStore
 from masticdale_programs import (
     Budget,
@@ -113,6 +114,7 @@
         self._opening_by_number: dict[int, asyncio.Lock] = {}
         self._misplaced_since: dict[int, float] = {}
         self._stopping = False
+        self._created_at = time.monotonic()
         self._ownership = OwnershipChecks()
 
     async def submit(
@@ -307,12 +309,17 @@
             return None
         if found.owner == self._cluster.host:
             return None
+        held = Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=found.owner)
         for member in self._cluster.membership.members():
-            is_same = member.name == found.owner
-            if is_same and found.writer.startswith(member.beat.incarnation):
-                detail = f"shard {number}"
-                return Failure(ErrorKind.NOT_OWNER, detail, host=found.owner)
-        return None
+            if member.name != found.owner:
+                continue
+            is_same = found.writer.startswith(member.beat.incarnation)
+            return held if is_same else None
+        # A host that has just started may not have heard from a live owner
+        # yet. Taken over without its lease's end, that owner would answer
+        # from memory, which it renews on the strength of that lease.
+        age_s = time.monotonic() - self._created_at
+        return held if age_s < MembershipLimits().lease_s else None
 
     def _not_owner(self, number: int) -> Failure:
         host = self._cluster.owner_of_shard(number)
