Wait for the newest accepted revision, not for the asked host's own

A host that lags, asked first, let it return at once with an old one. Change: GET /v1/status?newest=true reads the platform first and says whether it answered; the tool waits for that revision, and says so where the platform does not answer. Two operator tokens with one name or digest are refused at start as INVALID_SETTINGS.

--- a/apps/masticctl/src/masticctl/waiting.py
+++ b/apps/masticctl/src/masticctl/waiting.py
@@ -11,9 +11,16 @@
 POLL_S = 0.2
 
 
-async def read_status(session: Session) -> StatusReport:
-    """Returns the status as the first server that answers knows it."""
-    return await session.client.get("/v1/status", StatusReport)
+async def read_status(session: Session, newest: bool = False) -> StatusReport:
+    """Returns the status as the first server that answers knows it.
+
+    Args:
+        session: The session.
+        newest: True to let that host ask the platform first which revision
+            is the newest.
+    """
+    query: dict[str, str | int] = {"newest": "true"} if newest else {}
+    return await session.client.get("/v1/status", StatusReport, query)
 
 
 async def wait_in_force(
@@ -23,14 +30,21 @@
 
     Args:
         session: The session.
-        revision: The revision; 0 for the one in force at the first answer.
+        revision: The revision; 0 for the newest that is accepted.
         timeout_s: Longest wait.
 
     Returns:
         The exit code; ``EXIT_LAGGING`` after naming the hosts that lag.
     """
     deadline = time.monotonic() + timeout_s
-    report = await read_status(session)
+    # Without asking the platform, a host that lags would report its own old
+    # revision, and the operator would take the newest one for in force.
+    report = await read_status(session, newest=not revision)
+    if not revision and not report.is_newest:
+        session.output.note(
+            "The platform does not answer; waiting for the newest revision"
+            " that the hosts know."
+        )
     wanted = revision or max(
         [report.revision, *(host.revision for host in report.hosts)]
     )
--- a/apps/masticctl/tests/test_commands.py
+++ b/apps/masticctl/tests/test_commands.py
@@ -9,7 +9,12 @@
 import hosts
 
 from masticctl.declarations import to_text
-from masticdale_config import caller_key_digest, testing
+from masticdale_config import (
+    ConfigInForce,
+    ConfigStore,
+    caller_key_digest,
+    testing,
+)
 from masticdaled.operator_testing import (
     QUARANTINED_DIGEST,
     READ_TOKEN,
@@ -228,6 +233,28 @@
         self.assertEqual(done.code, 7)
         self.assertIn("Revision 1 is not in force on: host-2 (at 0", done.err)
 
+    async def test_status_wait_asks_for_the_newest_accepted_revision(self):
+        """A change was accepted through another host; the one asked lags.
+
+        Its own status would say that revision 1 is everywhere. The operator
+        waits for revision 2, which another host has not got.
+        """
+        await self.apply(testing.engine("e", "m"))
+        other = ConfigStore(self.tool.context.store, ConfigInForce())
+        edit = testing.put(testing.engine("f", "m", 1))
+        (await other.apply(testing.change("c", edit))).unwrap()
+        self.tool.context.revision_by_host = {"host-2": 1}
+        done = await self.tool.run("status", "--wait", "--timeout", "0")
+        self.assertEqual(done.code, 7)
+        self.assertIn("Revision 2 is not in force on: host-2", done.err)
+
+    async def test_status_wait_in_an_outage_says_what_it_waits_for(self):
+        await self.apply(testing.engine("e", "m"))
+        self.tool.context.store.faults.down = True
+        done = await self.tool.run("status", "--wait", "--timeout", "0")
+        self.assertEqual(done.code, 0)
+        self.assertIn("The platform does not answer", done.err)
+
     async def test_programs_quarantine_and_takeover(self):
         self.tool.context.program_by_id["12e4"] = program("12e4")
         self.tool.context.quarantined_digests.add(QUARANTINED_DIGEST)
--- a/apps/masticdaled/src/masticdaled/access.py
+++ b/apps/masticdaled/src/masticdaled/access.py
@@ -11,7 +11,13 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from masticdale_common import ErrorKind, Failure, StrictModel, logs
+from masticdale_common import (
+    ErrorKind,
+    Failure,
+    MasticdaleError,
+    StrictModel,
+    logs,
+)
 
 AUDIT = "audit"
 UNKNOWN_OPERATOR = "unknown"
@@ -109,9 +115,21 @@
     """Returns the access that settings grant.
 
     Args:
-        tokens: The tokens of the settings; the digests must differ.
+        tokens: The tokens of the settings.
+
+    Raises:
+        MasticdaleError: INVALID_SETTINGS, where two have the same name or
+            digest: the audit log could not tell who did something.
     """
-    return Access({t.sha256: Operator(t.name, t.role) for t in tokens})
+    operator_by_digest: dict[str, Operator] = {}
+    names: set[str] = set()
+    for token in tokens:
+        if token.sha256 in operator_by_digest or token.name in names:
+            detail = f"operator_tokens: {token.name!r} stands twice"
+            raise MasticdaleError(Failure(ErrorKind.INVALID_SETTINGS, detail))
+        operator_by_digest[token.sha256] = Operator(token.name, token.role)
+        names.add(token.name)
+    return Access(operator_by_digest)
 
 
 def token_digest(token: str) -> str:
--- a/apps/masticdaled/src/masticdaled/operators.py
+++ b/apps/masticdaled/src/masticdaled/operators.py
@@ -15,7 +15,7 @@
 from litestar.openapi.plugins import JsonRenderPlugin
 from litestar.params import FromPath, FromQuery, QueryParameter, RawBody
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 
 from masticdale_common import (
     ErrorKind,
@@ -125,7 +125,8 @@
         return dict(context.state_dump.collect())
 
     @get("/v1/status")
-    async def status() -> StatusReport:
+    async def status(newest: FromQuery[bool] = False) -> StatusReport:
+        is_newest = newest and await _catch_up(context)
         current = context.in_force.current
         return StatusReport(
             host=context.host,
@@ -133,6 +134,7 @@
             revision=current.revision,
             digest=current.digest,
             hosts=context.hosts(),
+            is_newest=is_newest,
         )
 
     return [healthz, readyz, metrics, dump, status]
@@ -283,6 +285,12 @@
     return not wanted.name or key.name == wanted.name
 
 
+async def _catch_up(context: OperatorContext) -> bool:
+    if context.config_store is None:
+        return False
+    return isinstance(await context.config_store.load(), Success)
+
+
 def _store(context: OperatorContext) -> ConfigStore:
     if context.config_store is None:
         raise _error(ErrorKind.PLATFORM_UNAVAILABLE, "no platform is connected")
--- a/apps/masticdaled/tests/test_operators.py
+++ b/apps/masticdaled/tests/test_operators.py
@@ -8,6 +8,7 @@
 import eliot
 from litestar.testing import AsyncTestClient
 
+from masticdale_common import ErrorKind, MasticdaleError
 from masticdale_config import (
     ABSENT,
     Edit,
@@ -162,6 +163,16 @@
         self.assertNotIn("wrong-token", self.log.getvalue())
         self.assertNotIn(READ_TOKEN, self.log.getvalue())
 
+    def test_two_tokens_that_cannot_be_told_apart_are_refused(self):
+        for twin in (
+            TOKENS[0].model_copy(update={"name": "other"}),
+            TOKENS[0].model_copy(update={"sha256": "0" * 64}),
+        ):
+            with self.assertRaises(MasticdaleError) as caught:
+                create_access([*TOKENS, twin])
+            kind = caught.exception.failure.kind
+            self.assertIs(kind, ErrorKind.INVALID_SETTINGS)
+
     async def test_changes_and_refusals_are_in_the_audit_log(self):
         await self.apply(change("c1", testing.engine("e", "m")))
         await self.apply(change("c2", testing.engine("e", "m", 2)))
--- a/libs/config/src/masticdale_config/messages.py
+++ b/libs/config/src/masticdale_config/messages.py
@@ -109,6 +109,8 @@
         revision: Revision in force there.
         digest: Digest of that configuration.
         hosts: All hosts it knows, itself among them.
+        is_newest: Whether the platform was asked and said that no later
+            revision is accepted.
     """
 
     host: str
@@ -116,6 +118,7 @@
     revision: int
     digest: str
     hosts: tuple[HostStatus, ...]
+    is_newest: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
