--- a/apps/masticctl/src/masticctl/help.py
+++ b/apps/masticctl/src/masticctl/help.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 import inspect
-import re
 import textwrap
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from masticctl.commands import Commands
+from masticctl.docstrings import Docstring, read_docstring
 from masticctl.groups import Group
 
 PROGRAM = "masticctl"
@@ -18,12 +18,6 @@
 _MAX_TERM = 24
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Docstring:
-    text: str
-    description_by_argument: dict[str, str]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Page:
     words: tuple[str, ...]
@@ -102,12 +96,12 @@
 
 
 def _group_page(page: _Page) -> str:
-    described = _read_docstring(page.component)
+    described = read_docstring(page.component)
     sections = [usage(page.words), _paragraphs(described.text)]
     if isinstance(page.component, Commands):
         sections.append(_options_section(Commands.__init__))
     members = [
-        (name, _read_docstring(member).text.splitlines()[0])
+        (name, read_docstring(member).text.splitlines()[0])
         for name, member in sorted(_members(page.component).items())
     ]
     sections.append(f"Commands:\n{_definitions(members)}")
@@ -117,10 +111,10 @@
 
 
 def _command_page(page: _Page) -> str:
-    described = _read_docstring(page.component)
+    described = read_docstring(page.component)
     sections = [usage(page.words), _paragraphs(described.text)]
     arguments = [
-        (p.name.upper(), described.description_by_argument.get(p.name, ""))
+        (p.name.upper(), described.description_by_name.get(p.name, ""))
         for p in _parameters(page.component)
         if _is_argument(p)
     ]
@@ -132,7 +126,7 @@
 
 
 def _options_section(command: Callable[..., Any]) -> str:
-    described = _read_docstring(command)
+    described = read_docstring(command)
     rows = [
         (_option(p), _describe_option(p, described))
         for p in _parameters(command)
@@ -171,10 +165,8 @@
     return "NUMBER" if is_number else "TEXT"
 
 
-def _describe_option(
-    parameter: inspect.Parameter, described: _Docstring
-) -> str:
-    text = described.description_by_argument.get(parameter.name, "")
+def _describe_option(parameter: inspect.Parameter, described: Docstring) -> str:
+    text = described.description_by_name.get(parameter.name, "")
     if parameter.default is parameter.empty:
         return f"{text}  [required]"
     if parameter.default in ("", False):
@@ -182,20 +174,6 @@
     return f"{text}  [default: {parameter.default}]"
 
 
-def _read_docstring(component: Any) -> _Docstring:
-    text, _, arguments = (inspect.getdoc(component) or "").partition("Args:\n")
-    found: dict[str, str] = {}
-    name = ""
-    for line in textwrap.dedent(arguments).splitlines():
-        begun = re.match(r"^\*?(\w+): (.*)", line)
-        if begun:
-            name = begun.group(1)
-            found[name] = begun.group(2)
-        elif name and line.strip():
-            found[name] += f" {line.strip()}"
-    return _Docstring(text.strip(), found)
-
-
 def _paragraphs(text: str) -> str:
     wrapped = [
         textwrap.fill(
--- a/libs/config/src/masticdale_config/inforce.py
+++ b/libs/config/src/masticdale_config/inforce.py
@@ -9,6 +9,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import Failure, JsonValue, logs
+from masticdale_config import snapshots
 from masticdale_config import state as states
 from masticdale_config.rendered import RenderedConfig
 
@@ -126,12 +127,12 @@
             The number in force, or INTERNAL where the digest does not come
             out; then nothing has changed.
         """
-        return self._take_snapshot(states.decode_snapshot(snapshot))
+        return self._take_snapshot(snapshots.decode(snapshot))
 
     async def follow_snapshot(self, snapshot: bytes) -> Result[int, Failure]:
         """Does what ``apply_snapshot`` does, off the event loop."""
         async with self._lock:
-            decoded = await asyncio.to_thread(states.decode_snapshot, snapshot)
+            decoded = await asyncio.to_thread(snapshots.decode, snapshot)
             return self._take_snapshot(decoded)
 
     async def follow_export(
@@ -162,14 +163,14 @@
         if export is not None:
             return export
         if not self._snapshot:
-            self._snapshot = states.encode_snapshot(self._state)
+            self._snapshot = snapshots.encode(self._state)
         return RevisionsExport(self.number, (), self._snapshot)
 
     async def make_export(self, number: int) -> RevisionsExport:
         """Does what ``export_after`` does, encoding off the event loop."""
         state = self._state
         if self._export_kept(number) is None and not self._snapshot:
-            encoded = await asyncio.to_thread(states.encode_snapshot, state)
+            encoded = await asyncio.to_thread(snapshots.encode, state)
             if self._state is not state:
                 return RevisionsExport(state.number, (), encoded)
             self._snapshot = encoded
--- a/libs/config/src/masticdale_config/state.py
+++ b/libs/config/src/masticdale_config/state.py
@@ -9,14 +9,13 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from masticdale_common import ErrorKind, Failure, StrictModel, hashing
+from masticdale_common import ErrorKind, Failure, StrictModel
 from masticdale_config import canonical, problems, rendering
 from masticdale_config.kinds import (
     AnyDeclaration,
     Declaration,
     DeclarationKey,
     Kind,
-    key_of,
 )
 from masticdale_config.rendered import RenderedConfig
 
@@ -27,11 +26,13 @@
 _ShortText = Annotated[str, pydantic.StringConstraints(max_length=500)]
 
 
-class _Stored(StrictModel):
+class StoredModel(StrictModel):
+    """A model of what the platform stores, read from JSON only."""
+
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
 
 
-class RecordedEdit(_Stored):
+class RecordedEdit(StoredModel):
     """One declaration before and after a revision.
 
     Attributes:
@@ -52,7 +53,7 @@
         return DeclarationKey(self.kind, self.name)
 
 
-class Revision(_Stored):
+class Revision(StoredModel):
     """One accepted change, stored as one immutable object.
 
     Attributes:
@@ -177,7 +178,7 @@
         return Success(Revision.model_validate_json(value))
     except pydantic.ValidationError as error:
         found = problems.from_validation(error, "revision")
-        return _unreadable(problems.to_failure(found).detail)
+        return unreadable(problems.to_failure(found).detail)
 
 
 def follow(
@@ -205,10 +206,10 @@
         [edit.key for edit in revision.edits],
     )
     if isinstance(outcome, Failed):
-        return _unreadable(problems.to_failure(outcome.failure()).detail)
+        return unreadable(problems.to_failure(outcome.failure()).detail)
     rendered = outcome.unwrap()
     if rendered.digest != revision.digest:
-        return _unreadable(
+        return unreadable(
             f"revision {revision.number} renders to {rendered.digest},"
             f" accepted as {revision.digest}"
         )
@@ -284,95 +285,6 @@
         _collect_differences(before.get(name), after.get(name), inner, found)
 
 
-class _TouchedModel(_Stored):
-    kind: Kind
-    name: str
-    fields: tuple[str, ...]
-
-
-class _SummaryModel(_Stored):
-    revision: int
-    change_id: str
-    change_digest: str
-    author: str
-    touched: tuple[_TouchedModel, ...]
-
-
-class _SnapshotModel(_Stored):
-    number: int
-    digest: str
-    declarations: tuple[AnyDeclaration, ...]
-    recent: tuple[_SummaryModel, ...]
-
-
-def encode_snapshot(state: ConfigState) -> bytes:
-    """Returns a state as bytes, the same on every host."""
-    declarations = [
-        state.declaration_by_key[key]
-        for key in sorted(state.declaration_by_key)
-    ]
-    snapshot = _SnapshotModel(
-        number=state.number,
-        digest=state.rendered.digest,
-        declarations=tuple(declarations),
-        recent=tuple(
-            _SummaryModel(
-                revision=summary.revision,
-                change_id=summary.change_id,
-                change_digest=summary.change_digest,
-                author=summary.author,
-                touched=tuple(
-                    _TouchedModel(
-                        kind=touched.key.kind,
-                        name=touched.key.name,
-                        fields=touched.fields,
-                    )
-                    for touched in summary.touched
-                ),
-            )
-            for summary in state.recent
-        ),
-    )
-    return canonical.to_bytes(canonical.dump(snapshot))
-
-
-def decode_snapshot(value: bytes) -> Result[ConfigState, Failure]:
-    """Reads a state; INTERNAL where its digest does not come out."""
-    try:
-        snapshot = _SnapshotModel.model_validate_json(value)
-    except pydantic.ValidationError as error:
-        found = problems.from_validation(error, "snapshot")
-        return _unreadable(problems.to_failure(found).detail)
-    declaration_by_key = {key_of(d): d for d in snapshot.declarations}
-    outcome = rendering.render(declaration_by_key, snapshot.number)
-    if isinstance(outcome, Failed):
-        return _unreadable(problems.to_failure(outcome.failure()).detail)
-    rendered = outcome.unwrap()
-    if rendered.digest != snapshot.digest:
-        return _unreadable(
-            f"snapshot {snapshot.number} renders to {rendered.digest},"
-            f" written as {snapshot.digest}"
-        )
-    recent = tuple(
-        ChangeSummary(
-            summary.revision,
-            summary.change_id,
-            summary.change_digest,
-            summary.author,
-            tuple(
-                TouchedDeclaration(DeclarationKey(t.kind, t.name), t.fields)
-                for t in summary.touched
-            ),
-        )
-        for summary in snapshot.recent
-    )
-    return Success(ConfigState(declaration_by_key, recent, rendered))
-
-
-def bytes_digest(value: bytes) -> str:
-    """Returns the digest by which stored bytes are checked."""
-    return hashing.digest(value.hex())
-
-
-def _unreadable(detail: str) -> Failed[Failure]:
+def unreadable(detail: str) -> Failed[Failure]:
+    """Returns the failure for stored bytes that make no sense."""
     return Failed(Failure(ErrorKind.INTERNAL, detail))
--- a/libs/config/src/masticdale_config/storage.py
+++ b/libs/config/src/masticdale_config/storage.py
@@ -20,7 +20,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, StrictModel
-from masticdale_config import canonical, trimming
+from masticdale_config import canonical, snapshots, trimming
 from masticdale_config import state as states
 from masticdale_config.inforce import ConfigInForce
 from masticdale_platform.types import MUST_NOT_EXIST, ObjectStore
@@ -148,12 +148,12 @@
         state: What to write. All parts stand before the hint is moved, and a
             reader checks the digest of the whole.
     """
-    value = await asyncio.to_thread(states.encode_snapshot, state)
+    value = await asyncio.to_thread(snapshots.encode, state)
     parts = [
         value[start : start + PART_BYTES]
         for start in range(0, len(value), PART_BYTES)
     ]
-    digest = states.bytes_digest(value)
+    digest = snapshots.digest(value)
     ref = SnapshotRef(number=state.number, digest=digest, parts=len(parts))
     for part, chunk in enumerate(parts):
         written = await store.write(part_key(ref, part), chunk, MUST_NOT_EXIST)
@@ -223,7 +223,7 @@
             return _broken(hint, "a part is missing")
         chunks.append(stored.value)
     value = b"".join(chunks)
-    if states.bytes_digest(value) != hint.digest:
+    if snapshots.digest(value) != hint.digest:
         return _broken(hint, "its digest does not come out")
     return await in_force.follow_snapshot(value)
 
--- a/scripts/measure_config.py
+++ b/scripts/measure_config.py
@@ -26,6 +26,7 @@
     RenderedConfig,
     key_of,
     reports,
+    snapshots,
     testing,
 )
 from masticdale_config import state as states
@@ -200,8 +201,8 @@
     """
     fleet = Fleet()
     await fleet.load(declarations(workspaces))
-    encoded = _timed(lambda: states.encode_snapshot(fleet.state))
-    snapshot = states.encode_snapshot(fleet.state)
+    encoded = _timed(lambda: snapshots.encode(fleet.state))
+    snapshot = snapshots.encode(fleet.state)
     decoded = _timed(lambda: fleet.following.apply_snapshot(snapshot))
     figures = [
         Figure("snapshot bytes", len(snapshot)),
@@ -221,7 +222,7 @@
     )
     shared = Fleet()
     await shared.load(declarations(workspaces, templates=1))
-    snapshot = states.encode_snapshot(shared.state)
+    snapshot = snapshots.encode(shared.state)
     shared.following.apply_snapshot(snapshot).unwrap()
     if freeze_gc:
         gc.collect()
--- a/scripts/write_field_tables.py
+++ b/scripts/write_field_tables.py
@@ -9,16 +9,15 @@
 
 import dataclasses
 import importlib
-import inspect
 import json
 import pathlib
 import re
 import sys
-import textwrap
 from typing import Any
 
 import pydantic
 
+from masticctl.docstrings import read_docstring
 from masticdale_common import ANSWER_BY_KIND, Answer
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -142,17 +141,7 @@
 def _read_meanings(model: type[pydantic.BaseModel]) -> dict[str, str]:
     found: dict[str, str] = {}
     for base in reversed(model.__mro__):
-        _, _, attributes = (inspect.getdoc(base) or "").partition(
-            "Attributes:\n"
-        )
-        name = ""
-        for line in textwrap.dedent(attributes).splitlines():
-            begun = re.match(r"^(\w+): (.*)", line)
-            if begun:
-                name = begun.group(1)
-                found[name] = begun.group(2)
-            elif name and line.strip():
-                found[name] += f" {line.strip()}"
+        found |= read_docstring(base, "Attributes").description_by_name
     return {name: text.replace("``", "`") for name, text in found.items()}
 
 
