--- a/apps/masticdaled/src/masticdaled/callers.py
+++ b/apps/masticdaled/src/masticdaled/callers.py
@@ -10,6 +10,7 @@
 import litestar
 import orjson
 import pydantic
+from litestar.params import FromPath, FromQuery, JSONBody
 from litestar.response import ServerSentEvent, ServerSentEventMessage
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -100,7 +101,7 @@
 
     @litestar.post("/", summary="Begin a program")
     async def create(
-        self, request: AnyRequest, data: CreateProgramBody
+        self, request: AnyRequest, data: JSONBody[CreateProgramBody]
     ) -> ProgramBody:
         """Begins a program; the same request id names the same program."""
         context = _context(request)
@@ -116,7 +117,10 @@
 
     @litestar.get("/{program_id:str}", summary="Read a program's status")
     async def get_status(
-        self, request: AnyRequest, program_id: str, history: str = ""
+        self,
+        request: AnyRequest,
+        program_id: FromPath[str],
+        history: FromQuery[str] = "",
     ) -> ProgramBody:
         """Reads status and, with ``history=BRANCH``, a branch's history."""
         workspace = _authenticate(request)
@@ -125,7 +129,10 @@
 
     @litestar.post("/{program_id:str}/branches", summary="Open a branch")
     async def open_branch(
-        self, request: AnyRequest, program_id: str, data: OpenBranchBody
+        self,
+        request: AnyRequest,
+        program_id: FromPath[str],
+        data: JSONBody[OpenBranchBody],
     ) -> ProgramBody:
         """Opens a sub-agent's branch, which shares the program's budget."""
         workspace = _authenticate(request)
@@ -134,7 +141,10 @@
 
     @litestar.post("/{program_id:str}/end", summary="End a program")
     async def end(
-        self, request: AnyRequest, program_id: str, data: EndProgramBody
+        self,
+        request: AnyRequest,
+        program_id: FromPath[str],
+        data: JSONBody[EndProgramBody],
     ) -> ProgramBody:
         """Ends a program and releases the engine memory held for it."""
         workspace = _authenticate(request)
@@ -145,7 +155,10 @@
         "/{program_id:str}/turns", summary="Send a turn", status_code=200
     )
     async def send_turn(
-        self, request: AnyRequest, program_id: str, data: SendTurnBody
+        self,
+        request: AnyRequest,
+        program_id: FromPath[str],
+        data: JSONBody[SendTurnBody],
     ) -> Any:
         """Sends a message; answers whole or as server-sent events."""
         operation = SendTurn(
@@ -165,7 +178,10 @@
         "/{program_id:str}/calls", summary="Call a service", status_code=200
     )
     async def call_service(
-        self, request: AnyRequest, program_id: str, data: CallServiceBody
+        self,
+        request: AnyRequest,
+        program_id: FromPath[str],
+        data: JSONBody[CallServiceBody],
     ) -> Any:
         """Calls an operation; at most once where it may not be repeated."""
         operation = CallService(
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/testing.py
@@ -0,0 +1,138 @@
+"""A host in memory, for tests of what stands on its parts."""
+
+import dataclasses
+
+from masticdale_common import Metrics, TimerService
+from masticdale_config import ConfigInForce
+from masticdale_peers import Heartbeat, Membership, join
+from masticdale_peers.testing import MemoryNetwork
+from masticdale_platform import ObjectStore
+from masticdale_programs import Executor, ShardSettings
+from masticdaled.callers import CallersContext
+from masticdaled.cluster import Cluster
+from masticdaled.entry import Entry
+from masticdaled.handler import Handler, Parts
+from masticdaled.homes import Homes
+from masticdaled.limits import WorkspaceLimiter
+from masticdaled.orders import OrderGiver
+from masticdaled.owners import Owners
+from masticdaled.programs_desk import ProgramsDesk
+from masticdaled.settings import RequestSettings
+from masticdaled.suspects import SuspectHome
+from masticdaled.tickets import TicketDesk
+from masticdaled.upstream_clients import UpstreamClients
+
+DOMAIN = "domain-1"
+
+
+class AlwaysReady:
+    """A host that always serves."""
+
+    def is_ready(self) -> bool:
+        """See ``Readiness.is_ready``."""
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryHost:
+    """One host whose peers are on a ``MemoryNetwork``.
+
+    Attributes:
+        name: Its name.
+        membership: The hosts it sees.
+        cluster: Calls by role.
+        owners: Its shards.
+        homes: Its replicas' queues.
+        entry: Its entry role.
+        callers: What a callers' listener needs.
+        timers: Its timers.
+    """
+
+    name: str
+    membership: Membership
+    cluster: Cluster
+    owners: Owners
+    homes: Homes
+    entry: Entry
+    callers: CallersContext
+    timers: TimerService
+
+    async def close(self) -> None:
+        """Stops its parts."""
+        await self.timers.close()
+        await self.membership.close()
+        for shard in self.owners.held_shards():
+            await shard.close()
+        await self.homes.close()
+
+
+def create_memory_host(
+    name: str,
+    names: tuple[str, ...],
+    network: MemoryNetwork,
+    store: ObjectStore,
+    in_force: ConfigInForce,
+    executor: Executor,
+    settings: ShardSettings | None = None,
+) -> MemoryHost:
+    """Returns a host attached to a network.
+
+    Args:
+        name: Its name.
+        names: All hosts, this one included.
+        network: Carries the calls between hosts.
+        store: The platform's objects.
+        in_force: The configuration.
+        executor: Runs calls at upstreams.
+        settings: Times of its shards.
+    """
+    metrics = Metrics()
+    timers = TimerService(seed=1)
+    others = [other for other in names if other != name]
+    membership = join(
+        lambda: Heartbeat(name, DOMAIN, name),
+        others,
+        network.peers(name),
+        timers,
+    )
+    cluster = Cluster(name, membership, network.peers(name))
+    homes = Homes(
+        cluster,
+        in_force,
+        UpstreamClients(metrics),
+        OrderGiver(store, name, metrics),
+        metrics,
+    )
+    owners = Owners(
+        cluster,
+        store,
+        executor,
+        in_force,
+        settings or ShardSettings(),
+        name,
+        metrics,
+    )
+    parts = Parts(
+        membership,
+        owners,
+        homes,
+        TicketDesk(cluster),
+        SuspectHome(store),
+        ProgramsDesk(name, owners),
+        in_force,
+    )
+    handler = Handler(lambda: parts)
+    network.attach(name, handler)
+    cluster.attach(handler, frozenset(others))
+    entry = Entry(cluster, metrics)
+    callers = CallersContext(
+        entry,
+        in_force,
+        WorkspaceLimiter(cluster, in_force),
+        AlwaysReady(),
+        RequestSettings(),
+        metrics,
+    )
+    return MemoryHost(
+        name, membership, cluster, owners, homes, entry, callers, timers
+    )
