--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/background.py
@@ -0,0 +1,35 @@
+"""Work that nobody waits for, kept from being collected while it runs."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from masticdale_common import logs
+
+
+class Background:
+    """Tasks of one part."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Starts work; an exception of it is logged."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    async def close(self) -> None:
+        """Cancels what runs and waits for it."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            logs.write("background_failed", error=repr(error))
--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -182,6 +182,7 @@
         await self.follower.close()
         await self.membership.close()
         await self.homes.close()
+        await self.executor.close()
         if self._peer_server is not None:
             await self._peer_server.close(1.0)
         self.peers.close()
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/digests.py
@@ -0,0 +1,71 @@
+"""An owner's side of crash suspects: it asks the content digest's home."""
+
+import asyncio
+import time
+
+from returns.result import Result, Success
+
+from masticdale_common import Failure
+from masticdale_peers import SuspectReply, SuspectRequest
+from masticdale_programs import TextSink
+from masticdale_routing import Admission
+from masticdaled.background import Background
+from masticdaled.cluster import Cluster
+from masticdaled.runs import Run
+
+_SUSPECT_TIMEOUT_S = 1.0
+_SUSPECT_WAIT_S = 0.1
+
+
+class DigestDesk:
+    """Asks and tells the homes of content digests."""
+
+    def __init__(self, cluster: Cluster, background: Background) -> None:
+        self._cluster = cluster
+        self._background = background
+
+    async def wait(self, run: Run, sink: TextSink) -> Admission:
+        """Asks the content digest's home again until the call may run.
+
+        A request that crashes replicas comes again under new ids and at any
+        host; its digest's home knows it and lets it run at most twice.
+        """
+        while time.monotonic() < run.call.deadline:
+            sink.waits("a run of the same content")
+            await asyncio.sleep(_SUSPECT_WAIT_S)
+            admission = await self.ask(run)
+            if admission is not Admission.WAIT:
+                return admission
+        return Admission.WAIT
+
+    async def ask(self, run: Run) -> Admission:
+        """Asks the home of a call's content whether it may run now."""
+        for host in self._cluster.digest_homes(run.call.content_digest):
+            run.asked_hosts.add(host)
+            reply = await self._suspect(host, run, "admit")
+            if isinstance(reply, Success) and not reply.unwrap().failure:
+                return Admission(reply.unwrap().admission)
+        # Neither home answers: run apart from others rather than not at all,
+        # so that a crash still has one cause.
+        return Admission.RUN_EXCLUSIVE
+
+    def tell(self, run: Run, action: str) -> None:
+        """Ends the run at every home that was asked, off the answer's path.
+
+        A home that answered too late began the run as well; left open there,
+        it would hold up the same content for as long as its lease.
+        """
+        for host in run.asked_hosts:
+            self._background.spawn(self._suspect(host, run, action))
+
+    async def _suspect(
+        self, host: str, run: Run, action: str
+    ) -> Result[SuspectReply, Failure]:
+        request = SuspectRequest(
+            action,
+            (run.call.content_digest,),
+            run.run_id,
+            self._cluster.host,
+        )
+        calls = self._cluster.calls(host)
+        return await calls.suspect(request, _SUSPECT_TIMEOUT_S)
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/directory.py
@@ -0,0 +1,32 @@
+"""Which declared upstreams may get work now."""
+
+from masticdale_config import (
+    ConfigInForce,
+    RenderedService,
+    RenderedUpstream,
+)
+from masticdaled.homes import Homes
+
+
+class UpstreamDirectory:
+    """The declared upstreams and the platform's list of leaving ones."""
+
+    def __init__(self, in_force: ConfigInForce, homes: Homes) -> None:
+        self._in_force = in_force
+        self._homes = homes
+
+    def may_get_work(self, upstream: RenderedUpstream) -> bool:
+        """Returns False for an upstream that is drained or leaves."""
+        is_leaving = self._homes.is_listed_leaving(upstream.replica)
+        return not upstream.draining and not is_leaving
+
+    def services(
+        self, workspace_name: str, operation: str
+    ) -> list[RenderedService]:
+        """Returns the services that offer an operation to a workspace."""
+        config = self._in_force.current
+        workspace = config.workspace_by_name.get(workspace_name)
+        if workspace is None:
+            return []
+        services = config.upstreams.by_operation.get(operation, ())
+        return [s for s in services if s.name in workspace.upstreams]
--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -4,28 +4,13 @@
 import dataclasses
 import secrets
 import time
-from collections.abc import Coroutine
-from typing import Any
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, Metrics, Ran, logs
-from masticdale_config import (
-    ConfigInForce,
-    RenderedEngine,
-    RenderedService,
-    engines_of,
-)
-from masticdale_peers import (
-    PrefixNote,
-    ProbeReply,
-    ProbeRequest,
-    SuspectReply,
-    SuspectRequest,
-    TicketRelease,
-    TicketRequest,
-)
+from masticdale_config import ConfigInForce, RenderedEngine
+from masticdale_peers import ProbeReply, TicketRelease, TicketRequest
 from masticdale_programs import (
     ModelCall,
     ModelResult,
@@ -35,58 +20,26 @@
 )
 from masticdale_routing import (
     Admission,
-    Candidate,
-    CostInSeconds,
     FailedAttempt,
     GiveUp,
-    Location,
     Placement,
-    PlacementRequest,
     RetryBudget,
     RetrySettings,
-    choose_probes,
     decide_retry,
-    place,
 )
-from masticdale_upstreams import Chunk, GenerateRequest, ServiceRequest
+from masticdale_upstreams import Chunk, Completion, GenerateRequest
+from masticdaled.background import Background
 from masticdaled.cluster import Cluster
+from masticdaled.digests import DigestDesk
+from masticdaled.directory import UpstreamDirectory
 from masticdaled.homes import Homes
 from masticdaled.pausing import CacheKeeper, Residence
+from masticdaled.placing import Placer
+from masticdaled.runs import Run, prefix_note
+from masticdaled.service_calls import ServiceCaller
 from masticdaled.tickets import TicketDesk
 from masticdaled.upstream_clients import UpstreamClients
 
-_PROBE_TIMEOUT_S = 0.5
-_SUSPECT_TIMEOUT_S = 1.0
-_SUSPECT_WAIT_S = 0.1
-_GUESS = 50.0  # Tokens a second, where no probed replica has served yet.
-
-
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """One model call while it is tried.
-
-    Attributes:
-        call: The call.
-        run_id: Names the present try to the digest's home.
-        prompt_tokens: Tokens of the prompt, estimated.
-        failed_replicas: Where it failed; not tried again.
-        attempts: Times it was sent.
-        reply_by_replica: What the homes last told of the probed replicas.
-        exclusive: Whether it must run with nothing else in flight.
-        asked_hosts: Digest homes that this try asked for admission.
-    """
-
-    call: ModelCall
-    run_id: str
-    prompt_tokens: int
-    failed_replicas: set[str] = dataclasses.field(default_factory=set)
-    attempts: int = 0
-    reply_by_replica: dict[str, ProbeReply] = dataclasses.field(
-        default_factory=dict
-    )
-    exclusive: bool = False
-    asked_hosts: set[str] = dataclasses.field(default_factory=set)
-
 
 class UpstreamExecutor:
     """The daemon's ``Executor``."""
@@ -108,17 +61,19 @@
         self._desk = desk
         self._homes = homes
         self._metrics = metrics
-        self._policy = CostInSeconds()
         self._retry_budget_by_model: dict[str, RetryBudget] = {}
-        self._service_turn = 0
-        self._background: set[asyncio.Task[Any]] = set()
+        self._background = Background()
+        directory = UpstreamDirectory(in_force, homes)
+        self._placer = Placer(cluster, in_force, directory, keeper)
+        self._digests = DigestDesk(cluster, self._background)
+        self._services = ServiceCaller(directory, clients)
 
     async def run_model(
         self, call: ModelCall, sink: TextSink
     ) -> Result[ModelResult, Failure]:
         """See ``Executor.run_model``."""
         tokens = sum(count_tokens(part) for part in call.prompt)
-        run = _Run(call, "", tokens)
+        run = Run(call, "", tokens)
         budget = self._retry_budget_by_model.setdefault(
             call.model, RetryBudget(RetrySettings())
         )
@@ -142,51 +97,20 @@
             await asyncio.sleep(decision.delay_s)
 
     def is_repeatable(self, workspace: str, operation: str) -> bool:
-        """See ``Executor.is_repeatable``; an unknown operation is not."""
-        services = self._services(workspace, operation)
-        if not services:
-            return False
-        return all(s.repeatable_by_operation[operation] for s in services)
+        """See ``Executor.is_repeatable``."""
+        return self._services.is_repeatable(workspace, operation)
 
     async def call_service(self, call: ServiceCall) -> Result[str, Failure]:
-        """See ``Executor.call_service``.
-
-        A replica that surely did not run the call is followed by the next
-        one; after anything else the call is not sent again.
-        """
-        services = self._services(call.workspace, call.operation)
-        self._service_turn += 1
-        turn = self._service_turn % max(1, len(services))
-        failure = Failure(ErrorKind.NO_UPSTREAM, call.operation)
-        for service in (*services[turn:], *services[:turn]):
-            if not self._may_get_work(service):
-                continue
-            timeout_s = min(service.timeout_s, call.deadline - time.monotonic())
-            if timeout_s <= 0:
-                return Failed(Failure(ErrorKind.DEADLINE_EXCEEDED))
-            request = ServiceRequest(
-                call.key, call.operation, call.payload, call.fencing, timeout_s
-            )
-            outcome = await self._clients.service(service).call(request)
-            if isinstance(outcome, Success):
-                return Success(outcome.unwrap().result)
-            failure = outcome.failure()
-            if failure.kind is not ErrorKind.NO_UPSTREAM:
-                return Failed(failure)
-        return Failed(failure)
+        """See ``Executor.call_service``."""
+        return await self._services.call(call)
 
     async def look_up(self, call: ServiceCall) -> Result[str | None, Failure]:
         """See ``Executor.look_up``."""
-        for service in self._services(call.workspace, call.operation):
-            if not service.lookup:
-                continue
-            outcome = await self._clients.service(service).lookup(call.key)
-            if isinstance(outcome, Failed):
-                continue
-            reply = outcome.unwrap()
-            if reply is not None:
-                return Success(reply.result)
-        return Success(None)
+        return await self._services.look_up(call)
+
+    async def close(self) -> None:
+        """Drops what still runs in the background."""
+        await self._background.close()
 
     async def release(
         self, program_id: str, replica: str
@@ -204,7 +128,7 @@
         return outcome
 
     async def _try_once(
-        self, run: _Run, sink: TextSink
+        self, run: Run, sink: TextSink
     ) -> Result[ModelResult, Failure]:
         # A new id each time: the last try's end is told off the path and
         # must not end this one.
@@ -217,20 +141,20 @@
                 action = "succeeded"
             return outcome
         finally:
-            self._tell_digest_homes(run, action)
+            self._digests.tell(run, action)
 
     async def _admit_and_send(
-        self, run: _Run, sink: TextSink
+        self, run: Run, sink: TextSink
     ) -> Result[ModelResult, Failure]:
         sink.waits("placement")
         started = time.monotonic()
         admission, placed = await asyncio.gather(
-            self._ask_digest_home(run), self._place(run)
+            self._digests.ask(run), self._placer.place(run)
         )
         self._observe("placement", started)
         if admission is Admission.WAIT:
-            admission = await self._wait_for_admission(run, sink)
-            placed = await self._place(run)
+            admission = await self._digests.wait(run, sink)
+            placed = await self._placer.place(run)
         if admission is Admission.REFUSED:
             return Failed(Failure(ErrorKind.QUARANTINED))
         if admission is Admission.WAIT:
@@ -240,53 +164,8 @@
             return Failed(placed.failure())
         return await self._queue_and_send(run, placed.unwrap(), sink)
 
-    async def _wait_for_admission(self, run: _Run, sink: TextSink) -> Admission:
-        """Asks the content digest's home again until the call may run.
-
-        A request that crashes replicas comes again under new ids and at any
-        host; its digest's home knows it and lets it run at most twice.
-        """
-        while time.monotonic() < run.call.deadline:
-            sink.waits("a run of the same content")
-            await asyncio.sleep(_SUSPECT_WAIT_S)
-            admission = await self._ask_digest_home(run)
-            if admission is not Admission.WAIT:
-                return admission
-        return Admission.WAIT
-
-    async def _ask_digest_home(self, run: _Run) -> Admission:
-        for host in self._cluster.digest_homes(run.call.content_digest):
-            run.asked_hosts.add(host)
-            reply = await self._suspect(host, run, "admit")
-            if isinstance(reply, Success) and not reply.unwrap().failure:
-                return Admission(reply.unwrap().admission)
-        # Neither home answers: run apart from others rather than not at all,
-        # so that a crash still has one cause.
-        return Admission.RUN_EXCLUSIVE
-
-    def _tell_digest_homes(self, run: _Run, action: str) -> None:
-        """Ends the run at every home that was asked, off the answer's path.
-
-        A home that answered too late began the run as well; left open there,
-        it would hold up the same content for as long as its lease.
-        """
-        for host in run.asked_hosts:
-            self._spawn(self._suspect(host, run, action))
-
-    async def _suspect(
-        self, host: str, run: _Run, action: str
-    ) -> Result[SuspectReply, Failure]:
-        request = SuspectRequest(
-            action,
-            (run.call.content_digest,),
-            run.run_id,
-            self._cluster.host,
-        )
-        calls = self._cluster.calls(host)
-        return await calls.suspect(request, _SUSPECT_TIMEOUT_S)
-
     async def _queue_and_send(
-        self, run: _Run, placement: Placement, sink: TextSink
+        self, run: Run, placement: Placement, sink: TextSink
     ) -> Result[ModelResult, Failure]:
         engine = self._in_force.current.upstreams.by_name.get(placement.replica)
         if not isinstance(engine, RenderedEngine):
@@ -304,66 +183,32 @@
 
     async def _send(
         self,
-        run: _Run,
+        run: Run,
         ticket: TicketRequest,
         engine: RenderedEngine,
         sink: TextSink,
     ) -> Result[ModelResult, Failure]:
-        started = time.monotonic()
-        release = TicketRelease(ticket.ticket_id, engine.name)
-        request = GenerateRequest(
-            request_id=ticket.ticket_id,
-            program_id=run.call.program_id,
-            branch_id=run.call.branch_id,
-            prompt=run.call.prompt,
-            max_tokens=run.call.max_tokens,
-            deadline_s=max(0.0, run.call.deadline - started),
-            fencing=0,
-        )
+        attempt = _Attempt(ticket, engine, sink)
         run.attempts += 1
         sink.restart()
         sink.placed(engine.name)
-
-        first_token_at = 0.0
-
-        def on_chunk(chunk: Chunk) -> None:
-            nonlocal first_token_at
-            first_token_at = first_token_at or time.monotonic()
-            sink.append(chunk.text)
-
         client = self._clients.engine(engine)
         reply = run.reply_by_replica.get(engine.name, ProbeReply())
+        release = TicketRelease(ticket.ticket_id, engine.name)
         try:
             await self._keeper.bring(run.call, client, reply.cached_tokens)
-            outcome = await client.generate(request, on_chunk)
-            service_ms = int((time.monotonic() - started) * 1000)
-            self._observe("engine", started)
+            outcome = await client.generate(
+                _generate_request(run.call, ticket), attempt.on_chunk
+            )
+            self._observe("engine", attempt.started)
             if isinstance(outcome, Failed):
                 failure = outcome.failure()
-                if failure.kind is ErrorKind.NO_UPSTREAM:
-                    run.attempts -= 1
-                run.failed_replicas.add(engine.name)
-                crashed = failure.kind is ErrorKind.UPSTREAM_FAILED
-                release = dataclasses.replace(release, crashed=crashed)
+                release = dataclasses.replace(
+                    release, crashed=_note_failure(run, engine, failure)
+                )
                 return Failed(failure)
-            completion = outcome.unwrap()
-            release = TicketRelease(
-                ticket.ticket_id,
-                engine.name,
-                prompt_tokens=completion.prompt_tokens,
-                cached_tokens=completion.cached_tokens,
-                generated_tokens=completion.generated_tokens,
-                service_ms=service_ms,
-                first_token_ms=int(max(0, first_token_at - started) * 1000),
-            )
-            result = ModelResult(
-                completion.text,
-                engine.name,
-                completion.prompt_tokens,
-                completion.cached_tokens,
-                completion.generated_tokens,
-                service_ms,
-            )
+            release = attempt.release(outcome.unwrap())
+            result = attempt.result(outcome.unwrap())
             residence = Residence(reply.residence_ms / 1000)
             self._keeper.finished(run.call, engine, client, result, residence)
             return Success(result)
@@ -379,99 +224,81 @@
         if release.crashed:
             await asyncio.shield(self._desk.release(release))
             return
-        self._spawn(self._desk.release(release))
+        self._background.spawn(self._desk.release(release))
 
     def _observe(self, stage: str, started: float) -> None:
         seconds = time.monotonic() - started
         self._metrics.observe("turn_stage_seconds", seconds, stage=stage)
 
-    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.create_task(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
-    async def _place(self, run: _Run) -> Result[Placement, Failure]:
-        engines = self._usable_engines(run)
-        if not engines:
-            return Failed(Failure(ErrorKind.NO_UPSTREAM, run.call.model))
-        engine_by_name = {engine.name: engine for engine in engines}
-        locations = [Location(e.name, e.failure_domain) for e in engines]
-        names = choose_probes(run.call.program_id, locations)
-        last = run.call.replica
-        if last in engine_by_name and last not in names:
-            names = [last, *names]
-        replies = await asyncio.gather(
-            *(self._probe(run, name) for name in names)
-        )
-        run.reply_by_replica.update(zip(names, replies, strict=True))
-        importable = self._keeper.importable_tokens(run.call)
-        fastest = max(reply.decode_tokens_per_s for reply in replies)
-        candidates = [
-            _candidate(engine_by_name[name], reply, fastest, importable)
-            for name, reply in zip(names, replies, strict=True)
-        ]
-        request = PlacementRequest(
-            run.call.program_id,
-            run.prompt_tokens,
-            run.call.max_tokens,
-            last if last in engine_by_name else "",
-        )
-        placed = place(request, candidates, self._policy)
-        if isinstance(placed, Failed):
-            # Those probed are full or gone; the next try probes others.
-            run.failed_replicas.update(names)
-        return placed
-
-    def _usable_engines(self, run: _Run) -> list[RenderedEngine]:
-        config = self._in_force.current
-        workspace = config.workspace_by_name.get(run.call.workspace)
-        if workspace is None:
-            return []
-        engines = [
-            engine
-            for engine in engines_of(workspace, run.call.model, config)
-            if self._may_get_work(engine)
-        ]
-        untried = [e for e in engines if e.name not in run.failed_replicas]
-        return untried or engines
-
-    def _may_get_work(self, upstream: RenderedEngine | RenderedService) -> bool:
-        is_leaving = self._homes.is_listed_leaving(upstream.replica)
-        return not upstream.draining and not is_leaving
-
-    async def _probe(self, run: _Run, replica: str) -> ProbeReply:
-        call = run.call
-        request = ProbeRequest(
-            replica,
-            call.program_id,
-            call.branch_id,
-            run.prompt_tokens,
-            call.priority,
-            _prefix_note(call),
-            call.max_tokens,
-            call.workspace,
-            call.attained_s,
+
+class _Attempt:
+    """One send of a call: its times, and what is told of its end."""
+
+    def __init__(
+        self, ticket: TicketRequest, engine: RenderedEngine, sink: TextSink
+    ) -> None:
+        self.started = time.monotonic()
+        self._ticket = ticket
+        self._engine = engine
+        self._sink = sink
+        self._first_token_at = 0.0
+
+    def on_chunk(self, chunk: Chunk) -> None:
+        """Takes text as it comes."""
+        self._first_token_at = self._first_token_at or time.monotonic()
+        self._sink.append(chunk.text)
+
+    def release(self, completion: Completion) -> TicketRelease:
+        """Returns what the replica's home is told."""
+        first_token_s = max(0.0, self._first_token_at - self.started)
+        return TicketRelease(
+            self._ticket.ticket_id,
+            self._engine.name,
+            prompt_tokens=completion.prompt_tokens,
+            cached_tokens=completion.cached_tokens,
+            generated_tokens=completion.generated_tokens,
+            service_ms=self._service_ms(),
+            first_token_ms=int(first_token_s * 1000),
         )
-        home = self._cluster.home_of(replica)
-        outcome = await self._cluster.calls(home).probe(
-            request, _PROBE_TIMEOUT_S
+
+    def result(self, completion: Completion) -> ModelResult:
+        """Returns what the owner commits."""
+        return ModelResult(
+            completion.text,
+            self._engine.name,
+            completion.prompt_tokens,
+            completion.cached_tokens,
+            completion.generated_tokens,
+            self._service_ms(),
         )
-        if isinstance(outcome, Failed):
-            return ProbeReply(failure=outcome.failure())
-        return outcome.unwrap()
-
-    def _services(
-        self, workspace_name: str, operation: str
-    ) -> list[RenderedService]:
-        config = self._in_force.current
-        workspace = config.workspace_by_name.get(workspace_name)
-        if workspace is None:
-            return []
-        services = config.upstreams.by_operation.get(operation, ())
-        return [s for s in services if s.name in workspace.upstreams]
-
-
-def _final(failure: Failure, run: _Run) -> Failure:
+
+    def _service_ms(self) -> int:
+        return int((time.monotonic() - self.started) * 1000)
+
+
+def _generate_request(
+    call: ModelCall, ticket: TicketRequest
+) -> GenerateRequest:
+    return GenerateRequest(
+        request_id=ticket.ticket_id,
+        program_id=call.program_id,
+        branch_id=call.branch_id,
+        prompt=call.prompt,
+        max_tokens=call.max_tokens,
+        deadline_s=max(0.0, call.deadline - time.monotonic()),
+        fencing=0,
+    )
+
+
+def _note_failure(run: Run, engine: RenderedEngine, failure: Failure) -> bool:
+    """Notes a failed send; returns whether the replica may have crashed."""
+    if failure.kind is ErrorKind.NO_UPSTREAM:
+        run.attempts -= 1
+    run.failed_replicas.add(engine.name)
+    return failure.kind is ErrorKind.UPSTREAM_FAILED
+
+
+def _final(failure: Failure, run: Run) -> Failure:
     """Returns the failure the caller is told.
 
     The last try may have been refused before it was sent, while an earlier
@@ -489,51 +316,8 @@
     return failure
 
 
-def _candidate(
-    engine: RenderedEngine, reply: ProbeReply, fastest: float, importable: int
-) -> Candidate:
-    """Returns a probed replica as placement sees it.
-
-    A replica that has served nothing yet counts as fast as the fastest: with
-    a guess of its own it would look slow and never be tried.
-    """
-    if reply.failure is not None or not reply.usable:
-        return Candidate(engine.name, engine.failure_domain, usable=False)
-    return Candidate(
-        engine.name,
-        engine.failure_domain,
-        expected_wait_s=reply.expected_wait_ms / 1000,
-        cached_tokens=max(
-            reply.cached_tokens, _import_worth(engine, reply, importable)
-        ),
-        prefill_tokens_per_s=reply.prefill_tokens_per_s,
-        decode_tokens_per_s=reply.decode_tokens_per_s or fastest or _GUESS,
-        in_flight=reply.in_flight,
-    )
-
-
-def _import_worth(
-    engine: RenderedEngine, reply: ProbeReply, importable: int
-) -> int:
-    """Returns what an import saves, in tokens that need not be computed."""
-    if engine.transfer_tokens_per_s <= 0:
-        return 0
-    spent = reply.prefill_tokens_per_s / engine.transfer_tokens_per_s
-    return int(importable * max(0.0, 1 - spent))
-
-
-def _prefix_note(call: ModelCall) -> PrefixNote:
-    return PrefixNote(
-        branch_id=call.branch_id,
-        template_digest=call.template_digest,
-        template_tokens=count_tokens(call.prompt[0]),
-        parent_id=call.parent_id,
-        parent_tokens=call.parent_tokens,
-    )
-
-
 def _ticket_request(
-    run: _Run, placement: Placement, origin: str
+    run: Run, placement: Placement, origin: str
 ) -> TicketRequest:
     call = run.call
     return TicketRequest(
@@ -551,5 +335,5 @@
         program_id=call.program_id,
         content_digest=call.content_digest,
         exclusive=run.exclusive,
-        prefix=_prefix_note(call),
+        prefix=prefix_note(call),
     )
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -28,6 +28,7 @@
 )
 from masticdale_routing import (
     BranchKey,
+    Circuit,
     EngineSpeed,
     Granted,
     InFlightSettings,
@@ -43,6 +44,7 @@
     create_replica_queue,
 )
 from masticdale_upstreams import CacheEventKind
+from masticdaled.background import Background
 from masticdaled.cluster import Cluster
 from masticdaled.evictions import EvictionRate
 from masticdaled.orders import OrderGiver
@@ -68,6 +70,7 @@
         is_leaving: The engine or the platform's list says that it leaves.
         events_position: Where the next cache events begin.
         ticks: Health checks so far.
+        circuit: Keeps new work away after calls that failed one after another.
         evictions: Tokens its cache evicts a second.
         incarnation_by_ticket: Engine process that each ticket was granted at.
     """
@@ -81,6 +84,7 @@
     is_leaving: bool = False
     events_position: int = 0
     ticks: int = 0
+    circuit: Circuit = dataclasses.field(default_factory=Circuit)
     evictions: EvictionRate = dataclasses.field(default_factory=EvictionRate)
     incarnation_by_ticket: dict[str, str] = dataclasses.field(
         default_factory=dict
@@ -118,7 +122,7 @@
         self._metrics = metrics
         self._home_by_replica: dict[str, ReplicaHome] = {}
         self._leaving_names: frozenset[str] = frozenset()
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = Background()
 
     def set_leaving(self, names: Iterable[str]) -> None:
         """Takes the upstreams that the platform's list shows as leaving."""
@@ -162,6 +166,10 @@
         if release.crashed:
             await self._ask_for_crash(home)
         now = time.monotonic()
+        if release.crashed:
+            home.circuit.failed(now)
+        elif release.generated_tokens:
+            home.circuit.succeeded()
         request = home.request_by_ticket.pop(release.ticket_id, None)
         home.incarnation_by_ticket.pop(release.ticket_id, None)
         home.queue.finish(release.ticket_id, _result(release), now)
@@ -207,7 +215,7 @@
                 home.queue.expected_wait_s(ticket, now) * 1000
             ),
             cached_tokens=cached,
-            usable=home.is_usable,
+            usable=home.is_usable and home.circuit.allows(now),
             prefill_tokens_per_s=speed.prefill_tokens_per_s,
             decode_tokens_per_s=(
                 speed.decode_tokens_per_s if speed.is_learned else 0.0
@@ -266,10 +274,10 @@
 
     async def close(self) -> None:
         """Stops telling grants."""
-        tasks = [*self._background, *self._ordering.values()]
-        for task in tasks:
+        await self._background.close()
+        for task in self._ordering.values():
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._ordering.values(), return_exceptions=True)
 
     def _open_homes(self) -> None:
         engines_by_model = self._in_force.current.upstreams.by_model
@@ -483,9 +491,7 @@
     ) -> None:
         notice = GrantNotice(tuple(ticket_ids), home.engine.name, 0)
         for origin in set(origins):
-            task = asyncio.create_task(self._send(origin, notice))
-            self._background.add(task)
-            task.add_done_callback(self._background.discard)
+            self._background.spawn(self._send(origin, notice))
 
     async def _send(self, origin: str, notice: GrantNotice) -> None:
         # A lost notice is made good by the owner, which offers its ticket
--- a/apps/masticdaled/src/masticdaled/pausing.py
+++ b/apps/masticdaled/src/masticdaled/pausing.py
@@ -6,7 +6,6 @@
 that the next turn goes to, instead of being computed again.
 """
 
-import asyncio
 import collections
 import dataclasses
 import time
@@ -24,6 +23,7 @@
     PauseModel,
 )
 from masticdale_upstreams import ModelEngine
+from masticdaled.background import Background
 
 _MOST_BRANCHES = 20_000
 _ANY_TOOL = ""
@@ -63,7 +63,7 @@
         self._paused_by_branch: collections.OrderedDict[BranchKey, _Paused] = (
             collections.OrderedDict()
         )
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = Background()
 
     def returned(self, call: ModelCall) -> None:
         """Learns how long a branch's pause was."""
@@ -128,9 +128,7 @@
         )
         if decision.action not in (PauseAction.COPY, PauseAction.EXPORT):
             return
-        task = asyncio.create_task(self._export(branch, paused, client, tokens))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self._background.spawn(self._export(branch, paused, client, tokens))
 
     def forget(self, program_id: str) -> None:
         """Forgets an ended program."""
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/placing.py
@@ -0,0 +1,150 @@
+"""Placement of a call: probes of a few homes, then the routing library."""
+
+import asyncio
+
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_config import ConfigInForce, RenderedEngine, engines_of
+from masticdale_peers import ProbeReply, ProbeRequest
+from masticdale_routing import (
+    Candidate,
+    CostInSeconds,
+    Location,
+    Placement,
+    PlacementRequest,
+    choose_probes,
+    place,
+)
+from masticdaled.cluster import Cluster
+from masticdaled.directory import UpstreamDirectory
+from masticdaled.pausing import CacheKeeper
+from masticdaled.runs import Run, prefix_note
+
+_PROBE_TIMEOUT_S = 0.5
+_GUESS = 50.0  # Tokens a second, where no probed replica has served yet.
+
+
+class Placer:
+    """Places calls by the cost in seconds that the homes tell."""
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        in_force: ConfigInForce,
+        directory: UpstreamDirectory,
+        keeper: CacheKeeper,
+    ) -> None:
+        self._cluster = cluster
+        self._in_force = in_force
+        self._directory = directory
+        self._keeper = keeper
+        self._policy = CostInSeconds()
+
+    async def place(self, run: Run) -> Result[Placement, Failure]:
+        """Probes a few replicas and chooses among them.
+
+        Args:
+            run: The call; what the homes told is noted in it.
+
+        Returns:
+            The placement, or NO_UPSTREAM.
+        """
+        engines = self._usable_engines(run)
+        if not engines:
+            return Failed(Failure(ErrorKind.NO_UPSTREAM, run.call.model))
+        engine_by_name = {engine.name: engine for engine in engines}
+        locations = [Location(e.name, e.failure_domain) for e in engines]
+        names = choose_probes(run.call.program_id, locations)
+        last = run.call.replica
+        if last in engine_by_name and last not in names:
+            names = [last, *names]
+        replies = await asyncio.gather(
+            *(self._probe(run, name) for name in names)
+        )
+        run.reply_by_replica.update(zip(names, replies, strict=True))
+        importable = self._keeper.importable_tokens(run.call)
+        fastest = max(reply.decode_tokens_per_s for reply in replies)
+        candidates = [
+            _candidate(engine_by_name[name], reply, fastest, importable)
+            for name, reply in zip(names, replies, strict=True)
+        ]
+        request = PlacementRequest(
+            run.call.program_id,
+            run.prompt_tokens,
+            run.call.max_tokens,
+            last if last in engine_by_name else "",
+        )
+        placed = place(request, candidates, self._policy)
+        if isinstance(placed, Failed):
+            # Those probed are full or gone; the next try probes others.
+            run.failed_replicas.update(names)
+        return placed
+
+    def _usable_engines(self, run: Run) -> list[RenderedEngine]:
+        config = self._in_force.current
+        workspace = config.workspace_by_name.get(run.call.workspace)
+        if workspace is None:
+            return []
+        engines = [
+            engine
+            for engine in engines_of(workspace, run.call.model, config)
+            if self._directory.may_get_work(engine)
+        ]
+        untried = [e for e in engines if e.name not in run.failed_replicas]
+        return untried or engines
+
+    async def _probe(self, run: Run, replica: str) -> ProbeReply:
+        call = run.call
+        request = ProbeRequest(
+            replica,
+            call.program_id,
+            call.branch_id,
+            run.prompt_tokens,
+            call.priority,
+            prefix_note(call),
+            call.max_tokens,
+            call.workspace,
+            call.attained_s,
+        )
+        home = self._cluster.home_of(replica)
+        outcome = await self._cluster.calls(home).probe(
+            request, _PROBE_TIMEOUT_S
+        )
+        if isinstance(outcome, Failed):
+            return ProbeReply(failure=outcome.failure())
+        return outcome.unwrap()
+
+
+def _candidate(
+    engine: RenderedEngine, reply: ProbeReply, fastest: float, importable: int
+) -> Candidate:
+    """Returns a probed replica as placement sees it.
+
+    A replica that has served nothing yet counts as fast as the fastest: with
+    a guess of its own it would look slow and never be tried.
+    """
+    if reply.failure is not None or not reply.usable:
+        return Candidate(engine.name, engine.failure_domain, usable=False)
+    return Candidate(
+        engine.name,
+        engine.failure_domain,
+        expected_wait_s=reply.expected_wait_ms / 1000,
+        cached_tokens=max(
+            reply.cached_tokens, _import_worth(engine, reply, importable)
+        ),
+        prefill_tokens_per_s=reply.prefill_tokens_per_s,
+        decode_tokens_per_s=reply.decode_tokens_per_s or fastest or _GUESS,
+        in_flight=reply.in_flight,
+    )
+
+
+def _import_worth(
+    engine: RenderedEngine, reply: ProbeReply, importable: int
+) -> int:
+    """Returns what an import saves, in tokens that need not be computed."""
+    if engine.transfer_tokens_per_s <= 0:
+        return 0
+    spent = reply.prefill_tokens_per_s / engine.transfer_tokens_per_s
+    return int(importable * max(0.0, 1 - spent))
--- a/apps/masticdaled/src/masticdaled/tickets.py
+++ b/apps/masticdaled/src/masticdaled/tickets.py
@@ -14,6 +14,7 @@
     TicketReply,
     TicketRequest,
 )
+from masticdaled.background import Background
 from masticdaled.cluster import Cluster
 
 _OFFER_AGAIN_S = 1.0
@@ -33,6 +34,7 @@
 
     def __init__(self, cluster: Cluster) -> None:
         self._cluster = cluster
+        self._background = Background()
         self._wait_by_ticket_id: dict[str, _Wait] = {}
 
     def granted(self, notice: GrantNotice) -> None:
@@ -122,8 +124,7 @@
         release = TicketRelease(request.ticket_id, request.replica)
         home = self._cluster.home_of(request.replica)
         work = self._cluster.calls(home).withdraw(release)
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(lambda done: done.exception())
+        self._background.spawn(work)
 
 
 def _is_moving(failure: Failure) -> bool:
