--- a/tools/load/src/masticdale_load/system_hosts.py
+++ b/tools/load/src/masticdale_load/system_hosts.py
@@ -27,11 +27,14 @@
         """Returns the URLs of every host."""
         return tuple(self._url_by_host.values())
 
+    async def is_ready(self, host: str) -> bool:
+        """Asks one host for its readiness now."""
+        async with _http() as http:
+            return await _is_ready(http, self._url_by_host[host])
+
     async def run(self) -> None:
         """Asks every host for its readiness until cancelled."""
-        async with httpx.AsyncClient(
-            timeout=_TIMEOUT_S, trust_env=False
-        ) as http:
+        async with _http() as http:
             while True:
                 hosts = list(self._url_by_host)
                 ready = await asyncio.gather(
@@ -41,6 +44,10 @@
                 await asyncio.sleep(_POLL_S)
 
 
+def _http() -> httpx.AsyncClient:
+    return httpx.AsyncClient(timeout=_TIMEOUT_S, trust_env=False)
+
+
 async def _is_ready(http: httpx.AsyncClient, url: str) -> bool:
     try:
         return (await http.get(url + _READY_PATH)).is_success
