--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -45,6 +45,7 @@
 from masticdaled.orders import OrderGiver
 from masticdaled.orphans import OrphanSweeper
 from masticdaled.owners import Owners
+from masticdaled.pausing import CacheKeeper
 from masticdaled.programs_desk import ProgramsDesk
 from masticdaled.settings import DaemonSettings
 from masticdaled.suspects import SuspectHome
@@ -53,7 +54,7 @@
 
 _PEER_CONNECTIONS = 256
 _OWNERS_PERIOD_S = 0.5
-_HOMES_PERIOD_S = 0.5
+_HOMES_PERIOD_S = 1.0
 _CONFIG_PERIOD_S = 0.25
 _LIST_PERIOD_S = 1.0
 _SUSPECTS_PERIOD_S = 1.0
@@ -105,6 +106,7 @@
             self.clients,
             self.desk,
             self.homes,
+            CacheKeeper(self.metrics),
             self.metrics,
         )
         self.owners = Owners(
--- a/tools/load/src/masticdale_load/engine.py
+++ b/tools/load/src/masticdale_load/engine.py
@@ -71,10 +71,12 @@
     Attributes:
         crashed: The engine died under it, or was down.
         cached_tokens: Prompt tokens that were not computed.
+        first_token_at: When it began to generate.
     """
 
     crashed: bool
     cached_tokens: int = 0
+    first_token_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,7 +85,7 @@
     done: asyncio.Future[EngineResult]
     cached_tokens: int = 0
     prefill_left: float = 0.0
-    finish_at_decoded: float = 0.0
+    first_token_at: float = 0.0
 
 
 class EngineModel:
@@ -170,13 +172,22 @@
 
     async def _import(self, call: EngineCall) -> None:
         own = call.imported_tokens - call.template_tokens
-        missing = own - self.cache.tokens(call.branch)
-        if missing <= 0:
+        if own <= 0:
             return
-        self.cache.pin(call.branch)
+        wanted = {call.branch: own, call.template: call.template_tokens}
+        missing = sum(
+            max(0, tokens - self.cache.tokens(key))
+            for key, tokens in wanted.items()
+        )
+        if missing == 0:
+            return
+        for key in wanted:
+            self.cache.pin(key)
         await self.transfer(missing)
-        self.cache.hold(call.branch, own)
-        self.cache.unpin(call.branch)
+        for key, tokens in wanted.items():
+            self.cache.hold(key, tokens)
+        for key in wanted:
+            self.cache.unpin(key)
 
     def _decode_rate(self) -> float:
         rate = self.spec.decode_tokens_per_s(len(self._decode)) * self.speed
@@ -238,6 +249,7 @@
 
     def _start_decode(self, active: _Active) -> None:
         finish_at = self._decoded + active.call.generated_tokens
+        active.first_token_at = self._loop.time()
         entry = (finish_at, next(self._counter), active)
         heapq.heappush(self._decode, entry)
 
@@ -248,5 +260,5 @@
         for key in (call.template, call.branch):
             self.cache.unpin(key)
         active.done.set_result(
-            EngineResult(crashed=False, cached_tokens=active.cached_tokens)
+            EngineResult(False, active.cached_tokens, active.first_token_at)
         )
