Send repeatable service calls again when their answer was lost

The executor never sent a call again after its answer was lost or crossed, also where the declaration says that the operation may be repeated. Change: such calls spend from a retry budget of their operation like turns do; given up on, they are told upstream_failed with a time to come back.

--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -110,6 +110,7 @@
         self._metrics = metrics
         self._policy = CostInSeconds()
         self._retry_budget_by_model: dict[str, RetryBudget] = {}
+        self._retry_budget_by_operation: dict[str, RetryBudget] = {}
         self._service_turn = 0
         self._background: set[asyncio.Task[Any]] = set()
 
@@ -151,8 +152,33 @@
     async def call_service(self, call: ServiceCall) -> Result[str, Failure]:
         """See ``Executor.call_service``.
 
-        A replica that surely did not run the call is followed by the next
-        one; after anything else the call is not sent again.
+        An answer that was lost is asked for again only where the operation
+        may be repeated.
+        """
+        if not self.is_repeatable(call.workspace, call.operation):
+            return await self._call_once(call)
+        budget = self._retry_budget_by_operation.setdefault(
+            call.operation, RetryBudget(RetrySettings())
+        )
+        budget.first_sent()
+        attempts = 0
+        while True:
+            attempts += 1
+            outcome = await self._call_once(call)
+            if isinstance(outcome, Success):
+                return outcome
+            failure = _repeatable(outcome.failure())
+            attempt = FailedAttempt(failure, attempts, call.deadline)
+            decision = decide_retry(attempt, budget, time.monotonic())
+            if isinstance(decision, GiveUp):
+                return Failed(decision.failure)
+            self._metrics.count("retries_total", operation=call.operation)
+            await asyncio.sleep(decision.delay_s)
+
+    async def _call_once(self, call: ServiceCall) -> Result[str, Failure]:
+        """Sends a call, to the next replica where one surely did not run it.
+
+        After anything else the call is not sent again.
         """
         services = self._services(call.workspace, call.operation)
         self._service_turn += 1
@@ -471,6 +497,17 @@
         return [s for s in services if s.name in workspace.upstreams]
 
 
+def _repeatable(failure: Failure) -> Failure:
+    """Returns the failure of a call that may be sent again.
+
+    "Outcome unknown" tells a caller that it must decide what to do; here the
+    request can simply be sent again.
+    """
+    if failure.kind is not ErrorKind.OUTCOME_UNKNOWN:
+        return failure
+    return Failure(ErrorKind.UPSTREAM_FAILED, failure.detail)
+
+
 def _final(failure: Failure, run: _Run) -> Failure:
     """Returns the failure the caller is told.
 
