--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -66,7 +66,7 @@
         directory = UpstreamDirectory(in_force, homes)
         self._placer = Placer(cluster, in_force, directory, keeper)
         self._digests = DigestDesk(cluster, self._background)
-        self._services = ServiceCaller(directory, clients)
+        self._services = ServiceCaller(directory, clients, metrics)
 
     async def run_model(
         self, call: ModelCall, sink: TextSink
