Take no refusal for final after an apply whose answer was lost

Cause: an apply without an answer was sent again to the next host; if that one refused with a conflict, the tool said so as final, though the first request could still reach the platform and be accepted. Change: after a lost answer a refusal is reported as "may or may not have been accepted", the change is kept in its file, and exit code 8 says so. Conclusion: sending the kept file again settles it.

--- a/apps/masticctl/src/masticctl/client.py
+++ b/apps/masticctl/src/masticctl/client.py
@@ -161,17 +161,18 @@
                     sent = True
                     problem = f"{server}: {_reason(error)}"
                 except RefusedError as error:
-                    if error.kind not in _RESENDABLE:
+                    if error.kind in _RESENDABLE:
+                        sent = True
+                        problem = f"{server}: {error}"
+                        continue
+                    if not sent:
                         raise
-                    sent = True
-                    problem = f"{server}: {error}"
+                    # The request sent first may still be on its way to the
+                    # platform and be accepted after this refusal.
+                    raise _unknown(change, f"{server}: {error}") from error
         if not sent:
             raise _unreachable(problem)
-        raise OutcomeUnknownError(
-            f"change {change.change_id} may or may not have been accepted."
-            f" Last answer: {problem}",
-            exit_code=EXIT_UNREACHABLE,
-        )
+        raise _unknown(change, problem)
 
     async def _apply_at(
         self, server: str, change: ChangeRequest
@@ -276,6 +277,14 @@
     )
 
 
+def _unknown(change: ChangeRequest, problem: str) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        f"change {change.change_id} may or may not have been accepted."
+        f" Last answer: {problem}",
+        exit_code=EXIT_UNREACHABLE,
+    )
+
+
 def _unreachable(problem: str) -> ToolError:
     return ToolError(
         f"no server answers: {problem}",
--- a/apps/masticctl/tests/hosts.py
+++ b/apps/masticctl/tests/hosts.py
@@ -28,10 +28,12 @@
     Attributes:
         down: Hosts that cannot be connected to.
         lose_answers: This many requests are carried out and not answered.
+        drop_requests: This many requests are neither.
     """
 
     down: set[str] = dataclasses.field(default_factory=set)
     lose_answers: int = 0
+    drop_requests: int = 0
 
 
 class FaultyTransport(httpx.AsyncBaseTransport):
@@ -46,6 +48,9 @@
         self.requests.append(f"{request.method} {request.url}")
         if request.url.host in self._faults.down:
             raise httpx.ConnectError("connection refused")
+        if self._faults.drop_requests > 0:
+            self._faults.drop_requests -= 1
+            raise httpx.ReadTimeout("no answer")
         response = await self._inner.handle_async_request(request)
         if self._faults.lose_answers > 0:
             self._faults.lose_answers -= 1
--- a/apps/masticctl/tests/test_commands.py
+++ b/apps/masticctl/tests/test_commands.py
@@ -114,6 +114,24 @@
         again = await self.tool.run("apply", "--plan", kept, "--yes")
         self.assertIn("Accepted as revision 1.", again.out)
 
+    async def test_a_refusal_after_a_lost_answer_is_not_taken_for_final(self):
+        """An apply gets no answer; sent again, it meets another's change.
+
+        The first request may still be on its way and be accepted later. Told
+        of a plain conflict, the operator would believe it surely is not.
+        """
+        await self.apply(testing.engine("e", "m"))
+        self.write(testing.engine("e", "m", port=9000))
+        await self.tool.run("plan", "declarations", "--save", "p.json")
+        await self.tool.run("edit", "Upstream/e", "spec.slots=4", "--yes")
+        self.tool.faults.drop_requests = 1
+        done = await self.tool.run("apply", "--plan", "p.json", "--yes")
+        self.assertEqual(done.code, 8)
+        self.assertIn("may or may not have been accepted", done.err)
+        self.assertIn("Another change came first", done.err)
+        again = await self.tool.run("apply", "--plan", "p.json", "--yes")
+        self.assertEqual(again.code, 5)
+
     async def test_the_next_server_is_tried_where_one_is_down(self):
         self.tool.faults.down.add("host-1")
         status = await self.run_json("status")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -153,7 +153,11 @@
     def test_tables_from_the_code_are_current(self):
         for page in DOCS.glob("*.md"):
             text = page.read_text()
-            self.assertEqual(write_field_tables.current_page(text), text)
+            self.assertEqual(
+                write_field_tables.current_page(text),
+                text,
+                "run scripts/write_field_tables.py",
+            )
 
     def test_every_field_of_the_settings_and_declarations_has_a_table(self):
         documented = write_field_tables.documented_models(
