--- a/apps/masticdaled/src/masticdaled/operators.py
+++ b/apps/masticdaled/src/masticdaled/operators.py
@@ -52,6 +52,7 @@
 from masticdale_config.rollback import restoring_edits
 from masticdaled import answers
 from masticdaled.access import Access
+from masticdaled.change_schema import ChangeOperation
 from masticdaled.guarding import (
     OPERATE,
     PUBLIC,
@@ -150,7 +151,7 @@
     ) -> DeclarationPage:
         return _page(context, _Wanted(kind, name, after, limit))
 
-    @post("/v1/config/plan", status_code=200)
+    @post("/v1/config/plan", status_code=200, operation_class=ChangeOperation)
     async def plan(request: OperatorRequest, body: RawBody) -> PlanReport:
         change = _parse(body, ChangeRequest).to_change(
             operator_of(request).name
@@ -158,7 +159,12 @@
         planned = _value(await _store(context).plan(change))
         return reports.plan_report(planned)
 
-    @post("/v1/config/apply", opt=OPERATE, status_code=200)
+    @post(
+        "/v1/config/apply",
+        opt=OPERATE,
+        status_code=200,
+        operation_class=ChangeOperation,
+    )
     async def apply(request: OperatorRequest, body: RawBody) -> ApplyReport:
         change = _parse(body, ChangeRequest).to_change(
             operator_of(request).name
--- a/apps/masticdaled/tests/test_operators.py
+++ b/apps/masticdaled/tests/test_operators.py
@@ -237,7 +237,11 @@
         dump = (await self.get("/v1/dump")).json()
         self.assertEqual(dump["config"]["revision"], 1)
         schema = await self.get("/schema/openapi.json")
-        self.assertIn("/v1/config/apply", schema.json()["paths"])
+        apply = schema.json()["paths"]["/v1/config/apply"]["post"]
+        body = apply["requestBody"]["content"]["application/json"]["schema"]
+        self.assertEqual(
+            set(body["properties"]), set(ChangeRequest.model_fields)
+        )
         everything = f"{dump}{schema.text}"
         for secret in (OPERATE_TOKEN, caller_key_digest(testing.TENGRI_KEY)):
             self.assertNotIn(secret, everything)
