--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -51,6 +51,7 @@
 from masticdale_upstreams import Chunk, GenerateRequest, ServiceRequest
 from masticdaled.cluster import Cluster
 from masticdaled.homes import Homes
+from masticdaled.pausing import CacheKeeper, Residence
 from masticdaled.tickets import TicketDesk
 from masticdaled.upstream_clients import UpstreamClients
 
@@ -70,7 +71,9 @@
         prompt_tokens: Tokens of the prompt, estimated.
         failed_replicas: Where it failed; not tried again.
         attempts: Times it was sent.
+        reply_by_replica: What the homes last told of the probed replicas.
         exclusive: Whether it must run with nothing else in flight.
+        asked_hosts: Digest homes that this try asked for admission.
     """
 
     call: ModelCall
@@ -78,7 +81,11 @@
     prompt_tokens: int
     failed_replicas: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
+    reply_by_replica: dict[str, ProbeReply] = dataclasses.field(
+        default_factory=dict
+    )
     exclusive: bool = False
+    asked_hosts: set[str] = dataclasses.field(default_factory=set)
 
 
 class UpstreamExecutor:
@@ -91,8 +98,10 @@
         clients: UpstreamClients,
         desk: TicketDesk,
         homes: Homes,
+        keeper: CacheKeeper,
         metrics: Metrics,
     ) -> None:
+        self._keeper = keeper
         self._cluster = cluster
         self._in_force = in_force
         self._clients = clients
@@ -114,6 +123,7 @@
             call.model, RetryBudget(RetrySettings())
         )
         budget.first_sent()
+        self._keeper.returned(call)
         while True:
             outcome = await self._try_once(run, sink)
             if isinstance(outcome, Success):
@@ -190,6 +200,7 @@
         outcome = await self._clients.engine(engine).release(program_id)
         if isinstance(outcome, Success):
             self._homes.released(replica, program_id)
+        self._keeper.forget(program_id)
         return outcome
 
     async def _try_once(
@@ -198,6 +209,19 @@
         # A new id each time: the last try's end is told off the path and
         # must not end this one.
         run.run_id = secrets.token_hex(8)
+        run.asked_hosts.clear()
+        action = "ended"
+        try:
+            outcome = await self._admit_and_send(run, sink)
+            if isinstance(outcome, Success):
+                action = "succeeded"
+            return outcome
+        finally:
+            self._tell_digest_homes(run, action)
+
+    async def _admit_and_send(
+        self, run: _Run, sink: TextSink
+    ) -> Result[ModelResult, Failure]:
         sink.waits("placement")
         started = time.monotonic()
         admission, placed = await asyncio.gather(
@@ -212,16 +236,9 @@
         if admission is Admission.WAIT:
             return Failed(Failure(ErrorKind.DEADLINE_EXCEEDED))
         run.exclusive = admission is Admission.RUN_EXCLUSIVE
-        action = "ended"
-        try:
-            if isinstance(placed, Failed):
-                return Failed(placed.failure())
-            outcome = await self._queue_and_send(run, placed.unwrap(), sink)
-            if isinstance(outcome, Success):
-                action = "succeeded"
-            return outcome
-        finally:
-            self._tell_digest_home(run, action)
+        if isinstance(placed, Failed):
+            return Failed(placed.failure())
+        return await self._queue_and_send(run, placed.unwrap(), sink)
 
     async def _wait_for_admission(self, run: _Run, sink: TextSink) -> Admission:
         """Asks the content digest's home again until the call may run.
@@ -239,6 +256,7 @@
 
     async def _ask_digest_home(self, run: _Run) -> Admission:
         for host in self._cluster.digest_homes(run.call.content_digest):
+            run.asked_hosts.add(host)
             reply = await self._suspect(host, run, "admit")
             if isinstance(reply, Success) and not reply.unwrap().failure:
                 return Admission(reply.unwrap().admission)
@@ -246,15 +264,24 @@
         # so that a crash still has one cause.
         return Admission.RUN_EXCLUSIVE
 
-    def _tell_digest_home(self, run: _Run, action: str) -> None:
-        """Ends the run at its digest's home, off the answer's path."""
-        for host in self._cluster.digest_homes(run.call.content_digest)[:1]:
+    def _tell_digest_homes(self, run: _Run, action: str) -> None:
+        """Ends the run at every home that was asked, off the answer's path.
+
+        A home that answered too late began the run as well; left open there,
+        it would hold up the same content for as long as its lease.
+        """
+        for host in run.asked_hosts:
             self._spawn(self._suspect(host, run, action))
 
     async def _suspect(
         self, host: str, run: _Run, action: str
     ) -> Result[SuspectReply, Failure]:
-        request = SuspectRequest(action, (run.call.content_digest,), run.run_id)
+        request = SuspectRequest(
+            action,
+            (run.call.content_digest,),
+            run.run_id,
+            self._cluster.host,
+        )
         calls = self._cluster.calls(host)
         return await calls.suspect(request, _SUSPECT_TIMEOUT_S)
 
@@ -297,13 +324,18 @@
         sink.restart()
         sink.placed(engine.name)
 
+        first_token_at = 0.0
+
         def on_chunk(chunk: Chunk) -> None:
+            nonlocal first_token_at
+            first_token_at = first_token_at or time.monotonic()
             sink.append(chunk.text)
 
+        client = self._clients.engine(engine)
+        reply = run.reply_by_replica.get(engine.name, ProbeReply())
         try:
-            outcome = await self._clients.engine(engine).generate(
-                request, on_chunk
-            )
+            await self._keeper.bring(run.call, client, reply.cached_tokens)
+            outcome = await client.generate(request, on_chunk)
             service_ms = int((time.monotonic() - started) * 1000)
             self._observe("engine", started)
             if isinstance(outcome, Failed):
@@ -322,17 +354,19 @@
                 cached_tokens=completion.cached_tokens,
                 generated_tokens=completion.generated_tokens,
                 service_ms=service_ms,
+                first_token_ms=int(max(0, first_token_at - started) * 1000),
             )
-            return Success(
-                ModelResult(
-                    completion.text,
-                    engine.name,
-                    completion.prompt_tokens,
-                    completion.cached_tokens,
-                    completion.generated_tokens,
-                    service_ms,
-                )
+            result = ModelResult(
+                completion.text,
+                engine.name,
+                completion.prompt_tokens,
+                completion.cached_tokens,
+                completion.generated_tokens,
+                service_ms,
             )
+            residence = Residence(reply.residence_ms / 1000)
+            self._keeper.finished(run.call, engine, client, result, residence)
+            return Success(result)
         finally:
             await self._give_back(release)
 
@@ -369,9 +403,11 @@
         replies = await asyncio.gather(
             *(self._probe(run, name) for name in names)
         )
+        run.reply_by_replica.update(zip(names, replies, strict=True))
+        importable = self._keeper.importable_tokens(run.call)
         fastest = max(reply.decode_tokens_per_s for reply in replies)
         candidates = [
-            _candidate(engine_by_name[name], reply, fastest)
+            _candidate(engine_by_name[name], reply, fastest, importable)
             for name, reply in zip(names, replies, strict=True)
         ]
         request = PlacementRequest(
@@ -454,7 +490,7 @@
 
 
 def _candidate(
-    engine: RenderedEngine, reply: ProbeReply, fastest: float
+    engine: RenderedEngine, reply: ProbeReply, fastest: float, importable: int
 ) -> Candidate:
     """Returns a probed replica as placement sees it.
 
@@ -467,13 +503,25 @@
         engine.name,
         engine.failure_domain,
         expected_wait_s=reply.expected_wait_ms / 1000,
-        cached_tokens=reply.cached_tokens,
+        cached_tokens=max(
+            reply.cached_tokens, _import_worth(engine, reply, importable)
+        ),
         prefill_tokens_per_s=reply.prefill_tokens_per_s,
         decode_tokens_per_s=reply.decode_tokens_per_s or fastest or _GUESS,
         in_flight=reply.in_flight,
     )
 
 
+def _import_worth(
+    engine: RenderedEngine, reply: ProbeReply, importable: int
+) -> int:
+    """Returns what an import saves, in tokens that need not be computed."""
+    if engine.transfer_tokens_per_s <= 0:
+        return 0
+    spent = reply.prefill_tokens_per_s / engine.transfer_tokens_per_s
+    return int(importable * max(0.0, 1 - spent))
+
+
 def _prefix_note(call: ModelCall) -> PrefixNote:
     return PrefixNote(
         branch_id=call.branch_id,
--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -486,7 +486,7 @@
         stream: AnswerStream,
         task: asyncio.Task[CallEnd],
     ) -> None:
-        outcome = _end_of(task)
+        outcome = _end_of(task, self.is_held)
         program = self.state.program_by_id.get(key.program_id)
         if program is not None:
             program.replicas.update(stream.replicas)
@@ -595,9 +595,12 @@
     return Success(shard)
 
 
-def _end_of(task: asyncio.Task[CallEnd]) -> CallEnd:
+def _end_of(task: asyncio.Task[CallEnd], is_held: bool) -> CallEnd:
     if task.cancelled():
-        return Failed(Failure(ErrorKind.CANCELLED))
+        # Where the shard was lost, the next owner runs the call: its reader
+        # must ask there and not take it for cancelled.
+        kind = ErrorKind.CANCELLED if is_held else ErrorKind.NOT_OWNER
+        return Failed(Failure(kind))
     error = task.exception()
     if error is None:
         return task.result()
--- a/tools/load/src/masticdale_load/pausing.py
+++ b/tools/load/src/masticdale_load/pausing.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from masticdale_load.experiments import PauseKind
+from masticdale_load.experiments import PauseKind, Policy
 from masticdale_load.exports import ExportStore
 from masticdale_load.homes import ReplicaHome, cache_key
 from masticdale_load.measures import Counters
@@ -35,12 +35,13 @@
     def __init__(
         self,
         homes: list[ReplicaHome],
-        kind: PauseKind,
+        policy: Policy,
         exports: ExportStore,
         counters: Counters,
     ) -> None:
         self._home_by_replica = {home.replica: home for home in homes}
-        self._kind = kind
+        self._kind = policy.pause
+        self._reuse_share = policy.reuse_share
         self._exports = exports
         self._counters = counters
         self._model = PauseModel()
@@ -52,16 +53,22 @@
         if self._kind is PauseKind.KEEP:
             return
         home = self._home_by_replica[paused.replica]
-        pressure = home.pressure()
+        pressure = home.pressure(self._reuse_share)
         key = PauseKey(paused.kind, paused.tool)
-        decision = self._model.decide(key, paused.tokens, 0.0, pressure)
+        exported = self._exports.tokens(cache_key(paused.branch))
+        decision = self._model.decide(
+            key, paused.tokens, 0.0, pressure, exported
+        )
         if decision.action is PauseAction.KEEP:
             return
         if decision.action is PauseAction.RELEASE:
             if self._kind is PauseKind.MODEL:
                 home.release(paused.branch)
             return
-        task = asyncio.create_task(self._export(paused, home))
+        frees = decision.action is PauseAction.EXPORT
+        if self._kind is PauseKind.COPY:
+            frees = False
+        task = asyncio.create_task(self._export(paused, home, frees))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -77,7 +84,9 @@
             home.release(branch)
             home.forget(branch.program_id)
 
-    async def _export(self, paused: PausedBranch, home: ReplicaHome) -> None:
+    async def _export(
+        self, paused: PausedBranch, home: ReplicaHome, frees: bool
+    ) -> None:
         key = cache_key(paused.branch)
         # Only what grew since the last export is transferred.
         fresh = max(0, paused.tokens - self._exports.tokens(key))
@@ -86,5 +95,5 @@
             return
         self._exports.put(key, paused.tokens)
         self._counters.exported_tokens += fresh
-        if self._kind is PauseKind.MODEL:
+        if frees:
             home.release(paused.branch)
