Settle nearly equal costs by the calls in flight

Cause: at 80% load most queues are empty, so learned speeds, which differ by noise, chose the replica and new programs met in one batch. Change: CostInSeconds.tie_s, 0.25 s: among costs that close the replica with the fewest calls is chosen.

--- a/libs/routing/src/masticdale_routing/placement.py
+++ b/libs/routing/src/masticdale_routing/placement.py
@@ -107,10 +107,12 @@
         margin_share: And more than this share of the staying cost: the moved
             prefix also displaces prefixes of others, which the mover's own
             cost does not show.
+        tie_s: Costs that differ by less are settled by the calls in flight.
     """
 
     margin_s: float = 1.0
     margin_share: float = 0.2
+    tie_s: float = 0.25
 
 
 Policy: TypeAlias = RoundRobin | LeastInFlight | Affinity | CostInSeconds
@@ -200,7 +202,7 @@
     request: PlacementRequest,
     candidates: Sequence[Candidate],
 ) -> Candidate:
-    cheapest = min(candidates, key=lambda c: (cost_s(request, c), c.in_flight))
+    cheapest = _cheapest(policy, request, candidates)
     last = _find(request.last_replica, candidates)
     if last is None or last is cheapest:
         return cheapest
@@ -211,6 +213,19 @@
     return last
 
 
+def _cheapest(
+    policy: CostInSeconds,
+    request: PlacementRequest,
+    candidates: Sequence[Candidate],
+) -> Candidate:
+    cost_by_replica = {c.replica: cost_s(request, c) for c in candidates}
+    bound_s = min(cost_by_replica.values()) + policy.tie_s
+    return min(
+        (c for c in candidates if cost_by_replica[c.replica] <= bound_s),
+        key=lambda c: (c.in_flight, cost_by_replica[c.replica]),
+    )
+
+
 def _find(replica: str, candidates: Sequence[Candidate]) -> Candidate | None:
     if not replica:
         return None
--- a/tools/load/src/masticdale_load/calls.py
+++ b/tools/load/src/masticdale_load/calls.py
@@ -87,7 +87,7 @@
         return LeastInFlight()
     if policy.placement is PlacementKind.AFFINITY:
         return Affinity()
-    return CostInSeconds(policy.margin_s, policy.margin_share)
+    return CostInSeconds(policy.margin_s, policy.margin_share, policy.tie_s)
 
 
 class ModelCaller:
--- a/tools/load/src/masticdale_load/experiments.py
+++ b/tools/load/src/masticdale_load/experiments.py
@@ -142,6 +142,7 @@
         own_probes: Replicas asked besides the one that has the prefix.
         margin_s: Least seconds that a move must save.
         margin_share: Least share of the staying cost it must save.
+        tie_s: Costs that differ by less are settled by the calls in flight.
         age_bound_s: Tickets older than this go first.
         max_wait_s: Longest expected wait of a new program, by class.
         pause: What happens to prefixes in pauses: keep them, what the pause
@@ -154,14 +155,15 @@
 
     placement: PlacementKind = PlacementKind.COST
     order: QueueOrder = QueueOrder.ATTAINED_SERVICE
-    probes: int = pydantic.Field(default=3, gt=0)
+    probes: int = pydantic.Field(default=9, gt=0)
     own_probes: int = pydantic.Field(default=3, ge=0)
     margin_s: float = 1.0
     margin_share: float = 0.2
+    tie_s: float = 0.25
     age_bound_s: Positive = 120.0
     max_wait_s: tuple[float, ...] = (90.0, 60.0, 20.0)
-    pause: PauseKind = PauseKind.KEEP
-    reuse_share: Share = 1.0
+    pause: PauseKind = PauseKind.MODEL
+    reuse_share: Share = 0.0
     reconsider_s: float = 0.0
 
 
