Shed new programs of the lower classes at 5 and 3 s of backlog

Cause: at 110% load nothing was refused until the backlog passed 60 s, so everyone waited for work that could not be done.

--- a/tools/load/src/masticdale_load/experiments.py
+++ b/tools/load/src/masticdale_load/experiments.py
@@ -160,8 +160,8 @@
     margin_s: float = 1.0
     margin_share: float = 0.2
     tie_s: float = 0.25
-    age_bound_s: Positive = 120.0
-    max_wait_s: tuple[float, ...] = (90.0, 60.0, 20.0)
+    age_bound_s: Positive = 300.0
+    max_wait_s: tuple[float, ...] = (90.0, 5.0, 3.0)
     pause: PauseKind = PauseKind.MODEL
     reuse_share: Share = 0.0
     reconsider_s: float = 0.0
