Frame the messages between hosts and check each before decoding

Cause: thriftpy2 trusts declared lengths. A list of two billion elements of no type is counted through without a pause, and the compiled reader read a 2 GB string out of a frame of 162 bytes. Change: a message is a frame of 16 MB at most, read whole; a walk over it refuses lengths beyond the frame, unknown types, known fields of another type and deep nesting; only then thriftpy2 decodes it. A call counts as in flight until its answer has gone out. The format on the wire changes (framed). Conclusion: hostile bytes cost their sender its connection and nothing else.

--- a/libs/peers/src/masticdale_peers/server.py
+++ b/libs/peers/src/masticdale_peers/server.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import errno
-import functools
-import types
 from typing import Any
 
-from thriftpy2.contrib.aio.processor import TAsyncProcessor
-from thriftpy2.thrift import TApplicationException
-from thriftpy2.transport import TTransportException
+from thriftpy2.thrift import TApplicationException, TMessageType
 
 from masticdale_common import JsonValue, logs
+from masticdale_peers import frames
 from masticdale_peers import tls as tls_contexts
 from masticdale_peers.interfaces import PeerHandler
 from masticdale_peers.messages import (
@@ -26,10 +23,8 @@
     invalid,
     require_loopback,
 )
-from masticdale_peers.wire import make_protocol
 
-# thriftpy2 marks itself as typed without typing this.
-_PROCESSOR: Any = TAsyncProcessor
+_RPC_BY_NAME = {rpc.name: rpc for rpc in ALL_RPCS}
 
 
 class PeerServer:
@@ -38,7 +33,6 @@
     def __init__(self, handler: PeerHandler, address: Address) -> None:
         self._handler = handler
         self._address = address
-        self._processor = _PROCESSOR(SERVICE, self._wire_handler())
         self._server: asyncio.Server | None = None
         self._writer_by_task: dict[asyncio.Task[Any], asyncio.StreamWriter] = {}
         self._calls_in_flight = 0
@@ -103,27 +97,17 @@
             " this machine."
         )
 
-    def _wire_handler(self) -> types.SimpleNamespace:
-        method_by_name = {
-            rpc.name: functools.partial(self._answer, rpc) for rpc in ALL_RPCS
-        }
-        return types.SimpleNamespace(**method_by_name)
-
-    async def _answer(self, rpc: Rpc[Any, Any], struct: Any) -> Any:
-        request = from_wire(rpc.request_type, struct)
-        return to_wire(await getattr(self._handler, rpc.name)(request))
-
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._writer_by_task[task] = writer
-        protocol = make_protocol(reader, writer)
         try:
             while not reader.at_eof():
-                await self._serve_call(protocol)
-        except (TTransportException, OSError, asyncio.CancelledError):
+                frame = await frames.read_frame(reader)
+                await self._serve_call(frames.Message(frame), writer)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass  # The peer closed, or this server does.
         except Exception as error:
             # Bytes that are no thrift message: nothing after them on this
@@ -133,33 +117,68 @@
             del self._writer_by_task[task]
             writer.transport.abort()
 
-    async def _serve_call(self, protocol: Any) -> None:
-        processor = self._processor
-        name, sequence, result, run = await processor.process_in(protocol)
-        if isinstance(result, TApplicationException):
-            await processor.send_exception(protocol, name, result, sequence)
-            return
+    async def _serve_call(
+        self, message: frames.Message, writer: asyncio.StreamWriter
+    ) -> None:
+        # A stopping server waits for the calls in flight and then drops the
+        # connections with all that they have not sent: so a call is in
+        # flight until its answer has gone out.
         self._calls_in_flight += 1
         self._drained.clear()
         try:
-            result.success = await run()
-        except Exception as error:
-            # thriftpy2 closes the connection here; the caller could not tell
-            # a fault in a handler from a dead host.
-            self._calls_failed += 1
-            logs.write("peer_call_failed", call=name, error=repr(error))
-            answer = TApplicationException(
-                TApplicationException.INTERNAL_ERROR, f"{name} failed"
-            )
-            await processor.send_exception(protocol, name, answer, sequence)
-        else:
-            self._calls_served += 1
-            await processor.send_result(protocol, name, result, sequence)
+            writer.write(await self._answer(message))
+            await writer.drain()
         finally:
             self._calls_in_flight -= 1
             if not self._calls_in_flight:
                 self._drained.set()
 
+    async def _answer(self, message: frames.Message) -> bytes:
+        rpc = _RPC_BY_NAME.get(message.name)
+        if rpc is None:
+            return _exception(
+                message, TApplicationException.UNKNOWN_METHOD, "unknown call"
+            )
+        arguments = getattr(SERVICE, f"{rpc.name}_args")()
+        message.read(arguments)
+        try:
+            answer = await self._run(rpc, message, arguments)
+        except Exception as error:
+            # Closing the connection here would leave the caller unable to
+            # tell a fault in a handler from a dead host.
+            self._calls_failed += 1
+            logs.write("peer_call_failed", call=rpc.name, error=repr(error))
+            return _exception(
+                message,
+                TApplicationException.INTERNAL_ERROR,
+                f"{rpc.name} failed",
+            )
+        self._calls_served += 1
+        return answer
+
+    async def _run(
+        self, rpc: Rpc[Any, Any], message: frames.Message, arguments: Any
+    ) -> bytes:
+        (struct,) = (
+            getattr(arguments, spec[1])
+            for spec in arguments.thrift_spec.values()
+        )
+        request = from_wire(rpc.request_type, struct)
+        reply = await getattr(self._handler, rpc.name)(request)
+        result = getattr(SERVICE, f"{rpc.name}_result")(to_wire(reply))
+        return frames.encode(
+            rpc.name, TMessageType.REPLY, message.sequence, result
+        )
+
+
+def _exception(message: frames.Message, kind: int, detail: str) -> bytes:
+    return frames.encode(
+        message.name,
+        TMessageType.EXCEPTION,
+        message.sequence,
+        TApplicationException(kind, detail),
+    )
+
 
 async def serve(
     handler: PeerHandler, bind: Address, tls: TlsSettings | None
--- a/libs/peers/src/masticdale_peers/wire.py
+++ b/libs/peers/src/masticdale_peers/wire.py
@@ -1,13 +1,10 @@
 """One connection that carries one call at a time."""
 
 import asyncio
-from typing import Any
 
-from thriftpy2.contrib.aio.protocol.binary import TAsyncBinaryProtocol
-from thriftpy2.contrib.aio.socket import StreamHandler
-from thriftpy2.contrib.aio.transport.buffered import TAsyncBufferedTransport
 from thriftpy2.thrift import TApplicationException, TMessageType
 
+from masticdale_peers import frames
 from masticdale_peers.messages import (
     SERVICE,
     ReplyT,
@@ -17,11 +14,6 @@
     to_wire,
 )
 
-# thriftpy2 marks itself as typed without typing these.
-_STREAMS: Any = StreamHandler
-_TRANSPORT: Any = TAsyncBufferedTransport
-_PROTOCOL: Any = TAsyncBinaryProtocol
-
 
 class CrossedAnswerError(Exception):
     """The answer read belongs to another call."""
@@ -31,14 +23,6 @@
     """The called host's handler raised, or it does not know the call."""
 
 
-def make_protocol(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> Any:
-    """Returns a thrift protocol that reads and writes the streams."""
-    transport: Any = _TRANSPORT(_STREAMS(reader, writer))
-    return _PROTOCOL(transport)
-
-
 class Connection:
     """An open connection to a peer.
 
@@ -52,7 +36,6 @@
         self.last_used = 0.0
         self._reader = reader
         self._writer = writer
-        self._protocol = make_protocol(reader, writer)
         self._sequence = 0
 
     @property
@@ -77,13 +60,12 @@
         """
         self._sequence += 1
         arguments = getattr(SERVICE, f"{rpc.name}_args")(to_wire(request))
-        protocol = self._protocol
-        protocol.write_message_begin(
-            rpc.name, TMessageType.CALL, self._sequence
+        self._writer.write(
+            frames.encode(
+                rpc.name, TMessageType.CALL, self._sequence, arguments
+            )
         )
-        protocol.write_struct(arguments)
-        protocol.write_message_end()
-        await protocol.trans.flush()
+        await self._writer.drain()
         return await self._read_answer(rpc)
 
     def abort(self) -> None:
@@ -91,16 +73,13 @@
         self._writer.transport.abort()
 
     async def _read_answer(self, rpc: Rpc[RequestT, ReplyT]) -> ReplyT:
-        protocol = self._protocol
-        name, kind, sequence = await protocol.read_message_begin()
-        if (name, sequence) != (rpc.name, self._sequence):
-            raise CrossedAnswerError(f"{name} {sequence}")
-        if kind == TMessageType.EXCEPTION:
+        message = frames.Message(await frames.read_frame(self._reader))
+        if (message.name, message.sequence) != (rpc.name, self._sequence):
+            raise CrossedAnswerError(f"{message.name} {message.sequence}")
+        if message.kind == TMessageType.EXCEPTION:
             error = TApplicationException()
-            await protocol.read_struct(error)
-            await protocol.read_message_end()
+            message.read(error)
             raise RemoteError(str(error.message))
         result = getattr(SERVICE, f"{rpc.name}_result")()
-        await protocol.read_struct(result)
-        await protocol.read_message_end()
+        message.read(result)
         return from_wire(rpc.reply_type, result.success)
--- /dev/null
+++ b/libs/peers/tests/test_frames.py
@@ -0,0 +1,131 @@
+"""Tests of the wire under hostile bytes."""
+
+import asyncio
+import unittest
+
+import hosts
+import hypothesis
+from hypothesis import strategies as st
+from returns.result import Success
+from thriftpy2.thrift import TMessageType
+
+from masticdale_peers import (
+    Heartbeat,
+    PeerNews,
+    Submission,
+    SubmitReply,
+    frames,
+)
+from masticdale_peers.messages import SERVICE, to_wire
+
+BEAT = Heartbeat(
+    "host-a", "d", "1", news=(PeerNews("x", "1", accusers=("b",)),)
+)
+LENGTH_BYTES = 4
+HUGE = (0x7FFFFFFF).to_bytes(4, "big")
+HEADER = b"\x80\x01\x00\x01\x00\x00\x00\x09heartbeat\x00\x00\x00\x01"
+LIST_OF_NO_TYPE = b"\x0f\x00\x63\x00" + HUGE
+WORST = {
+    "giant frame": HUGE,
+    "giant string": b"\x0c\x00\x01\x0b\x00\x01" + HUGE,
+    "negative string": b"\x0c\x00\x01\x0b\x00\x01\xff\xff\xff\xff",
+    "giant list": b"\x0c\x00\x01\x0f\x00\x07\x0c" + HUGE,
+    "list of no type": LIST_OF_NO_TYPE,
+    "string for a number": b"\x0c\x00\x01\x0b\x00\x04" + HUGE,
+    "deep": b"\x0c\x00\x63" * 5000,
+}
+
+
+def good_frame():
+    body = SERVICE.heartbeat_args(to_wire(BEAT))
+    return frames.encode("heartbeat", TMessageType.CALL, 1, body)
+
+
+def framed(message):
+    return len(message).to_bytes(LENGTH_BYTES, "big") + message
+
+
+def read(message):
+    body = SERVICE.heartbeat_args()
+    frames.Message(message).read(body)
+    return body
+
+
+@st.composite
+def broken_frames(draw):
+    frame = bytearray(good_frame())
+    for _ in range(draw(st.integers(1, 4))):
+        place = draw(st.integers(LENGTH_BYTES, len(frame) - 1))
+        frame[place] = draw(st.integers(0, 255))
+    return bytes(frame[LENGTH_BYTES : draw(st.integers(5, len(frame)))])
+
+
+class FrameTest(unittest.TestCase):
+    def test_a_good_frame_is_read(self):
+        body = read(good_frame()[LENGTH_BYTES:])
+        self.assertEqual(body, SERVICE.heartbeat_args(to_wire(BEAT)))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+    @hypothesis.given(st.binary(max_size=200) | broken_frames())
+    def test_bytes_are_a_message_or_refused(self, message):
+        try:
+            read(message)
+        except frames.MalformedFrameError:
+            pass
+
+    def test_lengths_beyond_the_frame_are_refused(self):
+        for name, message in WORST.items():
+            with (
+                self.subTest(name),
+                self.assertRaises(frames.MalformedFrameError),
+            ):
+                read(HEADER + message)
+
+
+class HostileConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_other_connections_go_on(self):
+        # A connection sends bytes that would make the decoder allocate two
+        # gigabytes or count to two billion. The sender sees its connection
+        # closed; calls of the other connection are answered all the time.
+        async with (
+            hosts.serving(hosts.EchoHandler()) as address,
+            hosts.client_of(address) as client,
+        ):
+            for name, message in WORST.items():
+                whole = framed(HEADER + message)
+                if name == "giant frame":
+                    whole = message + HEADER
+                for sent in (whole, whole[:-1]):
+                    await self.send(address, sent)
+                    reply = await client.submit(Submission("x", "w", 1, "a"))
+                    self.assertEqual(reply, Success(SubmitReply("x")))
+            self.assertEqual(client.state()["calls"]["opened"], 1)
+
+    async def send(self, address, data):
+        reader, writer = await asyncio.open_connection(
+            str(address.ip), address.port
+        )
+        writer.write(data)
+        writer.write_eof()
+        try:
+            await reader.read()
+        except ConnectionResetError:
+            pass
+        writer.close()
+
+    async def test_an_answer_too_large_to_send_fails_alone(self):
+        # The peer would drop the connection over it. The caller sees the
+        # call fail, as an error of the handler.
+        text = "x" * frames.MAX_FRAME_BYTES
+        async with (
+            hosts.serving(hosts.EchoHandler()) as address,
+            hosts.client_of(address) as client,
+        ):
+            result = await client.submit(Submission(text, "w", 1, "a"))
+            self.assertIn("bytes", result.failure().detail)
+            reply = await client.submit(Submission("x", "w", 1, "a"))
+            self.assertEqual(reply, Success(SubmitReply("x")))
+
+
+if __name__ == "__main__":
+    unittest.main()
