--- a/libs/peers/tests/hosts.py
+++ b/libs/peers/tests/hosts.py
@@ -43,6 +43,16 @@
         return ReadReply(text=request.request_id)
 
 
+class MembershipHandler:
+    """Answers heartbeats for a membership."""
+
+    def __init__(self, membership):
+        self._membership = membership
+
+    async def heartbeat(self, beat):
+        return self._membership.receive(beat)
+
+
 def free_address():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -74,3 +84,48 @@
     finally:
         directory.close()
         await timers.close()
+
+
+class Relay:
+    """Passes connections on until it loses track of those open then."""
+
+    def __init__(self, target):
+        self._target = target
+        self._lost_ways = set()
+        self._writers = []
+        self._server = None
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._pass_on, "127.0.0.1", 0)
+        self.address = Address(
+            ip="127.0.0.1", port=self._server.sockets[0].getsockname()[1]
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def lose(self, *ways):
+        """Drops what the connections open now send to or from the peer."""
+        count = len(self._writers)
+        self._lost_ways |= {(w, i) for w in ways for i in range(count)}
+
+    async def _pass_on(self, reader, writer):
+        there, back = await asyncio.open_connection(
+            str(self._target.ip), self._target.port
+        )
+        key = len(self._writers)
+        self._writers += [writer, back]
+        await asyncio.gather(
+            self._copy(reader, back, ("to", key)),
+            self._copy(there, writer, ("from", key)),
+            return_exceptions=True,
+        )
+
+    async def _copy(self, reader, writer, way):
+        while data := await reader.read(4096):
+            if way not in self._lost_ways:
+                writer.write(data)
+                await writer.drain()
--- a/libs/peers/tests/test_connections.py
+++ b/libs/peers/tests/test_connections.py
@@ -120,6 +120,41 @@
         silent.close()
         self.assertEqual(len(accepted), 2)
 
+    async def test_calls_leave_connections_that_something_lost(self):
+        # What lies between two hosts loses track of the connections open
+        # now, both ways or one way; new ones work. The next heartbeat times
+        # out, is sent again over a new connection, and with it go the idle
+        # connections for calls: no caller waits for its timeout.
+        for ways in (("to", "from"), ("to",), ("from",)):
+            async with (
+                hosts.serving(hosts.EchoHandler()) as address,
+                hosts.Relay(address) as relay,
+                hosts.client_of(relay.address) as client,
+            ):
+                (await client.heartbeat(BEAT, 1.0)).unwrap()
+                (await client.submit(submission("before"))).unwrap()
+                relay.lose(*ways)
+                lost = await client.heartbeat(BEAT, 0.1)
+                self.assertTrue(was_sent(lost.failure()))
+                (await client.heartbeat(BEAT, 1.0)).unwrap()
+                reply = await client.submit(submission("after"), 5.0)
+                self.assertEqual(reply, Success(SubmitReply("after")))
+
+    async def test_a_call_replaces_its_lost_connection(self):
+        # The same before any heartbeat notices: one call fails, known as
+        # perhaps sent, and the next one is answered.
+        async with (
+            hosts.serving(hosts.EchoHandler()) as address,
+            hosts.Relay(address) as relay,
+            hosts.client_of(relay.address) as client,
+        ):
+            (await client.submit(submission("before"))).unwrap()
+            relay.lose("from")
+            lost = await client.submit(submission("lost"), 0.1)
+            self.assertTrue(was_sent(lost.failure()))
+            reply = await client.submit(submission("after"), 5.0)
+            self.assertEqual(reply, Success(SubmitReply("after")))
+
     async def test_full_pool_does_not_stop_heartbeats(self):
         # Every connection of the pool waits in a long read. Were heartbeats
         # to wait behind them, a busy host would be taken for a dead one.
