--- a/libs/routing/src/masticdale_routing/waiting.py
+++ b/libs/routing/src/masticdale_routing/waiting.py
@@ -15,7 +15,6 @@
 _RANK_BUCKETS = 24
 _HIGHEST_RANK = float(2**_RANK_BUCKETS)
 _DEFAULT_WEIGHT = 1.0
-_RANK_S_PER_TOKEN = 0.001
 
 
 class QueueOrder(enum.StrEnum):
@@ -23,7 +22,6 @@
 
     FIRST_COME = "first_come"
     ATTAINED_SERVICE = "attained_service"
-    ATTAINED_AND_PREFILL = "attained_and_prefill"
 
 
 def _no_rank(_: Ticket) -> float:
@@ -34,14 +32,9 @@
     return ticket.attained_s
 
 
-def _attained_and_prefill_rank(ticket: Ticket) -> float:
-    return ticket.attained_s + ticket.uncached_tokens * _RANK_S_PER_TOKEN
-
-
 _RANK_BY_ORDER: dict[QueueOrder, Callable[[Ticket], float]] = {
     QueueOrder.FIRST_COME: _no_rank,
     QueueOrder.ATTAINED_SERVICE: _attained_rank,
-    QueueOrder.ATTAINED_AND_PREFILL: _attained_and_prefill_rank,
 }
 
 
