--- a/libs/routing/src/masticdale_routing/queues.py
+++ b/libs/routing/src/masticdale_routing/queues.py
@@ -42,7 +42,7 @@
 
     order: QueueOrder = QueueOrder.ATTAINED_SERVICE
     age_bound_s: float = 300.0
-    max_wait_s_by_priority: tuple[float, ...] = (90.0, 5.0, 3.0)
+    max_wait_s_by_priority: tuple[float, ...] = (90.0, 2.0, 1.0)
     max_waiting: int = 10_000
     in_flight: InFlightSettings = dataclasses.field(
         default_factory=InFlightSettings
--- a/tools/load/src/masticdale_load/experiments.py
+++ b/tools/load/src/masticdale_load/experiments.py
@@ -161,7 +161,7 @@
     margin_share: float = 0.2
     tie_s: float = 0.25
     age_bound_s: Positive = 300.0
-    max_wait_s: tuple[float, ...] = (90.0, 5.0, 3.0)
+    max_wait_s: tuple[float, ...] = (90.0, 2.0, 1.0)
     pause: PauseKind = PauseKind.MODEL
     reuse_share: Share = 0.0
     reconsider_s: float = 0.0
