--- a/libs/routing/tests/test_placement.py
+++ b/libs/routing/tests/test_placement.py
@@ -42,6 +42,14 @@
         candidates = [slow, Candidate("b", "d2", 5.0)]
         self.assertEqual(chosen(request, candidates, CostInSeconds()), "b")
 
+    def test_nearly_equal_costs_are_settled_by_the_calls_in_flight(self):
+        request = PlacementRequest("p", 100)
+        busy = Candidate("a", "d1", 0.0, in_flight=5)
+        candidates = [busy, Candidate("b", "d2", 0.2, in_flight=1)]
+        self.assertEqual(chosen(request, candidates, CostInSeconds()), "b")
+        exact = CostInSeconds(tie_s=0.0)
+        self.assertEqual(chosen(request, candidates, exact), "a")
+
     def test_baselines(self):
         request = PlacementRequest("p", 100, last_replica="b")
         candidates = [
--- a/libs/routing/tests/test_prefixes.py
+++ b/libs/routing/tests/test_prefixes.py
@@ -114,6 +114,18 @@
         )
         self.assertIs(action, PauseAction.KEEP)
 
+    def test_copies_where_the_cost_to_others_is_not_counted(self):
+        pressed = {"residence_s": 60.0, "export_tokens_per_s": 80_000.0}
+        action = self.decide(20.0, **pressed, reuse_share=0.0)
+        self.assertIs(action, PauseAction.COPY)
+
+    def test_only_what_grew_since_the_last_export_is_paid_for(self):
+        model, key = PauseModel(), PauseKey("dossier", "check")
+        pressure = CachePressure(60.0, export_tokens_per_s=80_000.0)
+        whole = model.decide(key, 8_000, 0.0, pressure)
+        rest = model.decide(key, 8_000, 0.0, pressure, exported_tokens=7_200)
+        self.assertAlmostEqual(whole.copy_s - rest.copy_s, 0.09)
+
     def test_releases_what_does_not_come_back(self):
         model = PauseModel()
         key = PauseKey("dossier", "sign")
--- a/libs/routing/tests/test_queues.py
+++ b/libs/routing/tests/test_queues.py
@@ -169,6 +169,21 @@
             q.grantable(0.0)
         self.assertLess(q.limit, grown)
 
+    def test_one_fast_outlier_does_not_shrink_the_limit(self):
+        """The limit stays though one call seemed ten times as fast.
+
+        Its duration was told too short, so its speed became the best seen;
+        every later batch looked too large and the replica idled.
+        """
+        q = queue(limit=8)
+        for i in range(100):
+            q.offer(ticket(f"t{i}"), 0.0)
+        for service_s in (1.0, 0.1, *[1.0] * 60):
+            result = TicketResult(generated_tokens=50, service_s=service_s)
+            q.finish(q.running()[0].ticket_id, result, 0.0)
+            q.grantable(0.0)
+        self.assertEqual(q.limit, 8)
+
 
 class FailureTest(unittest.TestCase):
     def test_exclusive_ticket_runs_with_nothing_else_in_flight(self):
