--- a/apps/masticdaled/src/masticdaled/following.py
+++ b/apps/masticdaled/src/masticdaled/following.py
@@ -2,15 +2,15 @@
 
 import asyncio
 
-from returns.result import Failure as Failed
-from returns.result import Success
+from returns.result import Result
 
-from masticdale_common import Metrics, hashing, logs
+from masticdale_common import Failure, Metrics, hashing
 from masticdale_config import (
     ConfigInForce,
     ConfigWatcher,
     RevisionsExport,
-    catch_up,
+    follow_peers,
+    learn_newest,
 )
 from masticdale_peers import RevisionsRequest
 from masticdale_platform import ObjectStore
@@ -49,9 +49,12 @@
         outage, would take the configuration back for its callers. So it asks
         live peers and the platform, and waits until one of them answers.
         """
-        from_peers = await self._ask_all_peers()
-        outcome = await catch_up(self._store, self._in_force)
-        self._started = from_peers or isinstance(outcome, Success)
+        members = self._cluster.membership.members()
+        self._started = await learn_newest(
+            self._store,
+            self._in_force,
+            {m.name: self._source(m.name) for m in members if not m.is_self},
+        )
 
     async def tick(self) -> None:
         """Watches or asks a peer that has more; run a few times a second."""
@@ -83,27 +86,33 @@
 
     async def _ask_newest_peer(self) -> None:
         own = self._in_force.number
-        for member in self._cluster.membership.members():
-            if member.beat.revision > own:
-                await self._ask(member.name)
-                return
+        ahead = {
+            member.name: self._source(member.name)
+            for member in self._cluster.membership.members()
+            if member.beat.revision > own
+        }
+        if ahead:
+            await follow_peers(self._in_force, ahead)
 
-    async def _ask_all_peers(self) -> bool:
-        members = self._cluster.membership.members()
-        others = [m.name for m in members if not m.is_self]
-        answers = await asyncio.gather(*(self._ask(name) for name in others))
-        return any(answers)
-
-    async def _ask(self, host: str) -> bool:
-        request = RevisionsRequest(self._in_force.number)
-        outcome = await self._cluster.calls(host).revisions(request)
-        if isinstance(outcome, Failed):
-            return False
-        reply = outcome.unwrap()
-        applied = self._in_force.apply_export(
-            RevisionsExport(reply.newest, reply.revisions, reply.snapshot)
+    def _source(self, host: str) -> "_PeerSource":
+        return _PeerSource(self._cluster, host)
+
+
+class _PeerSource:
+    """A peer as a ``RevisionSource``."""
+
+    def __init__(self, cluster: Cluster, host: str) -> None:
+        self._cluster = cluster
+        self._host = host
+
+    async def revisions_after(
+        self, number: int
+    ) -> Result[RevisionsExport, Failure]:
+        """See ``RevisionSource.revisions_after``."""
+        request = RevisionsRequest(number)
+        outcome = await self._cluster.calls(self._host).revisions(request)
+        return outcome.map(
+            lambda reply: RevisionsExport(
+                reply.newest, reply.revisions, reply.snapshot
+            )
         )
-        if isinstance(applied, Failed):
-            logs.write("revisions_refused", kind=applied.failure().kind.value)
-            return False
-        return reply.newest > 0
--- a/apps/masticdaled/src/masticdaled/handler.py
+++ b/apps/masticdaled/src/masticdaled/handler.py
@@ -131,7 +131,7 @@
 
     async def revisions(self, request: RevisionsRequest) -> RevisionsReply:
         """See ``PeerHandler.revisions``."""
-        export = self._parts().in_force.export_after(request.after)
+        export = await self._parts().in_force.make_export(request.after)
         return RevisionsReply(export.newest, export.revisions, export.snapshot)
 
     async def put_copy(self, request: CopyRequest) -> CopyReply:
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -30,6 +30,7 @@
     BranchKey,
     Circuit,
     EngineSpeed,
+    EvictionRate,
     Granted,
     InFlightSettings,
     LoadObservation,
@@ -46,7 +47,6 @@
 from masticdale_upstreams import CacheEventKind
 from masticdaled.background import Background
 from masticdaled.cluster import Cluster
-from masticdaled.evictions import EvictionRate
 from masticdaled.orders import OrderGiver
 from masticdaled.upstream_clients import UpstreamClients
 
