Acknowledge turns through two peers while the platform is down

Cause: with the platform down every turn waited for it. libs/programs can acknowledge through two copy holders; the daemon refused copies. Change: PeerCopyHolders and CopyDesk over the peers' messages; forced takeovers pass over missing copies. Conclusion: copies are in memory; holders on hosts with a disk do not use it yet.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -31,10 +31,11 @@
     serve,
 )
 from masticdale_platform import PlatformClient
-from masticdale_programs import ShardSettings
+from masticdale_programs import CopyStore, ShardSettings
 from masticdaled.access import create_access
 from masticdaled.callers import CallersContext, create_callers_app
 from masticdaled.cluster import Cluster
+from masticdaled.copying import CopyDesk, PeerCopyHolders
 from masticdaled.entry import Entry
 from masticdaled.executor import UpstreamExecutor
 from masticdaled.following import ConfigFollower
@@ -118,8 +119,10 @@
             _shard_settings(settings),
             self.incarnation,
             self.metrics,
+            PeerCopyHolders(self.cluster),
         )
         self.suspects = SuspectHome(self.store)
+        self.copy_desk = CopyDesk(CopyStore())
         self.programs_desk = ProgramsDesk(settings.host, self.owners)
         self.follower = ConfigFollower(
             self.cluster, self.store, self.in_force, self.metrics
@@ -237,6 +240,7 @@
             self.desk,
             self.suspects,
             self.programs_desk,
+            self.copy_desk,
             self.in_force,
         )
 
--- a/apps/masticdaled/src/masticdaled/handler.py
+++ b/apps/masticdaled/src/masticdaled/handler.py
@@ -6,7 +6,6 @@
 
 from returns.result import Failure as Failed
 
-from masticdale_common import ErrorKind, Failure
 from masticdale_config import ConfigInForce
 from masticdale_peers import (
     CopyReply,
@@ -43,6 +42,7 @@
     encode_outcome,
     encode_result,
 )
+from masticdaled.copying import CopyDesk
 from masticdaled.homes import Homes
 from masticdaled.owners import Owners
 from masticdaled.programs_desk import ProgramsDesk
@@ -60,6 +60,7 @@
     desk: TicketDesk
     suspects: SuspectHome
     programs: ProgramsDesk
+    copies: CopyDesk
     in_force: ConfigInForce
 
 
@@ -136,11 +137,11 @@
 
     async def put_copy(self, request: CopyRequest) -> CopyReply:
         """See ``PeerHandler.put_copy``."""
-        return CopyReply(failure=Failure(ErrorKind.NO_UPSTREAM, "no copies"))
+        return self._parts().copies.put(request)
 
     async def seal_copies(self, request: SealRequest) -> SealReply:
         """See ``PeerHandler.seal_copies``."""
-        return SealReply()
+        return self._parts().copies.seal(request)
 
     async def suspect(self, request: SuspectRequest) -> SuspectReply:
         """See ``PeerHandler.suspect``."""
--- a/apps/masticdaled/src/masticdaled/owners.py
+++ b/apps/masticdaled/src/masticdaled/owners.py
@@ -22,6 +22,7 @@
 from masticdale_programs import (
     Budget,
     Caller,
+    CopyHolders,
     Executor,
     Operation,
     OperationResult,
@@ -102,7 +103,9 @@
         settings: ShardSettings,
         writer: str,
         metrics: Metrics,
+        copies: CopyHolders | None = None,
     ) -> None:
+        self._copies = copies
         self._cluster = cluster
         self._store = store
         self._executor = executor
@@ -234,7 +237,7 @@
         """Takes a shard over, whoever holds it."""
         lock = self._opening_by_number.setdefault(number, asyncio.Lock())
         async with lock:
-            return await self._take(number)
+            return await self._take(number, forced=True)
 
     def dump(self) -> JsonValue:
         """Returns the shards' states."""
@@ -260,7 +263,9 @@
             return Failed(refused)
         return await self._take(number)
 
-    async def _take(self, number: int) -> Result[Shard, Failure]:
+    async def _take(
+        self, number: int, forced: bool = False
+    ) -> Result[Shard, Failure]:
         earlier = self._shard_by_number.get(number)
         if earlier is not None:
             await self._drop(number, earlier)
@@ -275,6 +280,8 @@
                 self._in_force.current, workspace, kind
             ),
             self._settings,
+            self._copies,
+            forced,
         )
         if isinstance(opened, Failed):
             return opened
--- a/apps/masticdaled/src/masticdaled/testing.py
+++ b/apps/masticdaled/src/masticdaled/testing.py
@@ -7,9 +7,10 @@
 from masticdale_peers import Heartbeat, Membership, join
 from masticdale_peers.testing import MemoryNetwork
 from masticdale_platform import ObjectStore
-from masticdale_programs import Executor, ShardSettings
+from masticdale_programs import CopyStore, Executor, ShardSettings
 from masticdaled.callers import CallersContext
 from masticdaled.cluster import Cluster
+from masticdaled.copying import CopyDesk, PeerCopyHolders
 from masticdaled.entry import Entry
 from masticdaled.handler import Handler, Parts
 from masticdaled.homes import Homes
@@ -111,6 +112,7 @@
         settings or ShardSettings(),
         name,
         metrics,
+        PeerCopyHolders(cluster),
     )
     parts = Parts(
         membership,
@@ -119,6 +121,7 @@
         TicketDesk(cluster),
         SuspectHome(store),
         ProgramsDesk(name, owners),
+        CopyDesk(CopyStore()),
         in_force,
     )
     handler = Handler(lambda: parts)
