Tell a run's end to its digest's home until it is heard

Commits and tickets were ruled out: the first turn had been answered. Change: the news is told up to ten times, on new connections. Relays in tools/load bring silent connections and one-way cuts about.

--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -58,6 +58,8 @@
 _PROBE_TIMEOUT_S = 0.5
 _SUSPECT_TIMEOUT_S = 1.0
 _SUSPECT_WAIT_S = 0.1
+_TELL_TRIES = 10
+_TELL_AGAIN_S = 0.5
 _GUESS = 50.0  # Tokens a second, where no probed replica has served yet.
 
 
@@ -297,20 +299,36 @@
         it would hold up the same content for as long as its lease.
         """
         for host in run.asked_hosts:
-            self._spawn(self._suspect(host, run, action))
+            request = self._suspect_request(run, action)
+            self._spawn(self._tell_until_heard(host, request))
+
+    async def _tell_until_heard(
+        self, host: str, request: SuspectRequest
+    ) -> None:
+        """Tells a home that a run ended, also past a silent connection.
+
+        Lost once, the news would leave the run open, and the same content,
+        also of another program, would wait for it in vain.
+        """
+        for _ in range(_TELL_TRIES):
+            calls = self._cluster.calls(host)
+            outcome = await calls.suspect(request, _SUSPECT_TIMEOUT_S)
+            if isinstance(outcome, Success):
+                return
+            await asyncio.sleep(_TELL_AGAIN_S)
+        logs.write("run_end_not_heard", home=host)
 
     async def _suspect(
         self, host: str, run: _Run, action: str
     ) -> Result[SuspectReply, Failure]:
-        request = SuspectRequest(
-            action,
-            (run.call.content_digest,),
-            run.run_id,
-            self._cluster.host,
-        )
+        request = self._suspect_request(run, action)
         calls = self._cluster.calls(host)
         return await calls.suspect(request, _SUSPECT_TIMEOUT_S)
 
+    def _suspect_request(self, run: _Run, action: str) -> SuspectRequest:
+        digests = (run.call.content_digest,)
+        return SuspectRequest(action, digests, run.run_id, self._cluster.host)
+
     async def _queue_and_send(
         self, run: _Run, placement: Placement, sink: TextSink
     ) -> Result[ModelResult, Failure]:
--- /dev/null
+++ b/tools/load/src/masticdale_load/system_relays.py
@@ -0,0 +1,138 @@
+"""TCP relays between processes: connections that fall silent, or are cut."""
+
+import asyncio
+import concurrent.futures
+import contextlib
+import threading
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeVar
+
+_IP = "127.0.0.1"
+_CHUNK_BYTES = 65_536
+_START_TIMEOUT_S = 5.0
+ResultT = TypeVar("ResultT")
+
+
+class Relay:
+    """One listener that passes bytes on to one address.
+
+    ``silence`` leaves open connections open for good without passing
+    anything on, as a middle box does that has lost track of them; new ones
+    work. While ``cut``, new ones fall silent, too.
+    """
+
+    def __init__(self, target_port: int) -> None:
+        self._target_port = target_port
+        self._passing: set[asyncio.Task[None]] = set()
+        self._writers: list[asyncio.StreamWriter] = []
+        self._is_cut = False
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        self._server = await asyncio.start_server(self._accept, _IP, 0)
+
+    async def silence(self) -> None:
+        """Makes every open connection silent."""
+        passing = list(self._passing)
+        for task in passing:
+            task.cancel()
+        await asyncio.gather(*passing, return_exceptions=True)
+
+    async def cut(self) -> None:
+        """Makes every open and every new connection silent."""
+        self._is_cut = True
+        await self.silence()
+
+    async def mend(self) -> None:
+        """Lets new connections work again."""
+        self._is_cut = False
+
+    async def close(self) -> None:
+        """Closes everything."""
+        await self.silence()
+        for writer in self._writers:
+            writer.close()
+        if self._server is not None:
+            self._server.close()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.append(writer)
+        if self._is_cut:
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                _IP, self._target_port
+            )
+        except OSError:
+            writer.close()
+            return
+        self._writers.append(far_writer)
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(_pass_on(source, sink))
+            self._passing.add(task)
+            task.add_done_callback(self._passing.discard)
+
+
+class RelayThread:
+    """Runs relays on an event loop in a thread of its own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+        self._relays: list[Relay] = []
+        self._thread.start()
+
+    def relay_to(self, port: int) -> Relay:
+        """Starts a relay to a port of this machine."""
+        relay = Relay(port)
+        self.do(relay.start())
+        self._relays.append(relay)
+        return relay
+
+    def do(self, work: Coroutine[Any, Any, ResultT]) -> ResultT:
+        """Runs a relay's method on its loop and waits for it."""
+        future: concurrent.futures.Future[ResultT]
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        return future.result(_START_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Closes every relay and the loop."""
+        for relay in self._relays:
+            self.do(relay.close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(_START_TIMEOUT_S)
+        self._loop.close()
+
+
+@contextlib.contextmanager
+def running_relays() -> Iterator[RelayThread]:
+    """Runs relays until the end of the block."""
+    thread = RelayThread()
+    try:
+        yield thread
+    finally:
+        thread.close()
+
+
+async def _pass_on(
+    source: asyncio.StreamReader, sink: asyncio.StreamWriter
+) -> None:
+    try:
+        while data := await source.read(_CHUNK_BYTES):
+            sink.write(data)
+            await sink.drain()
+        sink.close()
+    except OSError:
+        sink.close()
