Tell apart takeovers and leavings under a second fault

Single faults and coinciding ones stood in one figure, a platform fault that began and ended within a measurement was not noticed, and the probe read through one host, which may itself have been paused. Change: samples during or shortly after a fault of a host or the platform are told apart; the probe reads through the balancer, 1.5 s a try.

--- a/tools/load/src/masticdale_load/system_faults.py
+++ b/tools/load/src/masticdale_load/system_faults.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import httpx
 
@@ -20,6 +21,8 @@
 _SLOW_MS = 400
 _LOST_ANSWERS = 3
 _HTTP_TIMEOUT_S = 5.0
+# A host is taken for dead, and its homes and shards move, within so long.
+_AFTERMATH_S = 4.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,11 +31,12 @@
 
     Attributes:
         count_by_fault: How often each was brought about.
-        takeover_s: Time until each shard of a killed host was served again,
-            with the platform answering.
-        takeover_without_platform_s: The same where the platform was down or
-            slow meanwhile.
+        takeover_s: Time until each shard of a killed host was served again.
+        takeover_twofold_s: The same where another host or the platform failed
+            as well meanwhile.
         leaving_s: Time until a leaving upstream got its last new call.
+        leaving_twofold_s: The same where a host or the platform failed as
+            well meanwhile.
         stops: Planned stops.
         failed_stops: Those whose exit code was not 0, or that were cut off.
         stop_seconds: How long planned stops took.
@@ -42,15 +46,43 @@
         default_factory=collections.Counter
     )
     takeover_s: list[float] = dataclasses.field(default_factory=list)
-    takeover_without_platform_s: list[float] = dataclasses.field(
-        default_factory=list
-    )
+    takeover_twofold_s: list[float] = dataclasses.field(default_factory=list)
     leaving_s: list[float] = dataclasses.field(default_factory=list)
+    leaving_twofold_s: list[float] = dataclasses.field(default_factory=list)
     stops: int = 0
     failed_stops: list[str] = dataclasses.field(default_factory=list)
     stop_seconds: list[float] = dataclasses.field(default_factory=list)
 
 
+class Disturbances:
+    """When hosts and the platform were not well."""
+
+    def __init__(self) -> None:
+        self._under_way = 0
+        self._ended_at = -_AFTERMATH_S
+        self._count = 0
+
+    @contextlib.contextmanager
+    def one(self) -> Iterator[None]:
+        """Notes one for as long as the block."""
+        self._under_way += 1
+        self._count += 1
+        try:
+            yield
+        finally:
+            self._under_way -= 1
+            self._ended_at = time.monotonic()
+
+    def mark(self) -> int | None:
+        """Returns what to give to ``is_alone``; None if something goes on."""
+        is_calm = time.monotonic() - self._ended_at > _AFTERMATH_S
+        return None if self._under_way or not is_calm else self._count
+
+    def is_alone(self, mark: int | None) -> bool:
+        """Returns whether nothing else went on before or since the mark."""
+        return mark == self._count
+
+
 class FaultDriver:
     """Draws faults from a plan and brings them about, two at most at once."""
 
@@ -63,7 +95,7 @@
         self._probe = probe
         self._random = random.Random(f"faults-{plan.seed}")
         self._busy: set[str] = set()
-        self._platform_faults = 0
+        self._disturbances = Disturbances()
         self._tasks: set[asyncio.Task[None]] = set()
         self._act_by_kind: dict[FaultKind, Callable[[], Awaitable[None]]] = {
             FaultKind.KILL_HOST: self._kill_host,
@@ -117,19 +149,17 @@
         self._busy.add(host)
         try:
             shards = await self._probe.shards_of(host)
-            before = self._platform_faults
+            mark = self._disturbances.mark()
             self._cluster.daemon_by_name[host].process.kill()
-            others = sorted(set(self._cluster.daemon_by_name) - self._busy)
-            url = self._cluster.daemon_by_name[others[0]].callers_url
-            seconds = await self._probe.measure(shards, url)
-            is_alone = before == self._platform_faults == 0
+            seconds = await self._probe.measure(shards)
+            is_alone = self._disturbances.is_alone(mark)
             notes = self.notes
-            (
-                notes.takeover_s
-                if is_alone
-                else notes.takeover_without_platform_s
-            ).extend(seconds)
-            await self._start(host)
+            samples = notes.takeover_s
+            if not is_alone:
+                samples = notes.takeover_twofold_s
+            samples.extend(seconds)
+            with self._disturbances.one():
+                await self._start(host)
         finally:
             self._busy.discard(host)
 
@@ -139,17 +169,20 @@
             return
         self._busy.add(host)
         process = self._cluster.daemon_by_name[host].process
-        process.pause()
-        try:
-            await asyncio.sleep(2 * self._plan.fault_s)
-        finally:
-            process.resume()
-            await asyncio.sleep(self._plan.fault_s)
-            self._busy.discard(host)
+        with self._disturbances.one():
+            process.pause()
+            try:
+                await asyncio.sleep(2 * self._plan.fault_s)
+            finally:
+                process.resume()
+                await asyncio.sleep(self._plan.fault_s)
+                self._busy.discard(host)
 
     async def _restart_some_host(self) -> None:
         host = self._pick_host()
-        if host is not None:
+        if host is None:
+            return
+        with self._disturbances.one():
             await self._restart(host)
 
     async def _restart(self, host: str) -> None:
@@ -185,11 +218,10 @@
         await self._platform_fault(lose_write_answers=_LOST_ANSWERS)
 
     async def _platform_fault(self, **faults: object) -> None:
-        self._platform_faults += 1
-        await self._set(self._cluster.platform, **faults)
-        await asyncio.sleep(self._plan.fault_s)
-        await self._set(self._cluster.platform)
-        self._platform_faults -= 1
+        with self._disturbances.one():
+            await self._set(self._cluster.platform, **faults)
+            await asyncio.sleep(self._plan.fault_s)
+            await self._set(self._cluster.platform)
 
     async def _engine_crash(self) -> None:
         await self._set(self._pick_engine(), crash_now=True)
@@ -231,6 +263,7 @@
 
     async def _watch_leaving(self, process: RunningProcess) -> None:
         """Notes when the last new call came after it began to leave."""
+        mark = self._disturbances.mark()
         started = time.monotonic()
         last_s = 0.0
         calls = await self._calls(process)
@@ -240,7 +273,10 @@
             if now_calls != calls:
                 last_s = time.monotonic() - started
             calls = now_calls
-        self.notes.leaving_s.append(last_s)
+        if self._disturbances.is_alone(mark):
+            self.notes.leaving_s.append(last_s)
+        else:
+            self.notes.leaving_twofold_s.append(last_s)
 
     async def _calls(self, process: RunningProcess) -> int:
         url = f"{process.base_url}/admin/stats"
--- a/tools/load/src/masticdale_load/system_reports.py
+++ b/tools/load/src/masticdale_load/system_reports.py
@@ -55,9 +55,10 @@
         restart_not_accepted: Closed listeners met during the rolling restart.
         turn_latency: Seconds of a turn, retries included.
         takeover: Seconds until a killed host's shard was served again.
-        takeover_without_platform: The same while the platform was down or
-            slow.
+        takeover_twofold: The same where another host or the platform failed
+            as well meanwhile.
         leaving: Seconds until a leaving engine's last new call.
+        leaving_twofold: The same where a host or the platform failed as well.
         stops: Planned stops.
         stop_seconds: Seconds of a planned stop.
         failed_stops: Stops that were not graceful.
@@ -89,8 +90,9 @@
     restart_not_accepted: int
     turn_latency: Spread
     takeover: Spread
-    takeover_without_platform: Spread
+    takeover_twofold: Spread
     leaving: Spread
+    leaving_twofold: Spread
     stops: int
     stop_seconds: Spread
     failed_stops: list[str]
@@ -177,8 +179,9 @@
         restart_not_accepted=restart.not_accepted,
         turn_latency=spread(progress.turn_seconds),
         takeover=spread(notes.takeover_s),
-        takeover_without_platform=spread(notes.takeover_without_platform_s),
+        takeover_twofold=spread(notes.takeover_twofold_s),
         leaving=spread(notes.leaving_s),
+        leaving_twofold=spread(notes.leaving_twofold_s),
         stops=notes.stops,
         stop_seconds=spread(notes.stop_seconds),
         failed_stops=notes.failed_stops,
--- a/tools/load/src/masticdale_load/system_runs.py
+++ b/tools/load/src/masticdale_load/system_runs.py
@@ -20,7 +20,11 @@
     check_executions,
     check_history,
 )
-from masticdale_load.system_client import SystemClient, Tally
+from masticdale_load.system_client import (
+    CallerSettings,
+    SystemClient,
+    Tally,
+)
 from masticdale_load.system_declarations import (
     DEPLOYMENTS,
     TURN_LIMIT,
@@ -52,6 +56,7 @@
 _RELEASE_WAIT_S = 40.0
 _RELEASE_POLL_S = 0.5
 _READERS = 16
+_PROBE_TIMEOUT_S = 1.5
 _LIST_LAG_MS = 500
 _HALF = 0.5
 _WATCH_S = 0.2
@@ -124,8 +129,15 @@
             d.key: SystemClient(self._balancer, d.key, self._tally)
             for d in DEPLOYMENTS
         }
-        first = self._client_by_key[DEPLOYMENTS[0].key]
-        self._probe = TakeoverProbe(first, cluster.platform.base_url)
+        self._probe_client = SystemClient(
+            self._balancer,
+            DEPLOYMENTS[0].key,
+            Tally(),
+            CallerSettings(timeout_s=_PROBE_TIMEOUT_S),
+        )
+        self._probe = TakeoverProbe(
+            self._probe_client, self._balancer, cluster.platform.base_url
+        )
         self._faults = FaultDriver(plan, cluster, self._probe)
         self._numbers = itertools.count()
 
@@ -140,7 +152,7 @@
             await self._faults.settle()
             verdict = await self._check()
             held = await self._wait_released()
-        for client in self._client_by_key.values():
+        for client in (*self._client_by_key.values(), self._probe_client):
             await client.close()
         return create_report(
             self._plan,
--- a/tools/load/src/masticdale_load/system_takeover.py
+++ b/tools/load/src/masticdale_load/system_takeover.py
@@ -8,6 +8,7 @@
 
 from masticdale_common import Metrics, hashing
 from masticdale_load.system_client import SystemClient
+from masticdale_load.system_hosts import Balancer
 from masticdale_platform import PlatformClient
 from masticdale_programs import MAIN_BRANCH, read_head
 from masticdaled.caller_models import CreateProgramBody, ProgramBody
@@ -20,8 +21,11 @@
 class TakeoverProbe:
     """One idle program in each shard, read until someone answers."""
 
-    def __init__(self, client: SystemClient, platform_url: str) -> None:
+    def __init__(
+        self, client: SystemClient, balancer: Balancer, platform_url: str
+    ) -> None:
         self._client = client
+        self._balancer = balancer
         self._platform_url = platform_url
         self._program_by_shard: dict[int, str] = {}
 
@@ -53,23 +57,21 @@
         await store.close()
         return tuple(held)
 
-    async def measure(
-        self, shards: tuple[int, ...], url: str
-    ) -> tuple[float, ...]:
+    async def measure(self, shards: tuple[int, ...]) -> tuple[float, ...]:
         """Returns how long each shard's program could not be read.
 
         Args:
             shards: Shards that the killed host held.
-            url: A living host.
         """
         started = time.monotonic()
         return tuple(
-            await asyncio.gather(*(self._wait(s, url, started) for s in shards))
+            await asyncio.gather(*(self._wait(s, started) for s in shards))
         )
 
-    async def _wait(self, shard: int, url: str, started: float) -> float:
+    async def _wait(self, shard: int, started: float) -> float:
         path = f"/{self._program_by_shard[shard]}?history={MAIN_BRANCH}"
         while time.monotonic() < started + _LONGEST_S:
+            url = self._balancer.next_url()
             try:
                 told = await self._client.once(url, path, None, ProgramBody)
             except httpx.TransportError:
