--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 from collections.abc import Iterator
 
 import litestar
@@ -151,6 +152,11 @@
         self.membership.start()
         await self._hear_peers()
         await self.follower.start()
+        # A full collection walks every declaration and stalls the loop for
+        # hundreds of milliseconds at 4,600 workspaces; what is loaded at the
+        # start stays, so the collector need not look at it again.
+        gc.collect()
+        gc.freeze()
         await self._read_list()
         self._register_dumps()
         self._subscribe_timers()
@@ -182,6 +188,7 @@
         await self.follower.close()
         await self.membership.close()
         await self.homes.close()
+        await self.executor.close()
         if self._peer_server is not None:
             await self._peer_server.close(1.0)
         self.peers.close()
@@ -276,7 +283,7 @@
             self.state_dump,
             self.cluster,
             self.owners,
-            self.homes,
+            self.clients,
             self.suspects,
             self._readiness,
         )
--- a/apps/masticdaled/src/masticdaled/operator_desk.py
+++ b/apps/masticdaled/src/masticdaled/operator_desk.py
@@ -14,7 +14,7 @@
     StateDump,
     hashing,
 )
-from masticdale_config import ConfigInForce, ConfigStore
+from masticdale_config import ConfigInForce, ConfigStore, RenderedEngine
 from masticdale_config.messages import (
     DrainReport,
     HostStatus,
@@ -26,12 +26,12 @@
     Readiness,
     TakeoverReport,
 )
-from masticdale_peers import ProgramsRequest
+from masticdale_peers import ProbeRequest, ProgramsRequest
 from masticdaled.cluster import Cluster
-from masticdaled.homes import Homes
 from masticdaled.owners import Owners
 from masticdaled.programs_desk import decode_detail
 from masticdaled.suspects import SuspectHome
+from masticdaled.upstream_clients import UpstreamClients
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,7 +46,7 @@
         state_dump: The process's state dump.
         cluster: Finds hosts by role.
         owners: The shards owned here.
-        homes: The replicas whose home this host is.
+        clients: Talks to upstreams.
         suspects: The quarantine.
         find_readiness: Returns whether callers may be sent here.
     """
@@ -58,7 +58,7 @@
     state_dump: StateDump
     cluster: Cluster
     owners: Owners
-    homes: Homes
+    clients: UpstreamClients
     suspects: SuspectHome
     find_readiness: Callable[[], Readiness]
 
@@ -162,11 +162,18 @@
         upstream = self.in_force.current.upstreams.by_name.get(name)
         if upstream is None:
             return Failed(Failure(ErrorKind.NOT_FOUND, name))
-        in_flight = 0
-        for home in self.homes.held_homes():
-            if home.engine.name == name:
-                in_flight = len(home.queue.running())
-        return Success(DrainReport(name, upstream.draining, in_flight, 0))
+        if not isinstance(upstream, RenderedEngine):
+            return Success(DrainReport(name, upstream.draining, 0, 0))
+        probe = ProbeRequest(name, "", "", 0, 0)
+        home = self.cluster.calls(self.cluster.home_of(name))
+        answer = await home.probe(probe)
+        if isinstance(answer, Failed):
+            return Failed(answer.failure())
+        held = await self.clients.engine(upstream).held_programs()
+        programs = len(held.unwrap()) if isinstance(held, Success) else 0
+        in_flight = answer.unwrap().in_flight
+        report = DrainReport(name, upstream.draining, in_flight, programs)
+        return Success(report)
 
     async def _ask_owner(
         self, request: ProgramsRequest
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/service_calls.py
@@ -0,0 +1,134 @@
+"""Calls of plain services: sent once, or again where that is harmless."""
+
+import asyncio
+import time
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, Metrics
+from masticdale_config import RenderedService
+from masticdale_programs import ServiceCall
+from masticdale_routing import (
+    FailedAttempt,
+    GiveUp,
+    RetryBudget,
+    RetrySettings,
+    decide_retry,
+)
+from masticdale_upstreams import ServiceRequest
+from masticdaled.directory import UpstreamDirectory
+from masticdaled.upstream_clients import UpstreamClients
+
+
+class ServiceCaller:
+    """Sends calls to the services in turn."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        clients: UpstreamClients,
+        metrics: Metrics,
+    ) -> None:
+        self._metrics = metrics
+        self._retry_budget_by_operation: dict[str, RetryBudget] = {}
+        self._directory = directory
+        self._clients = clients
+        self._turn = 0
+
+    def is_repeatable(self, workspace: str, operation: str) -> bool:
+        """See ``Executor.is_repeatable``; an unknown operation is not."""
+        services = self._directory.services(workspace, operation)
+        if not services:
+            return False
+        return all(s.repeatable_by_operation[operation] for s in services)
+
+    async def call(self, call: ServiceCall) -> Result[str, Failure]:
+        """See ``Executor.call_service``.
+
+        An answer that was lost is asked for again only where the operation
+        may be repeated.
+        """
+        if not self.is_repeatable(call.workspace, call.operation):
+            return await self._call_once(call)
+        budget = self._retry_budget_by_operation.setdefault(
+            call.operation, RetryBudget(RetrySettings())
+        )
+        budget.first_sent()
+        attempts = 0
+        while True:
+            attempts += 1
+            outcome = await self._call_once(call)
+            if isinstance(outcome, Success):
+                return outcome
+            failure = _repeatable(outcome.failure())
+            attempt = FailedAttempt(failure, attempts, call.deadline)
+            decision = decide_retry(attempt, budget, time.monotonic())
+            if isinstance(decision, GiveUp):
+                return Failed(decision.failure)
+            self._metrics.count("retries_total", operation=call.operation)
+            await asyncio.sleep(decision.delay_s)
+
+    async def _call_once(self, call: ServiceCall) -> Result[str, Failure]:
+        """Sends a call, to the next replica where one surely did not run it.
+
+        After anything else the call is not sent again.
+        """
+        failure = Failure(ErrorKind.NO_UPSTREAM, call.operation)
+        for service in self._in_turn(call):
+            outcome = await self._send(call, service)
+            if isinstance(outcome, Success):
+                return outcome
+            failure = outcome.failure()
+            if failure.kind is not ErrorKind.NO_UPSTREAM:
+                return Failed(failure)
+        return Failed(failure)
+
+    async def look_up(self, call: ServiceCall) -> Result[str | None, Failure]:
+        """See ``Executor.look_up``."""
+        services = self._directory.services(call.workspace, call.operation)
+        for service in services:
+            if not service.lookup:
+                continue
+            outcome = await self._clients.service(service).lookup(call.key)
+            if isinstance(outcome, Failed):
+                continue
+            reply = outcome.unwrap()
+            if reply is not None:
+                return Success(reply.result)
+        return Success(None)
+
+    async def _send(
+        self, call: ServiceCall, service: RenderedService
+    ) -> Result[str, Failure]:
+        timeout_s = min(service.timeout_s, call.deadline - time.monotonic())
+        if timeout_s <= 0:
+            return Failed(Failure(ErrorKind.DEADLINE_EXCEEDED))
+        request = ServiceRequest(
+            call.key, call.operation, call.payload, call.fencing, timeout_s
+        )
+        outcome = await self._clients.service(service).call(request)
+        return outcome.map(lambda reply: reply.result)
+
+    def _in_turn(self, call: ServiceCall) -> list[RenderedService]:
+        services = [
+            service
+            for service in self._directory.services(
+                call.workspace, call.operation
+            )
+            if self._directory.may_get_work(service)
+        ]
+        self._turn += 1
+        first = self._turn % max(1, len(services))
+        return [*services[first:], *services[:first]]
+
+
+def _repeatable(failure: Failure) -> Failure:
+    """Returns the failure of a call that may be sent again.
+
+    "Outcome unknown" tells a caller that it must decide what to do; here the
+    request can simply be sent again.
+    """
+    if failure.kind is not ErrorKind.OUTCOME_UNKNOWN:
+        return failure
+    return Failure(ErrorKind.UPSTREAM_FAILED, failure.detail)
--- a/libs/routing/src/masticdale_routing/placement.py
+++ b/libs/routing/src/masticdale_routing/placement.py
@@ -107,17 +107,12 @@
         margin_share: And more than this share of the staying cost: the moved
             prefix also displaces prefixes of others, which the mover's own
             cost does not show.
-        spread_s: A call without a prefix goes to the least busy replica of
-            those that cost at most so many seconds more than the cheapest.
-        spread_share: And that share of the cheapest one's cost: estimates are
-            no better than that, and following their noise sends everything
-            to one replica.
+        tie_s: Costs that differ by less are settled by the calls in flight.
     """
 
     margin_s: float = 1.0
     margin_share: float = 0.2
-    spread_s: float = 0.05
-    spread_share: float = 0.1
+    tie_s: float = 0.25
 
 
 Policy: TypeAlias = RoundRobin | LeastInFlight | Affinity | CostInSeconds
@@ -207,11 +202,9 @@
     request: PlacementRequest,
     candidates: Sequence[Candidate],
 ) -> Candidate:
-    cheapest = min(candidates, key=lambda c: (cost_s(request, c), c.in_flight))
+    cheapest = _cheapest(policy, request, candidates)
     last = _find(request.last_replica, candidates)
-    if last is None:
-        return _least_busy(policy, request, candidates, cheapest)
-    if last is cheapest:
+    if last is None or last is cheapest:
         return cheapest
     staying_s = cost_s(request, last)
     saved_s = staying_s - cost_s(request, cheapest)
@@ -220,16 +213,17 @@
     return last
 
 
-def _least_busy(
+def _cheapest(
     policy: CostInSeconds,
     request: PlacementRequest,
     candidates: Sequence[Candidate],
-    cheapest: Candidate,
 ) -> Candidate:
-    least_s = cost_s(request, cheapest)
-    bound_s = least_s * (1 + policy.spread_share) + policy.spread_s
-    near = [c for c in candidates if cost_s(request, c) <= bound_s]
-    return min(near, key=lambda c: (c.in_flight, cost_s(request, c)))
+    cost_by_replica = {c.replica: cost_s(request, c) for c in candidates}
+    bound_s = min(cost_by_replica.values()) + policy.tie_s
+    return min(
+        (c for c in candidates if cost_by_replica[c.replica] <= bound_s),
+        key=lambda c: (c.in_flight, cost_by_replica[c.replica]),
+    )
 
 
 def _find(replica: str, candidates: Sequence[Candidate]) -> Candidate | None:
--- a/libs/routing/tests/test_placement.py
+++ b/libs/routing/tests/test_placement.py
@@ -50,6 +50,14 @@
         idle = Candidate("b", "d", decode_tokens_per_s=900.0)
         self.assertEqual(chosen(request, [fast, idle], CostInSeconds()), "b")
 
+    def test_nearly_equal_costs_are_settled_by_the_calls_in_flight(self):
+        request = PlacementRequest("p", 100)
+        busy = Candidate("a", "d1", 0.0, in_flight=5)
+        candidates = [busy, Candidate("b", "d2", 0.2, in_flight=1)]
+        self.assertEqual(chosen(request, candidates, CostInSeconds()), "b")
+        exact = CostInSeconds(tie_s=0.0)
+        self.assertEqual(chosen(request, candidates, exact), "a")
+
     def test_baselines(self):
         request = PlacementRequest("p", 100, last_replica="b")
         candidates = [
