--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 from collections.abc import Iterator
 
 import litestar
@@ -30,10 +31,11 @@
     serve,
 )
 from masticdale_platform import PlatformClient
-from masticdale_programs import ShardSettings
+from masticdale_programs import CopyStore, ShardSettings
 from masticdaled.access import create_access
 from masticdaled.callers import CallersContext, create_callers_app
 from masticdaled.cluster import Cluster
+from masticdaled.copying import CopyDesk, PeerCopyHolders
 from masticdaled.entry import Entry
 from masticdaled.executor import UpstreamExecutor
 from masticdaled.following import ConfigFollower
@@ -42,8 +44,10 @@
 from masticdaled.limits import WorkspaceLimiter
 from masticdaled.operator_desk import OperatorDesk
 from masticdaled.operators import create_operator_app
+from masticdaled.orders import OrderGiver
 from masticdaled.orphans import OrphanSweeper
 from masticdaled.owners import Owners
+from masticdaled.pausing import CacheKeeper
 from masticdaled.programs_desk import ProgramsDesk
 from masticdaled.settings import DaemonSettings
 from masticdaled.suspects import SuspectHome
@@ -52,7 +56,7 @@
 
 _PEER_CONNECTIONS = 256
 _OWNERS_PERIOD_S = 0.5
-_HOMES_PERIOD_S = 0.5
+_HOMES_PERIOD_S = 1.0
 _CONFIG_PERIOD_S = 0.25
 _LIST_PERIOD_S = 1.0
 _SUSPECTS_PERIOD_S = 1.0
@@ -92,7 +96,11 @@
         self.clients = UpstreamClients(self.metrics)
         self.desk = TicketDesk(self.cluster)
         self.homes = Homes(
-            self.cluster, self.in_force, self.clients, self.metrics
+            self.cluster,
+            self.in_force,
+            self.clients,
+            OrderGiver(self.store, self.incarnation, self.metrics),
+            self.metrics,
         )
         self.executor = UpstreamExecutor(
             self.cluster,
@@ -100,6 +108,7 @@
             self.clients,
             self.desk,
             self.homes,
+            CacheKeeper(self.metrics),
             self.metrics,
         )
         self.owners = Owners(
@@ -110,8 +119,10 @@
             _shard_settings(settings),
             self.incarnation,
             self.metrics,
+            PeerCopyHolders(self.cluster),
         )
         self.suspects = SuspectHome(self.store)
+        self.copy_desk = CopyDesk(CopyStore())
         self.programs_desk = ProgramsDesk(settings.host, self.owners)
         self.follower = ConfigFollower(
             self.cluster, self.store, self.in_force, self.metrics
@@ -144,6 +155,11 @@
         self.membership.start()
         await self._hear_peers()
         await self.follower.start()
+        # A full collection walks every declaration and stalls the loop for
+        # hundreds of milliseconds at 4,600 workspaces; what is loaded at the
+        # start stays, so the collector need not look at it again.
+        gc.collect()
+        gc.freeze()
         await self._read_list()
         self._register_dumps()
         self._subscribe_timers()
@@ -175,6 +191,7 @@
         await self.follower.close()
         await self.membership.close()
         await self.homes.close()
+        await self.executor.close()
         if self._peer_server is not None:
             await self._peer_server.close(1.0)
         self.peers.close()
@@ -212,7 +229,7 @@
 
     def _members_changed(self, change: MembershipChange) -> None:
         self.homes.members_changed(change)
-        self.suspects.members_changed()
+        self.suspects.members_changed(change)
         self.metrics.gauge("hosts_live", len(change.members))
 
     def _parts(self) -> Parts:
@@ -223,6 +240,7 @@
             self.desk,
             self.suspects,
             self.programs_desk,
+            self.copy_desk,
             self.in_force,
         )
 
@@ -269,7 +287,7 @@
             self.state_dump,
             self.cluster,
             self.owners,
-            self.homes,
+            self.clients,
             self.suspects,
             self._readiness,
         )
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -28,7 +28,9 @@
 )
 from masticdale_routing import (
     BranchKey,
+    Circuit,
     EngineSpeed,
+    EvictionRate,
     Granted,
     InFlightSettings,
     LoadObservation,
@@ -43,7 +45,9 @@
     create_replica_queue,
 )
 from masticdale_upstreams import CacheEventKind
+from masticdaled.background import Background
 from masticdaled.cluster import Cluster
+from masticdaled.orders import OrderGiver
 from masticdaled.upstream_clients import UpstreamClients
 
 CRASHED_ACTION = "crashed"
@@ -66,6 +70,8 @@
         is_leaving: The engine or the platform's list says that it leaves.
         events_position: Where the next cache events begin.
         ticks: Health checks so far.
+        circuit: Keeps new work away after calls that failed one after another.
+        evictions: Tokens its cache evicts a second.
         incarnation_by_ticket: Engine process that each ticket was granted at.
     """
 
@@ -78,10 +84,19 @@
     is_leaving: bool = False
     events_position: int = 0
     ticks: int = 0
+    circuit: Circuit = dataclasses.field(default_factory=Circuit)
+    evictions: EvictionRate = dataclasses.field(default_factory=EvictionRate)
     incarnation_by_ticket: dict[str, str] = dataclasses.field(
         default_factory=dict
     )
 
+    def residence_ms(self, now: float) -> int:
+        """Returns how long an unused token stays; 0 while nothing presses."""
+        rate = self.evictions.per_s(now)
+        if rate <= 0 or not self.prefixes.capacity_tokens:
+            return 0
+        return int(self.prefixes.capacity_tokens / rate * 1000)
+
     @property
     def is_usable(self) -> bool:
         """True while it may get new work."""
@@ -96,15 +111,18 @@
         cluster: Cluster,
         in_force: ConfigInForce,
         clients: UpstreamClients,
+        orders: OrderGiver,
         metrics: Metrics,
     ) -> None:
+        self._orders = orders
+        self._ordering: dict[str, asyncio.Task[None]] = {}
         self._cluster = cluster
         self._in_force = in_force
         self._clients = clients
         self._metrics = metrics
         self._home_by_replica: dict[str, ReplicaHome] = {}
         self._leaving_names: frozenset[str] = frozenset()
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = Background()
 
     def set_leaving(self, names: Iterable[str]) -> None:
         """Takes the upstreams that the platform's list shows as leaving."""
@@ -112,9 +130,9 @@
         for home in self._home_by_replica.values():
             self._refresh_leaving(home, False)
 
-    def is_listed_leaving(self, name: str) -> bool:
+    def is_listed_leaving(self, replica: str) -> bool:
         """Returns whether the platform's list shows an upstream as leaving."""
-        return name in self._leaving_names
+        return replica in self._leaving_names
 
     def enqueue(self, request: TicketRequest) -> TicketReply:
         """Queues a call before its replica; idempotent by ticket id."""
@@ -148,6 +166,10 @@
         if release.crashed:
             await self._ask_for_crash(home)
         now = time.monotonic()
+        if release.crashed:
+            home.circuit.failed(now)
+        elif release.generated_tokens:
+            home.circuit.succeeded()
         request = home.request_by_ticket.pop(release.ticket_id, None)
         home.incarnation_by_ticket.pop(release.ticket_id, None)
         home.queue.finish(release.ticket_id, _result(release), now)
@@ -193,12 +215,13 @@
                 home.queue.expected_wait_s(ticket, now) * 1000
             ),
             cached_tokens=cached,
-            usable=home.is_usable,
+            usable=home.is_usable and home.circuit.allows(now),
             prefill_tokens_per_s=speed.prefill_tokens_per_s,
             decode_tokens_per_s=(
                 speed.decode_tokens_per_s if speed.is_learned else 0.0
             ),
-            in_flight=home.queue.in_flight(now),
+            in_flight=home.queue.in_flight(now) + home.queue.waiting,
+            residence_ms=home.residence_ms(now),
         )
 
     def released(self, replica: str, program_id: str) -> None:
@@ -251,9 +274,10 @@
 
     async def close(self) -> None:
         """Stops telling grants."""
-        for task in self._background:
+        await self._background.close()
+        for task in self._ordering.values():
             task.cancel()
-        await asyncio.gather(*self._background, return_exceptions=True)
+        await asyncio.gather(*self._ordering.values(), return_exceptions=True)
 
     def _open_homes(self) -> None:
         engines_by_model = self._in_force.current.upstreams.by_model
@@ -329,9 +353,20 @@
         self._refresh_leaving(home, report.leaving)
         if was_unusable and not home.is_leaving:
             home.queue.reopen()
+        self._give_orders(home)
         if home.ticks % _LOAD_EVERY == 0:
             await self._observe(home)
 
+    def _give_orders(self, home: ReplicaHome) -> None:
+        """Gives orders beside the health checks, which must not wait."""
+        running = self._ordering.get(home.engine.name)
+        if running is not None and not running.done():
+            return
+        client = self._clients.engine(home.engine)
+        self._ordering[home.engine.name] = asyncio.create_task(
+            self._orders.reconcile(home.engine, client, home.incarnation)
+        )
+
     async def _observe(self, home: ReplicaHome) -> None:
         client = self._clients.engine(home.engine)
         now = time.monotonic()
@@ -351,19 +386,22 @@
         home.events_position = batch.position
         if batch.gap:
             home.prefixes.gap()
+        held_before = home.prefixes.held_tokens
         for event in batch.events:
             branch = BranchKey(event.program_id, event.branch_id)
             if event.kind is CacheEventKind.STORED:
                 home.prefixes.stored(branch, event.tokens, now)
             else:
                 home.prefixes.evicted(branch, event.tokens, now)
+        freed = held_before - home.prefixes.held_tokens
+        home.evictions.add(max(0, freed), now)
 
     def _refresh_leaving(self, home: ReplicaHome, says_itself: bool) -> None:
         was_leaving = home.is_leaving
         home.is_leaving = (
             says_itself
             or home.engine.draining
-            or home.engine.name in self._leaving_names
+            or home.engine.replica in self._leaving_names
         )
         if home.is_leaving and not was_leaving:
             self._close(home, "leaves")
@@ -453,9 +491,7 @@
     ) -> None:
         notice = GrantNotice(tuple(ticket_ids), home.engine.name, 0)
         for origin in set(origins):
-            task = asyncio.create_task(self._send(origin, notice))
-            self._background.add(task)
-            task.add_done_callback(self._background.discard)
+            self._background.spawn(self._send(origin, notice))
 
     async def _send(self, origin: str, notice: GrantNotice) -> None:
         # A lost notice is made good by the owner, which offers its ticket
@@ -488,6 +524,7 @@
         cached_tokens=release.cached_tokens,
         generated_tokens=release.generated_tokens,
         service_s=release.service_ms / 1000,
+        first_token_s=release.first_token_ms / 1000,
     )
 
 
--- a/apps/masticdaled/src/masticdaled/owners.py
+++ b/apps/masticdaled/src/masticdaled/owners.py
@@ -17,10 +17,12 @@
     logs,
 )
 from masticdale_config import ConfigInForce, RenderedConfig, RenderedProgram
+from masticdale_peers import MembershipLimits
 from masticdale_platform import ObjectStore
 from masticdale_programs import (
     Budget,
     Caller,
+    CopyHolders,
     Executor,
     Operation,
     OperationResult,
@@ -34,6 +36,7 @@
     read_head,
 )
 from masticdaled.cluster import Cluster
+from masticdaled.ownership import Ownership, OwnershipChecks
 
 _PATIENCE_S = 3.0
 _OPEN_AT_ONCE = 8
@@ -82,6 +85,12 @@
     program: Program
 
 
+def _is_not_found(outcome: Result[OperationResult, Failure]) -> bool:
+    if isinstance(outcome, Success):
+        return False
+    return outcome.failure().kind is ErrorKind.NOT_FOUND
+
+
 class Owners:
     """Opens shards on demand and hands them over when they belong elsewhere."""
 
@@ -94,7 +103,9 @@
         settings: ShardSettings,
         writer: str,
         metrics: Metrics,
+        copies: CopyHolders | None = None,
     ) -> None:
+        self._copies = copies
         self._cluster = cluster
         self._store = store
         self._executor = executor
@@ -106,6 +117,8 @@
         self._opening_by_number: dict[int, asyncio.Lock] = {}
         self._misplaced_since: dict[int, float] = {}
         self._stopping = False
+        self._created_at = time.monotonic()
+        self._ownership = OwnershipChecks()
 
     async def submit(
         self, operation: Operation, caller: Caller
@@ -121,7 +134,15 @@
         found = await self._find(number)
         if isinstance(found, Failed):
             return Failed(found.failure())
-        return await found.unwrap().submit(operation, caller)
+        shard = found.unwrap()
+        ownership = await self._ownership.check(shard)
+        if ownership is Ownership.LOST:
+            return Failed(self._not_owner(number))
+        outcome = await shard.submit(operation, caller)
+        if ownership is Ownership.UNSURE and _is_not_found(outcome):
+            detail = f"shard {number} cannot be checked"
+            return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail))
+        return outcome
 
     async def read(
         self,
@@ -148,6 +169,9 @@
             found = await self._find(hashing.shard_of(program_id))
             if isinstance(found, Failed):
                 continue
+            ownership = await self._ownership.check(found.unwrap())
+            if ownership is not Ownership.HELD:
+                continue
             program = found.unwrap().state.program_by_id.get(program_id)
             if program is None or program.end_reason is not None:
                 gone.append(program_id)
@@ -196,6 +220,7 @@
                 continue
             await shard.sweep()
             await self._rebalance(number, shard)
+        self._ownership.renew(self.held_shards())
         self._metrics.gauge("shards_held", len(self._shard_by_number))
 
     async def stop(self, finish_s: float) -> None:
@@ -212,7 +237,7 @@
         """Takes a shard over, whoever holds it."""
         lock = self._opening_by_number.setdefault(number, asyncio.Lock())
         async with lock:
-            return await self._take(number)
+            return await self._take(number, forced=True)
 
     def dump(self) -> JsonValue:
         """Returns the shards' states."""
@@ -238,7 +263,9 @@
             return Failed(refused)
         return await self._take(number)
 
-    async def _take(self, number: int) -> Result[Shard, Failure]:
+    async def _take(
+        self, number: int, forced: bool = False
+    ) -> Result[Shard, Failure]:
         earlier = self._shard_by_number.get(number)
         if earlier is not None:
             await self._drop(number, earlier)
@@ -253,11 +280,14 @@
                 self._in_force.current, workspace, kind
             ),
             self._settings,
+            self._copies,
+            forced,
         )
         if isinstance(opened, Failed):
             return opened
         shard = opened.unwrap()
         self._shard_by_number[number] = shard
+        self._ownership.opened(number, started)
         logs.write(
             "shard_opened",
             shard=number,
@@ -286,12 +316,17 @@
             return None
         if found.owner == self._cluster.host:
             return None
+        held = Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=found.owner)
         for member in self._cluster.membership.members():
-            is_same = member.name == found.owner
-            if is_same and found.writer.startswith(member.beat.incarnation):
-                detail = f"shard {number}"
-                return Failure(ErrorKind.NOT_OWNER, detail, host=found.owner)
-        return None
+            if member.name != found.owner:
+                continue
+            is_same = found.writer.startswith(member.beat.incarnation)
+            return held if is_same else None
+        # A host that has just started may not have heard from a live owner
+        # yet. Taken over without its lease's end, that owner would answer
+        # from memory, which it renews on the strength of that lease.
+        age_s = time.monotonic() - self._created_at
+        return held if age_s < MembershipLimits().lease_s else None
 
     def _not_owner(self, number: int) -> Failure:
         host = self._cluster.owner_of_shard(number)
--- a/libs/peers/src/masticdale_peers/peer.thrift
+++ b/libs/peers/src/masticdale_peers/peer.thrift
@@ -15,6 +15,9 @@
   3: i64 revision,
   4: bool leaving,
   5: bool suspect,
+  6: i64 version,           // rises with each change within an incarnation
+  7: string domain,
+  8: list<string> accusers, // neighbours it did not answer, two at most
 }
 
 struct Heartbeat {
@@ -25,6 +28,7 @@
   5: bool leaving,
   6: i64 quarantine_version,
   7: list<PeerNews> news,
+  8: i64 version,           // rises with each change within an incarnation
 }
 
 struct HeartbeatReply {
@@ -104,6 +108,7 @@
   5: i64 cached_tokens,
   6: i64 generated_tokens,
   7: i64 service_ms,
+  8: i64 first_token_ms,    // 0: not known
 }
 
 struct ProbeRequest {
@@ -126,6 +131,7 @@
   5: double prefill_tokens_per_s,
   6: double decode_tokens_per_s,
   7: i32 in_flight,
+  8: i64 residence_ms,      // how long an unused token stays; 0: not pressed
 }
 
 struct RevisionsRequest {
@@ -166,6 +172,7 @@
   1: string action,         // admit, succeeded, ended, crashed
   2: list<string> digests,
   3: string run_id,
+  4: string origin,         // host of the owner that runs it
 }
 
 struct SuspectReply {
--- a/libs/routing/src/masticdale_routing/__init__.py
+++ b/libs/routing/src/masticdale_routing/__init__.py
@@ -1,5 +1,6 @@
 """Placement, admission, retries and suspects; decisions without I/O."""
 
+from masticdale_routing.evictions import EvictionRate
 from masticdale_routing.inflight import (
     InFlightSettings,
 )
@@ -87,6 +88,7 @@
     "CostInSeconds",
     "DroppedTickets",
     "EngineSpeed",
+    "EvictionRate",
     "FailedAttempt",
     "GiveUp",
     "Granted",
