--- a/tools/load/src/masticdale_load/main.py
+++ b/tools/load/src/masticdale_load/main.py
@@ -26,6 +26,7 @@
     loads: str | float | tuple[float, ...] = "",
     caches: str | tuple[str, ...] = "",
     faults: str | tuple[str, ...] = "none",
+    seed: int | None = None,
     processes: int = _MOST_PROCESSES,
 ) -> None:
     """Runs an experiment and prints its table.
@@ -37,6 +38,7 @@
         loads: Loads to run; all if empty.
         caches: Cache sizes to run; all if empty.
         faults: Faults to run; all if empty.
+        seed: In place of the experiment's seed.
         processes: How many runs at once, four at most.
     """
     loaded = load_experiment(pathlib.Path(experiment))
@@ -52,6 +54,8 @@
         _names(faults),
     )
     value = loaded.unwrap()
+    if seed is not None:
+        value = value.model_copy(update={"seed": seed})
     keys = select_runs(value, selection)
     report = run_experiment(value, keys, min(processes, _MOST_PROCESSES))
     pathlib.Path(output).write_text(report.to_json())
