--- a/tests/test_system_engines.py
+++ b/tests/test_system_engines.py
@@ -4,7 +4,7 @@
 import unittest
 
 from returns.result import Failure as Failed
-from system_case import MAX_TOKENS, SystemCase
+from system_case import MAX_TOKENS, SLOW_FACTOR, SystemCase
 
 from masticdale_common import ErrorKind
 from masticdale_programs.records import ReleaseConfirmed
@@ -32,9 +32,11 @@
         """Runs a turn while a fault strikes its stream; returns its program."""
         program = await self.begin()
         await self.turn(program, "first")
+        # Slow, so that the turn is surely found in flight on a busy machine.
+        self.engines(slow_factor=SLOW_FACTOR)
         turn = asyncio.create_task(self.turn(program, "second"))
         await self.until_in_flight(program, self.client)
-        self.engines(**faults)
+        self.engines(**faults, slow_factor=SLOW_FACTOR)
         await turn
         return program
 
