End refusals with the outage; keep an engine's own word that it leaves

Each reading of the platform's list overwrote the engine's own word and opened its queue until the next health check.

--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/homes.py
@@ -69,6 +69,7 @@
         incarnation: Process of the engine when last asked; empty at first.
         misses: Health checks without an answer since the last with one.
         is_tripped: Its queue is closed because its circuit is open.
+        says_leaving: The engine's own word when it was last asked.
         is_leaving: The engine or the platform's list says that it leaves.
         events_position: Where the next cache events begin.
         ticks: Health checks so far.
@@ -84,6 +85,7 @@
     incarnation: str = ""
     misses: int = 0
     is_tripped: bool = False
+    says_leaving: bool = False
     is_leaving: bool = False
     events_position: int = 0
     ticks: int = 0
@@ -132,7 +134,7 @@
         """Takes the upstreams that the platform's list shows as leaving."""
         self._leaving_names = frozenset(names)
         for home in self._home_by_replica.values():
-            self._refresh_leaving(home, False)
+            self._refresh_leaving(home)
 
     def is_listed_leaving(self, replica: str) -> bool:
         """Returns whether the platform's list shows an upstream as leaving."""
@@ -320,7 +322,7 @@
         if known is not None:
             if known.engine != engine:
                 known.engine = engine
-                self._refresh_leaving(known, False)
+                self._refresh_leaving(known)
             return known
         settings = QueueSettings(
             in_flight=InFlightSettings(initial=engine.slots),
@@ -339,7 +341,7 @@
             request_by_ticket={},
         )
         self._home_by_replica[engine.name] = home
-        self._refresh_leaving(home, False)
+        self._refresh_leaving(home)
         return home
 
     async def _check(self, home: ReplicaHome) -> None:
@@ -362,7 +364,8 @@
                 home.incarnation_by_ticket[ticket_id] = report.incarnation
         home.incarnation = report.incarnation
         await self._note_crash(home, report.incarnation)
-        self._refresh_leaving(home, report.leaving)
+        home.says_leaving = report.leaving
+        self._refresh_leaving(home)
         if was_unusable and not home.is_leaving and not home.is_tripped:
             home.queue.reopen()
         if home.is_tripped and home.circuit.allows(time.monotonic()):
@@ -412,10 +415,10 @@
         freed = held_before - home.prefixes.held_tokens
         home.evictions.add(max(0, freed), now)
 
-    def _refresh_leaving(self, home: ReplicaHome, says_itself: bool) -> None:
+    def _refresh_leaving(self, home: ReplicaHome) -> None:
         was_leaving = home.is_leaving
         home.is_leaving = (
-            says_itself
+            home.says_leaving
             or home.engine.draining
             or home.engine.replica in self._leaving_names
         )
--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -193,6 +193,19 @@
                 self._named = None
                 self._raises_epoch = False
 
+    async def probe_platform(self) -> None:
+        """Ends an outage once the platform answers and nothing waits for it.
+
+        A write ends an outage, too; but calls are refused while a copy holder
+        is gone, so without this no write would ever come and the refusals
+        would outlast the outage for good.
+        """
+        if not self._out or self._buffer:
+            return
+        outcome = await self.check_head()
+        if isinstance(outcome, Success) and not self._buffer:
+            self._out = False
+
     async def check_head(self) -> Result[None, Failure]:
         """Finds out whether another host took the shard over.
 
--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -423,6 +423,7 @@
         if now - self._copies_renewed > self.settings.copy_check_s:
             self._copies_renewed = now
             self.spawn(self._held_journal().renew_copies())
+        self.spawn(self._held_journal().probe_platform())
         busy_ids = {key.program_id for key in self._task_by_key}
         busy_ids.update(key.program_id for key in self.voiding)
         for program in list(self.state.program_by_id.values()):
--- a/libs/programs/tests/test_copies.py
+++ b/libs/programs/tests/test_copies.py
@@ -202,6 +202,25 @@
 
         run(check())
 
+    def test_refusals_end_with_the_outage_although_a_holder_is_gone(self):
+        # Callers were refused for ever after an outage: the journal learnt
+        # that the platform is back only from a write, and refused every call
+        # that would have led to one.
+        async def check():
+            world = World()
+            journal = await world.start()
+            del world.holders[journal.copy_holders[0]]
+            commit = asyncio.create_task(journal.commit([record("p2")]))
+            await asyncio.sleep(5)
+            self.assertIsNotNone(journal.refusal())
+            world.faults.cut = False
+            self.assertIsInstance(await commit, Success)
+            await journal.probe_platform()
+            self.assertIsNone(journal.refusal())
+            await journal.close()
+
+        run(check())
+
     def test_restarted_holder_gets_everything_again(self):
         # One holder lost its copies in the outage and the other one died
         # after it: the taker must still find every acknowledged commit.
