Wait for homes that move without spending retries

Ruled out: engines (none failed), the limiter, the owners' hand-over. Change: a probe follows the hint once; where homes move the call waits 0.1 s and is placed anew, uncounted, until its deadline; tickets offer again after 0.1 s.

--- a/apps/masticdaled/src/masticdaled/cluster.py
+++ b/apps/masticdaled/src/masticdaled/cluster.py
@@ -11,6 +11,9 @@
 _HOME_ROLE = "home"
 _DIGEST_ROLE = "digest"
 
+# What the calls of a role answer while it moves to another host.
+MOVING_KINDS = frozenset({ErrorKind.NOT_OWNER, ErrorKind.PEER_UNAVAILABLE})
+
 
 class LocalCalls(PeerCalls):
     """Calls of this host to itself, without a connection."""
--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/executor.py
@@ -29,7 +29,7 @@
 )
 from masticdale_upstreams import Chunk, Completion, GenerateRequest
 from masticdaled.background import Background
-from masticdaled.cluster import Cluster
+from masticdaled.cluster import MOVING_KINDS, Cluster
 from masticdaled.digests import DigestDesk
 from masticdaled.directory import UpstreamDirectory
 from masticdaled.homes import Homes
@@ -40,6 +40,8 @@
 from masticdaled.tickets import TicketDesk
 from masticdaled.upstream_clients import UpstreamClients
 
+_MOVING_WAIT_S = 0.1
+
 
 class UpstreamExecutor:
     """The daemon's ``Executor``."""
@@ -85,6 +87,13 @@
                 return outcome
             failure = outcome.failure()
             now = time.monotonic()
+            if failure.kind in MOVING_KINDS and now < call.deadline:
+                # Waiting for a home to settle is no retry of a call: counted
+                # as one, a planned stop would use the retry budget up and
+                # callers would be refused.
+                sink.waits("a home that moves")
+                await asyncio.sleep(_MOVING_WAIT_S)
+                continue
             decision = decide_retry(
                 FailedAttempt(failure, max(1, run.attempts), call.deadline),
                 budget,
--- a/apps/masticdaled/src/masticdaled/placing.py
+++ b/apps/masticdaled/src/masticdaled/placing.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure
 from masticdale_config import ConfigInForce, RenderedEngine, engines_of
@@ -17,7 +17,7 @@
     choose_probes,
     place,
 )
-from masticdaled.cluster import Cluster
+from masticdaled.cluster import MOVING_KINDS, Cluster
 from masticdaled.directory import UpstreamDirectory
 from masticdaled.pausing import CacheKeeper
 from masticdaled.runs import Run, prefix_note
@@ -82,9 +82,14 @@
             last if last in engine_by_name else "",
         )
         placed = place(request, candidates, self._policy)
-        if isinstance(placed, Failed):
-            # Those probed are full or gone; the next try probes others.
-            run.failed_replicas.update(names)
+        if isinstance(placed, Success):
+            return placed
+        if any(_is_moving(reply) for reply in replies):
+            # Not refused: a host that stops has given its homes up and the
+            # next ones have not yet heard of it.
+            return Failed(Failure(ErrorKind.NOT_OWNER, "homes are moving"))
+        # Those probed are full or gone; the next try probes others.
+        run.failed_replicas.update(names)
         return placed
 
     def _usable_engines(self, run: Run) -> list[RenderedEngine]:
@@ -113,7 +118,12 @@
             call.workspace,
             call.attained_s,
         )
-        home = self._cluster.home_of(replica)
+        reply = await self._ask(self._cluster.home_of(replica), request)
+        if reply.failure is None or not reply.failure.host:
+            return reply
+        return await self._ask(reply.failure.host, request)
+
+    async def _ask(self, home: str, request: ProbeRequest) -> ProbeReply:
         outcome = await self._cluster.calls(home).probe(
             request, _PROBE_TIMEOUT_S
         )
@@ -122,6 +132,10 @@
         return outcome.unwrap()
 
 
+def _is_moving(reply: ProbeReply) -> bool:
+    return reply.failure is not None and reply.failure.kind in MOVING_KINDS
+
+
 def _candidate(
     engine: RenderedEngine, reply: ProbeReply, fastest: float, importable: int
 ) -> Candidate:
--- a/apps/masticdaled/src/masticdaled/tickets.py
+++ b/apps/masticdaled/src/masticdaled/tickets.py
@@ -15,9 +15,10 @@
     TicketRequest,
 )
 from masticdaled.background import Background
-from masticdaled.cluster import Cluster
+from masticdaled.cluster import MOVING_KINDS, Cluster
 
 _OFFER_AGAIN_S = 1.0
+_MOVING_S = 0.1
 _OFFER_TIMEOUT_S = 1.0
 _RELEASE_TRIES = 3
 
@@ -100,9 +101,11 @@
             reply = await self._offer(offer)
             if reply.granted or wait.granted:
                 return Success(None)
-            if reply.failure is not None and not _is_moving(reply.failure):
-                return Failed(reply.failure)
-            wait_s = min(_OFFER_AGAIN_S, max(0.0, deadline - now))
+            failure = reply.failure
+            if failure is not None and failure.kind not in MOVING_KINDS:
+                return Failed(failure)
+            pause_s = _OFFER_AGAIN_S if reply.failure is None else _MOVING_S
+            wait_s = min(pause_s, max(0.0, deadline - now))
             try:
                 async with asyncio.timeout(wait_s):
                     await wait.news.wait()
@@ -125,7 +128,3 @@
         home = self._cluster.home_of(request.replica)
         work = self._cluster.calls(home).withdraw(release)
         self._background.spawn(work)
-
-
-def _is_moving(failure: Failure) -> bool:
-    return failure.kind in (ErrorKind.NOT_OWNER, ErrorKind.PEER_UNAVAILABLE)
