Count model turns to the limit of calls; keep tests' contents apart

Cause 1: declarations say that a budget's calls are of models and services together, the programs counted services only, so a program could make more. Change: a turn reserves and charges one call. Result: the new test failed before (the third call ran) and passes. The test before them crashes all engines under a turn of the same content, which can count two crashes against it. Three files run at once in place of four.

--- a/apps/masticdaled/src/masticdaled/caller_models.py
+++ b/apps/masticdaled/src/masticdaled/caller_models.py
@@ -104,7 +104,7 @@
         state: ``running``, or why it ended.
         branches: Its branches.
         tokens_spent: Tokens charged to its budget.
-        calls_spent: Service calls charged.
+        calls_spent: Model turns and service calls charged.
         turns_spent: Model turns charged.
         waiting_for: Calls in flight and what each waits for.
         history: Finished calls of the branch asked for.
--- a/libs/programs/src/masticdale_programs/operations.py
+++ b/libs/programs/src/masticdale_programs/operations.py
@@ -121,7 +121,7 @@
         state: ``running`` or the reason of the end.
         branches: Ids of the branches.
         tokens_spent: Tokens charged.
-        calls_spent: Service calls charged.
+        calls_spent: Model turns and service calls charged.
         turns_spent: Model turns charged.
         waiting_for: Request ids in flight, with what each waits for.
         history: The finished calls of the branch asked for.
--- a/libs/programs/src/masticdale_programs/records.py
+++ b/libs/programs/src/masticdale_programs/records.py
@@ -14,7 +14,7 @@
 
     Attributes:
         tokens: New prompt tokens plus generated tokens.
-        calls: Service calls.
+        calls: Model turns and service calls together.
         turns: Model turns, so that a loop ends.
         wall_time_s: Seconds from creation to the end.
     """
--- a/libs/programs/src/masticdale_programs/state.py
+++ b/libs/programs/src/masticdale_programs/state.py
@@ -29,10 +29,11 @@
 
     Attributes:
         tokens: Tokens charged by finished turns.
-        calls: Service calls sent, also those whose outcome is unknown.
+        calls: Finished turns and service calls sent, also those whose outcome
+            is unknown.
         turns: Finished turns.
         reserved_tokens: Worst case of the turns in flight.
-        reserved_calls: Service calls in flight.
+        reserved_calls: Turns and service calls in flight.
         reserved_turns: Turns in flight.
     """
 
@@ -185,6 +186,7 @@
     program.entry_by_request_id[record.request_id] = record
     program.spending.tokens += record.charged_tokens
     program.spending.turns += 1
+    program.spending.calls += 1
     program.attained_ms += record.service_ms
 
 
--- a/libs/programs/src/masticdale_programs/turns.py
+++ b/libs/programs/src/masticdale_programs/turns.py
@@ -86,7 +86,7 @@
         return Failed(Failure(ErrorKind.BAD_REQUEST, detail))
     max_tokens = min(operation.max_tokens or kind.max_tokens, kind.max_tokens)
     message_tokens = budgets.count_tokens(operation.message)
-    need = Need(tokens=message_tokens + max_tokens, turns=1)
+    need = Need(tokens=message_tokens + max_tokens, calls=1, turns=1)
     stream.waits("budget")
     reserved = await budgets.reserve(program, kind.budget, need, deadline)
     if isinstance(reserved, Failed):
--- a/libs/programs/tests/test_shards.py
+++ b/libs/programs/tests/test_shards.py
@@ -148,6 +148,22 @@
         self.assertEqual(len(refused), 3)
 
 
+class CallBudgetTest(ShardTestCase):
+    async def create(self, **budget):
+        return await super().create(calls=2)
+
+    async def test_turns_and_service_calls_share_the_limit_of_calls(self):
+        # A declaration's limit of calls is of models and services together;
+        # counted apart, a program could make twice as many.
+        await self.shard.submit(turn("r0"), caller())
+        await wait_for_outcome(self.shard, "r0")
+        await self.shard.submit(filing("f0"), caller())
+        await wait_for_outcome(self.shard, "f0")
+        await self.shard.submit(turn("r1"), caller())
+        outcome = await wait_for_outcome(self.shard, "r1")
+        self.assertIs(outcome.failure().kind, ErrorKind.BUDGET_EXCEEDED)
+
+
 class UnrepeatableTest(ShardTestCase):
     def executions(self):
         return sum(self.executor.execution_count_by_key.values())
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -19,7 +19,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_LIMIT = 3
 FILE_TIMEOUT_S = 400
-DEFAULT_JOBS = 4
+DEFAULT_JOBS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_system_engines.py
+++ b/tests/test_system_engines.py
@@ -31,10 +31,15 @@
     async def turn_under(self, **faults):
         """Runs a turn while a fault strikes its stream; returns its program."""
         program = await self.begin()
-        await self.turn(program, "first")
+        await self.turn(program, "first", message=f"first of {program}")
         # Slow, so that the turn is surely found in flight on a busy machine.
         self.engines(slow_factor=SLOW_FACTOR)
-        turn = asyncio.create_task(self.turn(program, "second"))
+        # Its content is this test's own: what a crash in one test makes a
+        # suspect is apart from the others.
+        message = f"second of {program}"
+        turn = asyncio.create_task(
+            self.turn(program, "second", message=message)
+        )
         await self.until_in_flight(program, self.client)
         self.engines(**faults, slow_factor=SLOW_FACTOR)
         await turn
