--- a/scripts/measure_daemon.py
+++ b/scripts/measure_daemon.py
@@ -35,7 +35,6 @@
 
 QUIET_S = 4.0
 SERVICE = "permit-desk-1"
-TEMPLATE_KINDS = ("Template", "Workspace")
 PARALLEL = 16
 WRITE_CALLS = ("PUT object", "DELETE object")
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
--- a/tools/load/src/masticdale_load/homes.py
+++ b/tools/load/src/masticdale_load/homes.py
@@ -14,6 +14,7 @@
     CachePressure,
     Candidate,
     Circuit,
+    EvictionRate,
     InFlightSettings,
     LoadObservation,
     PrefixIndex,
@@ -25,7 +26,6 @@
 )
 
 _AWAY = Failure(ErrorKind.NO_UPSTREAM, "the replica is away")
-_PRESSURE_WINDOW_S = 60.0
 _UNPRESSED_S = 1e9
 _KEY_SEPARATOR = "/"
 
@@ -35,27 +35,6 @@
     return f"{branch.program_id}{_KEY_SEPARATOR}{branch.branch_id}"
 
 
-class EvictionRate:
-    """Tokens evicted per second, forgotten over a window."""
-
-    def __init__(self) -> None:
-        self._tokens = 0.0
-        self._at = 0.0
-
-    def add(self, tokens: int, now: float) -> None:
-        """Notes evicted tokens."""
-        self._tokens = self._remembered(now) + tokens
-        self._at = now
-
-    def per_s(self, now: float) -> float:
-        """Returns the present rate."""
-        return self._remembered(now) / _PRESSURE_WINDOW_S
-
-    def _remembered(self, now: float) -> float:
-        passed = now - self._at
-        return self._tokens * max(0.0, 1 - passed / (2 * _PRESSURE_WINDOW_S))
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
     """A call as a home is asked about it.
