--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -31,6 +31,7 @@
 from masticdale_ledger import (
     LEDGER,
     LOOK_EVERY_S,
+    RENEW_EVERY_S,
     SHARD_PREFIX,
     FallbackStore,
     Identity,
@@ -41,6 +42,7 @@
     ShardKeeper,
     ShardMap,
     ShardOwner,
+    StandbyCopies,
 )
 from masticdale_peers import Address, PeerServer
 from masticdale_platform import WatchBatch
@@ -52,9 +54,6 @@
 # How long one watch waits, in seconds. Each is a priced call; probes of the
 # kernel show a dead connection sooner than that.
 _WATCH_S = 15.0
-# The same for the shards at a host that owns some: each answer renews its
-# lease.
-_OWNER_WATCH_S = 3.0
 # From SIGTERM until the balancer sends no more connections, in seconds: it
 # asks each second and leaves a host out after two misses.
 _BALANCER_S = 2.6
@@ -103,6 +102,7 @@
             self._peers.of,
             self._metrics,
         )
+        copies = StandbyCopies()
         self._keeper = ShardKeeper(
             identity,
             self._store,
@@ -111,10 +111,11 @@
             self._owner,
             self._lease,
             self._ledger,
-            self._peers.of,
+            copies,
+            self._peers,
         )
         self._peer_server = PeerServer(
-            LedgerService(self._owner, self._keeper, self._direct),
+            LedgerService(self._owner, self._keeper, copies, self._direct),
             peers_at,
             LEDGER,
         )
@@ -145,20 +146,16 @@
         self._follow(
             Followed(
                 CONFIGURATION_PREFIX,
-                lambda: _WATCH_S,
+                _WATCH_S,
                 self._configuration.apply,
             )
         )
-        self._follow(
-            Followed(REPLICA_PREFIX, lambda: _WATCH_S, self._replicas.apply)
-        )
-        self._follow(
-            Followed(SHARD_PREFIX, self._shard_watch_s, self._apply_shards),
-            self._lease,
-        )
+        self._follow(Followed(REPLICA_PREFIX, _WATCH_S, self._replicas.apply))
+        self._follow(Followed(SHARD_PREFIX, _WATCH_S, self._apply_shards))
         self._tasks.append(asyncio.create_task(self._ledger.run()))
         for name, period_s, callback in (
             ("shards", LOOK_EVERY_S, self._keeper.look),
+            ("lease", RENEW_EVERY_S, self._keeper.renew),
             ("idle-connections", _CLOSE_IDLE_EVERY_S, self._close_idle),
             ("old-programs", _FORGET_EVERY_S, self._owner.forget_old),
         ):
@@ -187,13 +184,10 @@
     def _readiness(self) -> tuple[int, bytes]:
         return (200 if self.is_ready else 503), b""
 
-    def _follow(self, followed: Followed, lease: Lease | None = None) -> None:
-        follower = Follower(self._store, followed, lease, self._metrics)
+    def _follow(self, followed: Followed) -> None:
+        follower = Follower(self._store, followed)
         self._tasks.append(asyncio.create_task(follower.run()))
 
-    def _shard_watch_s(self) -> float:
-        return _OWNER_WATCH_S if self._owner.owned() else _WATCH_S
-
     def _apply_shards(self, batch: WatchBatch, was_away: bool) -> None:
         del was_away
         self._shard_map.apply(batch)
--- a/apps/masticdale_entry/src/masticdale_entry/following.py
+++ b/apps/masticdale_entry/src/masticdale_entry/following.py
@@ -7,8 +7,7 @@
 
 from returns.result import Failure as Failed
 
-from masticdale_common import ErrorKind, Metrics, logs
-from masticdale_ledger import Lease
+from masticdale_common import ErrorKind, logs
 from masticdale_platform import ObjectStore, WatchBatch
 
 # After a failed watch, in seconds; doubles to the second value. All hosts
@@ -23,12 +22,12 @@
 
     Attributes:
         prefix: Keys of this prefix.
-        wait_s: Returns how long one watch waits.
+        wait_s: How long one watch waits.
         apply: Takes each batch, and whether the store was away before it.
     """
 
     prefix: str
-    wait_s: Callable[[], float]
+    wait_s: float
     apply: Callable[[WatchBatch, bool], None]
 
 
@@ -39,21 +38,9 @@
         self,
         store: ObjectStore,
         followed: Followed,
-        lease: Lease | None,
-        metrics: Metrics,
     ) -> None:
-        """Prepares to follow.
-
-        Args:
-            store: Where to watch.
-            followed: What to watch.
-            lease: Confirmed by each answer; None where none depends on it.
-            metrics: Counts.
-        """
         self._store = store
         self._followed = followed
-        self._lease = lease
-        self._metrics = metrics
         self._position = 0
         self._was_away = False
         self._pause_s = _FIRST_PAUSE_S
@@ -64,9 +51,8 @@
             await self._step()
 
     async def _step(self) -> None:
-        asked_at = self._lease.now() if self._lease else 0.0
         outcome = await self._store.watch(
-            self._followed.prefix, self._position, self._followed.wait_s()
+            self._followed.prefix, self._position, self._followed.wait_s
         )
         if isinstance(outcome, Failed):
             failure = outcome.failure()
@@ -82,8 +68,6 @@
             )
             await self._pause()
             return
-        if self._lease is not None:
-            self._lease.confirm(asked_at)
         batch = outcome.unwrap()
         self._position = batch.position
         self._pause_s = _FIRST_PAUSE_S
--- a/apps/masticdale_entry/src/masticdale_entry/main.py
+++ b/apps/masticdale_entry/src/masticdale_entry/main.py
@@ -6,7 +6,6 @@
 import signal
 import sys
 
-import fire
 from returns.result import Failure as Failed
 
 from masticdale_common import logs
@@ -44,6 +43,9 @@
 
 def main() -> None:
     """Runs the command line."""
+    # Processes on the platform start without it, and save its memory.
+    import fire
+
     fire.Fire(Commands, name="masticdale-entry")
 
 
--- a/apps/masticdale_entry/src/masticdale_entry/peers.py
+++ b/apps/masticdale_entry/src/masticdale_entry/peers.py
@@ -2,13 +2,13 @@
 
 from masticdale_common import Metrics
 from masticdale_entry.settings import Settings
-from masticdale_ledger import LEDGER, ShardMap, ShardRecord
+from masticdale_ledger import LEDGER, Hosts, ShardMap, ShardRecord
 from masticdale_peers import Address, PeerClient, PeerSettings, PoolLimits
 
 _LIMITS = PoolLimits(connections=8, call_timeout_s=1.0, idle_s=30.0)
 
 
-class PeerClients:
+class PeerClients(Hosts):
     """Other entry hosts: the owners of shards, and the seeds."""
 
     def __init__(
@@ -21,33 +21,38 @@
 
     def of(self, record: ShardRecord) -> PeerClient:
         """Returns the client of a shard's owner."""
-        return self._client(record.address, record.port)
+        return self.client(record.address, record.port)
 
     def all(self) -> list[PeerClient]:
         """Returns the clients of all known hosts but this one."""
+        return [self.client(*address) for address in self.candidates()]
+
+    def candidates(self) -> list[tuple[str, int]]:
+        """See ``Hosts.candidates``."""
         addresses = {(str(a.ip), a.port) for a in self._settings.seeds}
         for view in self._shard_map.views().values():
             addresses.add((view.record.address, view.record.port))
         own = self._settings.peers
         if own is not None:
             addresses.discard((str(own.ip), own.port))
-        return [self._client(*address) for address in sorted(addresses)]
+        return sorted(addresses)
 
     def close_idle(self) -> None:
         """Closes connections that were idle for too long."""
         for client in self._client_by_address.values():
             client.close_idle()
 
-    def _client(self, ip: str, port: int) -> PeerClient:
-        client = self._client_by_address.get((ip, port))
+    def client(self, address: str, port: int) -> PeerClient:
+        """See ``Hosts.client``."""
+        client = self._client_by_address.get((address, port))
         if client is None:
             peer = PeerSettings(
-                name=f"{ip}:{port}",
-                address=Address.model_validate({"ip": ip, "port": port}),
+                name=f"{address}:{port}",
+                address=Address.model_validate({"ip": address, "port": port}),
                 domain="unknown",
             )
             client = PeerClient(
                 peer, None, _LIMITS, self._metrics, contract=LEDGER
             )
-            self._client_by_address[(ip, port)] = client
+            self._client_by_address[(address, port)] = client
         return client
--- a/apps/masticdale_entry/src/masticdale_entry/storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/storage.py
@@ -32,8 +32,8 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until told to stop."""
-        followed = Followed(RETIREMENT_PREFIX, lambda: _WATCH_S, self._apply)
-        follower = Follower(self._store, followed, None, self._metrics)
+        followed = Followed(RETIREMENT_PREFIX, _WATCH_S, self._apply)
+        follower = Follower(self._store, followed)
         task = asyncio.create_task(follower.run())
         await stop.wait()
         task.cancel()
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -136,7 +136,19 @@
             outcome: WholeAnswer | Failure | None = routed.failure()
         else:
             call = routed.unwrap()
-            outcome = await self._run(call, reply)
+            try:
+                outcome = await self._run(call, reply)
+            except asyncio.CancelledError:
+                logs.write_bounded(
+                    "caller_left",
+                    request_id=terms.request_id,
+                    program_id=terms.program_id,
+                    route=call.route.name,
+                    replicas=call.replica_ids,
+                    events=call.events,
+                    took_ms=round(1000 * (time.monotonic() - began), 1),
+                )
+                raise
         reply.keeps_alive = reply.keeps_alive and not self.is_stopping
         if isinstance(outcome, Failure):
             self._refuse(reply, terms.request_id, outcome)
@@ -231,6 +243,7 @@
             "request",
             request_id=terms.request_id,
             program_id=terms.program_id,
+            prompt_parts=terms.prompt_parts,
             route=route.name if route else "",
             version=configuration.version if configuration else 0,
             status=reply.status,
--- a/libs/ledger/src/masticdale_ledger/__init__.py
+++ b/libs/ledger/src/masticdale_ledger/__init__.py
@@ -1,21 +1,30 @@
 """Program budgets that hold over hosts, restarts and outages of the store."""
 
 from masticdale_ledger.client import SHARD_COUNT, LedgerClient
-from masticdale_ledger.keeper import LOOK_EVERY_S, Identity, ShardKeeper
+from masticdale_ledger.keeper import (
+    LOOK_EVERY_S,
+    RENEW_EVERY_S,
+    Hosts,
+    Identity,
+    ShardKeeper,
+)
 from masticdale_ledger.leases import Lease, boot_time_s
 from masticdale_ledger.messages import LEDGER
 from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.service import LedgerService
 from masticdale_ledger.shards import SHARD_PREFIX, ShardMap, ShardRecord
+from masticdale_ledger.standby import StandbyCopies
 from masticdale_ledger.store_relay import FallbackStore
 
 __all__ = [
     "LEDGER",
     "LOOK_EVERY_S",
+    "RENEW_EVERY_S",
     "SHARD_COUNT",
     "SHARD_PREFIX",
     "FallbackStore",
+    "Hosts",
     "Identity",
     "Lease",
     "LedgerClient",
@@ -25,5 +34,6 @@
     "ShardMap",
     "ShardOwner",
     "ShardRecord",
+    "StandbyCopies",
     "boot_time_s",
 ]
--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -104,15 +104,17 @@
             return Admitted()
         taken = self.spent_tokens + self.reserved_tokens
         needed = taken + claim.turn_tokens
-        if needed > self.budget_tokens:
+        # A bound is rarely reached. Where it stands in for the true count,
+        # one turn may go beyond the budget, which the promise allows; without
+        # it, programs of one or two turns could not go on after a loss.
+        slack = 0 if self.counts_from_start else claim.turn_tokens
+        if needed > self.budget_tokens + slack:
             return Spent(self.spent_tokens, self.reserved_tokens)
         if self.bound is not None:
             is_covered = needed <= self.bound.tokens
         else:
-            # One turn may reach over the first step: if memory is lost just
-            # then, the program ends at most that one turn over its budget.
             first_step = _STEPS[0] * self.budget_tokens
-            is_covered = self.counts_from_start and taken <= first_step
+            is_covered = self.counts_from_start and needed <= first_step
         if is_covered:
             return Admitted()
         version = self.bound.version if self.bound else 0
@@ -122,7 +124,7 @@
         for share in _STEPS[1:]:
             if tokens <= share * self.budget_tokens:
                 return int(share * self.budget_tokens)
-        return self.budget_tokens
+        return tokens
 
 
 class Accounts:
@@ -200,13 +202,20 @@
         for account in accounts:
             self._account_by_id[account.program_id] = account
 
-    def forget_old(self, now: float) -> None:
-        """Drops the programs that were not asked for in a long time."""
+    def forget_old(self, now: float) -> list[Account]:
+        """Drops the programs that were not asked for in a long time.
+
+        Returns:
+            What was dropped.
+        """
+        forgotten: list[Account] = []
         while self._account_by_id:
             oldest = next(iter(self._account_by_id.values()))
             if now - oldest.used_at < _FORGET_AFTER_S:
-                return
+                break
             self._account_by_id.popitem(last=False)
+            forgotten.append(oldest)
+        return forgotten
 
     def _create(
         self, claim: TurnClaim, record: str, is_new: bool, now: float
@@ -214,7 +223,7 @@
         bound = self._bound_by_record.get(record)
         spent = 0
         if bound is not None:
-            spent = min(bound.tokens, claim.budget_tokens)
+            spent = bound.tokens
         elif not is_new:
             spent = int(_STEPS[0] * claim.budget_tokens)
         return Account(
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -0,0 +1,107 @@
+"""Keeps the standby's copy of a shard up to date with its owner."""
+
+import asyncio
+import dataclasses
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, logs
+from masticdale_ledger.messages import (
+    COPY,
+    AccountState,
+    CopyReply,
+    CopyRequest,
+)
+from masticdale_peers import PeerClient
+
+# One copy, in seconds: a hundred round trips between failure domains.
+_COPY_TIMEOUT_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyState:
+    """What a copy carries besides its accounts.
+
+    Attributes:
+        shard: The shard.
+        epoch: The owner's epoch.
+        incomplete_for_s: Programs of before may be missing for so long.
+    """
+
+    shard: int
+    epoch: int
+    incomplete_for_s: float
+
+
+class Copier:
+    """Sends changed accounts to one standby, those of one round together."""
+
+    def __init__(self, peer: PeerClient) -> None:
+        self._peer = peer
+        self._is_complete = False
+        self._lock = asyncio.Lock()
+        self._changed: dict[str, None] = {}
+
+    def note(self, program_id: str) -> None:
+        """Has an account sent with the next copy."""
+        self._changed[program_id] = None
+
+    async def send(
+        self, state: CopyState, accounts: "AccountSource"
+    ) -> Result[None, Failure]:
+        """Returns once the standby holds everything noted so far.
+
+        Failures: CONFLICT where another host takes the shard over;
+        PEER_UNAVAILABLE where the standby does not answer.
+        """
+        async with self._lock:
+            if self._is_complete and not self._changed:
+                return Success(None)
+            changed = list(self._changed)
+            self._changed.clear()
+            is_snapshot = not self._is_complete
+            states = accounts.states(None if is_snapshot else changed)
+            outcome = await self._copy(state, is_snapshot, states)
+            if isinstance(outcome, Failed):
+                self._is_complete = False
+                return outcome
+            if not outcome.unwrap().held:
+                outcome = await self._copy(state, True, accounts.states(None))
+            return self._judge(state, outcome)
+
+    def _judge(
+        self, state: CopyState, outcome: Result[CopyReply, Failure]
+    ) -> Result[None, Failure]:
+        self._is_complete = (
+            not isinstance(outcome, Failed) and outcome.unwrap().held
+        )
+        if self._is_complete:
+            return Success(None)
+        if isinstance(outcome, Failed):
+            return outcome
+        logs.write_bounded("copy_refused", shard=state.shard, sealed=True)
+        return Failed(Failure(ErrorKind.CONFLICT, "the copy is sealed"))
+
+    async def _copy(
+        self,
+        state: CopyState,
+        is_snapshot: bool,
+        accounts: tuple[AccountState, ...],
+    ) -> Result[CopyReply, Failure]:
+        request = CopyRequest(
+            shard=state.shard,
+            epoch=state.epoch,
+            is_snapshot=is_snapshot,
+            accounts=accounts,
+            incomplete_for_s=state.incomplete_for_s,
+        )
+        return await self._peer.call(COPY, request, _COPY_TIMEOUT_S)
+
+
+class AccountSource:
+    """Where a copier reads accounts; see ``OwnedShard``."""
+
+    def states(self, program_ids: list[str] | None) -> tuple[AccountState, ...]:
+        """Returns the named accounts, or all for None."""
+        raise NotImplementedError
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -1,4 +1,4 @@
-"""Sees to it that every shard has an owner."""
+"""Sees to it that every shard has an owner, and every owner a standby."""
 
 import asyncio
 import dataclasses
@@ -8,17 +8,23 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, logs
-from masticdale_ledger.accounts import Account
-from masticdale_ledger.client import SHARD_COUNT, LedgerClient, Peers
-from masticdale_ledger.leases import Lease
+from masticdale_ledger.accounts import Accounts
+from masticdale_ledger.client import SHARD_COUNT, LedgerClient
+from masticdale_ledger.copier import Copier
+from masticdale_ledger.leases import LEASE_S, Lease
 from masticdale_ledger.messages import (
     HAND_OVER,
+    SEAL,
+    AccountState,
     HandOver,
     HandOverReply,
+    SealReply,
+    SealRequest,
 )
-from masticdale_ledger.owner import ShardOwner, account_of
+from masticdale_ledger.owner import OwnedShard, ShardOwner, account_of
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
+    SHARD_PREFIX,
     Previous,
     ShardMap,
     ShardRecord,
@@ -26,10 +32,17 @@
     read_shard,
     shard_key,
 )
+from masticdale_ledger.standby import StandbyCopies
+from masticdale_peers import PeerClient
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore, StoredObject
 
 # How often the shards are looked at, in seconds.
 LOOK_EVERY_S = 0.2
+# How often the lease is looked at, in seconds.
+RENEW_EVERY_S = 0.5
+# An owner asks the store again once its last answer is this old, in seconds:
+# a third of the lease, so that two failed rounds leave time for a third.
+_RENEW_AFTER_S = LEASE_S / 3
 # An owner that has not answered for this long is replaced, in seconds: longer
 # than a pause of its process on a busy machine, shorter than callers wait.
 _LOST_AFTER_S = 0.5
@@ -38,7 +51,10 @@
 # All hosts see an unowned shard at once; each waits a random part of this, in
 # seconds, so that the first one's record spares the others their calls.
 _CLAIM_SPREAD_S = 1.0
-_HAND_OVER_TIMEOUT_S = 1.0
+_CALL_TIMEOUT_S = 0.5
+# After the accounts of a shard are lost, a program of before may come back
+# for this long, in seconds; twice the longest time that callers keep one.
+_LOST_PROGRAMS_S = 120.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +74,33 @@
     port: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Inheritance:
+    """What is known of a shard that is taken over.
+
+    Attributes:
+        previous: Whether the last owner surely acts no more.
+        accounts: Its accounts.
+        incomplete_for_s: Programs of before may be missing for so long.
+    """
+
+    previous: Previous
+    accounts: tuple[AccountState, ...] = ()
+    incomplete_for_s: float = 0.0
+
+
+class Hosts:
+    """The clients of other hosts, as the keeper needs them."""
+
+    def client(self, address: str, port: int) -> PeerClient:
+        """Returns the client of one host."""
+        raise NotImplementedError
+
+    def candidates(self) -> list[tuple[str, int]]:
+        """Returns addresses of other hosts that may be a standby."""
+        raise NotImplementedError
+
+
 class ShardKeeper:
     """Claims shards without an owner, gives them away at a stop."""
 
@@ -70,7 +113,8 @@
         owner: ShardOwner,
         lease: Lease,
         client: LedgerClient,
-        peers: Peers,
+        copies: StandbyCopies,
+        hosts: Hosts,
     ) -> None:
         self.is_stopping = False
         self._identity = identity
@@ -80,7 +124,8 @@
         self._owner = owner
         self._lease = lease
         self._client = client
-        self._peers = peers
+        self._copies = copies
+        self._hosts = hosts
         self._random = random.Random(identity.incarnation)
         self._claim_at_by_shard: dict[int, float] = {}
         self._busy_shards: set[int] = set()
@@ -90,20 +135,47 @@
         self._drop_lost()
         if self.is_stopping or not self._map.is_loaded:
             return
-        for shard in range(SHARD_COUNT):
-            previous = self._vacancy(shard)
+        for number in range(SHARD_COUNT):
+            previous = self._vacancy(number)
             if previous is None:
-                self._claim_at_by_shard.pop(shard, None)
-            elif self._is_due(shard, previous):
-                await self._claim(shard, previous)
+                self._claim_at_by_shard.pop(number, None)
+            elif self._is_due(number, previous):
+                await self._claim(number, previous)
+        for shard in self._owner.owned().values():
+            if self._needs_standby(shard):
+                await self._replace_standby(shard)
+
+    async def renew(self) -> None:
+        """Asks the store who owns the shards, while some are owned here.
+
+        The answer extends the lease, or shows that another host has them.
+        """
+        age_s = self._lease.age_s
+        if not self._owner.owned() or (
+            age_s is not None and age_s < _RENEW_AFTER_S
+        ):
+            return
+        asked_at = self._lease.now()
+        outcome = await self._store.list(SHARD_PREFIX)
+        if isinstance(outcome, Failed):
+            logs.write_bounded(
+                "lease_not_renewed", age_s=age_s, reason=str(outcome.failure())
+            )
+            return
+        for stored in outcome.unwrap():
+            self._map.put(stored)
+        self._drop_lost()
+        self._lease.confirm(asked_at)
 
     async def accept(self, offer: HandOver) -> HandOverReply:
         """Takes over a shard that its owner offers."""
         if self.is_stopping or not self._map.is_loaded:
             return HandOverReply(Failure(ErrorKind.STOPPING))
-        accounts = [account_of(state) for state in offer.accounts]
+        inheritance = _Inheritance(
+            Previous.ENDED, offer.accounts, offer.incomplete_for_s
+        )
         claimed = await self._write_claim(
-            offer.shard, Previous.ENDED, offer.version, accounts
+            offer.shard, offer.version, inheritance
         )
         if isinstance(claimed, Failed):
             return HandOverReply(claimed.failure())
@@ -112,29 +184,30 @@
     async def hand_over_all(self) -> None:
         """Offers every shard to another owner; for a planned stop."""
         self.is_stopping = True
-        for shard, view in self._owner.owned().items():
-            await self._hand_over(shard, view)
+        for shard in self._owner.owned().values():
+            await self._hand_over(shard)
 
     def _drop_lost(self) -> None:
-        for shard, view in self._owner.owned().items():
-            known = self._map.get(shard)
-            if known is not None and known.version > view.version:
-                self._owner.drop(shard)
+        for number, shard in self._owner.owned().items():
+            known = self._map.get(number)
+            if known is not None and known.version > shard.view.version:
+                self._owner.drop(number)
                 logs.write(
-                    "shard_lost", shard=shard, new_owner=known.record.owner
+                    "shard_lost", shard=number, new_owner=known.record.owner
                 )
 
-    def _vacancy(self, shard: int) -> Previous | None:
+    def _vacancy(self, number: int) -> Previous | None:
         """Returns what is known of the owner of a shard nobody serves."""
-        view = self._map.get(shard)
+        view = self._map.get(number)
         if view is None:
             return Previous.NONE
         record = view.record
         if record.owner == self._identity.host:
             # This process is its host's newest, so the one before has ended.
             is_own = record.incarnation == self._identity.incarnation
-            return None if is_own else Previous.ENDED
-        lost = self._client.unreachable_by_shard.get(shard)
+            is_served = is_own and number in self._owner.owned()
+            return None if is_served else Previous.ENDED
+        lost = self._client.unreachable_by_shard.get(number)
         if lost is None or lost.version != view.version:
             return None
         now = asyncio.get_running_loop().time()
@@ -142,95 +215,218 @@
         is_recent = now - lost.last < _LOST_FRESH_S
         return Previous.LOST if is_lost and is_recent else None
 
-    def _is_due(self, shard: int, previous: Previous) -> bool:
+    def _is_due(self, number: int, previous: Previous) -> bool:
         if previous is Previous.ENDED:
             return True
         now = asyncio.get_running_loop().time()
-        spread_s = _CLAIM_SPREAD_S
+        # A host that owns shards leaves the next one to the others first, so
+        # that the loss of one host touches few programs.
+        spread_s = _CLAIM_SPREAD_S * (1 + 2 * len(self._owner.owned()))
         if previous is Previous.LOST:
             spread_s /= 4
         due_at = self._claim_at_by_shard.setdefault(
-            shard, now + self._random.uniform(0, spread_s)
+            number, now + self._random.uniform(0, spread_s)
         )
         return now >= due_at
 
-    async def _claim(self, shard: int, previous: Previous) -> None:
-        self._claim_at_by_shard.pop(shard, None)
-        view = self._map.get(shard)
+    async def _claim(self, number: int, previous: Previous) -> None:
+        self._claim_at_by_shard.pop(number, None)
+        view = self._map.get(number)
         version = view.version if view else MUST_NOT_EXIST
-        outcome = await self._write_claim(shard, previous, version, [])
+        inheritance = await self._inherit(number, view, previous)
+        outcome = await self._write_claim(number, version, inheritance)
         if isinstance(outcome, Failed):
             logs.write_bounded(
                 "shard_not_claimed",
-                shard=shard,
-                previous=previous,
+                shard=number,
+                previous=inheritance.previous,
+                reason=str(outcome.failure()),
+            )
+
+    async def _inherit(
+        self, number: int, view: ShardView | None, previous: Previous
+    ) -> _Inheritance:
+        """Stops the last owner where it may live, and gets its accounts."""
+        if view is None:
+            return _Inheritance(Previous.NONE)
+        reply = await self._seal(number, view.record)
+        if reply is None:
+            return _Inheritance(previous, (), _LOST_PROGRAMS_S)
+        if not reply.held:
+            return _Inheritance(Previous.ENDED, (), _LOST_PROGRAMS_S)
+        return _Inheritance(
+            Previous.ENDED, reply.accounts, reply.incomplete_for_s
+        )
+
+    async def _seal(self, number: int, record: ShardRecord) -> SealReply | None:
+        """Returns None where the standby can't be asked."""
+        if not record.standby_address:
+            return None
+        request = SealRequest(number, record.epoch)
+        here = (self._identity.address, self._identity.port)
+        if (record.standby_address, record.standby_port) == here:
+            return self._copies.seal(request)
+        peer = self._hosts.client(record.standby_address, record.standby_port)
+        outcome = await peer.call(SEAL, request, _CALL_TIMEOUT_S)
+        if isinstance(outcome, Failed):
+            logs.write_bounded(
+                "copy_not_sealed",
+                shard=number,
+                standby=record.standby_address,
                 reason=str(outcome.failure()),
             )
+            return None
+        return outcome.unwrap()
 
     async def _write_claim(
-        self,
-        shard: int,
-        previous: Previous,
-        version: int,
-        accounts: list[Account],
+        self, number: int, version: int, inheritance: _Inheritance
     ) -> Result[None, Failure]:
-        if shard in self._busy_shards:
+        if number in self._busy_shards:
             return Failed(Failure(ErrorKind.CONFLICT, "claimed right now"))
-        self._busy_shards.add(shard)
+        self._busy_shards.add(number)
         try:
-            return await self._write_record(shard, previous, version, accounts)
+            return await self._write_record(number, version, inheritance)
         finally:
-            self._busy_shards.discard(shard)
+            self._busy_shards.discard(number)
 
     async def _write_record(
-        self,
-        shard: int,
-        previous: Previous,
-        version: int,
-        accounts: list[Account],
+        self, number: int, version: int, inheritance: _Inheritance
     ) -> Result[None, Failure]:
-        known = self._map.get(shard)
-        record = ShardRecord(
-            owner=self._identity.host,
-            incarnation=self._identity.incarnation,
-            address=self._identity.address,
-            port=self._identity.port,
-            epoch=(known.record.epoch if known else 0) + 1,
-            previous=previous,
-        )
-        value = record.model_dump_json().encode()
-        asked_at = self._lease.now()
-        written = await self._write_or_read_back(shard, record, version)
+        known = self._map.get(number)
+        epoch = (known.record.epoch if known else 0) + 1
+        record = self._new_record(epoch, inheritance.previous, excluded=None)
+        written = await self._write(number, record, version)
         if isinstance(written, Failed):
             return written
-        self._lease.confirm(asked_at)
         # Read after the claim: what the last owner wrote is in it, and what
         # it might write from now on conflicts with what is written here.
         bounds = await self._records.load()
         if isinstance(bounds, Failed):
             return bounds
-        stored = StoredObject(shard_key(shard), written.unwrap(), value)
-        view = ShardView(record, stored.version)
-        self._owner.take(shard, view, bounds.unwrap(), accounts)
-        self._client.unreachable_by_shard.pop(shard, None)
-        self._map.put(stored)
+        accounts = Accounts(bounds.unwrap())
+        accounts.adopt([account_of(state) for state in inheritance.accounts])
+        self._own(number, record, written.unwrap(), accounts, inheritance)
         logs.write(
             "shard_taken",
-            shard=shard,
-            epoch=record.epoch,
-            previous=previous,
+            shard=number,
+            epoch=epoch,
+            previous=inheritance.previous,
             records=len(bounds.unwrap()),
             accounts=len(accounts),
+            incomplete_for_s=inheritance.incomplete_for_s,
+            standby=record.standby_address,
         )
         return Success(None)
 
-    async def _write_or_read_back(
-        self, shard: int, record: ShardRecord, version: int
+    def _own(
+        self,
+        number: int,
+        record: ShardRecord,
+        version: int,
+        accounts: Accounts,
+        inheritance: _Inheritance,
+    ) -> None:
+        incomplete_s = inheritance.incomplete_for_s
+        if inheritance.previous is Previous.LOST:
+            # The last owner may act on until its lease ends, and the programs
+            # that it admits in that time are not known here.
+            incomplete_s = LEASE_S + _LOST_PROGRAMS_S
+        view = ShardView(record, version)
+        self._owner.take(
+            OwnedShard(
+                number,
+                view,
+                accounts,
+                self._lease.now() + incomplete_s if incomplete_s else 0.0,
+                self._lease,
+                self._copier(record),
+            )
+        )
+        self._client.unreachable_by_shard.pop(number, None)
+        value = record.model_dump_json().encode()
+        self._map.put(StoredObject(shard_key(number), version, value))
+
+    def _new_record(
+        self, epoch: int, previous: Previous, excluded: tuple[str, int] | None
+    ) -> ShardRecord:
+        candidates = [c for c in self._hosts.candidates() if c != excluded]
+        standby = self._random.choice(candidates) if candidates else ("", 0)
+        return ShardRecord(
+            owner=self._identity.host,
+            incarnation=self._identity.incarnation,
+            address=self._identity.address,
+            port=self._identity.port,
+            epoch=epoch,
+            previous=previous,
+            standby_address=standby[0],
+            standby_port=standby[1],
+        )
+
+    def _copier(self, record: ShardRecord) -> Copier | None:
+        if not record.standby_address:
+            return None
+        return Copier(
+            self._hosts.client(record.standby_address, record.standby_port)
+        )
+
+    def _needs_standby(self, shard: OwnedShard) -> bool:
+        if shard.number in self._owner.broken_copies:
+            return True
+        return shard.copier is None and bool(self._hosts.candidates())
+
+    async def _replace_standby(self, shard: OwnedShard) -> None:
+        """Names another standby; the accounts stay.
+
+        The write fails where another host has taken the shard over.
+        """
+        if shard.number in self._busy_shards or shard.is_moving:
+            return
+        self._busy_shards.add(shard.number)
+        try:
+            await self._write_standby(shard)
+        finally:
+            self._busy_shards.discard(shard.number)
+
+    async def _write_standby(self, shard: OwnedShard) -> None:
+        old = shard.view.record
+        record = self._new_record(
+            old.epoch + 1,
+            Previous.ENDED,
+            excluded=(old.standby_address, old.standby_port),
+        )
+        written = await self._write(shard.number, record, shard.view.version)
+        logs.write_bounded(
+            "standby_replaced",
+            shard=shard.number,
+            old=old.standby_address,
+            new=record.standby_address,
+            failure=str(written.failure())
+            if isinstance(written, Failed)
+            else "",
+        )
+        if isinstance(written, Failed):
+            return
+        if self._owner.owned().get(shard.number) is not shard:
+            return
+        self._own(
+            shard.number,
+            record,
+            written.unwrap(),
+            shard.accounts,
+            _Inheritance(
+                Previous.ENDED, incomplete_for_s=shard.incomplete_for_s
+            ),
+        )
+
+    async def _write(
+        self, number: int, record: ShardRecord, version: int
     ) -> Result[int, Failure]:
-        key = shard_key(shard)
+        key = shard_key(number)
         value = record.model_dump_json().encode()
+        asked_at = self._lease.now()
         outcome = await self._store.write(key, value, version)
         if not isinstance(outcome, Failed):
+            self._lease.confirm(asked_at)
             return outcome
         kind = outcome.failure().kind
         if kind not in (ErrorKind.WRITE_UNKNOWN, ErrorKind.CONFLICT):
@@ -245,33 +441,38 @@
             return outcome
         view = read_shard(stored)
         if view is not None and view.record == record:
+            self._lease.confirm(asked_at)
             return Success(view.version)
         self._map.put(stored)
         return outcome
 
-    async def _hand_over(self, shard: int, view: ShardView) -> None:
+    async def _hand_over(self, shard: OwnedShard) -> None:
         target = self._target()
         if target is None:
             return
-        accounts = self._owner.begin_move(shard)
-        offer = HandOver(shard, view.version, tuple(accounts))
-        outcome = await self._peers(target).call(
-            HAND_OVER, offer, _HAND_OVER_TIMEOUT_S
+        shard.is_moving = True
+        offer = HandOver(
+            shard.number,
+            shard.view.version,
+            shard.states(None),
+            shard.incomplete_for_s,
         )
+        peer = self._hosts.client(target.address, target.port)
+        outcome = await peer.call(HAND_OVER, offer, 2 * _CALL_TIMEOUT_S)
         failure = (
             outcome.failure()
             if isinstance(outcome, Failed)
             else outcome.unwrap().failure
         )
         if failure is None:
-            self._owner.drop(shard)
+            self._owner.drop(shard.number)
         else:
-            self._owner.end_move(shard)
+            shard.is_moving = False
         logs.write(
             "shard_handed_over",
-            shard=shard,
+            shard=shard.number,
             to=target.owner,
-            accounts=len(accounts),
+            accounts=len(offer.accounts),
             failure=str(failure) if failure else "",
         )
 
--- a/libs/ledger/src/masticdale_ledger/leases.py
+++ b/libs/ledger/src/masticdale_ledger/leases.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 
 # An owner acts on its ownership for this long after it has asked the store,
-# in seconds. Outages of the store were seen to last up to nine seconds; its
-# watches wait three. Whoever takes a shard over without knowing that its last
-# owner has ended waits this long before it trusts its own counts alone.
-LEASE_S = 12.0
+# in seconds. Outages of the store were seen to last up to twelve seconds.
+# Ownership passes on sooner where the standby can be asked; this is the bound
+# for whoever can reach neither the owner nor its standby.
+LEASE_S = 30.0
 
 
 def boot_time_s() -> float:
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -51,6 +51,31 @@
   1: i32 shard,
   2: i64 version,            // of the shard's object, as the owner wrote it
   3: list<AccountState> accounts,
+  4: double incomplete_for_s, // programs before may be missing for so long
+}
+
+struct CopyRequest {
+  1: i32 shard,
+  2: i64 epoch,
+  3: bool is_snapshot,       // replaces whatever is held
+  4: list<AccountState> accounts,
+  5: double incomplete_for_s,
+}
+
+struct CopyReply {
+  1: bool held,
+  2: bool sealed,            // another host takes the shard over
+}
+
+struct SealRequest {
+  1: i32 shard,
+  2: i64 epoch,
+}
+
+struct SealReply {
+  1: bool held,              // the accounts are complete
+  2: list<AccountState> accounts,
+  3: double incomplete_for_s,
 }
 
 struct HandOverReply {
@@ -85,5 +110,7 @@
   AdmitReply admit(1: AdmitRequest request),
   SettleReply settle(1: SettleRequest request),
   HandOverReply hand_over(1: HandOver request),
+  CopyReply copy(1: CopyRequest request),
+  SealReply seal(1: SealRequest request),
   StoreReply store(1: StoreRequest request),
 }
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -82,11 +82,13 @@
         shard: The shard.
         version: Version of its object as the owner has written it.
         accounts: Everything the owner knows.
+        incomplete_for_s: Programs of before may be missing for so long.
     """
 
     shard: int
     version: int
     accounts: tuple[AccountState, ...]
+    incomplete_for_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +98,56 @@
     failure: Failure | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyRequest:
+    """Changed accounts of a shard, from its owner to its standby.
+
+    Attributes:
+        shard: The shard.
+        epoch: The owner's epoch.
+        is_snapshot: Whether these are all accounts.
+        accounts: What has changed, each account whole.
+        incomplete_for_s: Programs of before may be missing for so long.
+    """
+
+    shard: int
+    epoch: int
+    is_snapshot: bool
+    accounts: tuple[AccountState, ...]
+    incomplete_for_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyReply:
+    """Whether the standby holds the copy, or another host has sealed it."""
+
+    held: bool = False
+    sealed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealRequest:
+    """Asks a standby to take no more copies of an epoch."""
+
+    shard: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SealReply:
+    """The sealed copy.
+
+    Attributes:
+        held: Whether there is one; without, the accounts are lost.
+        accounts: All accounts.
+        incomplete_for_s: Programs of before may be missing for so long.
+    """
+
+    held: bool = False
+    accounts: tuple[AccountState, ...] = ()
+    incomplete_for_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreItem:
     """A ``StoredObject`` with its value as text."""
@@ -141,12 +193,14 @@
 ADMIT = Rpc("admit", AdmitRequest, AdmitReply)
 SETTLE = Rpc("settle", SettleRequest, SettleReply)
 HAND_OVER = Rpc("hand_over", HandOver, HandOverReply)
+COPY = Rpc("copy", CopyRequest, CopyReply)
+SEAL = Rpc("seal", SealRequest, SealReply)
 STORE = Rpc("store", StoreRequest, StoreReply)
 
 LEDGER = Contract(
     "masticdale_ledger",
     "ledger.thrift",
     "Ledger",
-    (ADMIT, SETTLE, HAND_OVER, STORE),
+    (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, STORE),
     (Settlement, AccountState, StoreItem),
 )
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import time
 
 from returns.result import Failure as Failed
@@ -18,154 +17,186 @@
     NeedsRecord,
     Spent,
 )
-from masticdale_ledger.leases import LEASE_S, Lease
+from masticdale_ledger.copier import AccountSource, Copier, CopyState
+from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import AccountState, Settlement
 from masticdale_ledger.records import ProgramRecords, record_name
-from masticdale_ledger.shards import Previous, ShardView
+from masticdale_ledger.shards import ShardView
 
 # Rounds of judging and writing for one turn. Each conflict raises the bound
 # to another owner's, so that three rounds pass every step.
 _ROUNDS = 4
 
 
-@dataclasses.dataclass(slots=True)
-class _OwnedShard:
+class OwnedShard(AccountSource):
     """A shard while this host owns it.
 
     Attributes:
+        number: Its number.
         view: The record by which it is owned.
         accounts: Its programs.
-        exclusive_at: Lease seconds from which the last owner surely acts no more.
+        copier: Keeps the standby up to date; None without a standby.
         is_moving: Whether it is being handed over.
     """
 
-    view: ShardView
-    accounts: Accounts
-    exclusive_at: float
-    is_moving: bool = False
+    def __init__(
+        self,
+        number: int,
+        view: ShardView,
+        accounts: Accounts,
+        complete_from: float,
+        lease: Lease,
+        copier: Copier | None,
+    ) -> None:
+        """Begins to own a shard.
+
+        Args:
+            number: Its number.
+            view: The record by which it is owned.
+            accounts: What is known of its programs.
+            complete_from: Lease seconds from which a program that is not
+                known surely is a new one.
+            lease: The clock of that.
+            copier: Keeps the standby up to date.
+        """
+        self.number = number
+        self.view = view
+        self.accounts = accounts
+        self.copier = copier
+        self.is_moving = False
+        self._complete_from = complete_from
+        self._lease = lease
+
+    @property
+    def incomplete_for_s(self) -> float:
+        """How long programs of before may yet be missing."""
+        return max(0.0, self._complete_from - self._lease.now())
+
+    def open(self, claim: TurnClaim) -> Account:
+        """Returns the account of a claim's program."""
+        return self.accounts.open(
+            claim,
+            record_name(claim.program_id),
+            self.incomplete_for_s == 0,
+            time.monotonic(),
+        )
+
+    def states(self, program_ids: list[str] | None) -> tuple[AccountState, ...]:
+        """See ``AccountSource.states``."""
+        if program_ids is None:
+            return tuple(_state(a) for a in self.accounts.all())
+        found = (self.accounts.get(i) for i in program_ids)
+        return tuple(_state(a) for a in found if a is not None)
+
+    async def copy(self) -> Result[None, Failure]:
+        """Returns once the standby holds every account as it is now."""
+        if self.copier is None:
+            return Success(None)
+        state = CopyState(
+            self.number, self.view.record.epoch, self.incomplete_for_s
+        )
+        return await self.copier.send(state, self)
 
 
 class ShardOwner:
-    """The shards of this host."""
+    """The shards of this host.
+
+    Attributes:
+        broken_copies: Shards whose standby has to be replaced.
+    """
 
     def __init__(
         self, records: ProgramRecords, lease: Lease, metrics: Metrics
     ) -> None:
+        self.broken_copies: set[int] = set()
         self._records = records
         self._lease = lease
         self._metrics = metrics
-        self._shard_by_number: dict[int, _OwnedShard] = {}
+        self._shard_by_number: dict[int, OwnedShard] = {}
         self._write_lock_by_program: dict[str, asyncio.Lock] = (
             collections.defaultdict(asyncio.Lock)
         )
 
-    def owned(self) -> dict[int, ShardView]:
+    def owned(self) -> dict[int, OwnedShard]:
         """Returns the shards owned, by number."""
-        return {n: s.view for n, s in self._shard_by_number.items()}
-
-    def take(
-        self,
-        shard: int,
-        view: ShardView,
-        bound_by_record: dict[str, Bound],
-        accounts: list[Account] | None = None,
-    ) -> None:
-        """Begins to own a shard.
+        return dict(self._shard_by_number)
 
-        Args:
-            shard: Its number.
-            view: The record by which it is owned.
-            bound_by_record: Every record, read after that one was written.
-            accounts: What the last owner handed over; None if it didn't.
-        """
-        wait_s = LEASE_S if view.record.previous is Previous.LOST else 0.0
-        owned = _OwnedShard(
-            view, Accounts(bound_by_record), self._lease.now() + wait_s
-        )
-        owned.accounts.adopt(accounts or [])
-        self._shard_by_number[shard] = owned
+    def take(self, shard: OwnedShard) -> None:
+        """Begins to own a shard."""
+        self._shard_by_number[shard.number] = shard
+        self.broken_copies.discard(shard.number)
 
-    def drop(self, shard: int) -> None:
+    def drop(self, number: int) -> None:
         """Stops to own a shard."""
-        self._shard_by_number.pop(shard, None)
-
-    def begin_move(self, shard: int) -> list[AccountState]:
-        """Admits no more turns of a shard; returns what is to be handed over.
-
-        ``end_move`` or ``drop`` follows.
-        """
-        owned = self._shard_by_number[shard]
-        owned.is_moving = True
-        return [_state(a) for a in owned.accounts.all()]
-
-    def end_move(self, shard: int) -> None:
-        """Goes on to admit: the shard could not be handed over."""
-        owned = self._shard_by_number.get(shard)
-        if owned is not None:
-            owned.is_moving = False
+        self._shard_by_number.pop(number, None)
+        self.broken_copies.discard(number)
 
     async def admit(
-        self, shard: int, claim: TurnClaim
+        self, number: int, claim: TurnClaim
     ) -> Result[None, Failure]:
         """Reserves what a turn may use; see ``BudgetLedger.admit``."""
         for _ in range(_ROUNDS):
-            owned = self._shard_by_number.get(shard)
-            if owned is None or owned.is_moving:
-                return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {shard}"))
+            shard = self._shard_by_number.get(number)
+            if shard is None or shard.is_moving:
+                return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {number}"))
             if not self._lease.is_valid:
-                detail = f"lease of shard {shard}, age {self._lease.age_s}"
+                detail = f"lease of shard {number}, age {self._lease.age_s}"
                 return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
-            account = self._open(owned, claim)
+            account = shard.open(claim)
             verdict = account.judge(claim)
             if isinstance(verdict, Admitted):
-                owned.accounts.reserve(claim)
-                return Success(None)
+                return await self._reserve(shard, claim)
             if isinstance(verdict, Spent):
-                return Failed(self._spent(shard, claim, account, verdict))
-            written = await self._write(owned, claim, account)
+                return Failed(self._spent(number, claim, account, verdict))
+            written = await self._write(shard, claim, account)
             if isinstance(written, Failed):
                 return written
         return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, "contended"))
 
     def settle(self, settlement: Settlement) -> bool:
         """Notes what a turn used; False where another host owns the shard."""
-        owned = self._shard_by_number.get(settlement.shard)
-        if owned is None or owned.is_moving:
+        shard = self._shard_by_number.get(settlement.shard)
+        if shard is None or shard.is_moving:
             return False
-        owned.accounts.settle(
+        shard.accounts.settle(
             settlement.program_id,
             settlement.request_id,
             settlement.used_tokens,
         )
+        if shard.copier is not None:
+            shard.copier.note(settlement.program_id)
         return True
 
     async def forget_old(self) -> None:
         """Drops programs that will not come back, and their records."""
-        for owned in list(self._shard_by_number.values()):
-            before = {a.program_id: a for a in owned.accounts.all()}
-            owned.accounts.forget_old(time.monotonic())
-            for account in owned.accounts.all():
-                before.pop(account.program_id, None)
-            for account in before.values():
+        for shard in list(self._shard_by_number.values()):
+            for account in shard.accounts.forget_old(time.monotonic()):
                 self._write_lock_by_program.pop(account.program_id, None)
                 if account.bound is not None:
                     await self._records.delete(
                         account.program_id, account.bound.version
                     )
 
-    def _open(self, owned: _OwnedShard, claim: TurnClaim) -> Account:
-        # Until the last owner has surely ended, it may count the same program
-        # from nothing too; then only what a record grants may be spent here.
-        is_exclusive = self._lease.now() >= owned.exclusive_at
-        return owned.accounts.open(
-            claim,
-            record_name(claim.program_id),
-            claim.is_first_turn and is_exclusive,
-            time.monotonic(),
-        )
+    async def _reserve(
+        self, shard: OwnedShard, claim: TurnClaim
+    ) -> Result[None, Failure]:
+        shard.accounts.reserve(claim)
+        if shard.copier is not None:
+            shard.copier.note(claim.program_id)
+        copied = await shard.copy()
+        # The host may have been suspended meanwhile, or the shard be gone.
+        if self._shard_by_number.get(shard.number) is not shard:
+            detail = f"shard {shard.number}"
+            return Failed(Failure(ErrorKind.NOT_OWNER, detail))
+        if not isinstance(copied, Failed):
+            return Success(None)
+        self.broken_copies.add(shard.number)
+        shard.accounts.settle(claim.program_id, claim.request_id, 0)
+        detail = f"standby of shard {shard.number}: {copied.failure()}"
+        return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
 
     async def _write(
-        self, owned: _OwnedShard, claim: TurnClaim, account: Account
+        self, shard: OwnedShard, claim: TurnClaim, account: Account
     ) -> Result[None, Failure]:
         async with self._write_lock_by_program[claim.program_id]:
             verdict = account.judge(claim)
@@ -176,7 +207,7 @@
             )
             if not isinstance(outcome, Failed):
                 self._metrics.count("ledger_records_total")
-                owned.accounts.set_bound(claim.program_id, outcome.unwrap())
+                shard.accounts.set_bound(claim.program_id, outcome.unwrap())
                 return Success(None)
             if outcome.failure().kind is not ErrorKind.CONFLICT:
                 detail = f"record: {outcome.failure()}"
@@ -203,14 +234,14 @@
         return Success(None)
 
     def _spent(
-        self, shard: int, claim: TurnClaim, account: Account, verdict: Spent
+        self, number: int, claim: TurnClaim, account: Account, verdict: Spent
     ) -> Failure:
         self._metrics.count("ledger_refusals_total")
         logs.write_bounded(
             "budget_spent",
             request_id=claim.request_id,
             program_id=claim.program_id,
-            shard=shard,
+            shard=number,
             budget_tokens=claim.budget_tokens,
             spent_tokens=verdict.spent_tokens,
             reserved_tokens=verdict.reserved_tokens,
@@ -237,7 +268,7 @@
 
 
 def account_of(state: AccountState) -> Account:
-    """Returns the account that another owner has handed over."""
+    """Returns the account that another host has held."""
     bound = None
     if state.bound_version:
         bound = Bound(state.bound_tokens, state.bound_version)
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -7,14 +7,19 @@
 from masticdale_ledger.messages import (
     AdmitReply,
     AdmitRequest,
+    CopyReply,
+    CopyRequest,
     HandOver,
     HandOverReply,
+    SealReply,
+    SealRequest,
     SettleReply,
     SettleRequest,
     StoreReply,
     StoreRequest,
 )
 from masticdale_ledger.owner import ShardOwner
+from masticdale_ledger.standby import StandbyCopies
 from masticdale_ledger.store_relay import serve_store
 from masticdale_platform import ObjectStore
 
@@ -23,8 +28,13 @@
     """One method for each call of the contract ``LEDGER``."""
 
     def __init__(
-        self, owner: ShardOwner, keeper: ShardKeeper, direct: ObjectStore
+        self,
+        owner: ShardOwner,
+        keeper: ShardKeeper,
+        copies: StandbyCopies,
+        direct: ObjectStore,
     ) -> None:
+        self._copies = copies
         self._owner = owner
         self._keeper = keeper
         self._direct = direct
@@ -56,6 +66,14 @@
         """Takes over a shard."""
         return await self._keeper.accept(request)
 
+    async def copy(self, request: CopyRequest) -> CopyReply:
+        """Holds accounts of another host's shard."""
+        return self._copies.put(request)
+
+    async def seal(self, request: SealRequest) -> SealReply:
+        """Stops the owner of a shard that is being taken over."""
+        return self._copies.seal(request)
+
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't."""
         return await serve_store(self._direct, request)
--- a/libs/ledger/src/masticdale_ledger/shards.py
+++ b/libs/ledger/src/masticdale_ledger/shards.py
@@ -31,6 +31,9 @@
         port: And the port.
         epoch: One more than the last owner's.
         previous: Whether the last owner surely acts no more.
+        standby_address: Host without whose consent the owner admits nothing;
+            empty for none.
+        standby_port: And its port.
     """
 
     model_config = pydantic.ConfigDict(frozen=True)
@@ -41,6 +44,8 @@
     port: int
     epoch: int
     previous: Previous
+    standby_address: str = ""
+    standby_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +120,7 @@
             owner=record.owner,
             epoch=record.epoch,
             previous=record.previous,
+            standby=record.standby_address,
             version=stored.version,
         )
         self._wake()
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -0,0 +1,88 @@
+"""Copies of other hosts' shards.
+
+An owner admits a turn only after its standby holds the account. So a standby
+that is sealed stops the owner at once, whatever clocks say, and whoever takes
+the shard over gets exact accounts. The loss of one host costs no budget.
+"""
+
+import collections
+import dataclasses
+
+from masticdale_common import logs
+from masticdale_ledger.leases import boot_time_s
+from masticdale_ledger.messages import (
+    AccountState,
+    CopyReply,
+    CopyRequest,
+    SealReply,
+    SealRequest,
+)
+
+# Programs kept of one shard; the longest unchanged go first. As many as an
+# owner keeps.
+_MAX_ACCOUNTS = 20_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Copy:
+    """What is held of one shard.
+
+    Attributes:
+        epoch: The owner's epoch.
+        account_by_id: Its accounts.
+        complete_from: Clock seconds from which no program is missing.
+    """
+
+    epoch: int
+    account_by_id: collections.OrderedDict[str, AccountState]
+    complete_from: float
+
+
+class StandbyCopies:
+    """The copies that this host holds."""
+
+    def __init__(self) -> None:
+        self._copy_by_shard: dict[int, _Copy] = {}
+        self._sealed_epoch_by_shard: dict[int, int] = {}
+
+    def put(self, request: CopyRequest) -> CopyReply:
+        """Takes changed accounts from an owner."""
+        if request.epoch <= self._sealed_epoch_by_shard.get(request.shard, 0):
+            return CopyReply(sealed=True)
+        copy = self._copy_by_shard.get(request.shard)
+        if copy is not None and copy.epoch > request.epoch:
+            return CopyReply(sealed=True)
+        if request.is_snapshot:
+            copy = _Copy(request.epoch, collections.OrderedDict(), 0.0)
+            self._copy_by_shard[request.shard] = copy
+        if copy is None or copy.epoch != request.epoch:
+            # This process started after the copy was made: the owner has to
+            # send everything again.
+            return CopyReply(held=False)
+        copy.complete_from = boot_time_s() + request.incomplete_for_s
+        for account in request.accounts:
+            copy.account_by_id[account.program_id] = account
+            copy.account_by_id.move_to_end(account.program_id)
+        while len(copy.account_by_id) > _MAX_ACCOUNTS:
+            copy.account_by_id.popitem(last=False)
+        return CopyReply(held=True)
+
+    def seal(self, request: SealRequest) -> SealReply:
+        """Takes no more copies up to an epoch; returns what is held of it."""
+        sealed = self._sealed_epoch_by_shard.get(request.shard, 0)
+        self._sealed_epoch_by_shard[request.shard] = max(sealed, request.epoch)
+        copy = self._copy_by_shard.get(request.shard)
+        is_held = copy is not None and copy.epoch == request.epoch
+        logs.write(
+            "copy_sealed",
+            shard=request.shard,
+            epoch=request.epoch,
+            held=is_held,
+        )
+        if copy is None or not is_held:
+            return SealReply()
+        return SealReply(
+            held=True,
+            accounts=tuple(copy.account_by_id.values()),
+            incomplete_for_s=max(0.0, copy.complete_from - boot_time_s()),
+        )
