--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -25,8 +25,10 @@
 
 T = TypeVar("T")
 
-# The direct way is tried again after this long, in seconds.
-_RETRY_DIRECT_S = 2.0
+# The direct way is tried again after this long, in seconds: a change of the
+# configuration is to be in force two seconds after it was acknowledged, also
+# where it comes right after an outage.
+_RETRY_DIRECT_S = 1.0
 # What another host may take for a call besides a watch's wait, in seconds:
 # one timeout of the store's client there.
 _RELAY_TIMEOUT_S = 1.5
@@ -120,6 +122,7 @@
         self._random = random.Random()
         self._closed_until = 0.0
         self._is_reachable = True
+        self._regained = asyncio.Event()
 
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
@@ -158,11 +161,38 @@
 
         def call(store: ObjectStore) -> Awaitable[Result[WatchBatch, Failure]]:
             is_direct = store is self._direct
-            limit_s = wait_s if is_direct else min(wait_s, _RETRY_DIRECT_S)
-            return store.watch(prefix, position, limit_s)
+            if is_direct:
+                return store.watch(prefix, position, wait_s)
+            limit_s = min(wait_s, _RETRY_DIRECT_S)
+            watch: Any = store.watch(prefix, position, limit_s)
+            return self._until_regained(watch, position)
 
         return await self._try(call)
 
+    async def _until_regained(
+        self,
+        watch: Coroutine[Any, Any, Result[WatchBatch, Failure]],
+        position: int,
+    ) -> Result[WatchBatch, Failure]:
+        """Gives a relayed watch up once the direct way is open again.
+
+        The other host may itself have lost the store while it waits, and
+        would answer only much later.
+        """
+        self._regained.clear()
+        task = asyncio.create_task(watch)
+        regained = asyncio.create_task(self._regained.wait())
+        try:
+            await asyncio.wait(
+                (task, regained), return_when=asyncio.FIRST_COMPLETED
+            )
+            if task.done():
+                return task.result()
+            return Success(WatchBatch(position, (), ()))
+        finally:
+            task.cancel()
+            regained.cancel()
+
     async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
         """See ``ObjectStore.hosts``."""
         return await self._direct.hosts()
@@ -192,6 +222,8 @@
     def _note(self, *, is_reachable: bool, reason: str) -> None:
         now = asyncio.get_running_loop().time()
         self._closed_until = 0.0 if is_reachable else now + _RETRY_DIRECT_S
+        if is_reachable:
+            self._regained.set()
         if is_reachable == self._is_reachable:
             return
         self._is_reachable = is_reachable
