Test requests, knowledge, budgets and stops of an entry host against stand-ins

The stand-ins speak the platform's store and replicas by their pages, sound or not. A store that takes calls without answering no longer holds up ledger calls: while the direct way is closed only watches probe it.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -20,6 +20,7 @@
     StateDump,
     Subscription,
     TimerService,
+    hashing,
     logs,
 )
 from masticdale_entry.following import Followed, Follower
@@ -29,9 +30,11 @@
 from masticdale_entry.status import StatusServer, dump_page, metrics_page
 from masticdale_gateway import Relay, RelayParts, listen
 from masticdale_ledger import (
+    COPY_EVERY_S,
     LEDGER,
     LOOK_EVERY_S,
     RENEW_EVERY_S,
+    SHARD_COUNT,
     SHARD_PREFIX,
     FallbackStore,
     Identity,
@@ -73,6 +76,7 @@
         self._timers = TimerService()
         self._dump = StateDump()
         self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[asyncio.Server] = []
         self._is_stopping = False
         incarnation = f"{time.time_ns():x}-{uuid.uuid4().hex[:8]}"
         peers_at = _required(settings.peers)
@@ -140,6 +144,30 @@
             and self._shard_map.is_loaded
         )
 
+    @property
+    def owned_shards(self) -> list[int]:
+        """The shards of the ledger that this host owns."""
+        return sorted(self._owner.owned())
+
+    @property
+    def replica_ids(self) -> list[str]:
+        """The replicas that are known."""
+        return sorted(r.id for r in self._fleet.replicas())
+
+    def shard_of(self, program_id: str) -> int:
+        """Returns the shard of a program's budget."""
+        return hashing.shard_of(program_id, SHARD_COUNT)
+
+    async def abort(self) -> None:
+        """Ends without order: drops every connection and all memory."""
+        await self._timers.close()
+        for task in self._tasks:
+            task.cancel()
+        self._relay.abort()
+        await self._peer_server.close(0.0)
+        for server in self._servers:
+            server.close()
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until told to stop, then stops in order."""
         await self._listen()
@@ -156,6 +184,7 @@
         for name, period_s, callback in (
             ("shards", LOOK_EVERY_S, self._keeper.look),
             ("lease", RENEW_EVERY_S, self._keeper.renew),
+            ("copies", COPY_EVERY_S, self._owner.copy_changed),
             ("idle-connections", _CLOSE_IDLE_EVERY_S, self._close_idle),
             ("old-programs", _FORGET_EVERY_S, self._owner.forget_old),
         ):
@@ -167,19 +196,26 @@
         settings = self._settings
         await self._peer_server.listen(None)
         readiness = _required(settings.readiness)
-        await StatusServer({READINESS_PATH: self._readiness}).listen(
-            str(readiness.ip), readiness.port
-        )
         callers = _required(settings.callers)
+        page_by_path = {READINESS_PATH: self._readiness}
+        self._servers.append(
+            await StatusServer(page_by_path).listen(
+                str(readiness.ip), readiness.port
+            )
+        )
         if settings.metrics_port is not None:
-            pages = {
+            page_by_path = {
                 "/metrics": metrics_page(self._metrics),
                 "/state": dump_page(self._dump),
             }
-            await StatusServer(pages).listen(
-                str(callers.ip), settings.metrics_port
+            self._servers.append(
+                await StatusServer(page_by_path).listen(
+                    str(callers.ip), settings.metrics_port
+                )
             )
-        await listen(self._relay, str(callers.ip), callers.port, _BACKLOG)
+        self._servers.append(
+            await listen(self._relay, str(callers.ip), callers.port, _BACKLOG)
+        )
 
     def _readiness(self) -> tuple[int, bytes]:
         return (200 if self.is_ready else 503), b""
@@ -214,6 +250,9 @@
         await self._timers.close()
         for task in self._tasks:
             task.cancel()
+        await self._peer_server.close(0.0)
+        for server in self._servers:
+            server.close()
         logs.write(
             "stopped",
             busy=self._relay.busy,
--- /dev/null
+++ b/apps/masticdale_entry/tests/case.py
@@ -0,0 +1,232 @@
+"""An entry host between stand-ins, all in one process on loopback."""
+
+import asyncio
+import socket
+import unittest
+
+import httpx
+
+from masticdale_entry.entry import EntryHost
+from masticdale_entry.settings import Settings
+from masticdale_standins.objects import ObjectsStandIn
+from masticdale_standins.replicas import ReplicaStandIn
+
+HOST = "a.example"
+STREAM = "/turns/"
+PLAIN = "/lookups/"
+UNSAFE = "/orders/"
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def route(prefix, kind, service, **changes):
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 200,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2,
+    } | changes
+
+
+def configuration(version=1, routes=(), **limits):
+    return {
+        "version": version,
+        "routes": [
+            route(
+                STREAM, "streaming", "engine", max_attempts=1, resumable=True
+            ),
+            route(PLAIN, "idempotent", "desk"),
+            route(UNSAFE, "non_idempotent", "desk", max_attempts=1),
+            *routes,
+        ],
+        "services": [
+            {
+                "name": "engine",
+                "max_connections": 100,
+                "engine": {"tokens_per_event": 10},
+            },
+            {"name": "desk", "max_connections": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 400,
+            "idle_timeout_ms": 5000,
+        }
+        | limits,
+    }
+
+
+def turn_headers(request_id, program="", budget=10_000, most=100, **more):
+    fields = {"Request-Id": request_id, "Deadline-Ms": "2500"}
+    if program:
+        fields |= {
+            "Program-Id": program,
+            "Session-Id": program,
+            "Token-Budget": str(budget),
+            "Token-Usage": f"1000,{most}",
+        }
+    return fields | more
+
+
+class RunningHost:
+    """An entry host and the client of its callers."""
+
+    def __init__(self, name, store_port, seeds=()):
+        self.name = name
+        self.ports = [free_port() for _ in range(4)]
+        callers, readiness, peers, metrics = self.ports
+        self.settings = Settings.model_validate(
+            {
+                "host": name,
+                "role": "entry",
+                "failure_domain": "a",
+                "store": f"127.0.0.1:{store_port}",
+                "grace_s": 6,
+                "callers": f"127.0.0.1:{callers}",
+                "readiness": f"127.0.0.1:{readiness}",
+                "peers": f"127.0.0.1:{peers}",
+                "metrics_port": metrics,
+                "seeds": tuple(f"127.0.0.1:{p}" for p in seeds),
+            }
+        )
+        self.http = httpx.AsyncClient(
+            base_url=f"http://127.0.0.1:{callers}", trust_env=False, timeout=5
+        )
+
+    @property
+    def callers_port(self):
+        return self.ports[0]
+
+    @property
+    def peers_port(self):
+        return self.ports[2]
+
+    def start(self):
+        self.stop_event = asyncio.Event()
+        self.entry = EntryHost(self.settings)
+        self.task = asyncio.create_task(self.entry.run(self.stop_event))
+
+    async def wait_ready(self):
+        for _ in range(200):
+            if self.entry.is_ready:
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError("not ready")
+
+    async def kill(self):
+        """Ends everything at once, as SIGKILL would."""
+        await self.entry.abort()
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def close(self):
+        await self.http.aclose()
+        if not self.task.done():
+            await self.kill()
+
+    async def page(self, port, path):
+        async with httpx.AsyncClient(trust_env=False) as http:
+            return await http.get(f"http://127.0.0.1:{port}{path}")
+
+
+class EntryCase(unittest.IsolatedAsyncioTestCase):
+    """Two engines, two plain replicas, one entry host."""
+
+    async def asyncSetUp(self):
+        self.store = ObjectsStandIn()
+        await self.store.start()
+        self.hosts = []
+        self.engines = [ReplicaStandIn("engine", True) for _ in range(2)]
+        self.desks = [ReplicaStandIn("desk", False) for _ in range(2)]
+        for replica in (*self.engines, *self.desks):
+            await replica.start()
+            self.store.put("servers", replica.id, replica.entry())
+        self.store.put("config", "main", configuration())
+        self.host = await self.add_host("host-1")
+
+    async def asyncTearDown(self):
+        for host in self.hosts:
+            await host.close()
+        for replica in (*self.engines, *self.desks):
+            await replica.stop()
+        await self.store.stop()
+
+    async def add_host(self, name, seeds=()):
+        host = RunningHost(name, self.store.port, seeds)
+        self.hosts.append(host)
+        host.start()
+        await host.wait_ready()
+        return host
+
+    async def wait_owned(self):
+        for _ in range(400):
+            names = self.store.names("ledger-shards")
+            if len(names) == 4 and all(
+                host.entry.owned_shards is not None for host in self.hosts
+            ):
+                owned = sum(len(h.entry.owned_shards) for h in self.hosts)
+                if owned >= 4:
+                    return
+            await asyncio.sleep(0.02)
+        raise AssertionError("shards without owner")
+
+    async def ask(self, path, request_id, method="POST", host=None, **headers):
+        fields = {"Host": HOST, "Request-Id": request_id}
+        fields |= {"Deadline-Ms": "2500"}
+        fields |= {k.replace("_", "-"): v for k, v in headers.items()}
+        http = (host or self.host).http
+        return await http.request(
+            method, path + "x", headers=fields, content=b"body"
+        )
+
+    async def turn(self, request_id, host=None, **options):
+        http = (host or self.host).http
+        fields = {"Host": HOST} | turn_headers(request_id, **options)
+        return await http.post(STREAM + "x", headers=fields, content=b"{}")
+
+    def set_desks(self, **changes):
+        for replica in self.desks:
+            for name, value in changes.items():
+                setattr(replica.behaviour, name, value)
+
+    def set_engines(self, **changes):
+        for replica in self.engines:
+            for name, value in changes.items():
+                setattr(replica.behaviour, name, value)
+
+    def seen(self, replicas):
+        return [r for replica in replicas for r in replica.seen]
+
+
+async def raw(port, data, seconds=2.0):
+    """Sends bytes and returns what comes until the end or the time is up."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    received = b""
+    try:
+        async with asyncio.timeout(seconds):
+            while chunk := await reader.read(65536):
+                received += chunk
+    except (TimeoutError, ConnectionResetError):
+        pass
+    writer.close()
+    return received
+
+
+def pieces(text):
+    """Returns the ids of a stream's events."""
+    return [
+        int(line.removeprefix("id:"))
+        for line in text.splitlines()
+        if line.startswith("id:")
+    ]
--- /dev/null
+++ b/apps/masticdale_entry/tests/test_stopping.py
@@ -0,0 +1,57 @@
+"""Tests of planned stops."""
+
+import asyncio
+import unittest
+
+from case import HOST, PLAIN, EntryCase, pieces, raw
+
+
+class StoppingTest(EntryCase):
+    async def test_a_stop_cuts_nothing_off(self):
+        """Callers would lose answers at every rolling restart.
+
+        A stream is under way when the stop begins, and callers go on to send
+        for as long as the balancer may still choose this host. All are
+        served; the answers tell them to open another connection.
+        """
+        await self.wait_owned()
+        self.set_engines(event_s=0.25, events=8)
+        stream = asyncio.create_task(self.turn("s", program="p"))
+        await asyncio.sleep(0.3)
+        self.host.stop_event.set()
+        await asyncio.sleep(0.1)
+        page = await self.host.page(self.host.ports[1], "/api/ready")
+        self.assertEqual(page.status_code, 503)
+        for n in range(10):
+            response = await self.ask(PLAIN, f"r{n}")
+            self.assertEqual(response.status_code, 200)
+            self.assertEqual(response.headers["connection"], "close")
+            await asyncio.sleep(0.1)
+        self.assertEqual(pieces((await stream).text), list(range(1, 9)))
+
+    async def test_a_stop_ends_within_its_grace(self):
+        self.set_desks(work_s=60.0)
+        slow = asyncio.create_task(
+            raw(
+                self.host.callers_port,
+                f"GET {PLAIN}x HTTP/1.1\r\nHost: {HOST}\r\n"
+                "Request-Id: r\r\n\r\n".encode(),
+                seconds=8,
+            )
+        )
+        await asyncio.sleep(0.2)
+        self.host.stop_event.set()
+        async with asyncio.timeout(6.0):
+            await self.host.task
+        await slow
+
+    async def test_metrics_and_state_are_served(self):
+        await self.ask(PLAIN, "r1")
+        metrics = await self.host.page(self.host.ports[3], "/metrics")
+        self.assertIn("requests_total", metrics.text)
+        state = await self.host.page(self.host.ports[3], "/state")
+        self.assertEqual(state.json()["configuration"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -138,7 +138,6 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
-        self._reset_message()
         self._message_began_at = asyncio.get_running_loop().time()
         self._arrived.set()
 
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -95,6 +95,12 @@
             if not connection.is_busy:
                 connection.close()
 
+    def abort(self) -> None:
+        """Drops every connection at once."""
+        for connection in list(self._connections):
+            connection.abort()
+        self.pool.close()
+
     async def serve(self, connection: CallerConnection) -> None:
         """Serves the requests of one connection, one after the other."""
         self._connections.add(connection)
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -47,6 +47,11 @@
         """Has an account sent with the next copy."""
         self._changed[program_id] = None
 
+    @property
+    def has_changes(self) -> bool:
+        """Whether the standby lacks something."""
+        return bool(self._changed)
+
     async def send(
         self, state: CopyState, accounts: "AccountSource"
     ) -> Result[None, Failure]:
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -23,6 +23,8 @@
 from masticdale_ledger.records import ProgramRecords, record_name
 from masticdale_ledger.shards import ShardView
 
+# How often settled turns are copied, in seconds; as often as they arrive.
+COPY_EVERY_S = 0.15
 # Rounds of judging and writing for one turn. Each conflict raises the bound
 # to another owner's, so that three rounds pass every step.
 _ROUNDS = 4
@@ -167,6 +169,18 @@
             shard.copier.note(settlement.program_id)
         return True
 
+    async def copy_changed(self) -> None:
+        """Brings the standbys up to date with settled turns.
+
+        A turn whose end the standby does not know counts at its most after a
+        takeover, and its program would reach its budget too early.
+        """
+        for shard in list(self._shard_by_number.values()):
+            if shard.copier is None or not shard.copier.has_changes:
+                continue
+            if isinstance(await shard.copy(), Failed):
+                self.broken_copies.add(shard.number)
+
     async def forget_old(self) -> None:
         """Drops programs that will not come back, and their records."""
         for shard in list(self._shard_by_number.values()):
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -29,13 +29,16 @@
 # configuration is to be in force two seconds after it was acknowledged, also
 # where it comes right after an outage.
 _RETRY_DIRECT_S = 1.0
+# How long a watch waits that finds out whether the store answers, in seconds.
+_PROBE_WAIT_S = 0.05
 # What another host may take for a call besides a watch's wait, in seconds:
 # one timeout of the store's client there.
-_RELAY_TIMEOUT_S = 1.5
+_RELAY_TIMEOUT_S = 1.0
 # Hosts asked for one call.
 _RELAYS = 2
 
 PeerList = Callable[[], list[PeerClient]]
+StoreCall = Callable[[ObjectStore], Awaitable[Result[T, Failure]]]
 
 
 class PeerStore:
@@ -106,11 +109,46 @@
         return Failed(reply.failure) if reply.failure else Success(reply)
 
 
+class _Reachability:
+    """Whether the store answers this host directly.
+
+    Attributes:
+        is_open: Whether calls go the direct way first.
+        changed: Set when that changes; renewed each time.
+    """
+
+    def __init__(self) -> None:
+        self.is_open = True
+        self.changed = asyncio.Event()
+        self._probe_at = 0.0
+
+    def note(self, *, is_open: bool, reason: str) -> None:
+        """Notes how a direct call ended."""
+        now = asyncio.get_running_loop().time()
+        self._probe_at = now + _RETRY_DIRECT_S
+        if is_open == self.is_open:
+            return
+        self.is_open = is_open
+        logs.write("store_regained" if is_open else "store_lost", reason=reason)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def takes_probe(self) -> bool:
+        """Returns whether a probe is due; the next one is due later."""
+        now = asyncio.get_running_loop().time()
+        if now < self._probe_at:
+            return False
+        self._probe_at = now + _RETRY_DIRECT_S
+        return True
+
+
 class FallbackStore:
     """An ``ObjectStore``: the direct way, else by way of other hosts.
 
     A host that is cut off from the store alone keeps its configuration and
-    its lists of replicas up to date, and its leases valid.
+    its lists of replicas up to date, and its leases valid. Only watches try
+    the direct way again while it is closed, and with a short wait: a store
+    that takes calls and never answers would hold up every other call.
     """
 
     def __init__(
@@ -120,9 +158,7 @@
         self._peers = peers
         self._metrics = metrics
         self._random = random.Random()
-        self._closed_until = 0.0
-        self._is_reachable = True
-        self._regained = asyncio.Event()
+        self._reachability = _Reachability()
 
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
@@ -155,80 +191,78 @@
     ) -> Result[WatchBatch, Failure]:
         """See ``ObjectStore.watch``.
 
-        By way of another host a watch waits no longer than until the direct
-        way is tried again.
+        The wait ends early where the direct way opens or closes meanwhile:
+        the host that waits for us may itself have lost the store, and a store
+        that stopped to answer would leave us waiting for nothing.
         """
+        if not self._reachability.is_open:
+            if not self._reachability.takes_probe():
+                limit_s = min(wait_s, _RETRY_DIRECT_S)
+                relayed = self._relay(
+                    lambda store: store.watch(prefix, position, limit_s)
+                )
+                return await self._until_changed(relayed, position)
+            wait_s = _PROBE_WAIT_S
+        watched: Any = self._direct.watch(prefix, position, wait_s)
+        outcome = await self._until_changed(watched, position)
+        self._note(outcome)
+        return outcome
+
+    async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
+        """See ``ObjectStore.hosts``."""
+        return await self._direct.hosts()
 
-        def call(store: ObjectStore) -> Awaitable[Result[WatchBatch, Failure]]:
-            is_direct = store is self._direct
-            if is_direct:
-                return store.watch(prefix, position, wait_s)
-            limit_s = min(wait_s, _RETRY_DIRECT_S)
-            watch: Any = store.watch(prefix, position, limit_s)
-            return self._until_regained(watch, position)
+    async def _try(self, call: StoreCall[T]) -> Result[T, Failure]:
+        if not self._reachability.is_open:
+            return await self._relay(call)
+        outcome = await call(self._direct)
+        self._note(outcome)
+        if _is_unavailable(outcome):
+            return await self._relay(call)
+        return outcome
 
-        return await self._try(call)
+    async def _relay(self, call: StoreCall[T]) -> Result[T, Failure]:
+        outcome: Result[T, Failure] = Failed(
+            Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no way to the store")
+        )
+        peers = self._peers()
+        for peer in self._random.sample(peers, min(_RELAYS, len(peers))):
+            self._metrics.count("store_calls_relayed_total")
+            store: Any = PeerStore(peer)
+            outcome = await call(store)
+            if not _is_unavailable(outcome):
+                break
+        return outcome
 
-    async def _until_regained(
+    async def _until_changed(
         self,
         watch: Coroutine[Any, Any, Result[WatchBatch, Failure]],
         position: int,
     ) -> Result[WatchBatch, Failure]:
-        """Gives a relayed watch up once the direct way is open again.
-
-        The other host may itself have lost the store while it waits, and
-        would answer only much later.
-        """
-        self._regained.clear()
+        changed = self._reachability.changed
         task = asyncio.create_task(watch)
-        regained = asyncio.create_task(self._regained.wait())
+        waiter = asyncio.create_task(changed.wait())
         try:
             await asyncio.wait(
-                (task, regained), return_when=asyncio.FIRST_COMPLETED
+                (task, waiter), return_when=asyncio.FIRST_COMPLETED
             )
             if task.done():
                 return task.result()
             return Success(WatchBatch(position, (), ()))
         finally:
             task.cancel()
-            regained.cancel()
+            waiter.cancel()
 
-    async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
-        """See ``ObjectStore.hosts``."""
-        return await self._direct.hosts()
-
-    async def _try(
-        self,
-        call: Callable[[ObjectStore], Awaitable[Result[T, Failure]]],
-    ) -> Result[T, Failure]:
-        outcome: Result[T, Failure] = Failed(
-            Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the direct way is closed")
-        )
-        now = asyncio.get_running_loop().time()
-        if now >= self._closed_until:
-            outcome = await call(self._direct)
-            if not _is_unavailable(outcome):
-                self._note(is_reachable=True, reason="")
-                return outcome
-            self._note(is_reachable=False, reason=str(outcome.failure()))
-        peers = self._peers()
-        for peer in self._random.sample(peers, min(_RELAYS, len(peers))):
-            self._metrics.count("store_calls_relayed_total")
-            relayed: Result[T, Failure] = await call(PeerStore(peer))  # type: ignore[arg-type]
-            if not _is_unavailable(relayed):
-                return relayed
-        return outcome
-
-    def _note(self, *, is_reachable: bool, reason: str) -> None:
-        now = asyncio.get_running_loop().time()
-        self._closed_until = 0.0 if is_reachable else now + _RETRY_DIRECT_S
-        if is_reachable:
-            self._regained.set()
-        if is_reachable == self._is_reachable:
+    def _note(self, outcome: Result[Any, Failure]) -> None:
+        if not isinstance(outcome, Failed):
+            self._reachability.note(is_open=True, reason="")
             return
-        self._is_reachable = is_reachable
-        event = "store_regained" if is_reachable else "store_lost"
-        logs.write(event, reason=reason)
+        failure = outcome.failure()
+        is_open = failure.kind not in (
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            ErrorKind.WRITE_UNKNOWN,
+        )
+        self._reachability.note(is_open=is_open, reason=str(failure))
 
 
 async def serve_store(direct: ObjectStore, request: StoreRequest) -> StoreReply:
--- /dev/null
+++ b/libs/ledger/tests/test_accounts.py
@@ -0,0 +1,139 @@
+"""Tests of budgets over losses of memory."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from masticdale_gateway import TurnClaim
+from masticdale_ledger.accounts import (
+    Accounts,
+    Admitted,
+    Bound,
+    NeedsRecord,
+    Spent,
+)
+
+RECORD = "record"
+
+
+def claim(request_id, budget, most):
+    return TurnClaim("program", request_id, budget, most, False)
+
+
+class Ledger:
+    """One program's ledger: accounts in memory, one record in a store."""
+
+    def __init__(self, budget, most):
+        self.budget = budget
+        self.most = most
+        self.bound = None
+        self.writes = 0
+        self.accounts = Accounts()
+        self.is_complete = True
+
+    def lose_memory(self):
+        bounds = {RECORD: self.bound} if self.bound else {}
+        self.accounts = Accounts(bounds)
+        self.is_complete = False
+
+    def admit(self, request_id):
+        turn = claim(request_id, self.budget, self.most)
+        while True:
+            account = self.accounts.open(turn, RECORD, self.is_complete, 0.0)
+            verdict = account.judge(turn)
+            if isinstance(verdict, Admitted):
+                self.accounts.reserve(turn)
+                return True
+            if isinstance(verdict, Spent):
+                return False
+            self.writes += 1
+            self.bound = Bound(verdict.bound_tokens, self.writes)
+            self.accounts.set_bound("program", self.bound)
+
+
+class BudgetTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+    @hypothesis.given(
+        turns=st.integers(1, 12),
+        most=st.integers(1, 1000),
+        steps=st.lists(
+            st.one_of(
+                st.tuples(st.just("admit"), st.integers(0, 1000)),
+                st.tuples(st.just("settle"), st.integers(0, 1000)),
+                st.tuples(st.just("lose"), st.just(0)),
+            ),
+            max_size=80,
+        ),
+    )
+    def test_no_losses_hand_out_more_than_the_budget_and_one_turn(
+        self, turns, most, steps
+    ):
+        """A program that loops would get its budget again after each loss.
+
+        Turns are admitted and settled with any part of their most; at any
+        moment all memory is lost, and turns under way use all they may. Only
+        the record in the store remains. The tokens of all turns together must
+        stay within the budget and the most of one turn.
+        """
+        budget = int(1.5 * turns * most)
+        ledger = Ledger(budget, most)
+        used = {}
+        open_ids = []
+        for number, (kind, amount) in enumerate(steps):
+            if kind == "lose":
+                ledger.lose_memory()
+                open_ids.clear()
+            elif kind == "admit":
+                if ledger.admit(str(number)):
+                    used[str(number)] = most
+                    open_ids.append(str(number))
+            elif open_ids:
+                request_id = open_ids.pop(0)
+                used[request_id] = min(amount, most)
+                ledger.accounts.settle("program", request_id, used[request_id])
+        self.assertLessEqual(sum(used.values()), budget + most)
+
+    def test_programs_that_use_little_of_their_budget_are_never_written(self):
+        ledger = Ledger(budget=3 * 150, most=100)
+        for number in range(3):
+            self.assertTrue(ledger.admit(str(number)))
+            ledger.accounts.settle("program", str(number), 20)
+        self.assertEqual(ledger.writes, 0)
+
+    def test_a_spent_budget_stays_spent_after_a_loss(self):
+        """A looping program is told 402, all processes die, it comes back.
+
+        Before the loss it had used its budget up, and a record said so. The
+        new owner reads the record and grants one turn at most.
+        """
+        ledger = Ledger(budget=1600, most=100)
+        number = 0
+        while ledger.admit(str(number)):
+            ledger.accounts.settle("program", str(number), 100)
+            number += 1
+        ledger.lose_memory()
+        admitted = sum(ledger.admit(f"after-{n}") for n in range(50))
+        self.assertLessEqual(admitted, 1)
+
+    def test_a_program_of_one_turn_goes_on_after_a_loss(self):
+        ledger = Ledger(budget=150, most=100)
+        self.assertTrue(ledger.admit("first"))
+        ledger.lose_memory()
+        self.assertTrue(ledger.admit("again"))
+
+    def test_asking_again_for_one_turn_reserves_once(self):
+        ledger = Ledger(budget=300, most=100)
+        for _ in range(10):
+            self.assertTrue(ledger.admit("same"))
+
+    def test_unknown_programs_need_a_record_after_a_loss(self):
+        ledger = Ledger(budget=1600, most=100)
+        ledger.lose_memory()
+        turn = claim("a", 1600, 100)
+        account = ledger.accounts.open(turn, RECORD, False, 0.0)
+        self.assertIsInstance(account.judge(turn), NeedsRecord)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/routing/tests/test_fleet.py
@@ -0,0 +1,125 @@
+"""Tests of the choice of replicas."""
+
+import collections
+import unittest
+
+from masticdale_routing.fleet import Fleet, Replica, ReportedLoad
+
+
+def replica(name, **changes):
+    fields = {
+        "id": name,
+        "service": "engine",
+        "host": "127.0.0.1",
+        "port": 1000,
+        "failure_domain": "a",
+        "slots": 10,
+        "is_draining": False,
+    }
+    return Replica(**(fields | changes))
+
+
+def fleet_of(*replicas):
+    fleet = Fleet("a", seed=1)
+    for item in replicas:
+        fleet.put(item)
+    return fleet
+
+
+class ChooseTest(unittest.TestCase):
+    def test_a_program_stays_at_its_replica(self):
+        fleet = fleet_of(*(replica(f"r{n}") for n in range(5)))
+        chosen = {fleet.choose("engine", "p", 0.0).replica.id for _ in range(9)}
+        self.assertEqual(len(chosen), 1)
+
+    def test_programs_spread_over_replicas(self):
+        """Pattern: many programs at once, as in a burst of callers.
+
+        500 programs over five replicas; a share of less than half of the mean
+        anywhere would waste a replica, more than twice would fill one.
+        """
+        fleet = fleet_of(*(replica(f"r{n}") for n in range(5)))
+        count = collections.Counter(
+            fleet.choose("engine", f"p{n}", 0.0).replica.id for n in range(500)
+        )
+        self.assertEqual(len(count), 5)
+        self.assertGreater(min(count.values()), 50)
+        self.assertLess(max(count.values()), 200)
+
+    def test_a_full_replica_spills_to_the_second_choice(self):
+        fleet = fleet_of(*(replica(f"r{n}") for n in range(5)))
+        first = fleet.choose("engine", "p", 0.0)
+        first.in_flight = 10
+        second = fleet.choose("engine", "p", 0.0)
+        self.assertNotEqual(first.replica.id, second.replica.id)
+
+    def test_draining_and_excluded_replicas_get_nothing(self):
+        fleet = fleet_of(
+            replica("leaving", is_draining=True), replica("r1"), replica("r2")
+        )
+        chosen = {
+            fleet.choose("engine", f"p{n}", 0.0, {"r1"}).replica.id
+            for n in range(50)
+        }
+        self.assertEqual(chosen, {"r2"})
+
+    def test_no_replica_left(self):
+        fleet = fleet_of(replica("r1", is_draining=True))
+        self.assertIsNone(fleet.choose("engine", "p", 0.0))
+        self.assertIsNone(fleet.choose("other", "p", 0.0))
+
+    def test_a_failing_replica_is_left_out_and_tried_again(self):
+        fleet = fleet_of(replica("r1"), replica("r2"))
+        state = {s.replica.id: s for s in fleet.states()}["r1"]
+        state.circuit.failed(0.0)
+        state.circuit.failed(0.0)
+        chosen = {
+            fleet.choose("engine", None, 0.1).replica.id for _ in range(20)
+        }
+        self.assertEqual(chosen, {"r2"})
+        later = {
+            fleet.choose("engine", None, 1.0).replica.id for _ in range(40)
+        }
+        self.assertEqual(later, {"r1", "r2"})
+
+    def test_a_service_is_never_left_out_whole(self):
+        """All replicas fail for this host, as when its link is cut.
+
+        Leaving all out would refuse requests that some replica may serve.
+        """
+        fleet = fleet_of(replica("r1"), replica("r2"))
+        for state in fleet.states():
+            for _ in range(5):
+                state.circuit.failed(0.0)
+        self.assertIsNotNone(fleet.choose("engine", None, 0.1))
+
+    def test_plain_requests_go_where_least_waits(self):
+        """Pattern: six slots a replica; some work ten times the mean.
+
+        Another domain costs 2 ms of way, a request ahead some 20 ms.
+        """
+        fleet = fleet_of(
+            replica("near", slots=6),
+            replica("far", slots=6, failure_domain="b"),
+        )
+        state_by_id = {s.replica.id: s for s in fleet.states()}
+        self.assertEqual(fleet.choose("engine", None, 0.0).replica.id, "near")
+        state_by_id["near"].note_load(ReportedLoad(5, 2, at=0.0))
+        self.assertEqual(fleet.choose("engine", None, 0.1).replica.id, "far")
+        self.assertEqual(fleet.choose("engine", None, 9.0).replica.id, "near")
+
+    def test_a_restart_under_the_same_id_clears_what_was_learned(self):
+        fleet = fleet_of(replica("r1", born_ms=1))
+        before = next(iter(fleet.states()))
+        fleet.put(replica("r1", born_ms=2))
+        self.assertIsNot(next(iter(fleet.states())), before)
+
+    def test_a_changed_entry_keeps_what_was_learned(self):
+        fleet = fleet_of(replica("r1", born_ms=1))
+        before = next(iter(fleet.states()))
+        fleet.put(replica("r1", born_ms=1, is_draining=True))
+        self.assertIs(next(iter(fleet.states())), before)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/standins/src/masticdale_standins/objects.py
@@ -0,0 +1,242 @@
+"""A stand-in of the users' platform's store, by its published protocol."""
+
+import asyncio
+import dataclasses
+import enum
+import json
+import urllib.parse
+from typing import Any
+
+from masticdale_standins.raw_http import (
+    RawConnection,
+    RawRequest,
+    RawServer,
+    answer,
+)
+
+_ROOT = "/api/objects/"
+_JSON = {"Content-Type": "application/json"}
+_PAGE = 50
+
+
+class StoreFault(enum.Enum):
+    """What the store does to every call."""
+
+    NONE = enum.auto()
+    BUSY = enum.auto()
+    SILENT = enum.auto()
+    RESET = enum.auto()
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """What goes wrong.
+
+    Attributes:
+        fault: Of every call.
+        lose_answers: This many writes are done and their connection is reset.
+        delay_s: Before each answer.
+        cut_watches: Watches are refused, other calls are served.
+    """
+
+    fault: StoreFault = StoreFault.NONE
+    lose_answers: int = 0
+    delay_s: float = 0.0
+    cut_watches: bool = False
+
+
+class ObjectsStandIn:
+    """Objects by kind and name, with revisions and watches.
+
+    Attributes:
+        faults: What goes wrong.
+        calls: Calls so far, by method.
+    """
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.calls: dict[str, int] = {}
+        self._server = RawServer(self._handle)
+        self._revision = 1
+        self._forgotten = 0
+        self._object_by_key: dict[tuple[str, str], dict[str, Any]] = {}
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._changed = asyncio.Event()
+
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        return self._server.port
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Stops."""
+        await self._server.stop()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object as its owner or the operator would."""
+        self._store(kind, name, spec)
+
+    def get(self, kind: str, name: str) -> Any:
+        """Returns an object's spec; None where there is none."""
+        item = self._object_by_key.get((kind, name))
+        return item["spec"] if item else None
+
+    def status(self, kind: str, name: str) -> Any:
+        """Returns an object's status."""
+        return self._object_by_key[(kind, name)]["status"]
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of a kind's objects."""
+        return sorted(n for k, n in self._object_by_key if k == kind)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        item = self._object_by_key.pop((kind, name), None)
+        if item is not None:
+            self._revision += 1
+            self._note(kind, item, deleted=True)
+
+    def forget_history(self) -> None:
+        """Drops the history: watches from now or before answer 410."""
+        self._forgotten = self._revision + 1
+        self._revision += 1
+        self._wake()
+
+    async def _handle(
+        self, request: RawRequest, connection: RawConnection
+    ) -> None:
+        self.calls[request.method] = self.calls.get(request.method, 0) + 1
+        await asyncio.sleep(self.faults.delay_s)
+        if await self._fails(request, connection):
+            return
+        path, _, query = request.target.partition("?")
+        parts = path.removeprefix(_ROOT).split("/")
+        parameters = dict(urllib.parse.parse_qsl(query))
+        names = [urllib.parse.unquote(part) for part in parts]
+        if request.method == "GET":
+            status, body = await self._read(names, parameters)
+        else:
+            status, body = self._write(request, names, parameters)
+            if self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                connection.reset()
+                return
+        await connection.write(answer(status, _JSON, json.dumps(body).encode()))
+
+    async def _fails(
+        self, request: RawRequest, connection: RawConnection
+    ) -> bool:
+        is_cut = self.faults.cut_watches and "watch=" in request.target
+        if self.faults.fault is StoreFault.BUSY or is_cut:
+            await connection.write(answer(503, _JSON))
+        elif self.faults.fault is StoreFault.SILENT:
+            await asyncio.sleep(3600)
+        elif self.faults.fault is StoreFault.RESET:
+            connection.reset()
+        else:
+            return False
+        return True
+
+    async def _read(
+        self, names: list[str], parameters: dict[str, str]
+    ) -> tuple[int, Any]:
+        if len(names) == 2:
+            item = self._object_by_key.get((names[0], names[1]))
+            return (200, item) if item else (404, {})
+        if "watch" in parameters:
+            return await self._watch(names[0], parameters)
+        after = parameters.get("after", "")
+        found = sorted(
+            n for k, n in self._object_by_key if k == names[0] and n > after
+        )
+        page = found[:_PAGE]
+        items = [self._object_by_key[(names[0], n)] for n in page]
+        return 200, {
+            "items": items,
+            "has_more": len(found) > len(page),
+            "as_of": self._revision,
+        }
+
+    async def _watch(
+        self, kind: str, parameters: dict[str, str]
+    ) -> tuple[int, Any]:
+        since = int(parameters["watch"])
+        end = asyncio.get_running_loop().time()
+        end += int(parameters.get("wait_ms", "0")) / 1000
+        while True:
+            if since < self._forgotten:
+                return 410, {}
+            if self.faults.fault is not StoreFault.NONE:
+                return 503, {}
+            events = [
+                {"object": item, "deleted": deleted}
+                for revision, k, item, deleted in self._events
+                if k == kind and revision > since
+            ]
+            left_s = end - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return 200, {"events": events, "as_of": self._revision}
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), min(left_s, 0.1))
+            except TimeoutError:
+                pass
+
+    def _write(
+        self,
+        request: RawRequest,
+        names: list[str],
+        parameters: dict[str, str],
+    ) -> tuple[int, Any]:
+        body = json.loads(request.body) if request.body else {}
+        name = names[1] if len(names) > 1 else body["metadata"]["name"]
+        item = self._object_by_key.get((names[0], name))
+        if request.method == "POST":
+            if item is not None:
+                return 409, item
+            return 200, self._store(names[0], name, body["spec"])
+        if item is None:
+            return 404, {}
+        expected = body.get("metadata", {}).get("revision")
+        if "revision" in parameters:
+            expected = int(parameters["revision"])
+        if expected is not None and expected != item["metadata"]["revision"]:
+            return 409, item
+        if request.method == "DELETE":
+            self.remove(names[0], name)
+            return 200, item
+        if len(names) == 3:
+            item["status"] = body["status"]
+            return 200, item
+        return 200, self._store(names[0], name, body["spec"])
+
+    def _store(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        self._revision += 1
+        known = self._object_by_key.get((kind, name))
+        created = known["metadata"]["created_rev"] if known else self._revision
+        item: dict[str, Any] = {
+            "metadata": {
+                "name": name,
+                "revision": self._revision,
+                "created_rev": created,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": spec,
+            "status": known["status"] if known else None,
+        }
+        self._object_by_key[(kind, name)] = item
+        self._note(kind, item, deleted=False)
+        return item
+
+    def _note(self, kind: str, item: dict[str, Any], *, deleted: bool) -> None:
+        self._events.append((self._revision, kind, item, deleted))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
