Read a list again after any cut watch

Ruled out: a stale relay (the three hosts asked directly). Change: a watch that fails or is given up begins from a list. Test failed first.

--- a/apps/masticdale_entry/src/masticdale_entry/following.py
+++ b/apps/masticdale_entry/src/masticdale_entry/following.py
@@ -56,10 +56,12 @@
         )
         if isinstance(outcome, Failed):
             failure = outcome.failure()
-            if failure.kind is ErrorKind.HISTORY_GONE:
-                self._position = 0
-            else:
+            if failure.kind is not ErrorKind.HISTORY_GONE:
                 self._was_away = True
+            # A store in trouble may let a watch go on from a position whose
+            # next changes it has dropped, and the watch then waits for
+            # changes that will never come. Only a fresh list is certain.
+            self._position = 0
             logs.write_bounded(
                 "watch_failed",
                 prefix=self._followed.prefix,
--- a/apps/masticdale_entry/tests/test_knowledge.py
+++ b/apps/masticdale_entry/tests/test_knowledge.py
@@ -52,6 +52,20 @@
         self.add_route(3)
         await self.wait_status("/new/", 200, 2.0)
 
+    async def test_a_watch_that_is_cut_is_not_taken_up_where_it_stopped(self):
+        """A host would wait for a change that it has already missed.
+
+        The store delivers nothing to its watches, a change is made, the
+        watches are cut, and only then the history is dropped: a watch that
+        goes on in between hears nothing of the change.
+        """
+        self.store.faults.deaf = True
+        await asyncio.sleep(0.2)
+        self.add_route(3)
+        await asyncio.sleep(0.3)
+        await self.store.cut_watches()
+        await self.wait_status("/new/", 200, 1.5)
+
     async def test_a_store_that_falls_silent(self):
         self.store.faults.fault = StoreFault.SILENT
         await asyncio.sleep(0.2)
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -109,6 +109,11 @@
         return Failed(reply.failure) if reply.failure else Success(reply)
 
 
+_WAY_CHANGED: Result[Any, Failure] = Failed(
+    Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the way to the store has changed")
+)
+
+
 class _Reachability:
     """Whether the store answers this host directly.
 
@@ -201,10 +206,12 @@
                 relayed = self._relay(
                     lambda store: store.watch(prefix, position, limit_s)
                 )
-                return await self._until_changed(relayed, position)
+                return await self._until_changed(relayed) or _WAY_CHANGED
             wait_s = _PROBE_WAIT_S
         watched: Any = self._direct.watch(prefix, position, wait_s)
-        outcome = await self._until_changed(watched, position)
+        outcome = await self._until_changed(watched)
+        if outcome is None:
+            return _WAY_CHANGED
         self._note(outcome)
         return outcome
 
@@ -237,8 +244,7 @@
     async def _until_changed(
         self,
         watch: Coroutine[Any, Any, Result[WatchBatch, Failure]],
-        position: int,
-    ) -> Result[WatchBatch, Failure]:
+    ) -> Result[WatchBatch, Failure] | None:
         changed = self._reachability.changed
         task = asyncio.create_task(watch)
         waiter = asyncio.create_task(changed.wait())
@@ -248,7 +254,7 @@
             )
             if task.done():
                 return task.result()
-            return Success(WatchBatch(position, (), ()))
+            return None
         finally:
             task.cancel()
             waiter.cancel()
--- a/scripts/play.sh
+++ b/scripts/play.sh
@@ -37,5 +37,5 @@
       grep -v "^--$" | cut -c1-300 | head -8
   done
 fi
-cp -n journal/* "$root/journal/" 2>/dev/null
+cp -rn journal/. "$root/journal/"
 exit 0
--- a/tools/standins/src/masticdale_standins/objects.py
+++ b/tools/standins/src/masticdale_standins/objects.py
@@ -36,13 +36,13 @@
         fault: Of every call.
         lose_answers: This many writes are done and their connection is reset.
         delay_s: Before each answer.
-        cut_watches: Watches are refused, other calls are served.
+        deaf: Watches are told of no changes; lists are right.
     """
 
     fault: StoreFault = StoreFault.NONE
     lose_answers: int = 0
     delay_s: float = 0.0
-    cut_watches: bool = False
+    deaf: bool = False
 
 
 class ObjectsStandIn:
@@ -100,6 +100,10 @@
             self._revision += 1
             self._note(kind, item, deleted=True)
 
+    async def cut_watches(self) -> None:
+        """Resets every connection."""
+        await self._server.reset_all()
+
     def forget_history(self) -> None:
         """Drops the history: watches from now or before answer 410."""
         self._forgotten = self._revision + 1
@@ -130,8 +134,7 @@
     async def _fails(
         self, request: RawRequest, connection: RawConnection
     ) -> bool:
-        is_cut = self.faults.cut_watches and "watch=" in request.target
-        if self.faults.fault is StoreFault.BUSY or is_cut:
+        if self.faults.fault is StoreFault.BUSY:
             await connection.write(answer(503, _JSON))
         elif self.faults.fault is StoreFault.SILENT:
             await asyncio.sleep(3600)
@@ -175,7 +178,7 @@
             events = [
                 {"object": item, "deleted": deleted}
                 for revision, k, item, deleted in self._events
-                if k == kind and revision > since
+                if k == kind and revision > since and not self.faults.deaf
             ]
             left_s = end - asyncio.get_running_loop().time()
             if events or left_s <= 0:
--- a/tools/standins/src/masticdale_standins/raw_http.py
+++ b/tools/standins/src/masticdale_standins/raw_http.py
@@ -107,6 +107,12 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def reset_all(self) -> None:
+        """Drops every connection and goes on to listen."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
