--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -102,8 +102,8 @@
         self._ledger = LedgerClient(
             self._shard_map,
             self._owner,
-            incarnation,
-            self._peers.of,
+            (identity.address, identity.port),
+            self._peers.client,
             self._metrics,
         )
         copies = StandbyCopies()
@@ -117,12 +117,11 @@
             self._ledger,
             copies,
             self._peers,
+            lambda: self._store.is_lost,
         )
-        self._peer_server = PeerServer(
-            LedgerService(self._owner, self._keeper, copies, self._direct),
-            peers_at,
-            LEDGER,
-        )
+        service = LedgerService(self._owner, self._keeper, copies, self._direct)
+        self._ledger.admit_here = service.admit
+        self._peer_server = PeerServer(service, peers_at, LEDGER)
         self._relay = Relay(
             RelayParts(
                 configuration=lambda: self._configuration.current,
--- a/apps/masticdale_entry/src/masticdale_entry/peers.py
+++ b/apps/masticdale_entry/src/masticdale_entry/peers.py
@@ -2,14 +2,14 @@
 
 from masticdale_common import Metrics
 from masticdale_entry.settings import Settings
-from masticdale_ledger import LEDGER, Hosts, ShardMap, ShardRecord
+from masticdale_ledger import LEDGER, Hosts, ShardMap
 from masticdale_peers import Address, PeerClient, PeerSettings, PoolLimits
 
 _LIMITS = PoolLimits(connections=8, call_timeout_s=1.0, idle_s=30.0)
 
 
 class PeerClients(Hosts):
-    """Other entry hosts: the owners of shards, and the seeds."""
+    """Other entry hosts: owners and standbys of shards, and the seeds."""
 
     def __init__(
         self, shard_map: ShardMap, settings: Settings, metrics: Metrics
@@ -19,10 +19,6 @@
         self._metrics = metrics
         self._client_by_address: dict[tuple[str, int], PeerClient] = {}
 
-    def of(self, record: ShardRecord) -> PeerClient:
-        """Returns the client of a shard's owner."""
-        return self.client(record.address, record.port)
-
     def all(self) -> list[PeerClient]:
         """Returns the clients of all known hosts but this one."""
         return [self.client(*address) for address in self.candidates()]
@@ -31,7 +27,10 @@
         """See ``Hosts.candidates``."""
         addresses = {(str(a.ip), a.port) for a in self._settings.seeds}
         for view in self._shard_map.views().values():
-            addresses.add((view.record.address, view.record.port))
+            record = view.record
+            addresses.add((record.address, record.port))
+            if record.standby_address:
+                addresses.add((record.standby_address, record.standby_port))
         own = self._settings.peers
         if own is not None:
             addresses.discard((str(own.ip), own.port))
--- a/apps/masticdale_entry/tests/case.py
+++ b/apps/masticdale_entry/tests/case.py
@@ -81,9 +81,10 @@
 class RunningHost:
     """An entry host and the client of its callers."""
 
-    def __init__(self, name, store_port, seeds=()):
+    def __init__(self, name, store_port, seeds=(), peers_port=None):
         self.name = name
         self.ports = [free_port() for _ in range(4)]
+        self.ports[2] = peers_port or self.ports[2]
         callers, readiness, peers, metrics = self.ports
         self.settings = Settings.model_validate(
             {
@@ -143,6 +144,10 @@
     """Two engines, two plain replicas, one entry host."""
 
     async def asyncSetUp(self):
+        await self.start_stand_ins()
+        self.host = await self.add_host("host-1")
+
+    async def start_stand_ins(self):
         self.store = ObjectsStandIn()
         await self.store.start()
         self.hosts = []
@@ -152,7 +157,6 @@
             await replica.start()
             self.store.put("servers", replica.id, replica.entry())
         self.store.put("config", "main", configuration())
-        self.host = await self.add_host("host-1")
 
     async def asyncTearDown(self):
         for host in self.hosts:
@@ -161,8 +165,8 @@
             await replica.stop()
         await self.store.stop()
 
-    async def add_host(self, name, seeds=()):
-        host = RunningHost(name, self.store.port, seeds)
+    async def add_host(self, name, seeds=(), peers_port=None):
+        host = RunningHost(name, self.store.port, seeds, peers_port)
         self.hosts.append(host)
         host.start()
         await host.wait_ready()
--- a/apps/masticdale_entry/tests/test_budgets.py
+++ b/apps/masticdale_entry/tests/test_budgets.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from case import EntryCase, pieces
+from case import EntryCase, free_port, pieces
 
 from masticdale_standins.objects import StoreFault
 
@@ -13,9 +13,11 @@
 
 class BudgetCase(EntryCase):
     async def asyncSetUp(self):
-        await super().asyncSetUp()
-        for number in (2, 3):
-            await self.add_host(f"host-{number}", [self.host.peers_port])
+        await self.start_stand_ins()
+        ports = [free_port() for _ in range(3)]
+        for number, port in enumerate(ports):
+            await self.add_host(f"host-{number}", ports, port)
+        self.host = self.hosts[0]
         await self.wait_owned()
 
     async def loop(self, program, count, first=0, budget=400, hosts=None):
@@ -155,6 +157,66 @@
         self.assertLessEqual(tokens + more, 400)
         self.assertGreater(tokens + more, 400 - 2 * TURN_TOKENS - 100)
 
+    async def test_an_owner_is_lost_while_the_store_is_down(self):
+        """Nobody can take its shards over: programs would wait for the store.
+
+        The store fails, then the owner is killed. Its standby goes on within
+        the part of the budgets that needs no record, with programs that it
+        knows and with new ones, until the store is back.
+        """
+        statuses, tokens = await self.loop("p", 2)
+        self.assertEqual(statuses, [200] * 2)
+        await self.settle()
+        self.store.faults.fault = StoreFault.BUSY
+        await asyncio.sleep(1.0)
+        victim = next(h for h in self.hosts if self.owns(h, "p"))
+        await victim.kill()
+        rest = [h for h in self.hosts if h is not victim]
+        more = await self.until_served(rest, "p")
+        shard = rest[0].entry.shard_of("p")
+        new = [
+            name
+            for name in (f"new-{n}" for n in range(40))
+            if rest[0].entry.shard_of(name) == shard
+        ][:4]
+        for program in new:
+            await self.until_served(rest, program)
+        self.store.faults.fault = StoreFault.NONE
+        await asyncio.sleep(2.5)
+        statuses, last = await self.loop("p", 30, first=50, hosts=rest)
+        self.assertEqual(statuses[-1], 402)
+        self.assertLessEqual(tokens + more + last, 400 + 100)
+        statuses, _ = await self.loop(new[0], 1, first=50, hosts=rest)
+        self.assertEqual(statuses, [200])
+
+    async def test_a_standby_is_lost_while_the_store_is_down(self):
+        """No turn would be admitted: nobody is left to consent.
+
+        The owner goes on with the programs that it knows, and names another
+        standby once the store is back.
+        """
+        statuses, tokens = await self.loop("p", 2)
+        await self.settle()
+        self.store.faults.fault = StoreFault.BUSY
+        await asyncio.sleep(1.0)
+        victim = self.standby_of("p")
+        await victim.kill()
+        rest = [h for h in self.hosts if h is not victim]
+        more = await self.until_served(rest, "p")
+        self.store.faults.fault = StoreFault.NONE
+        await asyncio.sleep(2.5)
+        statuses, last = await self.loop("p", 30, first=50, hosts=rest)
+        self.assertEqual(statuses[-1], 402)
+        self.assertLessEqual(tokens + more + last, 400 + 100)
+        self.assertIsNot(self.standby_of("p"), victim)
+
+    def standby_of(self, program):
+        shard = self.hosts[0].entry.shard_of(program)
+        record = self.store.get("ledger-shards", f"shard-{shard}")
+        return next(
+            h for h in self.hosts if h.peers_port == record["standby_port"]
+        )
+
     def owns(self, host, program):
         return host.entry.shard_of(program) in host.entry.owned_shards
 
--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -16,6 +16,7 @@
 # so that about one program in twenty is ever written; programs that loop pass
 # every step once.
 _STEPS = (0.5, 0.75, 1.0)
+FIRST_STEP = _STEPS[0]
 # A program without a turn for this long is forgotten, in seconds; twice the
 # time within which programs come back.
 _FORGET_AFTER_S = 120.0
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -13,12 +13,13 @@
 from masticdale_ledger.messages import (
     ADMIT,
     SETTLE,
+    AdmitReply,
     AdmitRequest,
     Settlement,
     SettleRequest,
 )
 from masticdale_ledger.owner import ShardOwner
-from masticdale_ledger.shards import ShardMap, ShardRecord
+from masticdale_ledger.shards import ShardMap
 from masticdale_peers import PeerClient
 
 # Shards of the ledger. Each takes one host's memory and no thread; four let
@@ -40,7 +41,11 @@
 # and their turns count at their most for good.
 _MAX_SETTLEMENTS = 5_000
 
-Peers = Callable[[ShardRecord], PeerClient]
+Peers = Callable[[str, int], PeerClient]
+Admit = Callable[[AdmitRequest], Awaitable[AdmitReply]]
+# After an owner has not answered, its standby is asked first for this long,
+# in seconds: each question to a dead host costs a whole timeout.
+_STANDBY_FIRST_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,14 +74,24 @@
         self,
         shard_map: ShardMap,
         owner: ShardOwner,
-        incarnation: str,
+        address: tuple[str, int],
         peers: Peers,
         metrics: Metrics,
     ) -> None:
+        """Prepares to ask.
+
+        Args:
+            shard_map: Who owns the shards.
+            owner: The shards of this host.
+            address: IP number and port of this host for other hosts.
+            peers: Returns the client of an address.
+            metrics: Counts.
+        """
+        self.admit_here: Admit | None = None
         self.unreachable_by_shard: dict[int, Unreachable] = {}
         self._map = shard_map
         self._owner = owner
-        self._incarnation = incarnation
+        self._address = address
         self._peers = peers
         self._metrics = metrics
         self._settlements: collections.deque[Settlement] = collections.deque(
@@ -149,8 +164,6 @@
         view = self._map.get(shard)
         if view is None:
             return Failed(Failure(ErrorKind.NOT_OWNER, "nobody owns it yet"))
-        if view.record.incarnation == self._incarnation:
-            return await self._owner.admit(shard, claim)
         request = AdmitRequest(
             shard=shard,
             program_id=claim.program_id,
@@ -159,27 +172,76 @@
             turn_tokens=claim.turn_tokens,
             is_first_turn=claim.is_first_turn,
         )
-        peer = self._peers(view.record)
-        outcome = await peer.call(ADMIT, request, _CALL_TIMEOUT_S)
-        if isinstance(outcome, Failed):
-            self._note_unreachable(shard, view.version)
-            return outcome
-        self.unreachable_by_shard.pop(shard, None)
-        failure = outcome.unwrap().failure
-        return Success(None) if failure is None else Failed(failure)
+        record = view.record
+        addresses = [(record.address, record.port)]
+        if record.standby_address:
+            addresses.append((record.standby_address, record.standby_port))
+        if self._is_unreachable(shard, view.version):
+            addresses.reverse()
+        outcome: Result[None, Failure] = Failed(Failure(ErrorKind.NOT_OWNER))
+        for address in addresses:
+            is_owner = address == (record.address, record.port)
+            outcome = await self._ask_host(address, request)
+            if is_owner:
+                self._note(shard, view.version, outcome)
+            if not _is_no_answer(outcome):
+                return outcome
+        return outcome
+
+    async def _ask_host(
+        self, address: tuple[str, int], request: AdmitRequest
+    ) -> Result[None, Failure]:
+        if address == self._address and self.admit_here is not None:
+            reply = await self.admit_here(request)
+        else:
+            peer = self._peers(*address)
+            outcome = await peer.call(ADMIT, request, _CALL_TIMEOUT_S)
+            if isinstance(outcome, Failed):
+                return outcome
+            reply = outcome.unwrap()
+        return Success(None) if reply.failure is None else Failed(reply.failure)
 
     async def _send(
         self, shard: int, settlements: tuple[Settlement, ...]
     ) -> bool:
         view = self._map.get(shard)
-        if view is None or view.record.incarnation == self._incarnation:
+        if view is None:
             return False
-        outcome = await self._peers(view.record).call(
-            SETTLE, SettleRequest(settlements), _CALL_TIMEOUT_S
+        record = view.record
+        for address in (
+            (record.address, record.port),
+            (record.standby_address, record.standby_port),
+        ):
+            if not address[0] or address == self._address:
+                continue
+            outcome = await self._peers(*address).call(
+                SETTLE, SettleRequest(settlements), _CALL_TIMEOUT_S
+            )
+            if not isinstance(outcome, Failed) and (
+                shard not in outcome.unwrap().other_shards
+            ):
+                return True
+        return False
+
+    def _is_unreachable(self, shard: int, version: int) -> bool:
+        known = self.unreachable_by_shard.get(shard)
+        now = asyncio.get_running_loop().time()
+        return (
+            known is not None
+            and known.version == version
+            and now - known.last < _STANDBY_FIRST_S
         )
-        return not isinstance(outcome, Failed) and (
-            shard not in outcome.unwrap().other_shards
+
+    def _note(
+        self, shard: int, version: int, outcome: Result[None, Failure]
+    ) -> None:
+        is_unreachable = isinstance(outcome, Failed) and (
+            outcome.failure().kind is ErrorKind.PEER_UNAVAILABLE
         )
+        if is_unreachable:
+            self._note_unreachable(shard, version)
+        else:
+            self.unreachable_by_shard.pop(shard, None)
 
     def _note_unreachable(self, shard: int, version: int) -> None:
         now = asyncio.get_running_loop().time()
@@ -188,3 +250,11 @@
             known = Unreachable(version, now, now)
             self.unreachable_by_shard[shard] = known
         known.last = now
+
+
+def _is_no_answer(outcome: Result[None, Failure]) -> bool:
+    """Returns whether another host may know better."""
+    return isinstance(outcome, Failed) and outcome.failure().kind in (
+        ErrorKind.NOT_OWNER,
+        ErrorKind.PEER_UNAVAILABLE,
+    )
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -15,13 +16,21 @@
 from masticdale_ledger.messages import (
     HAND_OVER,
     SEAL,
+    SETTLE,
     AccountState,
     HandOver,
     HandOverReply,
     SealReply,
     SealRequest,
+    SettleRequest,
+)
+from masticdale_ledger.owner import (
+    Alone,
+    OwnedShard,
+    ShardOwner,
+    account_of,
+    limited,
 )
-from masticdale_ledger.owner import OwnedShard, ShardOwner, account_of
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
     SHARD_PREFIX,
@@ -52,6 +61,9 @@
 # seconds, so that the first one's record spares the others their calls.
 _CLAIM_SPREAD_S = 1.0
 _CALL_TIMEOUT_S = 0.5
+# A standby that failed is not named again for this long, in seconds: a killed
+# process is back sooner, a host that is replaced never is.
+_AVOID_S = 10.0
 # After the accounts of a shard are lost, a program of before may come back
 # for this long, in seconds; twice the longest time that callers keep one.
 _LOST_PROGRAMS_S = 120.0
@@ -115,7 +127,9 @@
         client: LedgerClient,
         copies: StandbyCopies,
         hosts: Hosts,
+        is_store_lost: Callable[[], bool],
     ) -> None:
+        self._is_store_lost = is_store_lost
         self.is_stopping = False
         self._identity = identity
         self._store = store
@@ -129,6 +143,7 @@
         self._random = random.Random(identity.incarnation)
         self._claim_at_by_shard: dict[int, float] = {}
         self._busy_shards: set[int] = set()
+        self._failed_at_by_standby: dict[tuple[str, int], float] = {}
 
     async def look(self) -> None:
         """Drops shards that others own, claims those that nobody serves."""
@@ -142,9 +157,69 @@
             elif self._is_due(number, previous):
                 await self._claim(number, previous)
         for shard in self._owner.owned().values():
-            if self._needs_standby(shard):
+            if shard.is_acting:
+                await self._claim_acting(shard)
+            elif self._needs_standby(shard):
                 await self._replace_standby(shard)
 
+    async def act(self, number: int) -> None:
+        """Goes on in place of an owner that is lost while the store is away.
+
+        Nobody can take the shard over then. The standby seals its own copy
+        and admits what needs no record; see ``Alone``.
+        """
+        view = self._map.get(number)
+        if view is None or not self._is_store_lost():
+            return
+        record = view.record
+        here = (self._identity.address, self._identity.port)
+        if (record.standby_address, record.standby_port) != here:
+            return
+        if not self._copies.holds(number, record.epoch):
+            return
+        owner = self._hosts.client(record.address, record.port)
+        answer = await owner.call(SETTLE, SettleRequest(()), _CALL_TIMEOUT_S)
+        if not isinstance(answer, Failed) or number in self._owner.owned():
+            return
+        copy = self._copies.seal(SealRequest(number, record.epoch))
+        accounts = Accounts()
+        accounts.adopt([account_of(state) for state in copy.accounts])
+        incomplete_s = copy.incomplete_for_s
+        shard = OwnedShard(
+            number,
+            view,
+            accounts,
+            self._lease.now() + incomplete_s if incomplete_s else 0.0,
+            self._lease,
+            None,
+        )
+        shard.alone = Alone(
+            frozenset(state.program_id for state in copy.accounts),
+            takes_new=True,
+            uses_records=False,
+        )
+        self._owner.take(shard)
+        logs.write(
+            "shard_acted_for",
+            shard=number,
+            epoch=record.epoch,
+            owner=record.owner,
+            accounts=len(copy.accounts),
+        )
+
+    def seal(self, request: SealRequest) -> SealReply:
+        """Stops the owner of a shard that is being taken over elsewhere."""
+        shard = self._owner.owned().get(request.shard)
+        reply = self._copies.seal(request)
+        if shard is None or not shard.is_acting:
+            return reply
+        self._owner.drop(request.shard)
+        return SealReply(
+            held=True,
+            accounts=_acted(shard),
+            incomplete_for_s=shard.incomplete_for_s,
+        )
+
     async def renew(self) -> None:
         """Asks the store who owns the shards, while some are owned here.
 
@@ -201,12 +276,12 @@
         view = self._map.get(number)
         if view is None:
             return Previous.NONE
+        if number in self._owner.owned():
+            return None
         record = view.record
         if record.owner == self._identity.host:
             # This process is its host's newest, so the one before has ended.
-            is_own = record.incarnation == self._identity.incarnation
-            is_served = is_own and number in self._owner.owned()
-            return None if is_served else Previous.ENDED
+            return Previous.ENDED
         lost = self._client.unreachable_by_shard.get(number)
         if lost is None or lost.version != view.version:
             return None
@@ -231,6 +306,10 @@
 
     async def _claim(self, number: int, previous: Previous) -> None:
         self._claim_at_by_shard.pop(number, None)
+        if self._is_store_lost():
+            # The claim would fail, and sealing the standby before it would
+            # stop the one host that may go on.
+            return
         view = self._map.get(number)
         version = view.version if view else MUST_NOT_EXIST
         inheritance = await self._inherit(number, view, previous)
@@ -254,9 +333,27 @@
             return _Inheritance(previous, (), _LOST_PROGRAMS_S)
         if not reply.held:
             return _Inheritance(Previous.ENDED, (), _LOST_PROGRAMS_S)
-        return _Inheritance(
-            Previous.ENDED, reply.accounts, reply.incomplete_for_s
+        accounts = reply.accounts
+        if previous is Previous.LOST:
+            accounts = tuple(limited(state) for state in accounts)
+        return _Inheritance(Previous.ENDED, accounts, reply.incomplete_for_s)
+
+    async def _claim_acting(self, shard: OwnedShard) -> None:
+        if self._is_store_lost():
+            return
+        inheritance = _Inheritance(
+            Previous.ENDED, _acted(shard), shard.incomplete_for_s
         )
+        outcome = await self._write_claim(
+            shard.number, shard.view.version, inheritance
+        )
+        if isinstance(outcome, Failed):
+            logs.write_bounded(
+                "shard_not_claimed",
+                shard=shard.number,
+                previous="acted for",
+                reason=str(outcome.failure()),
+            )
 
     async def _seal(self, number: int, record: ShardRecord) -> SealReply | None:
         """Returns None where the standby can't be asked."""
@@ -265,7 +362,7 @@
         request = SealRequest(number, record.epoch)
         here = (self._identity.address, self._identity.port)
         if (record.standby_address, record.standby_port) == here:
-            return self._copies.seal(request)
+            return self.seal(request)
         peer = self._hosts.client(record.standby_address, record.standby_port)
         outcome = await peer.call(SEAL, request, _CALL_TIMEOUT_S)
         if isinstance(outcome, Failed):
@@ -294,7 +391,7 @@
     ) -> Result[None, Failure]:
         known = self._map.get(number)
         epoch = (known.record.epoch if known else 0) + 1
-        record = self._new_record(epoch, inheritance.previous, excluded=None)
+        record = self._new_record(epoch, inheritance.previous)
         written = await self._write(number, record, version)
         if isinstance(written, Failed):
             return written
@@ -346,10 +443,24 @@
         value = record.model_dump_json().encode()
         self._map.put(StoredObject(shard_key(number), version, value))
 
-    def _new_record(
-        self, epoch: int, previous: Previous, excluded: tuple[str, int] | None
-    ) -> ShardRecord:
-        candidates = [c for c in self._hosts.candidates() if c != excluded]
+    def _candidates(self) -> list[tuple[str, int]]:
+        """Returns hosts that may consent; a dead one would cost a write."""
+        now = self._lease.now()
+        return [
+            address
+            for address in self._hosts.candidates()
+            if now - self._failed_at_by_standby.get(address, -_AVOID_S)
+            >= _AVOID_S
+        ]
+
+    def _new_record(self, epoch: int, previous: Previous) -> ShardRecord:
+        candidates = self._candidates()
+        # One host's loss then leaves each shard its owner or its standby.
+        owners = {
+            (view.record.address, view.record.port)
+            for view in self._map.views().values()
+        }
+        candidates = [c for c in candidates if c not in owners] or candidates
         standby = self._random.choice(candidates) if candidates else ("", 0)
         return ShardRecord(
             owner=self._identity.host,
@@ -370,9 +481,10 @@
         )
 
     def _needs_standby(self, shard: OwnedShard) -> bool:
-        if shard.number in self._owner.broken_copies:
+        is_broken = shard.number in self._owner.failure_by_broken_copy
+        if is_broken or shard.alone is not None:
             return True
-        return shard.copier is None and bool(self._hosts.candidates())
+        return shard.copier is None and bool(self._candidates())
 
     async def _replace_standby(self, shard: OwnedShard) -> None:
         """Names another standby; the accounts stay.
@@ -383,17 +495,19 @@
             return
         self._busy_shards.add(shard.number)
         try:
+            if not isinstance(await shard.copy_now(), Failed):
+                shard.alone = None
+                self._owner.failure_by_broken_copy.pop(shard.number, None)
+                return
             await self._write_standby(shard)
         finally:
             self._busy_shards.discard(shard.number)
 
     async def _write_standby(self, shard: OwnedShard) -> None:
         old = shard.view.record
-        record = self._new_record(
-            old.epoch + 1,
-            Previous.ENDED,
-            excluded=(old.standby_address, old.standby_port),
-        )
+        failed = (old.standby_address, old.standby_port)
+        self._failed_at_by_standby[failed] = self._lease.now()
+        record = self._new_record(old.epoch + 1, Previous.ENDED)
         written = await self._write(shard.number, record, shard.view.version)
         logs.write_bounded(
             "standby_replaced",
@@ -405,6 +519,7 @@
             else "",
         )
         if isinstance(written, Failed):
+            self._go_alone(shard, written.failure())
             return
         if self._owner.owned().get(shard.number) is not shard:
             return
@@ -418,6 +533,16 @@
             ),
         )
 
+    def _go_alone(self, shard: OwnedShard, failure: Failure) -> None:
+        broken = self._owner.failure_by_broken_copy.get(shard.number)
+        is_sealed = broken is not None and broken.kind is ErrorKind.CONFLICT
+        is_away = failure.kind is ErrorKind.PLATFORM_UNAVAILABLE
+        if is_sealed or not is_away or shard.alone is not None:
+            return
+        known = frozenset(a.program_id for a in shard.accounts.all())
+        shard.alone = Alone(known, takes_new=False, uses_records=True)
+        logs.write("shard_alone", shard=shard.number, programs=len(known))
+
     async def _write(
         self, number: int, record: ShardRecord, version: int
     ) -> Result[int, Failure]:
@@ -491,3 +616,15 @@
             return None
         fewest = min(count_by_owner, key=lambda o: (count_by_owner[o], o))
         return record_by_owner[fewest]
+
+
+def _acted(shard: OwnedShard) -> tuple[AccountState, ...]:
+    """Returns the accounts of a shard that was acted for.
+
+    Programs that its owner knew may have gone on there meanwhile.
+    """
+    known = shard.alone.known_ids if shard.alone else frozenset()
+    return tuple(
+        limited(state) if state.program_id in known else state
+        for state in shard.states(None)
+    )
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import time
 
 from returns.result import Failure as Failed
@@ -10,6 +11,7 @@
 from masticdale_common import ErrorKind, Failure, Metrics, logs
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.accounts import (
+    FIRST_STEP,
     Account,
     Accounts,
     Admitted,
@@ -30,6 +32,29 @@
 _ROUNDS = 4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alone:
+    """How far an owner and its standby may go without each other.
+
+    Both know the same accounts when they lose each other. While the store is
+    away neither can be replaced, and each goes on within the part of a budget
+    that needs no record. Together they hand out no more than a budget: what
+    lies below the first step at most twice, and nothing above it.
+
+    Attributes:
+        known_ids: Programs known when they lost each other.
+        takes_new: Whether other programs are admitted too. Only the standby
+            does: whoever takes the shard over later can seal the standby, and
+            learns of them.
+        uses_records: Whether programs may go on up to their records. Only the
+            owner does: two that spent up to one record would spend it twice.
+    """
+
+    known_ids: frozenset[str]
+    takes_new: bool
+    uses_records: bool
+
+
 class OwnedShard(AccountSource):
     """A shard while this host owns it.
 
@@ -39,6 +64,7 @@
         accounts: Its programs.
         copier: Keeps the standby up to date; None without a standby.
         is_moving: Whether it is being handed over.
+        alone: Set while there is neither a standby nor a store.
     """
 
     def __init__(
@@ -66,9 +92,26 @@
         self.accounts = accounts
         self.copier = copier
         self.is_moving = False
+        self.alone: Alone | None = None
         self._complete_from = complete_from
         self._lease = lease
 
+    @property
+    def is_acting(self) -> bool:
+        """Whether this host is the standby, in place of the owner."""
+        return self.alone is not None and self.alone.takes_new
+
+    def declines(self, claim: TurnClaim) -> bool:
+        """Returns whether a turn has to wait until the shard isn't alone."""
+        if self.alone is None:
+            return False
+        is_known = claim.program_id in self.alone.known_ids
+        if not is_known and not self.alone.takes_new:
+            return True
+        account = self.accounts.get(claim.program_id)
+        has_record = account is not None and account.bound is not None
+        return has_record and not self.alone.uses_records
+
     @property
     def incomplete_for_s(self) -> float:
         """How long programs of before may yet be missing."""
@@ -92,8 +135,14 @@
 
     async def copy(self) -> Result[None, Failure]:
         """Returns once the standby holds every account as it is now."""
-        if self.copier is None:
+        if self.copier is None or self.alone is not None:
             return Success(None)
+        return await self.copy_now()
+
+    async def copy_now(self) -> Result[None, Failure]:
+        """Does the same also while the shard is alone."""
+        if self.copier is None:
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, "no standby"))
         state = CopyState(
             self.number, self.view.record.epoch, self.incomplete_for_s
         )
@@ -104,13 +153,13 @@
     """The shards of this host.
 
     Attributes:
-        broken_copies: Shards whose standby has to be replaced.
+        failure_by_broken_copy: Why the standby of a shard is to be replaced.
     """
 
     def __init__(
         self, records: ProgramRecords, lease: Lease, metrics: Metrics
     ) -> None:
-        self.broken_copies: set[int] = set()
+        self.failure_by_broken_copy: dict[int, Failure] = {}
         self._records = records
         self._lease = lease
         self._metrics = metrics
@@ -126,12 +175,12 @@
     def take(self, shard: OwnedShard) -> None:
         """Begins to own a shard."""
         self._shard_by_number[shard.number] = shard
-        self.broken_copies.discard(shard.number)
+        self.failure_by_broken_copy.pop(shard.number, None)
 
     def drop(self, number: int) -> None:
         """Stops to own a shard."""
         self._shard_by_number.pop(number, None)
-        self.broken_copies.discard(number)
+        self.failure_by_broken_copy.pop(number, None)
 
     async def admit(
         self, number: int, claim: TurnClaim
@@ -141,9 +190,12 @@
             shard = self._shard_by_number.get(number)
             if shard is None or shard.is_moving:
                 return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {number}"))
-            if not self._lease.is_valid:
+            if not self._lease.is_valid and not shard.is_acting:
                 detail = f"lease of shard {number}, age {self._lease.age_s}"
                 return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
+            if shard.declines(claim):
+                detail = f"shard {number} has neither standby nor store"
+                return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
             account = shard.open(claim)
             verdict = account.judge(claim)
             if isinstance(verdict, Admitted):
@@ -178,8 +230,11 @@
         for shard in list(self._shard_by_number.values()):
             if shard.copier is None or not shard.copier.has_changes:
                 continue
-            if isinstance(await shard.copy(), Failed):
-                self.broken_copies.add(shard.number)
+            if shard.alone is not None:
+                continue
+            copied = await shard.copy()
+            if isinstance(copied, Failed):
+                self.failure_by_broken_copy[shard.number] = copied.failure()
 
     async def forget_old(self) -> None:
         """Drops programs that will not come back, and their records."""
@@ -204,7 +259,7 @@
             return Failed(Failure(ErrorKind.NOT_OWNER, detail))
         if not isinstance(copied, Failed):
             return Success(None)
-        self.broken_copies.add(shard.number)
+        self.failure_by_broken_copy[shard.number] = copied.failure()
         shard.accounts.settle(claim.program_id, claim.request_id, 0)
         detail = f"standby of shard {shard.number}: {copied.failure()}"
         return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
@@ -281,6 +336,19 @@
     )
 
 
+def limited(state: AccountState) -> AccountState:
+    """Returns an account as it has to be if its last owner may live.
+
+    Without standby and store that owner may have gone on with the programs
+    that it knew, up to the first step or their records.
+    """
+    first_step = int(FIRST_STEP * state.budget_tokens)
+    spent = max(state.spent_tokens, first_step, state.bound_tokens)
+    return dataclasses.replace(
+        state, spent_tokens=spent, counts_from_start=False
+    )
+
+
 def account_of(state: AccountState) -> Account:
     """Returns the account that another host has held."""
     bound = None
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -1,7 +1,9 @@
 """Serves the ledger's calls of other hosts."""
 
 from returns.result import Failure as Failed
+from returns.result import Result
 
+from masticdale_common import ErrorKind, Failure
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.keeper import ShardKeeper
 from masticdale_ledger.messages import (
@@ -49,6 +51,9 @@
             is_first_turn=request.is_first_turn,
         )
         outcome = await self._owner.admit(request.shard, claim)
+        if _is_not_owner(outcome):
+            await self._keeper.act(request.shard)
+            outcome = await self._owner.admit(request.shard, claim)
         if isinstance(outcome, Failed):
             return AdmitReply(outcome.failure())
         return AdmitReply()
@@ -72,8 +77,14 @@
 
     async def seal(self, request: SealRequest) -> SealReply:
         """Stops the owner of a shard that is being taken over."""
-        return self._copies.seal(request)
+        return self._keeper.seal(request)
 
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't."""
         return await serve_store(self._direct, request)
+
+
+def _is_not_owner(outcome: Result[None, Failure]) -> bool:
+    return isinstance(outcome, Failed) and (
+        outcome.failure().kind is ErrorKind.NOT_OWNER
+    )
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -67,6 +67,12 @@
             copy.account_by_id.popitem(last=False)
         return CopyReply(held=True)
 
+    def holds(self, shard: int, epoch: int) -> bool:
+        """Returns whether there is a copy of an epoch that is not sealed."""
+        copy = self._copy_by_shard.get(shard)
+        is_sealed = epoch <= self._sealed_epoch_by_shard.get(shard, 0)
+        return copy is not None and copy.epoch == epoch and not is_sealed
+
     def seal(self, request: SealRequest) -> SealReply:
         """Takes no more copies up to an epoch; returns what is held of it."""
         sealed = self._sealed_epoch_by_shard.get(request.shard, 0)
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -164,6 +164,12 @@
         self._metrics = metrics
         self._random = random.Random()
         self._reachability = _Reachability()
+        self._is_relay_lost = False
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the store was reached by no way the last time."""
+        return not self._reachability.is_open and self._is_relay_lost
 
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
@@ -220,6 +226,12 @@
         return await self._direct.hosts()
 
     async def _try(self, call: StoreCall[T]) -> Result[T, Failure]:
+        if self.is_lost:
+            # The watches go on to look for a way; whoever waits for this
+            # call is better told at once.
+            return Failed(
+                Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no way to the store")
+            )
         if not self._reachability.is_open:
             return await self._relay(call)
         outcome = await call(self._direct)
@@ -239,6 +251,7 @@
             outcome = await call(store)
             if not _is_unavailable(outcome):
                 break
+        self._is_relay_lost = _is_unavailable(outcome)
         return outcome
 
     async def _until_changed(
