Explain failed requests from their ids; keep loop notes out of a tool's output

A test of the pages failed once beside load: the event loop's note on a slow step had gone to the standard error that the test collects. Traced, mended.

--- a/apps/masticctl/tests/hosts.py
+++ b/apps/masticctl/tests/hosts.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import io
+import logging
 from unittest import mock
 
 import httpx
@@ -67,6 +68,22 @@
     err: str
 
 
+@contextlib.contextmanager
+def _without_debug_notes():
+    """Keeps asyncio's notes on slow steps out of a tool's output.
+
+    Under load a test's event loop, which runs in debug mode, reports steps of
+    over 0.1 s on standard error, where the tool's own output is collected.
+    """
+    logger = logging.getLogger("asyncio")
+    level = logger.level
+    logger.setLevel(logging.ERROR)
+    try:
+        yield
+    finally:
+        logger.setLevel(level)
+
+
 class Tool:
     """Runs commands of the tool against hosts in memory."""
 
@@ -84,6 +101,7 @@
             mock.patch.object(session, "create_client", self._client),
             contextlib.redirect_stdout(out),
             contextlib.redirect_stderr(err),
+            _without_debug_notes(),
         ):
             try:
                 code = await main.parse(argv).execute()
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -156,13 +156,17 @@
             if terms.is_genuine:
                 exchange = Exchange(self, state, connection, head, terms)
                 return Success(exchange)
-            return Failed(await self._refused(state, connection, terms, head))
+            return Failed(
+                await self._refused(call, state, connection, terms, head)
+            )
         except ConnectFailedError as error:
             state.circuit.failed(loop.time())
-            return Failed(self._failure(state, Ran.NO, _reason(error)))
+            return Failed(self._failure(call, state, Ran.NO, _reason(error)))
         except _CUT_ERRORS as error:
             state.circuit.failed(loop.time())
-            return Failed(self._failure(state, Ran.UNKNOWN, _reason(error)))
+            return Failed(
+                self._failure(call, state, Ran.UNKNOWN, _reason(error))
+            )
         finally:
             if exchange is None:
                 state.in_flight -= 1
@@ -197,6 +201,7 @@
 
     async def _refused(
         self,
+        call: Call,
         state: ReplicaState,
         connection: UpstreamConnection,
         terms: AnswerTerms,
@@ -204,7 +209,9 @@
     ) -> SendFailure:
         if not terms.is_not_run:
             state.circuit.failed(asyncio.get_running_loop().time())
-            return self._failure(state, Ran.UNKNOWN, f"status {head.status}")
+            return self._failure(
+                call, state, Ran.UNKNOWN, f"status {head.status}"
+            )
         if head.status == 421:
             # Another replica has the address: the list has not said so yet.
             state.circuit.failed(asyncio.get_running_loop().time())
@@ -212,7 +219,11 @@
             while await connection.read_part() is not None:
                 pass
         return self._failure(
-            state, Ran.NO, f"not run {head.status}", terms.retry_after_s
+            call,
+            state,
+            Ran.NO,
+            f"not run {head.status}",
+            terms.retry_after_s,
         )
 
     def _note_load(self, state: ReplicaState, terms: AnswerTerms) -> None:
@@ -223,6 +234,7 @@
 
     def _failure(
         self,
+        call: Call,
         state: ReplicaState,
         ran: Ran,
         reason: str,
@@ -231,6 +243,7 @@
         self._metrics.count("upstream_failures_total", ran=ran.value)
         logs.write_bounded(
             "send_failed",
+            request_id=call.terms.request_id,
             replica=state.replica.id,
             service=state.replica.service,
             ran=ran.value,
