--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -36,12 +36,14 @@
     RENEW_EVERY_S,
     SHARD_COUNT,
     SHARD_PREFIX,
+    ActingStandby,
     FallbackStore,
     Identity,
     Lease,
     LedgerClient,
     LedgerService,
     ProgramRecords,
+    ShardClaims,
     ShardKeeper,
     ShardMap,
     ShardOwner,
@@ -107,7 +109,7 @@
             self._metrics,
         )
         copies = StandbyCopies()
-        self._keeper = ShardKeeper(
+        claims = ShardClaims(
             identity,
             self._store,
             records,
@@ -115,11 +117,32 @@
             self._owner,
             self._lease,
             self._ledger,
+            self._peers,
+        )
+        acting = ActingStandby(
+            identity,
+            self._shard_map,
+            self._owner,
+            self._lease,
             copies,
             self._peers,
             lambda: self._store.is_lost,
         )
-        service = LedgerService(self._owner, self._keeper, copies, self._direct)
+        self._keeper = ShardKeeper(
+            identity,
+            self._store,
+            self._shard_map,
+            self._owner,
+            self._lease,
+            self._ledger,
+            claims,
+            acting,
+            self._peers,
+            lambda: self._store.is_lost,
+        )
+        service = LedgerService(
+            self._owner, self._keeper, acting, copies, self._direct
+        )
         self._ledger.admit_here = service.admit
         self._peer_server = PeerServer(service, peers_at, LEDGER)
         self._relay = Relay(
--- a/libs/ledger/src/masticdale_ledger/__init__.py
+++ b/libs/ledger/src/masticdale_ledger/__init__.py
@@ -1,11 +1,12 @@
 """Program budgets that hold over hosts, restarts and outages of the store."""
 
+from masticdale_ledger.acting import ActingStandby
+from masticdale_ledger.claims import ShardClaims
 from masticdale_ledger.client import SHARD_COUNT, LedgerClient
+from masticdale_ledger.hosts import Hosts, Identity
 from masticdale_ledger.keeper import (
     LOOK_EVERY_S,
     RENEW_EVERY_S,
-    Hosts,
-    Identity,
     ShardKeeper,
 )
 from masticdale_ledger.leases import Lease, boot_time_s
@@ -24,6 +25,7 @@
     "RENEW_EVERY_S",
     "SHARD_COUNT",
     "SHARD_PREFIX",
+    "ActingStandby",
     "FallbackStore",
     "Hosts",
     "Identity",
@@ -31,6 +33,7 @@
     "LedgerClient",
     "LedgerService",
     "ProgramRecords",
+    "ShardClaims",
     "ShardKeeper",
     "ShardMap",
     "ShardOwner",
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -0,0 +1,120 @@
+"""The standby in place of an owner that is lost while the store is away."""
+
+from collections.abc import Callable
+
+from returns.result import Failure as Failed
+
+from masticdale_common import logs
+from masticdale_ledger.accounts import Accounts
+from masticdale_ledger.hosts import Hosts, Identity
+from masticdale_ledger.leases import Lease
+from masticdale_ledger.messages import (
+    SETTLE,
+    AccountState,
+    SealReply,
+    SealRequest,
+    SettleRequest,
+)
+from masticdale_ledger.owner import (
+    Alone,
+    OwnedShard,
+    ShardOwner,
+    account_of,
+    limited,
+)
+from masticdale_ledger.shards import ShardMap, ShardView
+from masticdale_ledger.standby import StandbyCopies
+
+# One question to the owner whether it lives, in seconds.
+_CALL_TIMEOUT_S = 0.5
+
+
+class ActingStandby:
+    """Goes on with shards whose owner is lost, and gives them up again."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        shard_map: ShardMap,
+        owner: ShardOwner,
+        lease: Lease,
+        copies: StandbyCopies,
+        hosts: Hosts,
+        is_store_lost: Callable[[], bool],
+    ) -> None:
+        self._identity = identity
+        self._map = shard_map
+        self._owner = owner
+        self._lease = lease
+        self._copies = copies
+        self._hosts = hosts
+        self._is_store_lost = is_store_lost
+
+    async def act(self, number: int) -> None:
+        """Goes on with a shard if nobody else can.
+
+        Nobody can take the shard over while the store is away. The standby
+        seals its own copy and admits what needs no record; see ``Alone``.
+        """
+        view = self._map.get(number)
+        if view is None or not self._is_store_lost():
+            return
+        record = view.record
+        here = (self._identity.address, self._identity.port)
+        if (record.standby_address, record.standby_port) != here:
+            return
+        if not self._copies.holds(number, record.epoch):
+            return
+        owner = self._hosts.client(record.address, record.port)
+        answer = await owner.call(SETTLE, SettleRequest(()), _CALL_TIMEOUT_S)
+        if not isinstance(answer, Failed) or number in self._owner.owned():
+            return
+        self._begin(number, view)
+
+    def seal(self, request: SealRequest) -> SealReply:
+        """Stops the owner of a shard that is being taken over elsewhere."""
+        shard = self._owner.owned().get(request.shard)
+        reply = self._copies.seal(request)
+        if shard is None or not shard.is_acting:
+            return reply
+        self._owner.drop(request.shard)
+        return SealReply(
+            held=True,
+            accounts=acted_accounts(shard),
+            incomplete_for_s=shard.incomplete_for_s,
+        )
+
+    def _begin(self, number: int, view: ShardView) -> None:
+        record = view.record
+        copy = self._copies.seal(SealRequest(number, record.epoch))
+        accounts = Accounts()
+        accounts.adopt([account_of(state) for state in copy.accounts])
+        incomplete_s = copy.incomplete_for_s
+        complete_from = self._lease.now() + incomplete_s if incomplete_s else 0
+        shard = OwnedShard(
+            number, view, accounts, complete_from, self._lease, None
+        )
+        shard.alone = Alone(
+            frozenset(state.program_id for state in copy.accounts),
+            takes_new=True,
+        )
+        self._owner.take(shard)
+        logs.write(
+            "shard_acted_for",
+            shard=number,
+            epoch=record.epoch,
+            owner=record.owner,
+            accounts=len(copy.accounts),
+        )
+
+
+def acted_accounts(shard: OwnedShard) -> tuple[AccountState, ...]:
+    """Returns the accounts of a shard that was acted for.
+
+    Programs that its owner knew may have gone on there meanwhile.
+    """
+    known = shard.alone.known_ids if shard.alone else frozenset()
+    return tuple(
+        limited(state) if state.program_id in known else state
+        for state in shard.states(None)
+    )
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -0,0 +1,279 @@
+"""Writes into the store who owns a shard, and who its standby is."""
+
+import dataclasses
+import random
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, logs
+from masticdale_ledger.accounts import Accounts
+from masticdale_ledger.client import LedgerClient
+from masticdale_ledger.copier import Copier
+from masticdale_ledger.hosts import Hosts, Identity
+from masticdale_ledger.leases import LEASE_S, Lease
+from masticdale_ledger.messages import AccountState
+from masticdale_ledger.owner import (
+    Alone,
+    OwnedShard,
+    ShardOwner,
+    account_of,
+)
+from masticdale_ledger.records import ProgramRecords
+from masticdale_ledger.shards import (
+    Previous,
+    ShardMap,
+    ShardRecord,
+    ShardView,
+    read_shard,
+    shard_key,
+)
+from masticdale_platform import ObjectStore, StoredObject
+
+# A standby that failed is not named again for this long, in seconds: a killed
+# process is back sooner, a host that is replaced never is.
+_AVOID_S = 10.0
+# After the accounts of a shard are lost, a program of before may come back
+# for this long, in seconds; twice the longest time that callers keep one.
+LOST_PROGRAMS_S = 120.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Inheritance:
+    """What is known of a shard that is taken over.
+
+    Attributes:
+        previous: Whether the last owner surely acts no more.
+        accounts: Its accounts.
+        incomplete_for_s: Programs of before may be missing for so long.
+    """
+
+    previous: Previous
+    accounts: tuple[AccountState, ...] = ()
+    incomplete_for_s: float = 0.0
+
+
+class ShardClaims:
+    """Takes shards for this host, and names their standbys."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: ObjectStore,
+        records: ProgramRecords,
+        shard_map: ShardMap,
+        owner: ShardOwner,
+        lease: Lease,
+        client: LedgerClient,
+        hosts: Hosts,
+    ) -> None:
+        self._identity = identity
+        self._store = store
+        self._records = records
+        self._map = shard_map
+        self._owner = owner
+        self._lease = lease
+        self._client = client
+        self._hosts = hosts
+        self._random = random.Random(identity.incarnation)
+        self._busy_shards: set[int] = set()
+        self._failed_at_by_standby: dict[tuple[str, int], float] = {}
+
+    async def claim(
+        self, number: int, version: int, inheritance: Inheritance
+    ) -> Result[None, Failure]:
+        """Writes that this host owns a shard, and begins to own it.
+
+        Args:
+            number: The shard.
+            version: Version of its object now; 0 where there is none.
+            inheritance: What is known of it.
+
+        Failures: CONFLICT where another host was first; else the store's.
+        """
+        if number in self._busy_shards:
+            return Failed(Failure(ErrorKind.CONFLICT, "claimed right now"))
+        self._busy_shards.add(number)
+        try:
+            return await self._write_record(number, version, inheritance)
+        finally:
+            self._busy_shards.discard(number)
+
+    async def _write_record(
+        self, number: int, version: int, inheritance: Inheritance
+    ) -> Result[None, Failure]:
+        known = self._map.get(number)
+        epoch = (known.record.epoch if known else 0) + 1
+        record = self._new_record(epoch, inheritance.previous)
+        written = await self._write(number, record, version)
+        if isinstance(written, Failed):
+            return written
+        # Read after the claim: what the last owner wrote is in it, and what
+        # it might write from now on conflicts with what is written here.
+        bounds = await self._records.load()
+        if isinstance(bounds, Failed):
+            return bounds
+        accounts = Accounts(bounds.unwrap())
+        accounts.adopt([account_of(state) for state in inheritance.accounts])
+        self._own(number, record, written.unwrap(), accounts, inheritance)
+        logs.write(
+            "shard_taken",
+            shard=number,
+            epoch=epoch,
+            previous=inheritance.previous,
+            records=len(bounds.unwrap()),
+            accounts=len(accounts),
+            incomplete_for_s=inheritance.incomplete_for_s,
+            standby=record.standby_address,
+        )
+        return Success(None)
+
+    def _own(
+        self,
+        number: int,
+        record: ShardRecord,
+        version: int,
+        accounts: Accounts,
+        inheritance: Inheritance,
+    ) -> None:
+        incomplete_s = inheritance.incomplete_for_s
+        if inheritance.previous is Previous.LOST:
+            # The last owner may act on until its lease ends, and the programs
+            # that it admits in that time are not known here.
+            incomplete_s = LEASE_S + LOST_PROGRAMS_S
+        view = ShardView(record, version)
+        self._owner.take(
+            OwnedShard(
+                number,
+                view,
+                accounts,
+                self._lease.now() + incomplete_s if incomplete_s else 0.0,
+                self._lease,
+                self._copier(record),
+            )
+        )
+        self._client.unreachable_by_shard.pop(number, None)
+        value = record.model_dump_json().encode()
+        self._map.put(StoredObject(shard_key(number), version, value))
+
+    def candidates(self) -> list[tuple[str, int]]:
+        """Returns hosts that may consent; a dead one would cost a write."""
+        now = self._lease.now()
+        return [
+            address
+            for address in self._hosts.candidates()
+            if now - self._failed_at_by_standby.get(address, -_AVOID_S)
+            >= _AVOID_S
+        ]
+
+    def _new_record(self, epoch: int, previous: Previous) -> ShardRecord:
+        candidates = self.candidates()
+        # One host's loss then leaves each shard its owner or its standby.
+        owners = {
+            (view.record.address, view.record.port)
+            for view in self._map.views().values()
+        }
+        candidates = [c for c in candidates if c not in owners] or candidates
+        standby = self._random.choice(candidates) if candidates else ("", 0)
+        return ShardRecord(
+            owner=self._identity.host,
+            incarnation=self._identity.incarnation,
+            address=self._identity.address,
+            port=self._identity.port,
+            epoch=epoch,
+            previous=previous,
+            standby_address=standby[0],
+            standby_port=standby[1],
+        )
+
+    def _copier(self, record: ShardRecord) -> Copier | None:
+        if not record.standby_address:
+            return None
+        return Copier(
+            self._hosts.client(record.standby_address, record.standby_port)
+        )
+
+    async def replace_standby(self, shard: OwnedShard) -> None:
+        """Names another standby; the accounts stay.
+
+        The write fails where another host has taken the shard over.
+        """
+        if shard.number in self._busy_shards or shard.is_moving:
+            return
+        self._busy_shards.add(shard.number)
+        try:
+            if not isinstance(await shard.copy_now(), Failed):
+                shard.alone = None
+                self._owner.failure_by_broken_copy.pop(shard.number, None)
+                return
+            await self._write_standby(shard)
+        finally:
+            self._busy_shards.discard(shard.number)
+
+    async def _write_standby(self, shard: OwnedShard) -> None:
+        old = shard.view.record
+        failed = (old.standby_address, old.standby_port)
+        self._failed_at_by_standby[failed] = self._lease.now()
+        record = self._new_record(old.epoch + 1, Previous.ENDED)
+        written = await self._write(shard.number, record, shard.view.version)
+        logs.write_bounded(
+            "standby_replaced",
+            shard=shard.number,
+            old=old.standby_address,
+            new=record.standby_address,
+            failure=str(written.failure())
+            if isinstance(written, Failed)
+            else "",
+        )
+        if isinstance(written, Failed):
+            self._go_alone(shard, written.failure())
+            return
+        if self._owner.owned().get(shard.number) is not shard:
+            return
+        self._own(
+            shard.number,
+            record,
+            written.unwrap(),
+            shard.accounts,
+            Inheritance(
+                Previous.ENDED, incomplete_for_s=shard.incomplete_for_s
+            ),
+        )
+
+    def _go_alone(self, shard: OwnedShard, failure: Failure) -> None:
+        broken = self._owner.failure_by_broken_copy.get(shard.number)
+        is_sealed = broken is not None and broken.kind is ErrorKind.CONFLICT
+        is_away = failure.kind is ErrorKind.PLATFORM_UNAVAILABLE
+        if is_sealed or not is_away or shard.alone is not None:
+            return
+        known = frozenset(a.program_id for a in shard.accounts.all())
+        shard.alone = Alone(known, takes_new=False)
+        logs.write("shard_alone", shard=shard.number, programs=len(known))
+
+    async def _write(
+        self, number: int, record: ShardRecord, version: int
+    ) -> Result[int, Failure]:
+        key = shard_key(number)
+        value = record.model_dump_json().encode()
+        asked_at = self._lease.now()
+        outcome = await self._store.write(key, value, version)
+        if not isinstance(outcome, Failed):
+            self._lease.confirm(asked_at)
+            return outcome
+        kind = outcome.failure().kind
+        if kind not in (ErrorKind.WRITE_UNKNOWN, ErrorKind.CONFLICT):
+            return outcome
+        # Either the answer was lost and the write was not, or somebody else
+        # was first; both show in the store.
+        found = await self._store.read(key)
+        if isinstance(found, Failed):
+            return found
+        stored = found.unwrap()
+        if stored is None:
+            return outcome
+        view = read_shard(stored)
+        if view is not None and view.record == record:
+            self._lease.confirm(asked_at)
+            return Success(view.version)
+        self._map.put(stored)
+        return outcome
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -5,6 +5,7 @@
 
 from masticdale_common import ErrorKind, Failure
 from masticdale_gateway.calls import TurnClaim
+from masticdale_ledger.acting import ActingStandby
 from masticdale_ledger.keeper import ShardKeeper
 from masticdale_ledger.messages import (
     AdmitReply,
@@ -33,9 +34,11 @@
         self,
         owner: ShardOwner,
         keeper: ShardKeeper,
+        acting: ActingStandby,
         copies: StandbyCopies,
         direct: ObjectStore,
     ) -> None:
+        self._acting = acting
         self._copies = copies
         self._owner = owner
         self._keeper = keeper
@@ -52,7 +55,7 @@
         )
         outcome = await self._owner.admit(request.shard, claim)
         if _is_not_owner(outcome):
-            await self._keeper.act(request.shard)
+            await self._acting.act(request.shard)
             outcome = await self._owner.admit(request.shard, claim)
         if isinstance(outcome, Failed):
             return AdmitReply(outcome.failure())
@@ -77,7 +80,7 @@
 
     async def seal(self, request: SealRequest) -> SealReply:
         """Stops the owner of a shard that is being taken over."""
-        return self._keeper.seal(request)
+        return self._acting.seal(request)
 
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't."""
