Read a list directly after a cut watch before taking the store for lost

Cause: test_a_watch_that_is_cut failed once beside load: after any cut watch a host without other hosts waited a second before it asked the store again. Also a single host needed up to 7 s for its first shards (spread grew with each): three stream tests that began at once failed beside load, and now wait for the shards.

--- a/apps/masticdale_entry/tests/test_relaying.py
+++ b/apps/masticdale_entry/tests/test_relaying.py
@@ -32,6 +32,7 @@
         )
 
     async def test_a_stream_is_served(self):
+        await self.wait_owned()
         response = await self.turn("r1", program="p")
         self.assertEqual(response.status_code, 200)
         self.assertEqual(pieces(response.text), [1, 2, 3, 4])
@@ -46,6 +47,7 @@
         It sends the headers by which this system orders replicas to reserve
         or move memory. None of them reaches a replica.
         """
+        await self.wait_owned()
         await self.turn(
             "r1",
             **{"Kv-Hold": "1", "Pin-Ms": "9", "Kv-Backup": "x", "Kv-From": "y"},
@@ -156,6 +158,10 @@
 
 
 class StreamFaultTest(EntryCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.wait_owned()
+
     async def test_a_cut_stream_goes_on_where_it_stopped(self):
         """The caller would see a piece twice, half a piece, or none.
 
@@ -171,7 +177,6 @@
         self.assertEqual(len(served), 1)
 
     async def test_a_stream_of_a_crashed_replica_goes_on_elsewhere(self):
-        await self.wait_owned()
         self.set_engines(event_s=0.1, events=8)
         task = asyncio.create_task(self.turn("r1", program="p"))
         await asyncio.sleep(0.35)
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -175,7 +175,7 @@
         now = asyncio.get_running_loop().time()
         # A host that owns shards leaves the next one to the others first, so
         # that the loss of one host touches few programs.
-        spread_s = _CLAIM_SPREAD_S * (1 + 2 * len(self._owner.owned()))
+        spread_s = _CLAIM_SPREAD_S * (2 if self._owner.owned() else 1)
         if previous is Previous.LOST:
             spread_s /= 4
         due_at = self._claim_at_by_shard.setdefault(
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -218,7 +218,10 @@
         outcome = await self._until_changed(watched)
         if outcome is None:
             return _WAY_CHANGED
-        self._note(outcome)
+        # A waiting watch may be cut off at any time. Only the list that is
+        # read after it tells whether the store answers.
+        if position == 0 or not isinstance(outcome, Failed):
+            self._note(outcome)
         return outcome
 
     async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
