--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -56,9 +56,12 @@
 # Connections that may wait to be accepted: a burst of callers opens some
 # hundred at once, and one that finds no place is tried again after a second.
 _BACKLOG = 1024
-# How long one watch waits, in seconds. Each is a priced call; probes of the
-# kernel show a dead connection sooner than that.
-_WATCH_S = 15.0
+# How long one watch waits, in seconds: nearly the most that the store allows.
+# Each is a priced call; probes of the kernel show a dead connection sooner.
+_WATCH_S = 28.0
+# Pause after changes of the list of replicas, in seconds: a replica that
+# leaves is to get no new work two seconds later.
+_REPLICAS_SETTLE_S = 0.3
 # From SIGTERM until the balancer sends no more connections, in seconds: it
 # asks each second and leaves a host out after two misses.
 _BALANCER_S = 2.6
@@ -200,7 +203,14 @@
                 self._configuration.apply,
             )
         )
-        self._follow(Followed(REPLICA_PREFIX, _WATCH_S, self._replicas.apply))
+        self._follow(
+            Followed(
+                REPLICA_PREFIX,
+                _WATCH_S,
+                self._replicas.apply,
+                _REPLICAS_SETTLE_S,
+            )
+        )
         self._follow(Followed(SHARD_PREFIX, _WATCH_S, self._apply_shards))
         self._tasks.append(asyncio.create_task(self._ledger.run()))
         for name, period_s, callback in (
--- a/apps/masticdale_entry/src/masticdale_entry/following.py
+++ b/apps/masticdale_entry/src/masticdale_entry/following.py
@@ -24,11 +24,14 @@
         prefix: Keys of this prefix.
         wait_s: How long one watch waits.
         apply: Takes each batch, and whether the store was away before it.
+        settle_s: Pause after changes, so that those that come together, as
+            when a fleet starts, cost one call and not one each.
     """
 
     prefix: str
     wait_s: float
     apply: Callable[[WatchBatch, bool], None]
+    settle_s: float = 0.0
 
 
 class Follower:
@@ -75,6 +78,8 @@
         self._pause_s = _FIRST_PAUSE_S
         was_away, self._was_away = self._was_away, False
         self._followed.apply(batch, was_away)
+        if batch.changed or batch.deleted_keys:
+            await asyncio.sleep(self._followed.settle_s)
 
     async def _pause(self) -> None:
         await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.5))
--- a/apps/masticdale_entry/src/masticdale_entry/storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/storage.py
@@ -12,7 +12,7 @@
 from masticdale_entry.settings import Settings
 from masticdale_platform import WatchBatch
 
-_WATCH_S = 15.0
+_WATCH_S = 28.0
 
 
 class StorageHost:
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -69,14 +69,12 @@
         request_id: This attempt; asking again for it takes nothing more.
         budget_tokens: The whole budget of the program.
         turn_tokens: What the turn uses at most.
-        is_first_turn: Its prompt shows no earlier turn.
     """
 
     program_id: str
     request_id: str
     budget_tokens: int
     turn_tokens: int
-    is_first_turn: bool
 
 
 class BudgetLedger(Protocol):
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -32,10 +32,6 @@
 from masticdale_routing.fleet import Fleet
 from masticdale_routing.routes import Configuration, Service
 
-# A prompt of at most this many parts holds a shared part and the caller's
-# own, and no earlier turn.
-_FIRST_TURN_PARTS = 2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayParts:
@@ -270,7 +266,6 @@
         request_id=terms.request_id,
         budget_tokens=terms.budget_tokens,
         turn_tokens=terms.turn_tokens,
-        is_first_turn=terms.prompt_parts <= _FIRST_TURN_PARTS,
     )
 
 
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -170,7 +170,6 @@
             request_id=claim.request_id,
             budget_tokens=claim.budget_tokens,
             turn_tokens=claim.turn_tokens,
-            is_first_turn=claim.is_first_turn,
         )
         record = view.record
         addresses = [(record.address, record.port)]
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -14,7 +14,6 @@
   3: string request_id,
   4: i64 budget_tokens,
   5: i64 turn_tokens,
-  6: bool is_first_turn,
 }
 
 struct AdmitReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -15,7 +15,6 @@
     request_id: str
     budget_tokens: int
     turn_tokens: int
-    is_first_turn: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -51,7 +51,6 @@
             request_id=request.request_id,
             budget_tokens=request.budget_tokens,
             turn_tokens=request.turn_tokens,
-            is_first_turn=request.is_first_turn,
         )
         outcome = await self._owner.admit(request.shard, claim)
         if _is_not_owner(outcome):
