--- a/apps/masticdale_entry/tests/test_knowledge.py
+++ b/apps/masticdale_entry/tests/test_knowledge.py
@@ -7,7 +7,6 @@
 
 from masticdale_standins.objects import StoreFault
 
-
 # When a change of the list has reached a host, in seconds; the promise for a
 # replica that leaves is two.
 LISTED_S = 0.8
