--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -128,8 +128,8 @@
             self._owner,
             self._lease,
             copies,
+            claims,
             self._peers,
-            lambda: self._store.is_lost,
         )
         self._keeper = ShardKeeper(
             identity,
--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -1,11 +1,10 @@
 """The standby in place of an owner that is lost while the store is away."""
 
-from collections.abc import Callable
-
 from returns.result import Failure as Failed
 
 from masticdale_common import logs
 from masticdale_ledger.accounts import Accounts
+from masticdale_ledger.claims import ShardClaims
 from masticdale_ledger.hosts import Hosts, Identity
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import (
@@ -27,6 +26,9 @@
 
 # One question to the owner whether it lives, in seconds.
 _CALL_TIMEOUT_S = 0.5
+# Store and owner are asked this often for a shard, in seconds, however many
+# turns come for it.
+_ASK_EVERY_S = 0.3
 
 
 class ActingStandby:
@@ -39,8 +41,8 @@
         owner: ShardOwner,
         lease: Lease,
         copies: StandbyCopies,
+        claims: ShardClaims,
         hosts: Hosts,
-        is_store_lost: Callable[[], bool],
     ) -> None:
         self._identity = identity
         self._map = shard_map
@@ -48,7 +50,8 @@
         self._lease = lease
         self._copies = copies
         self._hosts = hosts
-        self._is_store_lost = is_store_lost
+        self._claims = claims
+        self._asked_at_by_shard: dict[int, float] = {}
 
     async def act(self, number: int) -> None:
         """Goes on with a shard if nobody else can.
@@ -57,7 +60,7 @@
         seals its own copy and admits what needs no record; see ``Alone``.
         """
         view = self._map.get(number)
-        if view is None or not self._is_store_lost():
+        if view is None or number in self._owner.owned():
             return
         record = view.record
         here = (self._identity.address, self._identity.port)
@@ -65,10 +68,14 @@
             return
         if not self._copies.holds(number, record.epoch):
             return
+        if not self._is_due(number) or await self._claims.refresh(number):
+            return
         owner = self._hosts.client(record.address, record.port)
         answer = await owner.call(SETTLE, SettleRequest(()), _CALL_TIMEOUT_S)
         if not isinstance(answer, Failed) or number in self._owner.owned():
             return
+        if not self._copies.holds(number, record.epoch):
+            return
         self._begin(number, view)
 
     def seal(self, request: SealRequest) -> SealReply:
@@ -84,6 +91,13 @@
             incomplete_for_s=shard.incomplete_for_s,
         )
 
+    def _is_due(self, number: int) -> bool:
+        now = self._lease.now()
+        if now - self._asked_at_by_shard.get(number, 0.0) < _ASK_EVERY_S:
+            return False
+        self._asked_at_by_shard[number] = now
+        return True
+
     def _begin(self, number: int, view: ShardView) -> None:
         record = view.record
         copy = self._copies.seal(SealRequest(number, record.epoch))
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -79,6 +79,16 @@
         self._busy_shards: set[int] = set()
         self._failed_at_by_standby: dict[tuple[str, int], float] = {}
 
+    async def refresh(self, number: int) -> bool:
+        """Reads a shard's object; returns whether the store answered."""
+        found = await self._store.read(shard_key(number))
+        if isinstance(found, Failed):
+            return False
+        stored = found.unwrap()
+        if stored is not None:
+            self._map.put(stored)
+        return True
+
     async def claim(
         self, number: int, version: int, inheritance: Inheritance
     ) -> Result[None, Failure]:
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -185,9 +185,11 @@
 
     async def _claim(self, number: int, previous: Previous) -> None:
         self._claim_at_by_shard.pop(number, None)
-        if self._is_store_lost():
-            # The claim would fail, and sealing the standby before it would
-            # stop the one host that may go on.
+        # Without the store the claim would fail, and sealing the standby
+        # before it would stop the one host that may go on.
+        if not await self._claims.refresh(number):
+            return
+        if self._vacancy(number) is None:
             return
         view = self._map.get(number)
         version = view.version if view else MUST_NOT_EXIST
