--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -99,30 +99,23 @@
         """What turns under way may still use."""
         return sum(self.reserved_by_request_id.values())
 
-    def judge(self, claim: TurnClaim, is_alone: bool = False) -> Verdict:
-        """Decides on a turn; takes nothing.
-
-        Args:
-            claim: The turn.
-            is_alone: Whether another host may count the same program too, so
-                that not even one turn may reach over the first step.
-        """
+    def judge(self, claim: TurnClaim) -> Verdict:
+        """Decides on a turn; takes nothing."""
         if claim.request_id in self.reserved_by_request_id:
             return Admitted()
         taken = self.spent_tokens + self.reserved_tokens
         needed = taken + claim.turn_tokens
-        if needed > self.budget_tokens:
+        # A bound is rarely reached. Where it stands in for the true count,
+        # one turn may go beyond the budget, which the promise allows; without
+        # it, programs of two or three turns could not go on after a loss.
+        slack = 0 if self.counts_from_start else claim.turn_tokens
+        if needed > self.budget_tokens + slack:
             return Spent(self.spent_tokens, self.reserved_tokens)
         if self.bound is not None:
             is_covered = needed <= self.bound.tokens
         else:
-            # One turn may reach over the first step: if memory is lost just
-            # then, the program ends at most that one turn over its budget,
-            # which is promised. So programs of few turns need no record, and
-            # go on while the store is away.
             first_step = FIRST_STEP * self.budget_tokens
-            below = needed if is_alone else taken
-            is_covered = self.counts_from_start and below <= first_step
+            is_covered = self.counts_from_start and needed <= first_step
         if is_covered:
             return Admitted()
         version = self.bound.version if self.bound else 0
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -194,7 +194,7 @@
                 detail = f"shard {number} has neither standby nor store"
                 return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
             account = shard.open(claim)
-            verdict = account.judge(claim, shard.alone is not None)
+            verdict = account.judge(claim)
             if isinstance(verdict, Admitted):
                 return await self._reserve(shard, claim)
             if isinstance(verdict, Spent):
