--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -108,16 +108,14 @@
             limit were seen to pause for 0.3 s.
         repeatable_answer_s: A plain repeatable request without an answer for
             this long is sent again; some ten times its usual work.
-        resumes: How often one stream is continued, at most.
         unsafe_idle_s: A request that must not run twice goes on no connection
             that was idle for longer; a dropped one would leave its outcome
             unknown.
-        sends: Replicas that one request is offered to, at most.
+        sends: How often one request is sent, at most.
     """
 
     first_event_s: float = 1.5
     next_event_s: float = 1.0
     repeatable_answer_s: float = 0.4
-    resumes: int = 3
     unsafe_idle_s: float = 1.0
     sends: int = 5
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -18,6 +18,10 @@
 )
 from masticdale_routing.fleet import ReplicaState, ReportedLoad
 
+# The body of a refusal comes with its head or not at all, in seconds; read, so
+# that the connection can be used again.
+_REFUSAL_BODY_S = 0.1
+
 _CUT_ERRORS = (ConnectionLostError, MalformedResponseError, TimeoutError)
 
 
@@ -215,7 +219,7 @@
         if head.status == 421:
             # Another replica has the address: the list has not said so yet.
             state.circuit.failed(asyncio.get_running_loop().time())
-        async with asyncio.timeout(0.1):
+        async with asyncio.timeout(_REFUSAL_BODY_S):
             while await connection.read_part() is not None:
                 pass
         return self._failure(
