Let a shard work out its own deadline; drop what nothing read, and a twin

Found on a last read of the change. Two places computed when a shard's accounts are complete from the same seconds: OwnedShard does it now. copy_changed asked whether a shard is alone, which copy() decides already. UpstreamConnection.served and TransportProtocol.was_reset were written and never read. The small HTTP client had its own copy of matches_any.

--- a/libs/gateway/src/masticdale_gateway/client.py
+++ b/libs/gateway/src/masticdale_gateway/client.py
@@ -5,11 +5,12 @@
 import dataclasses
 import socket
 
-from masticdale_gateway.messages import Header, ResponseHead, encode_request
+from masticdale_gateway.messages import Header, encode_request
 from masticdale_gateway.streams import ConnectionLostError
 from masticdale_gateway.upstreams import (
     MalformedResponseError,
     UpstreamConnection,
+    matches_any,
 )
 
 # Bounds, in seconds, after which the kernel gives up a connection whose other
@@ -84,7 +85,7 @@
         """
         connection = await self._take()
         try:
-            connection.send(self._encode(call), _is_any)
+            connection.send(self._encode(call), matches_any)
         except ConnectionLostError as error:
             connection.abort()
             raise NotSentError("closed") from error
@@ -140,11 +141,6 @@
     return b"".join(parts)
 
 
-def _is_any(head: ResponseHead) -> bool:
-    del head
-    return True
-
-
 def _probe_when_silent(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/libs/gateway/src/masticdale_gateway/streams.py
+++ b/libs/gateway/src/masticdale_gateway/streams.py
@@ -13,12 +13,10 @@
 
     Attributes:
         lost: Set once nothing can be read any more.
-        was_reset: Whether the connection ended with an error.
     """
 
     def __init__(self) -> None:
         self.lost = asyncio.Event()
-        self.was_reset = False
         self._transport: asyncio.Transport | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -29,7 +27,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See ``asyncio.Protocol``."""
-        self.was_reset = self.was_reset or exc is not None
         self.lost.set()
         self._writable.set()
 
--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -30,19 +30,17 @@
     Attributes:
         idle_since: Loop seconds at which the last exchange ended.
         keep_alive_s: How long the replica keeps it open when idle.
-        served: Exchanges that it has carried.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
-        self.served = 0
         self._is_dirty = False
         self._is_awaiting = False
         self._is_skipping = False
         self._unframed = False
-        self._matches: Matcher = _matches_any
+        self._matches: Matcher = matches_any
         self._error: Exception | None = None
         self._items: collections.deque[ResponseHead | bytes | None] = (
             collections.deque()
@@ -106,7 +104,6 @@
             ConnectionLostError: Nothing was sent.
         """
         self.write(data)
-        self.served += 1
         self._matches = matches
         self._is_awaiting = True
 
@@ -203,7 +200,8 @@
         self._arrived.set()
 
 
-def _matches_any(head: ResponseHead) -> bool:
+def matches_any(head: ResponseHead) -> bool:
+    """Takes any response for an answer, for servers that echo no id."""
     del head
     return True
 
--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -103,10 +103,8 @@
         copy = self._copies.seal(SealRequest(number, record.epoch))
         accounts = Accounts()
         accounts.adopt([account_of(state) for state in copy.accounts])
-        incomplete_s = copy.incomplete_for_s
-        complete_from = self._lease.now() + incomplete_s if incomplete_s else 0
         shard = OwnedShard(
-            number, view, accounts, complete_from, self._lease, None
+            number, view, accounts, copy.incomplete_for_s, self._lease, None
         )
         shard.alone = Alone(
             frozenset(state.program_id for state in copy.accounts),
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -157,7 +157,7 @@
                 number,
                 view,
                 accounts,
-                self._lease.now() + incomplete_s if incomplete_s else 0.0,
+                incomplete_s,
                 self._lease,
                 self._copier(record),
             )
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -70,7 +70,7 @@
         number: int,
         view: ShardView,
         accounts: Accounts,
-        complete_from: float,
+        incomplete_for_s: float,
         lease: Lease,
         copier: Copier | None,
     ) -> None:
@@ -80,8 +80,8 @@
             number: Its number.
             view: The record by which it is owned.
             accounts: What is known of its programs.
-            complete_from: Lease seconds from which a program that is not
-                known surely is a new one.
+            incomplete_for_s: Until then a program that is not known may be
+                one of before; 0 if it surely is a new one.
             lease: The clock of that.
             copier: Keeps the standby up to date.
         """
@@ -91,7 +91,7 @@
         self.copier = copier
         self.is_moving = False
         self.alone: Alone | None = None
-        self._complete_from = complete_from
+        self._complete_from = lease.now() + incomplete_for_s
         self._lease = lease
 
     @property
@@ -227,8 +227,6 @@
         for shard in list(self._shard_by_number.values()):
             if shard.copier is None or not shard.copier.has_changes:
                 continue
-            if shard.alone is not None:
-                continue
             copied = await shard.copy()
             if isinstance(copied, Failed):
                 self.failure_by_broken_copy[shard.number] = copied.failure()
