Answer in time whether a turn may run; wait for a slow platform

Besides, every admission sent its own copy to a silent standby, one timeout after the other, and its replacement queued up behind them. All turns that arrive during a copy share the next one. What a refused or left turn had reserved is settled with 0.

Ruled out: the platform client's timeout of 2 s, which no call reached. Change: refusals begin once a call of the platform has failed, not while it is slow; calls that need it wait in that time.

--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -190,13 +190,16 @@
         claim = _claim(call)
         if claim is None:
             return await self._streams.run(call, reply)
-        admitted = await self._parts.ledger.admit(claim, call.deadline_at)
-        if isinstance(admitted, Failed):
-            failure: Failure = admitted.failure()
-            return failure
         try:
+            admitted = await self._parts.ledger.admit(claim, call.deadline_at)
+            if isinstance(admitted, Failed):
+                failure: Failure = admitted.failure()
+                return failure
             return await self._streams.run(call, reply)
         finally:
+            # Also after a refusal, and where the caller left before an
+            # answer: the owner may have reserved the turn's tokens, and the
+            # program would reach its budget too early.
             used = call.events * call.service.tokens_per_event
             self._parts.ledger.settle(claim, used)
 
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -28,7 +28,7 @@
 # One question to an owner, in seconds: some hundred times the round trip
 # between failure domains; a host that is short of processor time answers in
 # some tens of milliseconds.
-_CALL_TIMEOUT_S = 0.4
+CALL_TIMEOUT_S = 0.4
 # All questions about one turn, in seconds: an owner that was lost is replaced
 # within this time, and a caller that is refused comes back sooner.
 _PATIENCE_S = 1.2
@@ -194,7 +194,7 @@
             reply = await self.admit_here(request)
         else:
             peer = self._peers(*address)
-            outcome = await peer.call(ADMIT, request, _CALL_TIMEOUT_S)
+            outcome = await peer.call(ADMIT, request, CALL_TIMEOUT_S)
             if isinstance(outcome, Failed):
                 return outcome
             reply = outcome.unwrap()
@@ -214,7 +214,7 @@
             if not address[0] or address == self._address:
                 continue
             outcome = await self._peers(*address).call(
-                SETTLE, SettleRequest(settlements), _CALL_TIMEOUT_S
+                SETTLE, SettleRequest(settlements), CALL_TIMEOUT_S
             )
             if not isinstance(outcome, Failed) and (
                 shard not in outcome.unwrap().other_shards
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -42,6 +42,7 @@
         self._is_complete = False
         self._lock = asyncio.Lock()
         self._changed: dict[str, None] = {}
+        self._next_round: asyncio.Task[Result[None, Failure]] | None = None
 
     def note(self, program_id: str) -> None:
         """Has an account sent with the next copy."""
@@ -57,10 +58,22 @@
     ) -> Result[None, Failure]:
         """Returns once the standby holds everything noted so far.
 
+        All that ask while a copy is under way share the next one. One copy
+        each would queue up behind a standby that is silent, a whole timeout
+        for every turn, and delay its replacement by as much.
+
         Failures: CONFLICT where another host takes the shard over;
         PEER_UNAVAILABLE where the standby does not answer.
         """
+        if self._next_round is None:
+            self._next_round = asyncio.create_task(self._send(state, accounts))
+        return await asyncio.shield(self._next_round)
+
+    async def _send(
+        self, state: CopyState, accounts: "AccountSource"
+    ) -> Result[None, Failure]:
         async with self._lock:
+            self._next_round = None
             if self._is_complete and not self._changed:
                 return Success(None)
             changed = list(self._changed)
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -1,11 +1,10 @@
 """Serves the ledger's calls of other hosts."""
 
 from returns.result import Failure as Failed
-from returns.result import Result
 
-from masticdale_common import ErrorKind, Failure
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.acting import ActingStandby
+from masticdale_ledger.admissions import Admissions
 from masticdale_ledger.keeper import ShardKeeper
 from masticdale_ledger.messages import (
     AdmitReply,
@@ -39,6 +38,7 @@
         direct: ObjectStore,
     ) -> None:
         self._acting = acting
+        self._admissions = Admissions(owner, acting)
         self._copies = copies
         self._owner = owner
         self._keeper = keeper
@@ -52,10 +52,7 @@
             budget_tokens=request.budget_tokens,
             turn_tokens=request.turn_tokens,
         )
-        outcome = await self._owner.admit(request.shard, claim)
-        if _is_not_owner(outcome):
-            await self._acting.act(request.shard)
-            outcome = await self._owner.admit(request.shard, claim)
+        outcome = await self._admissions.admit(request.shard, claim)
         if isinstance(outcome, Failed):
             return AdmitReply(outcome.failure())
         return AdmitReply()
@@ -84,9 +81,3 @@
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't."""
         return await serve_store(self._direct, request)
-
-
-def _is_not_owner(outcome: Result[None, Failure]) -> bool:
-    return isinstance(outcome, Failed) and (
-        outcome.failure().kind is ErrorKind.NOT_OWNER
-    )
--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -94,6 +94,7 @@
         self._deposed = False
         self._releasing = False
         self._out = False
+        self._write_failed = False
         self._named: tuple[str, ...] | None = None
         self._raises_epoch = False
         self._copier = CopyWriter(copies, shard) if copies else None
@@ -112,6 +113,11 @@
         """False once another host took the shard over."""
         return not self._deposed
 
+    @property
+    def _is_lost(self) -> bool:
+        """Whether the platform has failed, and was not only slow."""
+        return self._out and self._write_failed
+
     @property
     def copy_holders(self) -> tuple[str, ...]:
         """The hosts that hold copies in an outage."""
@@ -126,12 +132,15 @@
         """Returns why a new call could not be acknowledged now.
 
         To refuse before a call runs is true and cheap; a call that ran while
-        nobody can hold its record is lost work for its caller.
+        nobody can hold its record is lost work for its caller. A platform
+        that has only been slow so far is waited for: a restart of one copy
+        holder would else have callers refused on every busy moment.
         """
         if self._copier is None or not self._out:
             return None
         is_full = self.copied_bytes > _ADMIT_BYTES
-        if not is_full and not self._copier.is_failing:
+        is_lost = self._copier.is_failing and self._write_failed
+        if not is_full and not is_lost:
             return None
         detail = "copies are full" if is_full else "a copy holder is gone"
         return Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail)
@@ -145,7 +154,8 @@
 
         Args:
             records: Appended together or not at all.
-            needs_platform: Copies do not do: refuses during an outage.
+            needs_platform: Copies do not do: refuses once a call of the
+                platform has failed, waits while it is only slow.
 
         Returns:
             Success once the platform or, in an outage, owner and both copy
@@ -163,7 +173,7 @@
             # The platform would refuse the head for ever, and every later
             # commit of the shard would wait behind it.
             return Failed(Failure(ErrorKind.TOO_LARGE, f"{size} bytes"))
-        if self._out and self._copier is not None and needs_platform:
+        if self._is_lost and self._copier is not None and needs_platform:
             return _unavailable()
         return await self._enqueue(records, size, needs_platform)
 
@@ -205,6 +215,7 @@
         outcome = await self.check_head()
         if isinstance(outcome, Success) and not self._buffer:
             self._out = False
+            self._write_failed = False
 
     async def check_head(self) -> Result[None, Failure]:
         """Finds out whether another host took the shard over.
@@ -286,7 +297,7 @@
 
     async def _write_batch(self) -> None:
         if not self._buffer:
-            self._number_batch()
+            self._number_batch(self._pending)
         batches = self._take_batches()
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -305,6 +316,11 @@
         if loop.time() - began < _OUTAGE_AFTER_S:
             self._out = False
 
+    def _note_failure(self) -> None:
+        self._write_failed = True
+        # What can't be copied is refused from now on.
+        self._wake_copies.set()
+
     def _begin_outage(self) -> None:
         if self._copier is None:
             return
@@ -325,15 +341,17 @@
                     await asyncio.sleep(_RETRY_COPY_S)
 
     def _next_to_copy(self) -> _Batch | None:
-        refused = [p for p in self._pending if p.needs_platform]
-        self._pending = [p for p in self._pending if not p.needs_platform]
-        self._resolve(refused, _unavailable())
+        if self._is_lost:
+            refused = [p for p in self._pending if p.needs_platform]
+            self._pending = [p for p in self._pending if not p.needs_platform]
+            self._resolve(refused, _unavailable())
         for batch in self._buffer:
             if not batch.is_applied:
                 return batch
-        if not self._pending or self.copied_bytes > COPY_LIMIT_BYTES:
+        copied = [p for p in self._pending if not p.needs_platform]
+        if not copied or self.copied_bytes > COPY_LIMIT_BYTES:
             return None
-        return self._number_batch()
+        return self._number_batch(copied)
 
     async def _copy(self, copier: CopyWriter, batch: _Batch) -> bool:
         """Returns whether the batch is acknowledged, one way or the other."""
@@ -356,14 +374,17 @@
             self._acknowledge(batch, Success(None))
         return is_held
 
-    def _number_batch(self) -> _Batch:
+    def _number_batch(self, waiting: Sequence[_Pending]) -> _Batch:
         taken: list[_Pending] = []
         size = 0
-        while self._pending:
-            size += self._pending[0].size
+        for pending in waiting:
+            size += pending.size
             if taken and size > BATCH_LIMIT_BYTES:
                 break
-            taken.append(self._pending.pop(0))
+            taken.append(pending)
+        self._pending = [
+            p for p in self._pending if not any(p is t for t in taken)
+        ]
         self._last += 1
         records = tuple(r for pending in taken for r in pending.records)
         entry = CopyEntry(self._last, records)
@@ -441,6 +462,7 @@
                 return key
             if outcome.failure().kind is ErrorKind.CONFLICT:
                 return key
+            self._note_failure()
             await asyncio.sleep(delay_s)
             delay_s = min(delay_s * 2, _RETRY_MOST_S)
 
@@ -456,6 +478,7 @@
             if isinstance(outcome, Success):
                 self._head = head
                 self._version = outcome.unwrap()
+                self._write_failed = False
                 return Success(None)
             kind = outcome.failure().kind
             may_be_written |= kind is ErrorKind.WRITE_UNKNOWN
@@ -465,6 +488,7 @@
                     return _unknown(self._shard)
                 if settled is not None:
                     return settled
+            self._note_failure()
             await asyncio.sleep(delay_s)
             delay_s = min(delay_s * 2, _RETRY_MOST_S)
 
--- a/libs/programs/tests/test_copies.py
+++ b/libs/programs/tests/test_copies.py
@@ -202,6 +202,52 @@
 
         run(check())
 
+    def test_slow_platform_is_waited_for_while_a_holder_restarts(self):
+        # Callers were refused in a rolling restart beside heavy load. The
+        # platform took longer than the time after which commits are copied,
+        # and a copy holder was being restarted; no call had failed.
+        async def check():
+            world = World()
+            journal = (await world.open()).unwrap()
+            await journal.commit([record("p1")])
+            del world.holders[journal.copy_holders[0]]
+            world.store.faults.delay_s = 1.0
+            commit = asyncio.create_task(journal.commit([record("p2")]))
+            await asyncio.sleep(0.8)
+            self.assertFalse(commit.done())
+            self.assertIsNone(journal.refusal())
+            intent = await journal.commit([record("i")], needs_platform=True)
+            self.assertIsInstance(intent, Success)
+            self.assertIsInstance(await commit, Success)
+            await journal.close()
+            world.store.faults.delay_s = 0.0
+            await (await world.open(forced=True)).unwrap().close()
+            self.assertEqual(world.found, ["p1", "p2", "i"])
+
+        run(check())
+
+    def test_waiting_intent_is_refused_once_the_platform_fails(self):
+        # Its call must not be sent on copies alone, and its caller is told at
+        # once that it was not run.
+        async def check():
+            world = World()
+            journal = (await world.open()).unwrap()
+            await journal.commit([record("p1")])
+            world.store.faults.delay_s = 1.0
+            commit = asyncio.create_task(journal.commit([record("p2")]))
+            await asyncio.sleep(0.8)
+            intent = asyncio.create_task(
+                journal.commit([record("i")], needs_platform=True)
+            )
+            world.faults.cut = True
+            world.store.faults.delay_s = 0.0
+            kind = (await intent).failure().kind
+            self.assertIs(kind, ErrorKind.PLATFORM_UNAVAILABLE)
+            self.assertIsInstance(await commit, Success)
+            await journal.close()
+
+        run(check())
+
     def test_refusals_end_with_the_outage_although_a_holder_is_gone(self):
         # Callers were refused for ever after an outage: the journal learnt
         # that the platform is back only from a write, and refused every call
