Soak: randomized faults on real processes, with a checker; advertised peers

A host may now advertise another address for its peers than it listens on.

Ruled out on the way: free ports chosen beforehand were taken by proxies while a host was down; loading TLS certificates per request held up every caller; the debug mode of unittest's async case slowed the load to a tenth.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -85,8 +85,9 @@
         self._is_stopping = False
         incarnation = f"{time.time_ns():x}-{uuid.uuid4().hex[:8]}"
         peers_at = _required(settings.peers)
+        reached_at = _required(settings.peers_reached_at)
         identity = Identity(
-            settings.host, incarnation, str(peers_at.ip), peers_at.port
+            settings.host, incarnation, str(reached_at.ip), reached_at.port
         )
         self._direct = PlatformObjects(
             str(settings.store.ip), settings.store.port, self._metrics
--- a/apps/masticdale_entry/src/masticdale_entry/peers.py
+++ b/apps/masticdale_entry/src/masticdale_entry/peers.py
@@ -31,7 +31,7 @@
             addresses.add((record.address, record.port))
             if record.standby_address:
                 addresses.add((record.standby_address, record.standby_port))
-        own = self._settings.peers
+        own = self._settings.peers_reached_at
         if own is not None:
             addresses.discard((str(own.ip), own.port))
         return sorted(addresses)
--- a/apps/masticdale_entry/src/masticdale_entry/settings.py
+++ b/apps/masticdale_entry/src/masticdale_entry/settings.py
@@ -38,6 +38,8 @@
         callers: Where callers connect; entry hosts only.
         readiness: Where the balancer asks; entry hosts only.
         peers: Where other hosts connect; entry hosts only.
+        peers_advertised: Where other hosts reach ``peers``, if that differs:
+            behind address translation or a proxy.
         metrics_port: Port of metrics and state dump on the host's address.
         seeds: Other hosts' addresses for peers; may be stale.
     """
@@ -50,9 +52,15 @@
     callers: HostPort | None = None
     readiness: HostPort | None = None
     peers: HostPort | None = None
+    peers_advertised: HostPort | None = None
     metrics_port: int | None = pydantic.Field(default=None, ge=1, le=65_535)
     seeds: tuple[HostPort, ...] = ()
 
+    @property
+    def peers_reached_at(self) -> Address | None:
+        """Where other hosts connect; None for a role without peers."""
+        return self.peers_advertised or self.peers
+
     @pydantic.model_validator(mode="after")
     def _check_addresses(self) -> "Settings":
         is_entry = self.role is Role.ENTRY
--- /dev/null
+++ b/tools/soak/src/masticdale_soak/__init__.py
@@ -0,0 +1,25 @@
+"""A soak: randomized faults on real processes, promises checked throughout."""
+
+from masticdale_soak.checks import (
+    CHECK_BY_NAME,
+    Evidence,
+    Run,
+    Violation,
+    check,
+)
+from masticdale_soak.plans import Fault, Plan, Step, make_plan
+from masticdale_soak.runs import Report, run_plan
+
+__all__ = [
+    "CHECK_BY_NAME",
+    "Evidence",
+    "Fault",
+    "Plan",
+    "Report",
+    "Run",
+    "Step",
+    "Violation",
+    "check",
+    "make_plan",
+    "run_plan",
+]
--- /dev/null
+++ b/tools/soak/src/masticdale_soak/main.py
@@ -0,0 +1,137 @@
+"""Command ``mastic-soak``: randomized faults on real processes."""
+
+import concurrent.futures
+import pathlib
+import random
+import sys
+import time
+
+import fire
+
+from masticdale_soak.plans import make_plan
+from masticdale_soak.runs import Report, run_seed
+
+_SECONDS = 20.0
+_HOSTS = 4
+_JOBS = 3
+_EXIT_BROKEN = 1
+
+
+def run(
+    seed: int,
+    seconds: float = _SECONDS,
+    hosts: int = _HOSTS,
+    output: str = "",
+) -> None:
+    """Plays the plan of one seed.
+
+    Args:
+        seed: The seed.
+        seconds: How long callers go on.
+        hosts: Entry hosts.
+        output: Where the JSON report goes; nowhere if empty.
+    """
+    report = run_seed(seed, seconds, hosts)
+    print(report.line())
+    _finish([report], output)
+
+
+def hunt(
+    minutes: float = 5.0,
+    seeds: int = 0,
+    first: int = 0,
+    seconds: float = _SECONDS,
+    hosts: int = _HOSTS,
+    jobs: int = _JOBS,
+    output: str = "",
+) -> None:
+    """Plays seed after seed, several at once.
+
+    Args:
+        minutes: No seed is begun after this.
+        seeds: How many seeds; until the time is over if 0.
+        first: The first seed, the others follow it; fresh ones if 0.
+        seconds: How long callers go on in each.
+        hosts: Entry hosts of each.
+        jobs: How many runs at once.
+        output: Where the JSON reports go, a line each; nowhere if empty.
+    """
+    begin = first or random.SystemRandom().randrange(1, 1_000_000)
+    ends_at = time.monotonic() + 60 * minutes
+    reports: list[Report] = []
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        waiting: set[concurrent.futures.Future[Report]] = set()
+        number = 0
+        while waiting or _may_begin(number, seeds, ends_at):
+            while len(waiting) < jobs and _may_begin(number, seeds, ends_at):
+                waiting.add(
+                    pool.submit(run_seed, begin + number, seconds, hosts)
+                )
+                number += 1
+            done, waiting = concurrent.futures.wait(
+                waiting, return_when=concurrent.futures.FIRST_COMPLETED
+            )
+            for future in done:
+                reports.append(future.result())
+                print(reports[-1].line(), flush=True)
+    _finish(reports, output)
+
+
+def replay(report: str) -> None:
+    """Plays the seeds of a file of reports again, those that were broken.
+
+    Args:
+        report: Path of what ``run`` or ``hunt`` wrote.
+    """
+    lines = pathlib.Path(report).read_text().splitlines()
+    old = [Report.model_validate_json(line) for line in lines]
+    broken = [r for r in old if not r.is_clean]
+    _finish([run_seed(r.seed, r.seconds, r.hosts) for r in broken], "")
+
+
+def plan(
+    seed: int, seconds: float = _SECONDS, hosts: int = _HOSTS
+) -> list[str]:
+    """Shows the plan of a seed and plays nothing.
+
+    Args:
+        seed: The seed.
+        seconds: How long callers would go on.
+        hosts: Entry hosts.
+    """
+    steps = make_plan(seed, seconds, hosts).steps
+    return [
+        f"{s.at_s:.2f} s, for {s.for_s:.2f} s: {s.fault.value}, place {s.place}"
+        for s in steps
+    ]
+
+
+def main() -> None:
+    """Runs the command line."""
+    fire.Fire(
+        {"run": run, "hunt": hunt, "replay": replay, "plan": plan},
+        name="mastic-soak",
+    )
+
+
+def _may_begin(number: int, seeds: int, ends_at: float) -> bool:
+    if seeds:
+        return number < seeds
+    return time.monotonic() < ends_at
+
+
+def _finish(reports: list[Report], output: str) -> None:
+    if output:
+        lines = [report.model_dump_json() + "\n" for report in reports]
+        pathlib.Path(output).write_text("".join(lines))
+    broken = [r for r in reports if not r.is_clean]
+    for report in broken:
+        print(f"seed {report.seed}:")
+        for violation in report.violations:
+            print("  {check}: {subject}: {detail}".format(**violation))
+        for fault in report.faults:
+            print(f"  {fault}")
+        print(f"  logs: {report.logs}")
+    print(f"{len(reports)} seeds, {len(broken)} broken")
+    if broken:
+        sys.exit(_EXIT_BROKEN)
--- /dev/null
+++ b/tools/soak/src/masticdale_soak/proxies.py
@@ -0,0 +1,130 @@
+"""A loopback proxy whose links can be made slow, silent or one-way."""
+
+import asyncio
+import dataclasses
+import enum
+import socket
+import struct
+
+_CHUNK_BYTES = 65_536
+# How often a held-back link looks whether it flows again, in seconds.
+_POLL_S = 0.02
+
+
+class LinkFault(enum.Enum):
+    """What a link does to the bytes that pass."""
+
+    NONE = enum.auto()
+    DELAY = enum.auto()
+    SILENT = enum.auto()
+    REQUESTS_LOST = enum.auto()
+    ANSWERS_LOST = enum.auto()
+
+
+# Directions in which nothing passes. Bytes are held back rather than dropped:
+# TCP sends them again, so a cut that heals delivers them late.
+_HELD_TO_SERVER = frozenset({LinkFault.SILENT, LinkFault.REQUESTS_LOST})
+_HELD_TO_CLIENT = frozenset({LinkFault.SILENT, LinkFault.ANSWERS_LOST})
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """How a proxy treats its connections.
+
+    Attributes:
+        fault: What is wrong.
+        delay_s: Extra time for each part of data where that is DELAY.
+    """
+
+    fault: LinkFault = LinkFault.NONE
+    delay_s: float = 0.0
+
+
+class Proxy:
+    """Passes connections of one loopback port on to another one.
+
+    Attributes:
+        link: How it treats them; may be changed at any time.
+        port: Where it listens.
+    """
+
+    def __init__(self) -> None:
+        self.link = Link()
+        self.port = 0
+        self._target = ("", 0)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(
+        self, target_port: int, target_address: str = "127.0.0.1"
+    ) -> None:
+        """Begins to listen on a free port."""
+        self._target = (target_address, target_port)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stops and drops every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def reset(self) -> None:
+        """Resets every open connection, on both sides."""
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        other: asyncio.StreamWriter | None = None
+        try:
+            while self.link.fault in _HELD_TO_SERVER:
+                await asyncio.sleep(_POLL_S)
+            answers, other = await asyncio.open_connection(*self._target)
+            self._writers.add(other)
+            await asyncio.gather(
+                self._pass(reader, other, _HELD_TO_SERVER),
+                self._pass(answers, writer, _HELD_TO_CLIENT),
+            )
+        except (OSError, asyncio.CancelledError):
+            pass  # One side has gone or the proxy stops: both sides end.
+        finally:
+            self._tasks.discard(task)
+            for each in (writer, other):
+                if each is not None:
+                    self._writers.discard(each)
+                    _reset(each)
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held_faults: frozenset[LinkFault],
+    ) -> None:
+        while data := await reader.read(_CHUNK_BYTES):
+            if self.link.fault is LinkFault.DELAY:
+                await asyncio.sleep(self.link.delay_s)
+            while self.link.fault in held_faults:
+                await asyncio.sleep(_POLL_S)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        # Without this the kernel ends the connection in order.
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- /dev/null
+++ b/tools/soak/tests/broken_host.py
@@ -0,0 +1,152 @@
+"""An entry host with one promise broken on purpose, to try the checks on.
+
+Usage: broken_host.py NAME run --settings PATH
+"""
+
+import asyncio
+import dataclasses
+import sys
+
+from returns.result import Success
+
+from masticdale_adapter import PlatformDialect
+from masticdale_common import Failure, Ran
+from masticdale_entry.entry import EntryHost
+from masticdale_entry.following import Follower
+from masticdale_entry.knowledge import ConfigurationInForce
+from masticdale_entry.main import main
+from masticdale_gateway import Relay
+from masticdale_gateway.exchanges import Sender, SendFailure
+from masticdale_gateway.streaming import _Stream
+from masticdale_ledger import LedgerClient
+from masticdale_ledger.accounts import Account, Spent
+from masticdale_routing.fleet import Fleet
+
+
+def call_everything_not_run():
+    def failure(self, call, state, ran, reason, retry_after_s=None):
+        del self, call, ran
+        return SendFailure(state.replica.id, Ran.NO, reason, retry_after_s)
+
+    Sender._failure = failure
+
+
+def take_any_answer():
+    PlatformDialect.answers = lambda self, head, request_id: True
+    read = PlatformDialect.read_answer
+
+    def read_answer(self, head):
+        return dataclasses.replace(read(self, head), is_genuine=True)
+
+    PlatformDialect.read_answer = read_answer
+
+
+def repeat_events():
+    _Stream._is_new = lambda self, event: True
+
+
+def forget_budgets():
+    async def admit(self, claim, deadline_at):
+        return Success(None)
+
+    LedgerClient.admit = admit
+
+
+def spend_budgets_early():
+    judge = Account.judge
+
+    def early(self, claim):
+        if self.spent_tokens:
+            return Spent(self.spent_tokens, 0)
+        return judge(self, claim)
+
+    Account.judge = early
+
+
+def go_back_to_old_configurations():
+    take = ConfigurationInForce._take
+    old = []
+
+    def remember(self, value, revision):
+        take(self, value, revision)
+        old.append(self._current)
+        loop = asyncio.get_running_loop()
+        loop.call_later(1.0, setattr, self, "_current", old[0])
+
+    ConfigurationInForce._take = remember
+
+
+def ignore_drains():
+    usable = Fleet.usable
+
+    def all_replicas(self, service, excluded=()):
+        del excluded
+        ids = self._ids_by_service.get(service, ())
+        return [self._state_by_id[i] for i in ids] or usable(self, service)
+
+    Fleet.usable = all_replicas
+
+
+def hang_at_stop():
+    async def stop(self):
+        await asyncio.sleep(60)
+
+    EntryHost._stop = stop
+
+
+def drop_callers_at_stop():
+    async def stop(self):
+        await self._keeper.hand_over_all()
+        await self.abort()
+
+    EntryHost._stop = stop
+
+
+def hold_answers():
+    serve = Relay._run
+
+    async def late(self, call, reply):
+        outcome = await serve(self, call, reply)
+        if not call.is_stream:
+            await asyncio.sleep(5.0)
+        return outcome
+
+    Relay._run = late
+
+
+def tell_no_time():
+    Failure.come_back_ms = property(lambda self: None)
+
+
+def stop_following_after_a_failure():
+    step = Follower._step
+
+    async def run(self):
+        while not self._was_away:
+            await step(self)
+
+    Follower.run = run
+
+
+BREAK_BY_NAME = {
+    each.__name__: each
+    for each in (
+        call_everything_not_run,
+        take_any_answer,
+        repeat_events,
+        forget_budgets,
+        spend_budgets_early,
+        go_back_to_old_configurations,
+        ignore_drains,
+        hang_at_stop,
+        drop_callers_at_stop,
+        hold_answers,
+        tell_no_time,
+        stop_following_after_a_failure,
+    )
+}
+
+
+if __name__ == "__main__":
+    BREAK_BY_NAME[sys.argv.pop(1)]()
+    main()
--- a/tools/standins/src/masticdale_standins/raw_http.py
+++ b/tools/standins/src/masticdale_standins/raw_http.py
@@ -4,6 +4,7 @@
 import dataclasses
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,12 +20,14 @@
         target: Path and query.
         header_by_name: Headers by lowercase name.
         body: The body.
+        arrived_at: Monotonic seconds when it was whole.
     """
 
     method: str = ""
     target: str = ""
     header_by_name: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
+    arrived_at: float = 0.0
 
 
 class _Collector:
@@ -47,6 +50,7 @@
 
     def on_message_complete(self) -> None:
         self._request.method = self.parser.get_method().decode()
+        self._request.arrived_at = time.monotonic()
         self.whole.append(self._request)
 
 
@@ -144,11 +148,15 @@
     ) -> None:
         """Stops the work once the caller has closed, as replicas do."""
         task = asyncio.ensure_future(work)
-        while not task.done():
-            await asyncio.wait((task,), timeout=0.02)
-            if reader.at_eof() and not task.done():
-                task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        try:
+            while not task.done():
+                await asyncio.wait((task,), timeout=0.02)
+                if reader.at_eof() and not task.done():
+                    task.cancel()
+        finally:
+            # This server may be stopped meanwhile, and its work with it.
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
 
 
 def answer(
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -62,6 +62,7 @@
         service: What it serves.
         behaviour: How it answers.
         seen: Requests that reached it.
+        ran: Those of them that it began to run.
         abandoned: Requests whose caller left while they ran.
     """
 
@@ -70,10 +71,16 @@
         self.service = service
         self.behaviour = Behaviour()
         self.seen: list[RawRequest] = []
+        self.ran: list[RawRequest] = []
         self.abandoned = 0
         self._is_stream = is_stream
         self._server = RawServer(self._handle)
 
+    @property
+    def port(self) -> int:
+        """Where it listens; 0 before the first start."""
+        return self._server.port
+
     @property
     def connections(self) -> int:
         """Connections accepted so far."""
@@ -127,7 +134,9 @@
         headers = self._headers(request)
         if fault is ReplicaFault.FULL:
             await connection.write(answer(503, {"Not-Executed": "1"}))
-        elif fault is ReplicaFault.SILENT:
+            return
+        self.ran.append(request)
+        if fault is ReplicaFault.SILENT:
             await asyncio.sleep(3600)
         elif fault is ReplicaFault.RESET:
             connection.reset()
