--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -7,9 +7,7 @@
 """
 
 import asyncio
-import dataclasses
 import functools
-from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 
 from returns.result import Failure as Failed
@@ -18,52 +16,31 @@
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore
 from masticdale_programs import records as codec
-from masticdale_programs.copies import CopyEntry, CopyHolders
+from masticdale_programs.commit_queue import (
+    BATCH_LIMIT_BYTES,
+    COPY_LIMIT_BYTES,
+    Batch,
+    CommitQueue,
+    OnCommitted,
+    not_owner,
+    resolve,
+    unavailable,
+    unknown,
+)
+from masticdale_programs.copies import CopyHolders
 from masticdale_programs.heads import Head, head_key, segment_key
 from masticdale_programs.records import Record
 from masticdale_programs.write_behind import CopyWriter
 
 TAIL_LIMIT_BYTES = 64_000
-BATCH_LIMIT_BYTES = 600_000
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 2.0
 _RETRY_COPY_S = 0.2
 _OUTAGE_AFTER_S = 0.5
-COPY_LIMIT_BYTES = 4_000_000
 # The rest is for the calls that run when the limit is reached.
 _ADMIT_BYTES = COPY_LIMIT_BYTES * 3 // 4
 
 
-OnCommitted = Callable[[Record], None]
-
-
-@dataclasses.dataclass(slots=True)
-class _Pending:
-    """Records that wait for one commit."""
-
-    records: tuple[Record, ...]
-    size: int
-    needs_platform: bool
-    done: asyncio.Future[Result[None, Failure]]
-
-
-@dataclasses.dataclass(slots=True)
-class _Batch:
-    """One commit of the journal, from its number to the platform.
-
-    Attributes:
-        entry: Its number and records.
-        size: Its size in bytes.
-        pending: Who waits for it.
-        is_applied: Whether it is acknowledged, by the platform or the copies.
-    """
-
-    entry: CopyEntry
-    size: int
-    pending: list[_Pending]
-    is_applied: bool = False
-
-
 class Journal:
     """The journal of one shard while this host owns it.
 
@@ -80,15 +57,12 @@
         on_committed: OnCommitted,
         copies: CopyHolders | None = None,
     ) -> None:
-        self._on_committed = on_committed
         self._store = store
         self._shard = shard
         self._head = head
         self._version = version
         self._tail_bytes = len(codec.encode(head.tail))
-        self._pending: list[_Pending] = []
-        self._buffer: deque[_Batch] = deque()
-        self._last = head.sequence
+        self._queue = CommitQueue(head.sequence, on_committed)
         self._wake = asyncio.Event()
         self._wake_copies = asyncio.Event()
         self._deposed = False
@@ -126,7 +100,7 @@
     @property
     def copied_bytes(self) -> int:
         """Size of what is not yet known to be in the platform."""
-        return sum(batch.size for batch in self._buffer)
+        return self._queue.batched_bytes
 
     def refusal(self) -> Failure | None:
         """Returns why a new call could not be acknowledged now.
@@ -167,14 +141,14 @@
             assume they may be written.
         """
         if self._deposed or self._releasing:
-            return _not_owner(self._shard)
+            return not_owner(self._shard)
         size = len(codec.encode(records))
         if size > BATCH_LIMIT_BYTES:
             # The platform would refuse the head for ever, and every later
             # commit of the shard would wait behind it.
             return Failed(Failure(ErrorKind.TOO_LARGE, f"{size} bytes"))
         if self._is_lost and self._copier is not None and needs_platform:
-            return _unavailable()
+            return unavailable()
         return await self._enqueue(records, size, needs_platform)
 
     async def renew_copies(self) -> None:
@@ -186,8 +160,10 @@
         if self._copier is None or self._deposed or self._releasing:
             return
         wanted = self._copier.wanted(self._head)
-        confirmed = await self._copier.confirm(wanted, self._head, self._last)
-        if self._out or self._deposed or self._releasing or self._buffer:
+        confirmed = await self._copier.confirm(
+            wanted, self._head, self._queue.last
+        )
+        if self._out or self._deposed or self._releasing or self._queue.batches:
             return
         if self._copier.is_sealed:
             # Sealed by a taker that never took the head: the holders take
@@ -210,10 +186,10 @@
         is gone, so without this no write would ever come and the refusals
         would outlast the outage for good.
         """
-        if not self._out or self._buffer:
+        if not self._out or self._queue.batches:
             return
         outcome = await self.check_head()
-        if isinstance(outcome, Success) and not self._buffer:
+        if isinstance(outcome, Success) and not self._queue.batches:
             self._out = False
             self._write_failed = False
 
@@ -240,11 +216,7 @@
     async def _enqueue(
         self, records: Sequence[Record], size: int, needs_platform: bool
     ) -> Result[None, Failure]:
-        future: asyncio.Future[Result[None, Failure]]
-        future = asyncio.get_running_loop().create_future()
-        self._pending.append(
-            _Pending(tuple(records), size, needs_platform, future)
-        )
+        future = self._queue.add(records, size, needs_platform)
         self._wake.set()
         self._wake_copies.set()
         return await asyncio.shield(future)
@@ -257,7 +229,7 @@
         overwrite the records that it had just acknowledged.
         """
         if self._deposed or self._releasing:
-            return _not_owner(self._shard)
+            return not_owner(self._shard)
         self._releasing = True
         outcome = await self._enqueue((), 0, needs_platform=True)
         await self.close()
@@ -289,16 +261,15 @@
             while not self._deposed:
                 await self._wake.wait()
                 self._wake.clear()
-                while (self._pending or self._buffer) and not self._deposed:
+                while not self._queue.is_empty and not self._deposed:
                     await self._write_batch()
         finally:
-            for batch in self._buffer:
-                self._resolve(batch.pending, _unknown(self._shard))
+            self._queue.give_up_batches(unknown(self._shard))
 
     async def _write_batch(self) -> None:
-        if not self._buffer:
-            self._number_batch(self._pending)
-        batches = self._take_batches()
+        if not self._queue.batches:
+            self._queue.number_next()
+        batches = self._queue.oldest()
         loop = asyncio.get_running_loop()
         began = loop.time()
         outage = loop.call_later(_OUTAGE_AFTER_S, self._begin_outage)
@@ -308,11 +279,11 @@
             outage.cancel()
         if isinstance(outcome, Failed):
             for batch in batches:
-                self._resolve(batch.pending, outcome)
+                resolve(batch.pending, outcome)
             return
         for batch in batches:
-            self._acknowledge(batch, outcome)
-            self._buffer.popleft()
+            self._queue.acknowledge(batch, outcome)
+            self._queue.drop_oldest()
         if loop.time() - began < _OUTAGE_AFTER_S:
             self._out = False
 
@@ -334,95 +305,38 @@
             await self._wake_copies.wait()
             self._wake_copies.clear()
             while self._out and not self._deposed:
-                batch = self._next_to_copy()
+                if self._is_lost:
+                    self._queue.refuse_pending(
+                        unavailable(), only_for_platform=True
+                    )
+                batch = self._queue.next_to_copy()
                 if batch is None:
                     break
                 if not await self._copy(copier, batch):
                     await asyncio.sleep(_RETRY_COPY_S)
 
-    def _next_to_copy(self) -> _Batch | None:
-        if self._is_lost:
-            refused = [p for p in self._pending if p.needs_platform]
-            self._pending = [p for p in self._pending if not p.needs_platform]
-            self._resolve(refused, _unavailable())
-        for batch in self._buffer:
-            if not batch.is_applied:
-                return batch
-        copied = [p for p in self._pending if not p.needs_platform]
-        if not copied or self.copied_bytes > COPY_LIMIT_BYTES:
-            return None
-        return self._number_batch(copied)
-
-    async def _copy(self, copier: CopyWriter, batch: _Batch) -> bool:
+    async def _copy(self, copier: CopyWriter, batch: Batch) -> bool:
         """Returns whether the batch is acknowledged, one way or the other."""
         if self._named is not None:
             # It is unknown which holders a taker would find in the head.
             copier.is_failing = True
             return False
-        entries = [
-            each.entry
-            for each in self._buffer
-            if each.entry.sequence <= batch.entry.sequence
-        ]
+        entries = self._queue.entries_up_to(batch)
         is_held = await copier.hold(self._head, entries)
         if batch.is_applied or self._deposed:
             return True
         if is_held:
             for pending in batch.pending:
                 if pending.needs_platform:
-                    self._resolve([pending], _unknown(self._shard))
-            self._acknowledge(batch, Success(None))
+                    resolve([pending], unknown(self._shard))
+            self._queue.acknowledge(batch, Success(None))
         return is_held
 
-    def _number_batch(self, waiting: Sequence[_Pending]) -> _Batch:
-        taken: list[_Pending] = []
-        size = 0
-        for pending in waiting:
-            size += pending.size
-            if taken and size > BATCH_LIMIT_BYTES:
-                break
-            taken.append(pending)
-        self._pending = [
-            p for p in self._pending if not any(p is t for t in taken)
-        ]
-        self._last += 1
-        records = tuple(r for pending in taken for r in pending.records)
-        entry = CopyEntry(self._last, records)
-        batch = _Batch(entry, sum(p.size for p in taken), taken)
-        self._buffer.append(batch)
-        return batch
-
-    def _take_batches(self) -> list[_Batch]:
-        taken: list[_Batch] = []
-        size = 0
-        for batch in self._buffer:
-            size += batch.size
-            if taken and size > BATCH_LIMIT_BYTES:
-                break
-            taken.append(batch)
-        return taken
-
-    def _acknowledge(
-        self, batch: _Batch, outcome: Result[None, Failure]
-    ) -> None:
-        # Applied here, in the journal's order, so that memory never differs
-        # from what a replay of the journal would build.
-        if not batch.is_applied:
-            batch.is_applied = True
-            for record in batch.entry.records:
-                self._on_committed(record)
-        self._resolve(batch.pending, outcome)
-
-    def _resolve(
-        self, batch: Sequence[_Pending], outcome: Result[None, Failure]
-    ) -> None:
-        for pending in batch:
-            if not pending.done.done():
-                pending.done.set_result(outcome)
-
-    async def _append(self, batches: list[_Batch]) -> Result[None, Failure]:
+    async def _append(self, batches: list[Batch]) -> Result[None, Failure]:
         added = [r for batch in batches for r in batch.entry.records]
-        is_last = len(batches) == len(self._buffer) and not self._pending
+        is_last = (
+            len(batches) == len(self._queue.batches) and not self._queue.pending
+        )
         size = sum(batch.size for batch in batches)
         segments = self._head.segments
         tail = self._head.tail
@@ -485,7 +399,7 @@
             if kind in (ErrorKind.CONFLICT, ErrorKind.WRITE_UNKNOWN):
                 settled = await self._read_back(head)
                 if isinstance(settled, Failed) and may_be_written:
-                    return _unknown(self._shard)
+                    return unknown(self._shard)
                 if settled is not None:
                     return settled
             self._note_failure()
@@ -522,26 +436,13 @@
         if not self._deposed:
             logs.write("journal_closed", shard=self._shard, epoch=self.epoch)
         self._deposed = True
-        failed = _not_owner(self._shard)
-        self._resolve(self._pending, failed)
-        self._pending.clear()
+        failed = not_owner(self._shard)
+        self._queue.refuse_pending(failed)
         self._wake.set()
         self._wake_copies.set()
         return failed
 
 
-def _not_owner(shard: int) -> Failed[Failure]:
-    return Failed(Failure(ErrorKind.NOT_OWNER, f"shard {shard}"))
-
-
-def _unknown(shard: int) -> Failed[Failure]:
-    return Failed(Failure(ErrorKind.WRITE_UNKNOWN, f"shard {shard}"))
-
-
-def _unavailable() -> Failed[Failure]:
-    return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
-
-
 def _is_unavailable(outcome: Result[None, Failure]) -> bool:
     if not isinstance(outcome, Failed):
         return False
--- a/libs/programs/src/masticdale_programs/takeovers.py
+++ b/libs/programs/src/masticdale_programs/takeovers.py
@@ -9,13 +9,10 @@
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore
 from masticdale_programs import records as codec
+from masticdale_programs.commit_queue import OnCommitted
 from masticdale_programs.copies import CopyBatch, CopyEntry, CopyHolders
 from masticdale_programs.heads import Head, head_key, segment_key
-from masticdale_programs.journal import (
-    TAIL_LIMIT_BYTES,
-    Journal,
-    OnCommitted,
-)
+from masticdale_programs.journal import TAIL_LIMIT_BYTES, Journal
 from masticdale_programs.records import Record
 
 _NONCE_DIGITS = 12
