--- a/apps/masticctl/tests/hosts.py
+++ b/apps/masticctl/tests/hosts.py
@@ -11,9 +11,9 @@
 from masticctl import main, session
 from masticctl.client import ClientSettings, OperatorClient
 from masticctl.errors import ToolError
-from masticdaled import operators
-from masticdaled.access import create_access
-from masticdaled.operator_testing import (
+from masticdaled.operators import listener
+from masticdaled.operators.access import create_access
+from masticdaled.operators.testing import (
     OPERATE_TOKEN,
     TOKENS,
     create_context,
@@ -90,7 +90,7 @@
     def __init__(self):
         self.context = create_context()
         self.faults = Faults()
-        app = operators.create_operator_app(self.context, create_access(TOKENS))
+        app = listener.create_operator_app(self.context, create_access(TOKENS))
         self.transport = FaultyTransport(app, self.faults)
         self.token = OPERATE_TOKEN
 
--- a/apps/masticctl/tests/test_commands.py
+++ b/apps/masticctl/tests/test_commands.py
@@ -15,7 +15,7 @@
     caller_key_digest,
     testing,
 )
-from masticdaled.operator_testing import (
+from masticdaled.operators.testing import (
     QUARANTINED_DIGEST,
     READ_TOKEN,
     program,
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side of an entry host."""
--- a/apps/masticdaled/src/masticdaled/callers.py
+++ b/apps/masticdaled/src/masticdaled/callers/listener.py
@@ -40,7 +40,9 @@
     error_response,
     exception_handlers,
 )
-from masticdaled.caller_models import (
+from masticdaled.callers.entry import Entry, Final, Request, TextPart
+from masticdaled.callers.limits import WorkspaceLimiter
+from masticdaled.callers.models import (
     CallAnswerBody,
     CallServiceBody,
     CreateProgramBody,
@@ -51,10 +53,8 @@
     SendTurnBody,
     TurnAnswerBody,
 )
-from masticdaled.entry import Entry, Final, Request, TextPart
-from masticdaled.limits import WorkspaceLimiter
-from masticdaled.owners import find_kind
 from masticdaled.settings import RequestSettings
+from masticdaled.shards.owners import find_kind
 
 _BEARER = "Bearer "
 _MS = 1000
--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -32,26 +32,26 @@
 )
 from masticdale_platform.client import PlatformClient
 from masticdale_programs import CopyStore, ShardSettings
-from masticdaled.access import create_access
-from masticdaled.callers import CallersContext, create_callers_app
+from masticdaled.callers.entry import Entry
+from masticdaled.callers.limits import WorkspaceLimiter
+from masticdaled.callers.listener import CallersContext, create_callers_app
 from masticdaled.cluster import Cluster
-from masticdaled.copying import CopyDesk, PeerCopyHolders
-from masticdaled.entry import Entry
-from masticdaled.executor import UpstreamExecutor
+from masticdaled.execution.executor import UpstreamExecutor
+from masticdaled.execution.tickets import TicketDesk
+from masticdaled.execution.tool_pauses import CacheKeeper
 from masticdaled.following import ConfigFollower
 from masticdaled.handler import Handler, Parts
-from masticdaled.homes import Homes
-from masticdaled.limits import WorkspaceLimiter
-from masticdaled.operator_desk import OperatorDesk
-from masticdaled.operators import create_operator_app
-from masticdaled.orders import OrderGiver
-from masticdaled.orphans import OrphanSweeper
-from masticdaled.owners import Owners
-from masticdaled.pausing import CacheKeeper
-from masticdaled.programs_desk import ProgramsDesk
+from masticdaled.operators.access import create_access
+from masticdaled.operators.desk import OperatorDesk
+from masticdaled.operators.listener import create_operator_app
+from masticdaled.operators.programs import ProgramsDesk
+from masticdaled.replicas.crash_suspects import SuspectHome
+from masticdaled.replicas.homes import Homes
+from masticdaled.replicas.orders import OrderGiver
 from masticdaled.settings import DaemonSettings
-from masticdaled.suspects import SuspectHome
-from masticdaled.tickets import TicketDesk
+from masticdaled.shards.copies import CopyDesk, PeerCopyHolders
+from masticdaled.shards.orphans import OrphanSweeper
+from masticdaled.shards.owners import Owners
 from masticdaled.upstream_clients import UpstreamClients
 
 _PEER_CONNECTIONS = 256
--- a/apps/masticdaled/src/masticdaled/directory.py
+++ b/apps/masticdaled/src/masticdaled/directory.py
@@ -5,7 +5,7 @@
     RenderedService,
     RenderedUpstream,
 )
-from masticdaled.homes import Homes
+from masticdaled.replicas.homes import Homes
 
 
 class UpstreamDirectory:
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Model and service calls of the programs owned here."""
--- a/apps/masticdaled/src/masticdaled/digests.py
+++ b/apps/masticdaled/src/masticdaled/execution/crash_checks.py
@@ -11,7 +11,7 @@
 from masticdale_routing import Admission
 from masticdaled.background import Background
 from masticdaled.cluster import Cluster
-from masticdaled.runs import Run
+from masticdaled.execution.runs import Run
 
 _SUSPECT_TIMEOUT_S = 1.0
 _SUSPECT_WAIT_S = 0.1
--- a/apps/masticdaled/src/masticdaled/executor.py
+++ b/apps/masticdaled/src/masticdaled/execution/executor.py
@@ -30,14 +30,14 @@
 from masticdale_upstreams import Chunk, Completion, GenerateRequest
 from masticdaled.background import Background
 from masticdaled.cluster import MOVING_KINDS, Cluster
-from masticdaled.digests import DigestDesk
 from masticdaled.directory import UpstreamDirectory
-from masticdaled.homes import Homes
-from masticdaled.pausing import CacheKeeper, Residence
-from masticdaled.placing import Placer
-from masticdaled.runs import Run, prefix_note
-from masticdaled.service_calls import ServiceCaller
-from masticdaled.tickets import TicketDesk
+from masticdaled.execution.crash_checks import DigestDesk
+from masticdaled.execution.placement import Placer
+from masticdaled.execution.runs import Run, prefix_note
+from masticdaled.execution.service_calls import ServiceCaller
+from masticdaled.execution.tickets import TicketDesk
+from masticdaled.execution.tool_pauses import CacheKeeper, Residence
+from masticdaled.replicas.homes import Homes
 from masticdaled.upstream_clients import UpstreamClients
 
 _MOVING_WAIT_S = 0.1
--- a/apps/masticdaled/src/masticdaled/placing.py
+++ b/apps/masticdaled/src/masticdaled/execution/placement.py
@@ -19,8 +19,8 @@
 )
 from masticdaled.cluster import MOVING_KINDS, Cluster
 from masticdaled.directory import UpstreamDirectory
-from masticdaled.pausing import CacheKeeper
-from masticdaled.runs import Run, prefix_note
+from masticdaled.execution.runs import Run, prefix_note
+from masticdaled.execution.tool_pauses import CacheKeeper
 
 _PROBE_TIMEOUT_S = 0.5
 _PROBES = 3
--- a/apps/masticdaled/src/masticdaled/handler.py
+++ b/apps/masticdaled/src/masticdaled/handler.py
@@ -42,12 +42,12 @@
     encode_outcome,
     encode_result,
 )
-from masticdaled.copying import CopyDesk
-from masticdaled.homes import Homes
-from masticdaled.owners import Owners
-from masticdaled.programs_desk import ProgramsDesk
-from masticdaled.suspects import SuspectHome
-from masticdaled.tickets import TicketDesk
+from masticdaled.execution.tickets import TicketDesk
+from masticdaled.operators.programs import ProgramsDesk
+from masticdaled.replicas.crash_suspects import SuspectHome
+from masticdaled.replicas.homes import Homes
+from masticdaled.shards.copies import CopyDesk
+from masticdaled.shards.owners import Owners
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side of a host."""
--- a/apps/masticdaled/src/masticdaled/operator_desk.py
+++ b/apps/masticdaled/src/masticdaled/operators/desk.py
@@ -28,9 +28,9 @@
 )
 from masticdale_peers import ProbeRequest, ProgramsRequest
 from masticdaled.cluster import Cluster
-from masticdaled.owners import Owners
-from masticdaled.programs_desk import decode_detail
-from masticdaled.suspects import SuspectHome
+from masticdaled.operators.programs import decode_detail
+from masticdaled.replicas.crash_suspects import SuspectHome
+from masticdaled.shards.owners import Owners
 from masticdaled.upstream_clients import UpstreamClients
 
 
--- a/apps/masticdaled/src/masticdaled/guarding.py
+++ b/apps/masticdaled/src/masticdaled/operators/guarding.py
@@ -15,9 +15,9 @@
     MasticdaleError,
     Metrics,
 )
-from masticdaled import access as access_lib
 from masticdaled import answers
-from masticdaled.access import (
+from masticdaled.operators import access as access_lib
+from masticdaled.operators.access import (
     UNKNOWN_OPERATOR,
     Access,
     AuditEntry,
--- a/apps/masticdaled/src/masticdaled/operators.py
+++ b/apps/masticdaled/src/masticdaled/operators/listener.py
@@ -51,9 +51,9 @@
 )
 from masticdale_config.rollback import restoring_edits
 from masticdaled import answers
-from masticdaled.access import Access
-from masticdaled.change_schema import ChangeOperation
-from masticdaled.guarding import (
+from masticdaled.operators.access import Access
+from masticdaled.operators.change_schema import ChangeOperation
+from masticdaled.operators.guarding import (
     OPERATE,
     PUBLIC,
     OperatorRequest,
@@ -62,7 +62,7 @@
     create_refusal_audit,
     operator_of,
 )
-from masticdaled.operator_models import OperatorContext
+from masticdaled.operators.models import OperatorContext
 
 # A stored revision has at most a megabyte; a body over twice that could
 # not become one.
--- a/apps/masticdaled/src/masticdaled/programs_desk.py
+++ b/apps/masticdaled/src/masticdaled/operators/programs.py
@@ -8,7 +8,7 @@
 from masticdale_config.messages import ProgramDetail, ProgramSummary
 from masticdale_peers import ProgramsReply, ProgramsRequest
 from masticdale_programs import EndReason
-from masticdaled.owners import OwnedProgram, Owners
+from masticdaled.shards.owners import OwnedProgram, Owners
 
 _DETAIL: pydantic.TypeAdapter[ProgramDetail] = pydantic.TypeAdapter(
     ProgramDetail
--- a/apps/masticdaled/src/masticdaled/operator_testing.py
+++ b/apps/masticdaled/src/masticdaled/operators/testing.py
@@ -9,8 +9,8 @@
 from masticdale_config import ConfigInForce, ConfigStore
 from masticdale_config.messages import ProgramSummary
 from masticdale_platform.testing import MemoryStore
-from masticdaled.access import Role, TokenSettings, token_digest
-from masticdaled.operator_models import (
+from masticdaled.operators.access import Role, TokenSettings, token_digest
+from masticdaled.operators.models import (
     DrainReport,
     HostStatus,
     ProgramDetail,
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""The replicas and content digests whose home this host is."""
--- a/apps/masticdaled/src/masticdaled/homes.py
+++ b/apps/masticdaled/src/masticdaled/replicas/homes.py
@@ -1,12 +1,10 @@
 """Homes of replicas: the queue before each engine, its health and prefixes."""
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Iterable
 
 from returns.result import Failure as Failed
-from returns.result import Result, Success
 
 from masticdale_common import (
     ErrorKind,
@@ -21,93 +19,40 @@
     MembershipChange,
     ProbeReply,
     ProbeRequest,
-    SuspectRequest,
     TicketRelease,
     TicketReply,
     TicketRequest,
 )
 from masticdale_routing import (
     BranchKey,
-    Circuit,
     EngineSpeed,
-    EvictionRate,
     Granted,
     InFlightSettings,
-    LoadObservation,
     PrefixIndex,
-    PrefixRequest,
     Queued,
     QueueSettings,
     Refused,
-    ReplicaQueue,
     Ticket,
-    TicketResult,
     create_replica_queue,
 )
-from masticdale_upstreams import CacheEventKind, Health, ModelEngine
 from masticdaled.background import Background
 from masticdaled.cluster import Cluster
-from masticdaled.orders import OrderGiver
+from masticdaled.replicas.crash_reports import CrashReports
+from masticdaled.replicas.home import (
+    HEALTH_MISSES_TO_CLOSE,
+    ReplicaHome,
+    prefix_request_of,
+    result_of,
+    ticket_of,
+)
+from masticdaled.replicas.observation import observe, read_health
+from masticdaled.replicas.orders import OrderGiver
 from masticdaled.upstream_clients import UpstreamClients
 
-CRASHED_ACTION = "crashed"
-_HEALTH_MISSES_TO_CLOSE = 2
-_HEALTH_TIMEOUT_S = 1.5
 _LOAD_EVERY = 2
 _PROBE_ID = "probe"
 
 
-@dataclasses.dataclass(slots=True)
-class ReplicaHome:
-    """What this host keeps for one replica.
-
-    Attributes:
-        engine: The replica's declaration.
-        queue: Who runs there and who waits.
-        prefixes: What its cache holds.
-        request_by_ticket: The granted and waiting tickets as they came.
-        incarnation: Process of the engine when last asked; empty at first.
-        misses: Health checks without an answer since the last with one.
-        is_tripped: Its queue is closed because its circuit is open.
-        says_leaving: The engine's own word when it was last asked.
-        is_leaving: The engine or the platform's list says that it leaves.
-        events_position: Where the next cache events begin.
-        ticks: Health checks so far.
-        circuit: Keeps new work away after calls that failed one after another.
-        evictions: Tokens its cache evicts a second.
-        incarnation_by_ticket: Engine process that each ticket was granted at.
-    """
-
-    engine: RenderedEngine
-    queue: ReplicaQueue
-    prefixes: PrefixIndex
-    request_by_ticket: dict[str, TicketRequest]
-    incarnation: str = ""
-    misses: int = 0
-    is_tripped: bool = False
-    says_leaving: bool = False
-    is_leaving: bool = False
-    events_position: int = 0
-    ticks: int = 0
-    circuit: Circuit = dataclasses.field(default_factory=Circuit)
-    evictions: EvictionRate = dataclasses.field(default_factory=EvictionRate)
-    incarnation_by_ticket: dict[str, str] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def residence_ms(self, now: float) -> int:
-        """Returns how long an unused token stays; 0 while nothing presses."""
-        rate = self.evictions.per_s(now)
-        if rate <= 0 or not self.prefixes.capacity_tokens:
-            return 0
-        return int(self.prefixes.capacity_tokens / rate * 1000)
-
-    @property
-    def is_usable(self) -> bool:
-        """True while it may get new work."""
-        return not self.is_leaving and self.misses < _HEALTH_MISSES_TO_CLOSE
-
-
 class Homes:
     """The replicas whose home this host is."""
 
@@ -125,7 +70,7 @@
         self._cluster = cluster
         self._in_force = in_force
         self._clients = clients
-        self._metrics = metrics
+        self._crashes = CrashReports(cluster, metrics)
         self._home_by_replica: dict[str, ReplicaHome] = {}
         self._leaving_names: frozenset[str] = frozenset()
         self._background = Background()
@@ -147,7 +92,7 @@
             return TicketReply(failure=home)
         now = time.monotonic()
         home.request_by_ticket[request.ticket_id] = request
-        offer = home.queue.offer(_ticket(request, now), now)
+        offer = home.queue.offer(ticket_of(request, now), now)
         self._flush(home)
         if isinstance(offer, Granted):
             self._note_granted(home, request, now)
@@ -170,7 +115,9 @@
         if home is None:
             return
         if release.crashed:
-            await self._ask_for_crash(home)
+            health = await self._clients.engine(home.engine).health()
+            process = health.map(lambda h: h.incarnation).value_or("")
+            await self._crashes.note(home, process)
         now = time.monotonic()
         if release.crashed:
             home.circuit.failed(now)
@@ -183,7 +130,7 @@
             home.circuit.succeeded()
         request = home.request_by_ticket.pop(release.ticket_id, None)
         home.incarnation_by_ticket.pop(release.ticket_id, None)
-        home.queue.finish(release.ticket_id, _result(release), now)
+        home.queue.finish(release.ticket_id, result_of(release), now)
         if request is not None and release.generated_tokens:
             tokens = release.prompt_tokens + release.generated_tokens
             branch = BranchKey(request.program_id, request.prefix.branch_id)
@@ -206,7 +153,7 @@
         if isinstance(home, Failure):
             return ProbeReply(failure=home)
         now = time.monotonic()
-        cached = home.prefixes.cached_tokens(_prefix_request(request))
+        cached = home.prefixes.cached_tokens(prefix_request_of(request))
         ticket = Ticket(
             ticket_id=_PROBE_ID,
             origin="",
@@ -346,15 +293,15 @@
 
     async def _check(self, home: ReplicaHome) -> None:
         client = self._clients.engine(home.engine)
-        health = await _health(client)
+        health = await read_health(client)
         home.ticks += 1
         if isinstance(health, Failed):
             home.misses += 1
-            if home.misses == _HEALTH_MISSES_TO_CLOSE:
+            if home.misses == HEALTH_MISSES_TO_CLOSE:
                 self._close(home, "does not answer")
             return
         report = health.unwrap()
-        was_unusable = home.misses >= _HEALTH_MISSES_TO_CLOSE
+        was_unusable = home.misses >= HEALTH_MISSES_TO_CLOSE
         home.misses = 0
         if home.incarnation and home.incarnation != report.incarnation:
             home.prefixes.restarted()
@@ -363,7 +310,7 @@
             for ticket_id in home.incarnation_by_ticket:
                 home.incarnation_by_ticket[ticket_id] = report.incarnation
         home.incarnation = report.incarnation
-        await self._note_crash(home, report.incarnation)
+        await self._crashes.note(home, report.incarnation)
         home.says_leaving = report.leaving
         self._refresh_leaving(home)
         if was_unusable and not home.is_leaving and not home.is_tripped:
@@ -374,7 +321,7 @@
         self._flush(home)
         self._give_orders(home)
         if home.ticks % _LOAD_EVERY == 0:
-            await self._observe(home)
+            await observe(home, client)
 
     def _give_orders(self, home: ReplicaHome) -> None:
         """Gives orders beside the health checks, which must not wait."""
@@ -386,35 +333,6 @@
             self._orders.reconcile(home.engine, client, home.incarnation)
         )
 
-    async def _observe(self, home: ReplicaHome) -> None:
-        client = self._clients.engine(home.engine)
-        now = time.monotonic()
-        load = await client.load()
-        if isinstance(load, Success):
-            report = load.unwrap()
-            home.prefixes.capacity_tokens = report.cache_capacity
-            observed_at = now - report.age_ms / 1000
-            home.queue.observe_load(
-                LoadObservation(report.running, report.waiting, observed_at),
-                now,
-            )
-        events = await client.cache_events(home.events_position, 0.0)
-        if not isinstance(events, Success):
-            return
-        batch = events.unwrap()
-        home.events_position = batch.position
-        if batch.gap:
-            home.prefixes.gap()
-        held_before = home.prefixes.held_tokens
-        for event in batch.events:
-            branch = BranchKey(event.program_id, event.branch_id)
-            if event.kind is CacheEventKind.STORED:
-                home.prefixes.stored(branch, event.tokens, now)
-            else:
-                home.prefixes.evicted(branch, event.tokens, now)
-        freed = held_before - home.prefixes.held_tokens
-        home.evictions.add(max(0, freed), now)
-
     def _refresh_leaving(self, home: ReplicaHome) -> None:
         was_leaving = home.is_leaving
         home.is_leaving = (
@@ -444,46 +362,6 @@
             home.request_by_ticket.pop(ticket.ticket_id, None)
             home.incarnation_by_ticket.pop(ticket.ticket_id, None)
 
-    async def _ask_for_crash(self, home: ReplicaHome) -> None:
-        """Finds out whether a call broke off because its replica crashed."""
-        health = await self._clients.engine(home.engine).health()
-        present = ""
-        if isinstance(health, Success):
-            present = health.unwrap().incarnation
-        await self._note_crash(home, present)
-
-    async def _note_crash(self, home: ReplicaHome, present: str) -> None:
-        """Makes every call in flight at a crash a suspect, once.
-
-        One crash breaks all streams of the replica and each owner reports
-        it. Counted each time, an innocent call would reach two crashes; so a
-        ticket is a suspect only for the process that it was granted at, and
-        is forgotten with its first report.
-
-        Args:
-            home: The replica's home.
-            present: The engine's process now; empty where none answers.
-        """
-        granted_at = home.incarnation_by_ticket
-        lost = {i for i, process in granted_at.items() if process != present}
-        if not lost:
-            return
-        running = [t for t in home.queue.running() if t.ticket_id in lost]
-        for ticket_id in lost:
-            del granted_at[ticket_id]
-        digests = tuple({t.content_digest for t in running})
-        if not digests:
-            return
-        self._metrics.count("replica_crashes_total", replica=home.engine.name)
-        logs.write(
-            "replica_crashed", replica=home.engine.name, suspects=len(digests)
-        )
-        request = SuspectRequest(CRASHED_ACTION, digests, "")
-        hosts = {h for d in digests for h in self._cluster.digest_homes(d)}
-        await asyncio.gather(
-            *(self._cluster.calls(host).suspect(request) for host in hosts)
-        )
-
     def _flush(self, home: ReplicaHome) -> None:
         granted = home.queue.grantable(time.monotonic())
         now = time.monotonic()
@@ -500,7 +378,7 @@
     def _note_granted(
         self, home: ReplicaHome, request: TicketRequest, now: float
     ) -> None:
-        home.prefixes.sent(_prefix_request(request), now)
+        home.prefixes.sent(prefix_request_of(request), now)
         home.incarnation_by_ticket.setdefault(
             request.ticket_id, home.incarnation
         )
@@ -516,55 +394,3 @@
         # A lost notice is made good by the owner, which offers its ticket
         # again each second and is then told that it was granted.
         await self._cluster.calls(origin).grant(notice)
-
-
-async def _health(client: ModelEngine) -> Result[Health, Failure]:
-    try:
-        async with asyncio.timeout(_HEALTH_TIMEOUT_S):
-            return await client.health()
-    except TimeoutError:
-        return Failed(Failure(ErrorKind.NO_UPSTREAM, "health timed out"))
-
-
-def _ticket(request: TicketRequest, now: float) -> Ticket:
-    return Ticket(
-        ticket_id=request.ticket_id,
-        origin=request.origin,
-        workspace=request.workspace,
-        program_id=request.program_id,
-        priority=request.priority,
-        queued_at=now - request.waited_ms / 1000,
-        deadline_at=now + request.deadline_ms / 1000,
-        attained_s=request.attained_s,
-        prompt_tokens=request.prompt_tokens,
-        uncached_tokens=request.uncached_tokens,
-        max_tokens=request.max_tokens,
-        content_digest=request.content_digest,
-        exclusive=request.exclusive,
-    )
-
-
-def _result(release: TicketRelease) -> TicketResult:
-    return TicketResult(
-        crashed=release.crashed,
-        prompt_tokens=release.prompt_tokens,
-        cached_tokens=release.cached_tokens,
-        generated_tokens=release.generated_tokens,
-        service_s=release.service_ms / 1000,
-        first_token_s=release.first_token_ms / 1000,
-    )
-
-
-def _prefix_request(request: TicketRequest | ProbeRequest) -> PrefixRequest:
-    note = request.prefix
-    parent = None
-    if note.parent_id:
-        parent = BranchKey(request.program_id, note.parent_id)
-    return PrefixRequest(
-        branch=BranchKey(request.program_id, note.branch_id),
-        prompt_tokens=request.prompt_tokens,
-        template=note.template_digest,
-        template_tokens=note.template_tokens,
-        parent=parent,
-        parent_tokens=note.parent_tokens,
-    )
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/replicas/observation.py
@@ -0,0 +1,55 @@
+"""What a replica's home reads from its engine, beside its orders."""
+
+import asyncio
+import time
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_routing import BranchKey, LoadObservation
+from masticdale_upstreams import CacheEventKind, Health, ModelEngine
+from masticdaled.replicas.home import ReplicaHome
+
+# Longest wait for a health check, in seconds: a check runs twice a second,
+# and two missed ones close the replica.
+_HEALTH_TIMEOUT_S = 1.5
+
+
+async def read_health(client: ModelEngine) -> Result[Health, Failure]:
+    """Asks an engine for its health; NO_UPSTREAM where it is silent."""
+    try:
+        async with asyncio.timeout(_HEALTH_TIMEOUT_S):
+            return await client.health()
+    except TimeoutError:
+        return Failed(Failure(ErrorKind.NO_UPSTREAM, "health timed out"))
+
+
+async def observe(home: ReplicaHome, client: ModelEngine) -> None:
+    """Takes an engine's load and the changes of its cache."""
+    now = time.monotonic()
+    load = await client.load()
+    if isinstance(load, Success):
+        report = load.unwrap()
+        home.prefixes.capacity_tokens = report.cache_capacity
+        observed_at = now - report.age_ms / 1000
+        home.queue.observe_load(
+            LoadObservation(report.running, report.waiting, observed_at),
+            now,
+        )
+    events = await client.cache_events(home.events_position, 0.0)
+    if not isinstance(events, Success):
+        return
+    batch = events.unwrap()
+    home.events_position = batch.position
+    if batch.gap:
+        home.prefixes.gap()
+    held_before = home.prefixes.held_tokens
+    for event in batch.events:
+        branch = BranchKey(event.program_id, event.branch_id)
+        if event.kind is CacheEventKind.STORED:
+            home.prefixes.stored(branch, event.tokens, now)
+        else:
+            home.prefixes.evicted(branch, event.tokens, now)
+    freed = held_before - home.prefixes.held_tokens
+    home.evictions.add(max(0, freed), now)
--- a/apps/masticdaled/src/masticdaled/settings.py
+++ b/apps/masticdaled/src/masticdaled/settings.py
@@ -6,7 +6,7 @@
 
 from masticdale_common import StrictModel
 from masticdale_peers import Address, PeerSettings, TlsSettings
-from masticdaled.access import TokenSettings
+from masticdaled.operators.access import TokenSettings
 
 
 class StopSettings(StrictModel):
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/shards/__init__.py
@@ -0,0 +1,1 @@
+"""The program shards that this host owns."""
--- a/apps/masticdaled/src/masticdaled/orphans.py
+++ b/apps/masticdaled/src/masticdaled/shards/orphans.py
@@ -7,7 +7,8 @@
 from masticdale_common import Metrics, hashing, logs
 from masticdale_peers import StatesRequest
 from masticdaled.cluster import Cluster
-from masticdaled.homes import Homes, ReplicaHome
+from masticdaled.replicas.home import ReplicaHome
+from masticdaled.replicas.homes import Homes
 from masticdaled.upstream_clients import UpstreamClients
 
 _CONFIRM_S = 5.0
--- a/apps/masticdaled/src/masticdaled/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -36,7 +36,7 @@
     read_head,
 )
 from masticdaled.cluster import Cluster
-from masticdaled.ownership import Ownership, OwnershipChecks
+from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 
 _PATIENCE_S = 3.0
 _OPEN_AT_ONCE = 8
--- a/apps/masticdaled/src/masticdaled/testing.py
+++ b/apps/masticdaled/src/masticdaled/testing.py
@@ -8,19 +8,19 @@
 from masticdale_peers.testing import MemoryNetwork
 from masticdale_platform import ObjectStore
 from masticdale_programs import CopyStore, Executor, ShardSettings
-from masticdaled.callers import CallersContext
+from masticdaled.callers.entry import Entry
+from masticdaled.callers.limits import WorkspaceLimiter
+from masticdaled.callers.listener import CallersContext
 from masticdaled.cluster import Cluster
-from masticdaled.copying import CopyDesk, PeerCopyHolders
-from masticdaled.entry import Entry
+from masticdaled.execution.tickets import TicketDesk
 from masticdaled.handler import Handler, Parts
-from masticdaled.homes import Homes
-from masticdaled.limits import WorkspaceLimiter
-from masticdaled.orders import OrderGiver
-from masticdaled.owners import Owners
-from masticdaled.programs_desk import ProgramsDesk
+from masticdaled.operators.programs import ProgramsDesk
+from masticdaled.replicas.crash_suspects import SuspectHome
+from masticdaled.replicas.homes import Homes
+from masticdaled.replicas.orders import OrderGiver
 from masticdaled.settings import RequestSettings
-from masticdaled.suspects import SuspectHome
-from masticdaled.tickets import TicketDesk
+from masticdaled.shards.copies import CopyDesk, PeerCopyHolders
+from masticdaled.shards.owners import Owners
 from masticdaled.upstream_clients import UpstreamClients
 
 DOMAIN = "domain-1"
--- a/apps/masticdaled/tests/test_callers.py
+++ b/apps/masticdaled/tests/test_callers.py
@@ -9,7 +9,7 @@
 from masticdale_peers.testing import MemoryNetwork
 from masticdale_platform.testing import MemoryStore
 from masticdale_programs.testing import FakeExecutor
-from masticdaled.callers import create_callers_app
+from masticdaled.callers.listener import create_callers_app
 from masticdaled.testing import create_memory_host
 
 KEY = {"authorization": f"Bearer {config_testing.TENGRI_KEY}"}
--- a/apps/masticdaled/tests/test_homes.py
+++ b/apps/masticdaled/tests/test_homes.py
@@ -10,8 +10,8 @@
 from masticdale_platform.testing import MemoryStore
 from masticdale_programs.testing import FakeExecutor
 from masticdale_upstreams.testing import FakeEngine
-from masticdaled.homes import Homes
-from masticdaled.orders import OrderGiver
+from masticdaled.replicas.homes import Homes
+from masticdaled.replicas.orders import OrderGiver
 from masticdaled.testing import create_memory_host
 from masticdaled.upstream_clients import UpstreamClients
 
--- a/apps/masticdaled/tests/test_operators.py
+++ b/apps/masticdaled/tests/test_operators.py
@@ -17,9 +17,9 @@
     testing,
 )
 from masticdale_config.messages import ChangeRequest, EditRequest
-from masticdaled import operators
-from masticdaled.access import create_access
-from masticdaled.operator_testing import (
+from masticdaled.operators import listener
+from masticdaled.operators.access import create_access
+from masticdaled.operators.testing import (
     OPERATE_TOKEN,
     QUARANTINED_DIGEST,
     READ_TOKEN,
@@ -42,7 +42,7 @@
 class OperatorsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.context = create_context()
-        app = operators.create_operator_app(self.context, create_access(TOKENS))
+        app = listener.create_operator_app(self.context, create_access(TOKENS))
         self.client = await self.enterAsyncContext(AsyncTestClient(app))
         self.log = io.StringIO()
         destination = eliot.FileDestination(file=self.log)
@@ -113,8 +113,8 @@
         self.assertEqual((await self.apply("{")).status_code, 400)
 
     async def test_a_body_over_the_limit_is_too_large(self):
-        with mock.patch.object(operators, "MAX_BODY_BYTES", 100):
-            app = operators.create_operator_app(
+        with mock.patch.object(listener, "MAX_BODY_BYTES", 100):
+            app = listener.create_operator_app(
                 self.context, create_access(TOKENS)
             )
         async with AsyncTestClient(app) as client:
--- a/apps/masticdaled/tests/test_orders.py
+++ b/apps/masticdaled/tests/test_orders.py
@@ -7,7 +7,7 @@
 from masticdale_config import RenderedEngine, RenderedOrder
 from masticdale_platform.testing import MemoryStore
 from masticdale_upstreams.testing import FakeEngine
-from masticdaled.orders import LEASE_S, OrderGiver
+from masticdaled.replicas.orders import LEASE_S, OrderGiver
 
 ENGINE = RenderedEngine(
     name="permit-1",
--- a/apps/masticdaled/tests/test_service_calls.py
+++ b/apps/masticdaled/tests/test_service_calls.py
@@ -11,7 +11,7 @@
 from masticdale_programs.testing import FakeExecutor
 from masticdale_upstreams.testing import FakeService
 from masticdaled.directory import UpstreamDirectory
-from masticdaled.service_calls import ServiceCaller
+from masticdaled.execution.service_calls import ServiceCaller
 from masticdaled.testing import create_memory_host
 from masticdaled.upstream_clients import UpstreamClients
 
--- a/apps/masticdaled/tests/test_pausing.py
+++ b/apps/masticdaled/tests/test_tool_pauses.py
@@ -8,7 +8,7 @@
 from masticdale_config import RenderedEngine
 from masticdale_programs import ModelCall, ModelResult
 from masticdale_upstreams.testing import FakeEngine
-from masticdaled.pausing import CacheKeeper, Residence
+from masticdaled.execution.tool_pauses import CacheKeeper, Residence
 
 TOKENS = 50_000
 CALL = ModelCall(
--- a/tests/system_case.py
+++ b/tests/system_case.py
@@ -25,7 +25,7 @@
 from masticdale_platform.client import PlatformClient
 from masticdale_programs import MAIN_BRANCH, read_head
 from masticdale_programs.calls import idempotency_key
-from masticdaled.caller_models import (
+from masticdaled.callers.models import (
     CallServiceBody,
     CreateProgramBody,
     SendTurnBody,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -34,9 +34,9 @@
 from masticctl import session  # noqa: E402
 from masticdale_config import parse  # noqa: E402
 from masticdale_config.messages import ErrorBody  # noqa: E402
-from masticdaled import operators  # noqa: E402
-from masticdaled.access import create_access  # noqa: E402
-from masticdaled.operator_testing import (  # noqa: E402
+from masticdaled.operators import listener  # noqa: E402
+from masticdaled.operators.access import create_access  # noqa: E402
+from masticdaled.operators.testing import (  # noqa: E402
     OPERATE_TOKEN,
     QUARANTINED_DIGEST,
     TOKENS,
@@ -122,7 +122,7 @@
             self.assertTrue(matches, f"{shown}\nexpected:\n{expected}")
 
     async def test_http_examples_are_answered_as_the_page_says(self):
-        app = operators.create_operator_app(
+        app = listener.create_operator_app(
             create_context(), create_access(TOKENS)
         )
         headers = {"Authorization": f"Bearer {OPERATE_TOKEN}"}
@@ -173,7 +173,7 @@
                 self.assertTrue(row.meaning, f"{name}.{row.name}")
 
     def test_every_route_and_command_is_on_its_page(self):
-        app = operators.create_operator_app(
+        app = listener.create_operator_app(
             create_context(), create_access(TOKENS)
         )
         page = read_page("API.md")
--- a/tests/test_system_engines.py
+++ b/tests/test_system_engines.py
@@ -8,7 +8,7 @@
 
 from masticdale_common import ErrorKind
 from masticdale_programs.records import ReleaseConfirmed
-from masticdaled.caller_models import SendTurnBody
+from masticdaled.callers.models import SendTurnBody
 
 MARKER = "poison-zone"
 POISON_SENDS = 10
--- a/tests/test_system_platform.py
+++ b/tests/test_system_platform.py
@@ -9,7 +9,7 @@
 from system_case import SystemCase
 
 from masticdale_common import ErrorKind
-from masticdaled.caller_models import CallAnswerBody, CallServiceBody
+from masticdaled.callers.models import CallAnswerBody, CallServiceBody
 
 OUTAGE_S = 4.0
 FIRST_REFUSAL_S = 15.0
--- a/tests/test_system_services.py
+++ b/tests/test_system_services.py
@@ -6,7 +6,7 @@
 from system_case import DEPLOYMENT, SystemCase
 
 from masticdale_common import ErrorKind
-from masticdaled.caller_models import CallServiceBody
+from masticdaled.callers.models import CallServiceBody
 
 
 class ServicesTest(SystemCase):
--- a/tools/load/src/masticdale_load/system_checks.py
+++ b/tools/load/src/masticdale_load/system_checks.py
@@ -7,7 +7,7 @@
 from masticdale_load.system_ledger import BranchHistory, ProgramLedger
 from masticdale_programs.calls import idempotency_key
 from masticdale_upstreams.testing import expected_answer
-from masticdaled.caller_models import HistoryItemBody
+from masticdaled.callers.models import HistoryItemBody
 
 TOLD_DONE = "done"
 TOLD_NOT_RUN = "not_run"
--- a/tools/load/src/masticdale_load/system_client.py
+++ b/tools/load/src/masticdale_load/system_client.py
@@ -15,7 +15,7 @@
 from masticdale_common import ErrorKind
 from masticdale_config.messages import ErrorBody
 from masticdale_load.system_hosts import Balancer
-from masticdaled.caller_models import (
+from masticdaled.callers.models import (
     CallAnswerBody,
     CallServiceBody,
     CreateProgramBody,
--- a/tools/load/src/masticdale_load/system_ledger.py
+++ b/tools/load/src/masticdale_load/system_ledger.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from masticdale_programs import MAIN_BRANCH
-from masticdaled.caller_models import HistoryItemBody
+from masticdaled.callers.models import HistoryItemBody
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tools/load/src/masticdale_load/system_programs.py
+++ b/tools/load/src/masticdale_load/system_programs.py
@@ -20,7 +20,7 @@
 from masticdale_load.system_ledger import Acknowledged, ProgramLedger
 from masticdale_load.system_plans import SystemPlan
 from masticdale_programs import MAIN_BRANCH
-from masticdaled.caller_models import (
+from masticdaled.callers.models import (
     CallServiceBody,
     CreateProgramBody,
     OpenBranchBody,
--- a/tools/load/src/masticdale_load/system_runs.py
+++ b/tools/load/src/masticdale_load/system_runs.py
@@ -50,7 +50,7 @@
     PlatformSettings,
     ServiceSettings,
 )
-from masticdaled.caller_models import ProgramBody
+from masticdaled.callers.models import ProgramBody
 
 _PREFILL_TOKENS_PER_S = 2_000_000
 _RELEASE_WAIT_S = 40.0
--- a/tools/load/src/masticdale_load/system_takeover.py
+++ b/tools/load/src/masticdale_load/system_takeover.py
@@ -11,7 +11,7 @@
 from masticdale_load.system_hosts import Balancer
 from masticdale_platform.client import PlatformClient
 from masticdale_programs import MAIN_BRANCH, read_head
-from masticdaled.caller_models import CreateProgramBody, ProgramBody
+from masticdaled.callers.models import CreateProgramBody, ProgramBody
 
 _PLATFORM_TIMEOUT_S = 2.0
 _POLL_S = 0.05
