--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import functools
-import itertools
 import time
 from collections.abc import Coroutine, Sequence
 from typing import Any
@@ -11,10 +10,12 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from masticdale_common import ErrorKind, Failure, hashing, logs
+from masticdale_common import ErrorKind, Failure, hashing
 from masticdale_platform import ObjectStore
 from masticdale_programs import calls, journal, takeovers, turns, views
+from masticdale_programs.calls_in_flight import CallsInFlight
 from masticdale_programs.copies import CopyHolders
+from masticdale_programs.endings import Endings, wall_ms
 from masticdale_programs.executors import Executor
 from masticdale_programs.operations import (
     Accepted,
@@ -33,11 +34,8 @@
     EndReason,
     OutcomeStatus,
     ProgramCreated,
-    ProgramEnded,
-    ProgramForgotten,
     ProgramKind,
     Record,
-    ReleaseConfirmed,
     TurnFinished,
 )
 from masticdale_programs.state import (
@@ -46,19 +44,14 @@
     ShardState,
     apply_record,
 )
-from masticdale_programs.streams import AnswerStream, StreamPart
+from masticdale_programs.streams import StreamPart
 from masticdale_programs.types import (
-    CallEnd,
     Caller,
     KindInForce,
     RequestKey,
     ShardSettings,
 )
 
-_EPOCH_ATTEMPTS = 1_000_000_000_000
-_STREAM_ATTEMPTS = 1000
-_RELEASE_TIMEOUT_S = 5.0
-
 
 class Shard:
     """One shard that this host owns; made by ``open_shard``."""
@@ -77,13 +70,10 @@
         self.voiding: set[RequestKey] = set()
         self._kind_in_force = kind_in_force
         self._journal: journal.Journal | None = None
-        self._stream_by_key: dict[RequestKey, AnswerStream] = {}
-        self._task_by_key: dict[RequestKey, asyncio.Task[CallEnd]] = {}
-        self._finished_at_by_key: dict[RequestKey, float] = {}
-        self._ending: set[str] = set()
-        self._releasing: set[str] = set()
-        self._forgetting: set[str] = set()
-        self._attempts = itertools.count()
+        self._calls = CallsInFlight(
+            settings, self.state, lambda: self.epoch, lambda: self.is_held
+        )
+        self._endings = Endings(self, self._calls)
         self._copies_renewed = time.monotonic()
         self._background: set[asyncio.Task[Any]] = set()
 
@@ -100,14 +90,14 @@
     @property
     def in_flight(self) -> int:
         """Number of calls that have no final outcome yet."""
-        return len(self._task_by_key)
+        return len(self._calls)
 
     def attach(self, held: journal.Journal) -> None:
         """Sets the journal and resumes what its records left open."""
         self._journal = held
         self.spawn(held.renew_copies())
         for program in self.state.program_by_id.values():
-            program.touched_ms = _wall_ms()
+            program.touched_ms = wall_ms()
             for intent in list(program.intent_by_request_id.values()):
                 key = RequestKey(program.program_id, intent.request_id)
                 self._resume_call(key, program)
@@ -187,7 +177,7 @@
         program = self.find(key.program_id, workspace)
         if program is None:
             return Failed(Failure(ErrorKind.NOT_FOUND, key.program_id))
-        stream = self._stream_by_key.get(key)
+        stream = self._calls.stream(key)
         if stream is not None:
             return Success(await stream.read(attempt, offset, wait_s))
         entry = program.entry_by_request_id.get(key.request_id)
@@ -214,7 +204,7 @@
     ) -> Result[OperationResult, Failure]:
         if operation.branch_id in program.branch_by_id:
             return views.program_view(program, (), "")
-        refused = self._refuse_ended(program)
+        refused = self._endings.refusal(program)
         if refused is not None:
             return refused
         if operation.parent_id not in program.branch_by_id:
@@ -266,7 +256,7 @@
             return known.map(lambda _: accepted)
         if self._resume_call(key, program):
             return Success(accepted)
-        refused = self._refuse_ended(program)
+        refused = self._endings.refusal(program)
         if refused is not None:
             return refused
         unacceptable = self._held_journal().refusal()
@@ -275,8 +265,8 @@
         branch = program.branch_by_id.get(operation.branch_id)
         if branch is None:
             return Failed(Failure(ErrorKind.NOT_FOUND, operation.branch_id))
-        program.touched_ms = _wall_ms()
-        stream = self._new_stream(key, content)
+        program.touched_ms = wall_ms()
+        stream = self._calls.new_stream(key, content)
         if isinstance(operation, SendTurn):
             work = turns.run_turn(
                 self, program, branch, operation, stream, caller.deadline
@@ -285,7 +275,7 @@
             work = calls.run_call(
                 self, program, branch, operation, stream, caller.deadline
             )
-        self._start(key, stream, work)
+        self._calls.start(key, stream, work)
         return Success(accepted)
 
     def _find_known(
@@ -298,7 +288,7 @@
             a request that must run: a new one, or one whose earlier try ended
             in a failure that promised it can be sent again.
         """
-        stream = self._stream_by_key.get(key)
+        stream = self._calls.stream(key)
         entry = program.entry_by_request_id.get(key.request_id)
         seen = (
             stream or entry or program.intent_by_request_id.get(key.request_id)
@@ -308,7 +298,7 @@
         if seen.content_digest != content:
             detail = f"request id {key.request_id!r}"
             return Failed(Failure(ErrorKind.REQUEST_ID_REUSED, detail))
-        if key in self._task_by_key:
+        if key in self._calls:
             return Success(None)
         if key in self.voiding:
             return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
@@ -327,23 +317,17 @@
         """
         intent = program.intent_by_request_id.get(key.request_id)
         if intent is not None:
-            stream = self._new_stream(key, intent.content_digest)
+            stream = self._calls.new_stream(key, intent.content_digest)
             work = calls.resolve_intent(self, program, intent, stream)
-            self._start(key, stream, work)
+            self._calls.start(key, stream, work)
             return True
         entry = program.entry_by_request_id.get(key.request_id)
         if not isinstance(entry, CallFinished):
             return False
-        stream = self._new_stream(key, entry.content_digest)
-        self._start(key, stream, calls.ask_again(self, entry, stream))
+        stream = self._calls.new_stream(key, entry.content_digest)
+        self._calls.start(key, stream, calls.ask_again(self, entry, stream))
         return True
 
-    def _refuse_ended(self, program: Program) -> Failed[Failure] | None:
-        is_ending = program.program_id in self._ending
-        if program.end_reason is None and not is_ending:
-            return None
-        return Failed(Failure(ErrorKind.PROGRAM_ENDED, program.program_id))
-
     async def _create(
         self, operation: CreateProgram, caller: Caller
     ) -> Result[OperationResult, Failure]:
@@ -353,7 +337,7 @@
                 operation.program_id,
                 caller.workspace,
                 operation.kind,
-                _wall_ms(),
+                wall_ms(),
             )
             outcome = await self.commit([record])
             if isinstance(outcome, Failed):
@@ -376,58 +360,24 @@
             program: The program; one that has ended stays as it is.
             reason: Recorded as the cause.
         """
-        if program.end_reason is not None:
-            return Success(None)
-        self._ending.add(program.program_id)
-        try:
-            await self._stop_calls(program)
-            record = ProgramEnded(
-                program.program_id,
-                reason,
-                _wall_ms(),
-                tuple(sorted(program.replicas)),
-            )
-            outcome = await self.commit([record])
-        finally:
-            self._ending.discard(program.program_id)
-        if isinstance(outcome, Success):
-            self.spawn(self.release_memory(program))
-        return outcome
+        return await self._endings.end(program, reason)
 
     async def release_memory(self, program: Program) -> None:
         """Frees an ended program's engine memory where it is still owed."""
-        if program.program_id in self._releasing:
-            return
-        self._releasing.add(program.program_id)
-        try:
-            replicas = sorted(program.replicas)
-            await asyncio.gather(*(self._release(program, r) for r in replicas))
-        finally:
-            self._releasing.discard(program.program_id)
-
-    async def _release(self, program: Program, replica: str) -> None:
-        try:
-            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                outcome = await self.executor.release(
-                    program.program_id, replica
-                )
-        except TimeoutError:
-            return
-        if isinstance(outcome, Success):
-            await self.commit([ReleaseConfirmed(program.program_id, replica)])
+        await self._endings.release_memory(program)
 
     async def sweep(self) -> None:
         """Ends, cancels, releases and forgets what is due; run each second."""
         now = time.monotonic()
-        self._forget_streams(now)
+        self._calls.forget_old(now, self.voiding)
         if now - self._copies_renewed > self.settings.copy_check_s:
             self._copies_renewed = now
             self.spawn(self._held_journal().renew_copies())
         self.spawn(self._held_journal().probe_platform())
-        busy_ids = {key.program_id for key in self._task_by_key}
+        busy_ids = self._calls.busy_programs()
         busy_ids.update(key.program_id for key in self.voiding)
         for program in list(self.state.program_by_id.values()):
-            self._sweep_program(program, program.program_id in busy_ids)
+            self._endings.sweep(program, program.program_id in busy_ids)
 
     async def check_head(self) -> Result[None, Failure]:
         """Finds out whether this host was deposed; call it after a pause."""
@@ -435,11 +385,7 @@
 
     def waiting_for(self, program: Program) -> tuple[str, ...]:
         """Returns a program's calls in flight and what each waits for."""
-        return tuple(
-            f"{key.request_id}: {stream.waits_for}"
-            for key, stream in self._stream_by_key.items()
-            if key.program_id == program.program_id and stream.outcome is None
-        )
+        return self._calls.waiting_for(program.program_id)
 
     def describe(self) -> dict[str, Any]:
         """Returns the shard's state for a dump."""
@@ -457,7 +403,8 @@
 
     async def close(self) -> None:
         """Stops every task without handing over."""
-        tasks = [*self._task_by_key.values(), *self._background]
+        await self._calls.close()
+        tasks = list(self._background)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -468,102 +415,6 @@
             raise RuntimeError("the shard has no journal yet")
         return self._journal
 
-    def _new_stream(self, key: RequestKey, content: str) -> AnswerStream:
-        # No two streams of a request may share an attempt, also after the
-        # first is forgotten: a reader that comes late would append the text
-        # of the one to what it has of the other.
-        first_attempt = self.epoch * _EPOCH_ATTEMPTS
-        first_attempt += next(self._attempts) * _STREAM_ATTEMPTS
-        stream = AnswerStream(key.request_id, content, first_attempt)
-        self._stream_by_key[key] = stream
-        self._finished_at_by_key.pop(key, None)
-        return stream
-
-    def _start(
-        self,
-        key: RequestKey,
-        stream: AnswerStream,
-        work: Coroutine[Any, Any, CallEnd],
-    ) -> None:
-        task = asyncio.create_task(
-            work, name=f"{key.program_id} {key.request_id}"
-        )
-        self._task_by_key[key] = task
-        # A callback, because a task that is cancelled before its first step
-        # runs nothing of its own: its reader would wait for ever.
-        task.add_done_callback(functools.partial(self._finish, key, stream))
-
-    def _finish(
-        self,
-        key: RequestKey,
-        stream: AnswerStream,
-        task: asyncio.Task[CallEnd],
-    ) -> None:
-        outcome = _end_of(task, self.is_held)
-        program = self.state.program_by_id.get(key.program_id)
-        if program is not None:
-            program.replicas.update(stream.replicas)
-        self._task_by_key.pop(key, None)
-        self._finished_at_by_key[key] = time.monotonic()
-        stream.finish(outcome)
-
-    async def _stop_calls(self, program: Program) -> None:
-        mine = [
-            k for k in self._task_by_key if k.program_id == program.program_id
-        ]
-        tasks = []
-        for key in mine:
-            task = self._task_by_key[key]
-            tasks.append(task)
-            # An unrepeatable call that is under way must learn its outcome.
-            if self._stream_by_key[key].cancellable:
-                task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    def _forget_streams(self, now: float) -> None:
-        keep_s = self.settings.stream_keep_s
-        for key, finished_at in list(self._finished_at_by_key.items()):
-            if now - finished_at > keep_s and key not in self.voiding:
-                del self._finished_at_by_key[key]
-                self._stream_by_key.pop(key, None)
-        for key, task in list(self._task_by_key.items()):
-            stream = self._stream_by_key[key]
-            unread_s = now - stream.last_read
-            if unread_s > self.settings.unread_cancel_s and stream.cancellable:
-                task.cancel()
-
-    def _sweep_program(self, program: Program, is_busy: bool) -> None:
-        now_ms = _wall_ms()
-        if program.end_reason is not None:
-            if not is_busy:
-                self._sweep_ended(program, now_ms)
-            return
-        if program.program_id in self._ending:
-            return
-        age_ms = now_ms - program.created_ms
-        if age_ms > self.kind_of(program).budget.wall_time_s * 1000:
-            self.spawn(self.end_program(program, EndReason.EXPIRED))
-            return
-        idle_ms = now_ms - program.touched_ms
-        if not is_busy and idle_ms > self.settings.idle_end_s * 1000:
-            self.spawn(self.end_program(program, EndReason.ABANDONED))
-
-    def _sweep_ended(self, program: Program, now_ms: int) -> None:
-        if program.replicas:
-            self.spawn(self.release_memory(program))
-            return
-        if program.program_id in self._forgetting:
-            return
-        if now_ms - program.ended_ms > self.settings.retention_s * 1000:
-            self._forgetting.add(program.program_id)
-            self.spawn(self._forget(program))
-
-    async def _forget(self, program: Program) -> None:
-        try:
-            await self.commit([ProgramForgotten(program.program_id)])
-        finally:
-            self._forgetting.discard(program.program_id)
-
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         """Runs work in the background until the shard closes."""
         task = asyncio.create_task(work)
@@ -617,25 +468,7 @@
     return Success(shard)
 
 
-def _end_of(task: asyncio.Task[CallEnd], is_held: bool) -> CallEnd:
-    if task.cancelled():
-        # Where the shard was lost, the next owner runs the call: its reader
-        # must ask there and not take it for cancelled. The call may have been
-        # sent, so it is not answered with a kind that says it was not run.
-        kind = ErrorKind.CANCELLED if is_held else ErrorKind.WRITE_UNKNOWN
-        return Failed(Failure(kind))
-    error = task.exception()
-    if error is None:
-        return task.result()
-    logs.write("call_failed", error=repr(error), call=task.get_name())
-    return Failed(Failure(ErrorKind.INTERNAL))
-
-
 def _is_unknown(entry: TurnFinished | CallFinished) -> bool:
     if isinstance(entry, TurnFinished):
         return False
     return entry.status is OutcomeStatus.UNKNOWN
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
