--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -49,9 +49,9 @@
     ShardOwner,
     StandbyCopies,
 )
-from masticdale_peers import Address, PeerServer
 from masticdale_platform import WatchBatch
 from masticdale_routing.fleet import Fleet
+from masticdale_rpc import Address, RpcServer
 
 # Connections that may wait to be accepted: a burst of callers opens some
 # hundred at once, and one that finds no place is tried again after a second.
@@ -148,7 +148,7 @@
             self._owner, self._keeper, acting, copies, self._direct
         )
         self._ledger.admit_here = service.admit
-        self._peer_server = PeerServer(service, peers_at, LEDGER)
+        self._peer_server = RpcServer(service, peers_at, LEDGER)
         self._relay = Relay(
             RelayParts(
                 configuration=lambda: self._configuration.current,
--- a/apps/masticdale_entry/src/masticdale_entry/peers.py
+++ b/apps/masticdale_entry/src/masticdale_entry/peers.py
@@ -3,7 +3,7 @@
 from masticdale_common import Metrics
 from masticdale_entry.settings import Settings
 from masticdale_ledger import LEDGER, Hosts, ShardMap
-from masticdale_peers import Address, PeerClient, PeerSettings, PoolLimits
+from masticdale_rpc import Address, PeerSettings, PoolLimits, RpcClient
 
 _LIMITS = PoolLimits(connections=8, call_timeout_s=1.0, idle_s=30.0)
 
@@ -17,9 +17,9 @@
         self._shard_map = shard_map
         self._settings = settings
         self._metrics = metrics
-        self._client_by_address: dict[tuple[str, int], PeerClient] = {}
+        self._client_by_address: dict[tuple[str, int], RpcClient] = {}
 
-    def all(self) -> list[PeerClient]:
+    def all(self) -> list[RpcClient]:
         """Returns the clients of all known hosts but this one."""
         return [self.client(*address) for address in self.candidates()]
 
@@ -41,7 +41,7 @@
         for client in self._client_by_address.values():
             client.close_idle()
 
-    def client(self, address: str, port: int) -> PeerClient:
+    def client(self, address: str, port: int) -> RpcClient:
         """See ``Hosts.client``."""
         client = self._client_by_address.get((address, port))
         if client is None:
@@ -50,8 +50,6 @@
                 address=Address.model_validate({"ip": address, "port": port}),
                 domain="unknown",
             )
-            client = PeerClient(
-                peer, None, _LIMITS, self._metrics, contract=LEDGER
-            )
+            client = RpcClient(peer, None, _LIMITS, self._metrics, LEDGER)
             self._client_by_address[(address, port)] = client
         return client
--- a/apps/masticdale_entry/src/masticdale_entry/settings.py
+++ b/apps/masticdale_entry/src/masticdale_entry/settings.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from masticdale_common import StrictModel
-from masticdale_peers import Address
+from masticdale_rpc import Address
 
 
 class Role(enum.StrEnum):
--- a/apps/masticdaled/src/masticdaled/cluster.py
+++ b/apps/masticdaled/src/masticdaled/cluster.py
@@ -5,7 +5,7 @@
 
 from masticdale_common import ErrorKind, Failure, hashing
 from masticdale_peers import Membership, PeerCalls, PeerHandler, Peers
-from masticdale_peers.contracts import ReplyT, RequestT, Rpc
+from masticdale_rpc.contracts import ReplyT, RequestT, Rpc
 
 _SHARD_ROLE = "shard"
 _HOME_ROLE = "home"
--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -23,7 +23,6 @@
     Heartbeat,
     MembershipChange,
     PeerDirectory,
-    PeerServer,
     PoolLimits,
     connect,
     join,
@@ -32,6 +31,7 @@
 )
 from masticdale_platform.client import PlatformClient
 from masticdale_programs import CopyStore, ShardSettings
+from masticdale_rpc import RpcServer
 from masticdaled.callers.entry import Entry
 from masticdaled.callers.limits import WorkspaceLimiter
 from masticdaled.callers.listener import CallersContext, create_callers_app
@@ -134,7 +134,7 @@
         self.handler = Handler(self._parts)
         self._leaving = False
         self._started = False
-        self._peer_server: PeerServer | None = None
+        self._peer_server: RpcServer | None = None
         self._http_servers: list[_HttpServer] = []
         self._http_tasks: list[asyncio.Task[None]] = []
 
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -20,7 +20,7 @@
 )
 from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.shards import ShardMap
-from masticdale_peers import PeerClient
+from masticdale_rpc import RpcClient
 
 # Shards of the ledger. Each takes one host's memory and no thread; four let
 # the loss of one host touch a quarter of the programs.
@@ -41,7 +41,7 @@
 # and their turns count at their most for good.
 _MAX_SETTLEMENTS = 5_000
 
-Peers = Callable[[str, int], PeerClient]
+Peers = Callable[[str, int], RpcClient]
 Admit = Callable[[AdmitRequest], Awaitable[AdmitReply]]
 # After an owner has not answered, its standby is asked first for this long,
 # in seconds: each question to a dead host costs a whole timeout.
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -13,7 +13,7 @@
     CopyReply,
     CopyRequest,
 )
-from masticdale_peers import PeerClient
+from masticdale_rpc import RpcClient
 
 # One copy, in seconds: a hundred round trips between failure domains.
 _COPY_TIMEOUT_S = 0.3
@@ -37,7 +37,7 @@
 class Copier:
     """Sends changed accounts to one standby, those of one round together."""
 
-    def __init__(self, peer: PeerClient) -> None:
+    def __init__(self, peer: RpcClient) -> None:
         self._peer = peer
         self._is_complete = False
         self._lock = asyncio.Lock()
--- a/libs/ledger/src/masticdale_ledger/hosts.py
+++ b/libs/ledger/src/masticdale_ledger/hosts.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from masticdale_peers import PeerClient
+from masticdale_rpc import RpcClient
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +25,7 @@
 class Hosts:
     """The clients of other hosts, to be asked and to be named."""
 
-    def client(self, address: str, port: int) -> PeerClient:
+    def client(self, address: str, port: int) -> RpcClient:
         """Returns the client of one host."""
         raise NotImplementedError
 
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from masticdale_common import Failure
-from masticdale_peers import Contract, Rpc, build_structs
+from masticdale_rpc import Contract, Rpc, build_structs
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -15,13 +15,13 @@
     StoreReply,
     StoreRequest,
 )
-from masticdale_peers import PeerClient
 from masticdale_platform import (
     ListedHost,
     ObjectStore,
     StoredObject,
     WatchBatch,
 )
+from masticdale_rpc import RpcClient
 
 T = TypeVar("T")
 
@@ -37,14 +37,14 @@
 # Hosts asked for one call.
 _RELAYS = 2
 
-PeerList = Callable[[], list[PeerClient]]
+PeerList = Callable[[], list[RpcClient]]
 StoreCall = Callable[[ObjectStore], Awaitable[Result[T, Failure]]]
 
 
 class PeerStore:
     """An ``ObjectStore`` that another host asks for us."""
 
-    def __init__(self, peer: PeerClient) -> None:
+    def __init__(self, peer: RpcClient) -> None:
         self._peer = peer
 
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
--- a/libs/ledger/tests/test_messages.py
+++ b/libs/ledger/tests/test_messages.py
@@ -3,7 +3,7 @@
 import unittest
 
 from masticdale_ledger.messages import LEDGER
-from masticdale_peers import parse_idl
+from masticdale_rpc import parse_idl
 
 
 def shape(spec, seen=()):
--- a/libs/peers/src/masticdale_peers/__init__.py
+++ b/libs/peers/src/masticdale_peers/__init__.py
@@ -1,18 +1,10 @@
 """Membership of hosts and the RPC between them."""
 
-from masticdale_peers.connections import (
-    PeerClient,
-    PeerDirectory,
-    PoolLimits,
-    connect,
-)
-from masticdale_peers.contracts import Contract, Rpc, parse_idl
+from masticdale_peers.connections import PeerClient, PeerDirectory, connect
 from masticdale_peers.interfaces import (
     PeerCalls,
     PeerHandler,
     Peers,
-    unavailable,
-    was_sent,
 )
 from masticdale_peers.membership import (
     Membership,
@@ -48,19 +40,24 @@
     TicketReply,
     TicketRequest,
 )
-from masticdale_peers.server import PeerServer, serve
-from masticdale_peers.settings import Address, PeerSettings, TlsSettings
-from masticdale_peers.structs import build_structs
+from masticdale_peers.server import serve
 from masticdale_peers.views import (
     ListedPeer,
     Member,
     MembershipChange,
     MembershipLimits,
 )
+from masticdale_rpc import (
+    Address,
+    PeerSettings,
+    PoolLimits,
+    TlsSettings,
+    unavailable,
+    was_sent,
+)
 
 __all__ = [
     "Address",
-    "Contract",
     "CopyReply",
     "CopyRequest",
     "Empty",
@@ -77,7 +74,6 @@
     "PeerDirectory",
     "PeerHandler",
     "PeerNews",
-    "PeerServer",
     "PeerSettings",
     "Peers",
     "PoolLimits",
@@ -90,7 +86,6 @@
     "ReadRequest",
     "RevisionsReply",
     "RevisionsRequest",
-    "Rpc",
     "SealReply",
     "SealRequest",
     "StatesReply",
@@ -103,11 +98,9 @@
     "TicketReply",
     "TicketRequest",
     "TlsSettings",
-    "build_structs",
     "connect",
     "join",
     "new_incarnation",
-    "parse_idl",
     "serve",
     "unavailable",
     "was_sent",
--- a/libs/peers/src/masticdale_peers/interfaces.py
+++ b/libs/peers/src/masticdale_peers/interfaces.py
@@ -5,9 +5,8 @@
 
 from returns.result import Result
 
-from masticdale_common import ErrorKind, Failure
+from masticdale_common import Failure
 from masticdale_peers import messages
-from masticdale_peers.contracts import ReplyT, RequestT, Rpc
 from masticdale_peers.messages import (
     CopyReply,
     CopyRequest,
@@ -35,26 +34,7 @@
     TicketReply,
     TicketRequest,
 )
-
-_NOT_SENT = "not sent"
-
-
-def unavailable(host: str, reason: str, *, sent: bool) -> Failure:
-    """Returns the failure of a call that no whole answer came to.
-
-    Args:
-        host: The peer.
-        reason: What happened.
-        sent: False where the peer surely has not got the request.
-    """
-    state = "sent" if sent else _NOT_SENT
-    return Failure(ErrorKind.PEER_UNAVAILABLE, f"{state}: {host}: {reason}")
-
-
-def was_sent(failure: Failure) -> bool:
-    """Returns whether the peer may have got the request of a failed call."""
-    not_sent = failure.detail.startswith(f"{_NOT_SENT}:")
-    return not (failure.kind is ErrorKind.PEER_UNAVAILABLE and not_sent)
+from masticdale_rpc.contracts import ReplyT, RequestT, Rpc
 
 
 class PeerHandler(Protocol):
--- a/libs/peers/src/masticdale_peers/messages.py
+++ b/libs/peers/src/masticdale_peers/messages.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from masticdale_common import Failure
-from masticdale_peers.contracts import Contract, Rpc, parse_idl
+from masticdale_rpc.contracts import Contract, Rpc, parse_idl
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/peers/src/masticdale_peers/testing.py
+++ b/libs/peers/src/masticdale_peers/testing.py
@@ -8,12 +8,13 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure
-from masticdale_peers.contracts import ReplyT, RequestT, Rpc
-from masticdale_peers.interfaces import PeerCalls, PeerHandler, unavailable
+from masticdale_peers.interfaces import PeerCalls, PeerHandler
 from masticdale_peers.messages import (
     from_wire,
     to_wire,
 )
+from masticdale_rpc import unavailable
+from masticdale_rpc.contracts import ReplyT, RequestT, Rpc
 
 DEFAULT_TIMEOUT_S = 5.0
 
--- a/libs/peers/tests/test_frames.py
+++ b/libs/peers/tests/test_frames.py
@@ -14,9 +14,9 @@
     PeerNews,
     Submission,
     SubmitReply,
-    frames,
 )
 from masticdale_peers.messages import PEER, to_wire
+from masticdale_rpc import frames
 
 BEAT = Heartbeat(
     "host-a", "d", "1", news=(PeerNews("x", "1", accusers=("b",)),)
--- a/libs/peers/src/masticdale_peers/structs.py
+++ b/libs/rpc/src/masticdale_rpc/structs.py
@@ -13,7 +13,7 @@
 from thriftpy2.thrift import TPayload, TType, gen_init
 
 from masticdale_common import Failure
-from masticdale_peers.contracts import Loaded, Rpc
+from masticdale_rpc.contracts import Loaded, Rpc
 
 _TYPE_BY_HINT = {
     str: TType.STRING,
--- a/libs/peers/src/masticdale_peers/tls.py
+++ b/libs/rpc/src/masticdale_rpc/tls.py
@@ -2,7 +2,7 @@
 
 import ssl
 
-from masticdale_peers.settings import TlsSettings, invalid
+from masticdale_rpc.settings import TlsSettings, invalid
 
 
 def server_context(tls: TlsSettings) -> ssl.SSLContext:
--- a/libs/peers/src/masticdale_peers/wire.py
+++ b/libs/rpc/src/masticdale_rpc/wire.py
@@ -4,8 +4,8 @@
 
 from thriftpy2.thrift import TApplicationException, TMessageType
 
-from masticdale_peers import frames
-from masticdale_peers.contracts import Contract, ReplyT, RequestT, Rpc
+from masticdale_rpc import frames
+from masticdale_rpc.contracts import Contract, ReplyT, RequestT, Rpc
 
 
 class CrossedAnswerError(Exception):
