A refusal is true without its body; drop a field that nothing read

Cause: a replica's answer that says that the request has not run counted as an unknown outcome where its body broke off, so that what must not run twice was answered 502 in place of going on to the next replica. Test fails first.

--- a/apps/masticdale_entry/tests/test_relaying.py
+++ b/apps/masticdale_entry/tests/test_relaying.py
@@ -64,6 +64,17 @@
             response = await self.ask(UNSAFE, f"r{n}")
             self.assertEqual(response.status_code, 200)
 
+    async def test_a_refusal_that_breaks_off_passes_the_request_on(self):
+        """A filing that has not run would be answered as if it might have.
+
+        The replica says in the head of its answer that it did not run the
+        request; the connection ends inside the body. The head is enough.
+        """
+        self.desks[0].behaviour.fault = ReplicaFault.FULL_CUT
+        for n in range(8):
+            response = await self.ask(UNSAFE, f"r{n}")
+            self.assertEqual(response.status_code, 200)
+
     async def test_all_full_is_said_at_once_with_a_time(self):
         self.set_desks(fault=ReplicaFault.FULL)
         began = asyncio.get_running_loop().time()
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -219,9 +219,14 @@
         if head.status == 421:
             # Another replica has the address: the list has not said so yet.
             state.circuit.failed(asyncio.get_running_loop().time())
-        async with asyncio.timeout(_REFUSAL_BODY_S):
-            while await connection.read_part() is not None:
-                pass
+        try:
+            async with asyncio.timeout(_REFUSAL_BODY_S):
+                while await connection.read_part() is not None:
+                    pass
+        except _CUT_ERRORS:
+            # What the head says holds without the body, and the request may
+            # go on elsewhere; only the connection is of no more use.
+            connection.abort()
         return self._failure(
             call,
             state,
--- a/libs/gateway/src/masticdale_gateway/messages.py
+++ b/libs/gateway/src/masticdale_gateway/messages.py
@@ -95,14 +95,11 @@
         status: The status code.
         headers: As sent.
         keeps_alive: Whether the connection may serve another request.
-        has_framing: Whether the body's end is told by a length or by chunks;
-            otherwise it ends with the connection.
     """
 
     status: int
     headers: Headers
     keeps_alive: bool
-    has_framing: bool
 
 
 def encode_request(
--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -166,7 +166,7 @@
         keeps_alive = self._parser.should_keep_alive()
         self._is_dirty = self._is_dirty or not keeps_alive
         self.keep_alive_s = _keep_alive_s(headers)
-        head = ResponseHead(status, headers, keeps_alive, not self._unframed)
+        head = ResponseHead(status, headers, keeps_alive)
         self._is_skipping = not self._matches(head)
         if self._is_skipping:
             self._is_dirty = True
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -20,6 +20,7 @@
 
     NONE = enum.auto()
     FULL = enum.auto()
+    FULL_CUT = enum.auto()
     SILENT = enum.auto()
     RESET = enum.auto()
     UNSIGNED = enum.auto()
@@ -132,8 +133,13 @@
             fault = behaviour.fault
             behaviour.times -= fault is not ReplicaFault.NONE
         headers = self._headers(request)
-        if fault is ReplicaFault.FULL:
-            await connection.write(answer(503, {"Not-Executed": "1"}))
+        if fault in (ReplicaFault.FULL, ReplicaFault.FULL_CUT):
+            refusal = answer(503, {"Not-Executed": "1"}, b"full")
+            if fault is ReplicaFault.FULL:
+                await connection.write(refusal)
+                return
+            await connection.write(refusal[:-1])
+            connection.close()
             return
         self.ran.append(request)
         if fault is ReplicaFault.SILENT:
