--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -27,6 +27,10 @@
 
 # How often settled turns are copied, in seconds; as often as they arrive.
 COPY_EVERY_S = 0.15
+# The owner of this shard looks for records that nobody deletes, this often in
+# seconds.
+_CLEANING_SHARD = 0
+_CLEAN_EVERY_S = 3600.0
 # Rounds of judging and writing for one turn. Each conflict raises the bound
 # to another owner's, so that three rounds pass every step.
 _ROUNDS = 4
@@ -160,6 +164,7 @@
         self._records = records
         self._lease = lease
         self._metrics = metrics
+        self._cleaned_at = time.monotonic()
         self._shard_by_number: dict[int, OwnedShard] = {}
         self._write_lock_by_program: dict[str, asyncio.Lock] = (
             collections.defaultdict(asyncio.Lock)
@@ -240,6 +245,10 @@
                     await self._records.delete(
                         account.program_id, account.bound.version
                     )
+        is_due = time.monotonic() - self._cleaned_at >= _CLEAN_EVERY_S
+        if is_due and _CLEANING_SHARD in self._shard_by_number:
+            self._cleaned_at = time.monotonic()
+            await self._records.delete_old(time.time_ns() // 1_000_000)
 
     async def _reserve(
         self, shard: OwnedShard, claim: TurnClaim
--- a/libs/ledger/src/masticdale_ledger/records.py
+++ b/libs/ledger/src/masticdale_ledger/records.py
@@ -11,9 +11,10 @@
 from masticdale_platform import ObjectStore, StoredObject
 
 RECORD_PREFIX = "ledger-programs/"
-# Records of programs that never came back are deleted after this long, in
-# milliseconds; ten times the longest time within which programs come back.
-_KEEP_MS = 600_000
+# Records whose owner died before it forgot their programs are deleted once
+# they are this old, in milliseconds: a day. A program that still ran then, and
+# lost its record and all memory of it, would get its budget again.
+_KEEP_MS = 86_400_000
 
 
 class _Record(pydantic.BaseModel):
@@ -105,14 +106,35 @@
 
     async def delete(self, program_id: str, version: int) -> None:
         """Deletes the record of a program that will not come back."""
-        key = RECORD_PREFIX + record_name(program_id)
+        await self._delete(RECORD_PREFIX + record_name(program_id), version)
+
+    async def _delete(self, key: str, version: int) -> None:
         outcome = await self._store.delete(key, version)
         if isinstance(outcome, Failed):
             logs.write_bounded(
-                "record_not_deleted",
-                program_id=program_id,
-                reason=str(outcome.failure()),
+                "record_not_deleted", key=key, reason=str(outcome.failure())
+            )
+
+    async def delete_old(self, now_ms: int) -> None:
+        """Deletes the records that no owner will delete any more.
+
+        Without it each loss of owners leaves some behind for good, and every
+        takeover reads all of them.
+
+        Args:
+            now_ms: Wall milliseconds.
+        """
+        found = await self._store.list(RECORD_PREFIX)
+        if isinstance(found, Failed):
+            logs.write_bounded(
+                "records_not_cleaned", reason=str(found.failure())
             )
+            return
+        for item in found.unwrap():
+            record = _record(item)
+            if record is None or now_ms - record.at_ms < _KEEP_MS:
+                continue
+            await self._delete(item.key, item.version)
 
 
 def _record(item: StoredObject) -> _Record | None:
