--- a/libs/ledger/tests/test_records.py
+++ b/libs/ledger/tests/test_records.py
@@ -22,7 +22,9 @@
         program_records = ProgramRecords(store, "writer")
         for program, at_ms in (("old", 0), ("young", DAY_MS)):
             now_ns = at_ms * 1_000_000
-            with mock.patch.object(records.time, "time_ns", lambda: now_ns):
+            with mock.patch.object(
+                records.time, "time_ns", return_value=now_ns
+            ):
                 await program_records.raise_bound(program, 100, 0)
         await program_records.delete_old(DAY_MS + 1)
         left = (await store.list(RECORD_PREFIX)).unwrap()
@@ -31,7 +33,7 @@
     async def test_a_record_that_was_raised_meanwhile_stays(self):
         store = MemoryStore()
         program_records = ProgramRecords(store, "writer")
-        with mock.patch.object(records.time, "time_ns", lambda: 0):
+        with mock.patch.object(records.time, "time_ns", return_value=0):
             bound = (await program_records.raise_bound("p", 100, 0)).unwrap()
         await program_records.raise_bound("p", 200, bound.version)
         await program_records.delete("p", bound.version)
