An owner knows its own record; waiting turns leave connections to others

Cause: the store did a write and lost its answer, the read after it failed too; the next write met the owner's own record as a conflict, and it counted as what another owner may have spent (ledger_bound_of_another_owner). Change: a record of this process is its bound, and is raised if it is too low.

Turns that wait for records hold their connection to the owner: with 8 a host's ninth such turn made the owner look dead to all others there; 64 now.

--- a/apps/masticdale_entry/src/masticdale_entry/peers.py
+++ b/apps/masticdale_entry/src/masticdale_entry/peers.py
@@ -5,7 +5,10 @@
 from masticdale_ledger import LEDGER, Hosts, ShardMap
 from masticdale_rpc import Address, PeerSettings, PoolLimits, RpcClient
 
-_LIMITS = PoolLimits(connections=8, call_timeout_s=1.0, idle_s=30.0)
+# A turn that waits for a record at a slow store holds a connection to the owner
+# for most of that time. With 8, some ten such turns leave none to the others at
+# their host, and the owner counts as lost; 64 are more than a host has waiting.
+_LIMITS = PoolLimits(connections=64, call_timeout_s=1.0, idle_s=30.0)
 
 
 class PeerClients(Hosts):
--- a/libs/ledger/src/masticdale_ledger/records.py
+++ b/libs/ledger/src/masticdale_ledger/records.py
@@ -87,16 +87,22 @@
         outcome = await self._store.write(key, value, version)
         if not isinstance(outcome, Failed):
             return Success(Bound(tokens, outcome.unwrap()))
-        if outcome.failure().kind is not ErrorKind.WRITE_UNKNOWN:
+        unclear = (ErrorKind.WRITE_UNKNOWN, ErrorKind.CONFLICT)
+        if outcome.failure().kind not in unclear:
             return outcome
-        # The answer was lost, not necessarily the write.
+        # The answer was lost, of this write or of one before, and not
+        # necessarily the write. Its own bound taken for another owner's would
+        # count as spent, and the program be told that its budget is.
         found = await self._store.read(key)
         if isinstance(found, Failed):
             return found
         stored = found.unwrap()
-        if stored is not None and _record(stored) == record:
-            return Success(Bound(tokens, stored.version))
-        return outcome
+        written = _record(stored) if stored is not None else None
+        if stored is None or written is None or written.writer != self._writer:
+            return outcome
+        if written.bound_tokens < tokens:
+            return await self.raise_bound(program_id, tokens, stored.version)
+        return Success(Bound(written.bound_tokens, stored.version))
 
     async def read(self, program_id: str) -> Result[Bound | None, Failure]:
         """Returns a program's bound as it stands in the store."""
