A record that the last owner wrote while it handed over is not spent

An owner that took over exact accounts (a planned stop, a sealed standby) now knows whose they are: a bound of that process was never spent beyond them. After a takeover from a host that may live on it still counts.

--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -46,11 +46,14 @@
         previous: Whether the last owner surely acts no more.
         accounts: Its accounts.
         incomplete_for_s: Programs of before may be missing for so long.
+        predecessor: The process whose accounts these exactly are; empty where
+            they may lack something of the last owner's.
     """
 
     previous: Previous
     accounts: tuple[AccountState, ...] = ()
     incomplete_for_s: float = 0.0
+    predecessor: str = ""
 
 
 class ShardClaims:
@@ -160,6 +163,7 @@
                 incomplete_s,
                 self._lease,
                 self._copier(record),
+                inheritance.predecessor,
             )
         )
         self._client.unreachable_by_shard.pop(number, None)
@@ -246,7 +250,9 @@
             written.unwrap(),
             shard.accounts,
             Inheritance(
-                Previous.ENDED, incomplete_for_s=shard.incomplete_for_s
+                Previous.ENDED,
+                incomplete_for_s=shard.incomplete_for_s,
+                predecessor=shard.predecessor,
             ),
         )
 
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -126,7 +126,10 @@
         if self.is_stopping or not self._map.is_loaded:
             return HandOverReply(Failure(ErrorKind.STOPPING))
         inheritance = Inheritance(
-            Previous.ENDED, offer.accounts, offer.incomplete_for_s
+            Previous.ENDED,
+            offer.accounts,
+            offer.incomplete_for_s,
+            self._writer_of(offer.shard, offer.version),
         )
         claimed = await self._claims.claim(
             offer.shard, offer.version, inheritance
@@ -214,10 +217,21 @@
             return Inheritance(previous, (), LOST_PROGRAMS_S)
         if not reply.held:
             return Inheritance(Previous.ENDED, (), LOST_PROGRAMS_S)
-        accounts = reply.accounts
         if previous is Previous.LOST:
-            accounts = tuple(limited(state) for state in accounts)
-        return Inheritance(Previous.ENDED, accounts, reply.incomplete_for_s)
+            accounts = tuple(limited(state) for state in reply.accounts)
+            return Inheritance(Previous.ENDED, accounts, reply.incomplete_for_s)
+        return Inheritance(
+            Previous.ENDED,
+            reply.accounts,
+            reply.incomplete_for_s,
+            view.record.incarnation,
+        )
+
+    def _writer_of(self, number: int, version: int) -> str:
+        view = self._map.get(number)
+        if view is None or view.version != version:
+            return ""
+        return view.record.incarnation
 
     async def _claim_acting(self, shard: OwnedShard) -> None:
         if self._is_store_lost():
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -65,6 +65,8 @@
         view: The record by which it is owned.
         accounts: Its programs.
         copier: Keeps the standby up to date; None without a standby.
+        predecessor: The process whose accounts these exactly are; empty where
+            they may lack something of the last owner's.
         is_moving: Whether it is being handed over.
         alone: Set while there is neither a standby nor a store.
     """
@@ -77,6 +79,7 @@
         incomplete_for_s: float,
         lease: Lease,
         copier: Copier | None,
+        predecessor: str = "",
     ) -> None:
         """Begins to own a shard.
 
@@ -88,11 +91,13 @@
                 one of before; 0 if it surely is a new one.
             lease: The clock of that.
             copier: Keeps the standby up to date.
+            predecessor: The process whose accounts these exactly are.
         """
         self.number = number
         self.view = view
         self.accounts = accounts
         self.copier = copier
+        self.predecessor = predecessor
         self.is_moving = False
         self.alone: Alone | None = None
         self._complete_from = lease.now() + incomplete_for_s
@@ -285,24 +290,31 @@
             if outcome.failure().kind is not ErrorKind.CONFLICT:
                 detail = f"record: {outcome.failure()}"
                 return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
-            return await self._take_stored(claim, account)
+            return await self._take_stored(shard, claim, account)
 
     async def _take_stored(
-        self, claim: TurnClaim, account: Account
+        self, shard: OwnedShard, claim: TurnClaim, account: Account
     ) -> Result[None, Failure]:
         found = await self._records.read(claim.program_id)
         if isinstance(found, Failed):
             detail = f"record: {found.failure()}"
             return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
-        bound = found.unwrap()
-        account.bound = bound
+        written = found.unwrap()
+        account.bound = written.bound if written else None
         account.counts_from_start = False
-        if bound is not None:
-            account.spent_tokens = max(account.spent_tokens, bound.tokens)
+        # A write of the last owner may have been under way when it gave its
+        # accounts away. It then never spent up to that bound.
+        is_known = written is not None and written.writer == shard.predecessor
+        if written is not None and not is_known:
+            account.spent_tokens = max(
+                account.spent_tokens, written.bound.tokens
+            )
         logs.write_bounded(
             "ledger_bound_of_another_owner",
             program_id=claim.program_id,
-            bound_tokens=bound.tokens if bound else 0,
+            bound_tokens=written.bound.tokens if written else 0,
+            writer=written.writer if written else "",
+            counts_as_spent=not is_known,
         )
         return Success(None)
 
--- a/libs/ledger/src/masticdale_ledger/records.py
+++ b/libs/ledger/src/masticdale_ledger/records.py
@@ -1,5 +1,6 @@
 """Records in the store: bounds of what programs may have spent."""
 
+import dataclasses
 import time
 
 import pydantic
@@ -39,6 +40,19 @@
     return hashing.digest(program_id)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WrittenBound:
+    """A bound as it stands in the store.
+
+    Attributes:
+        bound: The bound.
+        writer: The process that wrote it.
+    """
+
+    bound: Bound
+    writer: str
+
+
 class ProgramRecords:
     """Reads and writes the records."""
 
@@ -104,11 +118,13 @@
             return await self.raise_bound(program_id, tokens, stored.version)
         return Success(Bound(written.bound_tokens, stored.version))
 
-    async def read(self, program_id: str) -> Result[Bound | None, Failure]:
+    async def read(
+        self, program_id: str
+    ) -> Result[WrittenBound | None, Failure]:
         """Returns a program's bound as it stands in the store."""
         key = RECORD_PREFIX + record_name(program_id)
         outcome = await self._store.read(key)
-        return outcome.map(lambda item: _bound(item) if item else None)
+        return outcome.map(lambda item: _written(item) if item else None)
 
     async def delete(self, program_id: str, version: int) -> None:
         """Deletes the record of a program that will not come back."""
@@ -153,6 +169,13 @@
         return None
 
 
-def _bound(item: StoredObject) -> Bound | None:
+def _written(item: StoredObject) -> WrittenBound | None:
     record = _record(item)
-    return Bound(record.bound_tokens, item.version) if record else None
+    if record is None:
+        return None
+    return WrittenBound(Bound(record.bound_tokens, item.version), record.writer)
+
+
+def _bound(item: StoredObject) -> Bound | None:
+    written = _written(item)
+    return written.bound if written else None
--- a/libs/ledger/tests/test_admissions.py
+++ b/libs/ledger/tests/test_admissions.py
@@ -62,7 +62,7 @@
     def setUp(self):
         self.store = MemoryStore()
 
-    def own(self, peer=None):
+    def own(self, peer=None, predecessor=""):
         lease = Lease()
         lease.confirm(lease.now())
         records = ProgramRecords(self.store, "writer")
@@ -77,7 +77,13 @@
         )
         copier = Copier(peer) if peer else None
         shard = OwnedShard(
-            SHARD, ShardView(record, 1), Accounts(), 0.0, lease, copier
+            SHARD,
+            ShardView(record, 1),
+            Accounts(),
+            0.0,
+            lease,
+            copier,
+            predecessor,
         )
         self.owner.take(shard)
         self.admissions = Admissions(self.owner, Acting())
@@ -145,5 +151,29 @@
         self.assertLessEqual(peer.calls, 2)
 
 
+class PredecessorTest(AdmissionsCase):
+    """A program would be told 402 after a planned stop of its owner.
+
+    The owner writes a record at a store that is slow, and meanwhile hands its
+    shards over. The next owner has its exact accounts, and meets the record.
+    """
+
+    async def meet(self, predecessor):
+        before = ProgramRecords(self.store, "before")
+        await before.raise_bound("p", BUDGET, 0)
+        self.own(predecessor=predecessor)
+        # One turn may go beyond a budget whose count isn't exact.
+        await self.ask(claim("r1", 600))
+        (outcome,), _ = await self.ask(claim("r2", 300))
+        return outcome
+
+    async def test_its_record_is_no_more_than_its_accounts_say(self):
+        self.assertIsInstance(await self.meet("before"), Success)
+
+    async def test_any_other_record_counts_as_spent(self):
+        outcome = await self.meet("another")
+        self.assertIs(outcome.failure().kind, ErrorKind.BUDGET_EXCEEDED)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/ledger/tests/test_records.py
+++ b/libs/ledger/tests/test_records.py
@@ -42,7 +42,7 @@
         await program_records.raise_bound("p", 200, bound.version)
         await program_records.delete("p", bound.version)
         left = (await program_records.read("p")).unwrap()
-        self.assertEqual(left.tokens, 200)
+        self.assertEqual(left.bound.tokens, 200)
 
 
 class LostAnswerTest(unittest.IsolatedAsyncioTestCase):
@@ -73,7 +73,8 @@
     async def test_its_own_lower_record_is_raised(self):
         await self.lose("p", 300)
         bound = (await self.records.raise_bound("p", 400, 0)).unwrap()
-        self.assertEqual(bound, (await self.records.read("p")).unwrap())
+        written = (await self.records.read("p")).unwrap()
+        self.assertEqual(bound, written.bound)
         self.assertEqual(bound.tokens, 400)
 
     async def test_another_owners_record_is_a_conflict(self):
