A shard whose hand-over has an unknown outcome admits nothing more here

Cause, found on reading: where the answer to a hand-over was lost the host that stops went on as if it had been refused, while the other one owned the shard with the same accounts; both could admit turns until the next watch. Test fails first.

--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -33,6 +33,7 @@
     ShardView,
 )
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore
+from masticdale_rpc import was_sent
 
 # How often the shards are looked at, in seconds.
 LOOK_EVERY_S = 0.2
@@ -296,8 +297,10 @@
         )
         if failure is None:
             self._owner.drop(shard.number)
-        else:
+        elif not isinstance(outcome, Failed) or not was_sent(failure):
             shard.is_moving = False
+        # Else the other host may own it with these accounts. To admit turns
+        # here too would spend a budget twice; the shard waits for its takeover.
         logs.write(
             "shard_handed_over",
             shard=shard.number,
