--- a/libs/peers/src/masticdale_peers/interfaces.py
+++ b/libs/peers/src/masticdale_peers/interfaces.py
@@ -117,14 +117,7 @@
         request: RequestT,
         timeout_s: float | None = None,
     ) -> Result[ReplyT, Failure]:
-        """Makes one call.
-
-        Args:
-            rpc: Which call.
-            request: Its argument.
-            timeout_s: How long the whole call may take, waiting for a free
-                connection included; the client's default where None.
-        """
+        """Makes one call; see ``RpcClient.call``."""
 
     async def heartbeat(
         self, beat: Heartbeat, timeout_s: float | None = None
--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 import httpx
 
@@ -309,9 +309,5 @@
     return [
         Violation(name, subject, detail)
         for name, find in CHECK_BY_NAME.items()
-        for subject, detail in _sorted(find(evidence))
+        for subject, detail in sorted(find(evidence))
     ]
-
-
-def _sorted(found: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
-    return sorted(found)
--- a/tools/soak/src/masticdale_soak/faults.py
+++ b/tools/soak/src/masticdale_soak/faults.py
@@ -4,12 +4,13 @@
 import dataclasses
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 
+from masticdale_soak.layers import Layers, ValueT
 from masticdale_soak.plans import Fault, Plan, Step, Target, target_of
 from masticdale_soak.processes import HostProcess
 from masticdale_soak.proxies import Link, LinkFault
-from masticdale_soak.worlds import Drain, Layers, Replica, ValueT, World
+from masticdale_soak.worlds import Drain, Replica, World
 from masticdale_standins.objects import StoreFault
 from masticdale_standins.replicas import ReplicaFault
 
@@ -72,14 +73,6 @@
     def __init__(self, world: World) -> None:
         self.applied: list[Applied] = []
         self._world = world
-        self._store_links = {
-            host.name: Layers(Link(), _link_setter(host, "store"))
-            for host in world.hosts
-        }
-        self._peers_links = {
-            host.name: Layers(Link(), _link_setter(host, "peers"))
-            for host in world.hosts
-        }
         self._processes_in_use: set[str] = set()
 
     async def run(self, plan: Plan) -> None:
@@ -91,27 +84,26 @@
 
     async def _at(self, at: float, step: Step) -> None:
         await asyncio.sleep(max(0.0, at - time.monotonic()))
+        place, work = self._work(step)
+        began = time.monotonic()
+        await work
+        self.applied.append(Applied(step.fault, place, began, time.monotonic()))
+
+    def _work(self, step: Step) -> tuple[str, Awaitable[None]]:
+        """Returns the place that a step strikes, and how."""
         target = target_of(step.fault)
-        work: Awaitable[None]
-        place = target.value
         if target is Target.HOST:
             host = self._world.hosts[step.place % len(self._world.hosts)]
-            place = host.name
-            work = self._strike_host(step, host)
-        elif target is Target.REPLICA:
+            return host.name, self._strike_host(step, host)
+        if target is Target.REPLICA:
             replicas = self._world.replicas
             replica = replicas[step.place % len(replicas)]
-            place = replica.stand_in.id
-            work = self._strike_replica(step, replica)
-        elif target is Target.ALL_HOSTS:
-            work = self._strike_all_hosts(step)
-        elif target is Target.STORE:
-            work = self._strike_store(step)
-        else:
-            work = self._change_configuration()
-        began = time.monotonic()
-        await work
-        self.applied.append(Applied(step.fault, place, began, time.monotonic()))
+            return replica.stand_in.id, self._strike_replica(step, replica)
+        if target is Target.ALL_HOSTS:
+            return target.value, self._strike_all_hosts(step)
+        if target is Target.STORE:
+            return target.value, self._strike_store(step)
+        return target.value, self._change_configuration()
 
     async def _strike_host(self, step: Step, host: HostProcess) -> None:
         fault = step.fault
@@ -125,9 +117,9 @@
             host.peers_link.reset()
         else:
             is_store = fault.value.startswith("store_link")
-            by_host = self._store_links if is_store else self._peers_links
+            faults = host.store_faults if is_store else host.peers_faults
             link = Link(_LINK_FAULTS[fault], _SLOW_S)
-            await _last(by_host[host.name], link, step.for_s)
+            await _last(faults, link, step.for_s)
 
     async def _strike_process(self, step: Step, host: HostProcess) -> None:
         # Two hands on one process would each wait for an end that the other
@@ -207,11 +199,3 @@
         await asyncio.sleep(for_s)
     finally:
         layers.end(value)
-
-
-def _link_setter(host: HostProcess, which: str) -> Callable[[Link], None]:
-    def put_in_force(link: Link) -> None:
-        proxy = host.store_link if which == "store" else host.peers_link
-        proxy.link = link
-
-    return put_in_force
--- a/tools/soak/src/masticdale_soak/processes.py
+++ b/tools/soak/src/masticdale_soak/processes.py
@@ -15,7 +15,8 @@
 import httpx
 
 from masticdale_adapter import READINESS_PATH
-from masticdale_soak.proxies import Proxy
+from masticdale_soak.layers import Layers
+from masticdale_soak.proxies import Link, Proxy
 
 # What the platform grants a process between SIGTERM and SIGKILL, in seconds.
 GRACE_S = 6.0
@@ -68,7 +69,9 @@
     Attributes:
         name: Its name.
         store_link: Its way to the platform's store.
+        store_faults: What that link does wrong.
         peers_link: The way of the other hosts to it.
+        peers_faults: What that one does wrong.
         lives: All of its processes.
     """
 
@@ -77,7 +80,9 @@
     ) -> None:
         self.name = name
         self.store_link = Proxy()
+        self.store_faults = Layers(Link(), self.store_link.set_link)
         self.peers_link = Proxy()
+        self.peers_faults = Layers(Link(), self.peers_link.set_link)
         self.lives: list[Life] = []
         self._folder = folder
         self._command = command or (_installed_command(),)
--- a/tools/soak/src/masticdale_soak/proxies.py
+++ b/tools/soak/src/masticdale_soak/proxies.py
@@ -64,6 +64,10 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def set_link(self, link: Link) -> None:
+        """Changes how it treats its connections, open ones too."""
+        self.link = link
+
     async def stop(self) -> None:
         """Stops and drops every connection."""
         if self._server is not None:
--- a/tools/soak/src/masticdale_soak/worlds.py
+++ b/tools/soak/src/masticdale_soak/worlds.py
@@ -4,9 +4,9 @@
 import dataclasses
 import pathlib
 import time
-from collections.abc import AsyncIterator, Callable
-from typing import Generic, TypeVar
+from collections.abc import AsyncIterator
 
+from masticdale_soak.layers import Layers
 from masticdale_soak.plans import Plan
 from masticdale_soak.processes import HostProcess
 from masticdale_soak.proxies import Link, Proxy
@@ -24,28 +24,6 @@
 _EVENT_S = 0.03
 _WORK_S = 0.02
 
-ValueT = TypeVar("ValueT")
-
-
-class Layers(Generic[ValueT]):
-    """Faults of one kind that overlap: the newest that lasts is in force."""
-
-    def __init__(
-        self, sound: ValueT, put_in_force: Callable[[ValueT], None]
-    ) -> None:
-        self._values = [sound]
-        self._put_in_force = put_in_force
-
-    def begin(self, value: ValueT) -> None:
-        """Puts a fault in force."""
-        self._values.append(value)
-        self._put_in_force(value)
-
-    def end(self, value: ValueT) -> None:
-        """Ends a fault; one that began before and lasts is in force again."""
-        self._values.remove(value)
-        self._put_in_force(self._values[-1])
-
 
 @dataclasses.dataclass(slots=True)
 class Drain:
@@ -81,7 +59,7 @@
         )
         self.link = Proxy()
         self.faults = Layers(ReplicaFault.NONE, self._set_fault)
-        self.link_faults = Layers(Link(), self._set_link)
+        self.link_faults = Layers(Link(), self.link.set_link)
         self._store = store
         self._sequence = 0
         self._born_ms = 0
@@ -125,9 +103,6 @@
     def _set_fault(self, fault: ReplicaFault) -> None:
         self.stand_in.behaviour.fault = fault
 
-    def _set_link(self, link: Link) -> None:
-        self.link.link = link
-
 
 class World:
     """Everything of one run.
