--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -32,10 +32,16 @@
 from masticdale_programs.records import Record
 from masticdale_programs.write_behind import CopyWriter
 
+# Records beyond this are sealed into a segment, in bytes: each commit writes the
+# whole head.
 TAIL_LIMIT_BYTES = 64_000
+# Between two tries of a write that failed, in seconds; doubles to the second.
 _RETRY_FIRST_S = 0.05
 _RETRY_MOST_S = 2.0
+# Between two tries of a copy, in seconds: a holder restarts within some of them.
 _RETRY_COPY_S = 0.2
+# From a head's write without an answer until commits are copied instead, in
+# seconds: a hundred usual writes, and shorter than callers notice.
 _OUTAGE_AFTER_S = 0.5
 # The rest is for the calls that run when the limit is reached.
 _ADMIT_BYTES = COPY_LIMIT_BYTES * 3 // 4
@@ -87,11 +93,6 @@
         """False once another host took the shard over."""
         return not self._deposed
 
-    @property
-    def _is_lost(self) -> bool:
-        """Whether the platform has failed, and was not only slow."""
-        return self._out and self._write_failed
-
     @property
     def copy_holders(self) -> tuple[str, ...]:
         """The hosts that hold copies in an outage."""
@@ -210,6 +211,11 @@
             return Success(None)
         return self._depose()
 
+    @property
+    def _is_lost(self) -> bool:
+        """Whether the platform has failed, and was not only slow."""
+        return self._out and self._write_failed
+
     def _is_own(self, value: bytes) -> bool:
         return Head.model_validate_json(value).writer == self._head.writer
 
