--- a/apps/masticdale_entry/tests/case.py
+++ b/apps/masticdale_entry/tests/case.py
@@ -1,7 +1,6 @@
 """An entry host between stand-ins, all in one process on loopback."""
 
 import asyncio
-import socket
 import unittest
 
 import httpx
@@ -10,6 +9,7 @@
 from masticdale_entry.settings import Settings
 from masticdale_standins.objects import ObjectsStandIn
 from masticdale_standins.replicas import ReplicaStandIn
+from masticdale_standins.testing import free_port
 
 HOST = "a.example"
 STREAM = "/turns/"
@@ -17,12 +17,6 @@
 UNSAFE = "/orders/"
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def route(prefix, kind, service, **changes):
     return {
         "name": prefix.strip("/"),
--- a/tools/soak/src/masticdale_soak/proxies.py
+++ b/tools/soak/src/masticdale_soak/proxies.py
@@ -3,8 +3,8 @@
 import asyncio
 import dataclasses
 import enum
-import socket
-import struct
+
+from masticdale_standins.raw_http import reset_connection
 
 _CHUNK_BYTES = 65_536
 # How often a held-back link looks whether it flows again, in seconds.
@@ -80,7 +80,7 @@
     def reset(self) -> None:
         """Resets every open connection, on both sides."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -106,7 +106,7 @@
             for each in (writer, other):
                 if each is not None:
                     self._writers.discard(each)
-                    _reset(each)
+                    reset_connection(each)
 
     async def _pass(
         self,
@@ -123,12 +123,3 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    if sock is not None and not writer.transport.is_closing():
-        # Without this the kernel ends the connection in order.
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
--- a/tools/standins/src/masticdale_standins/raw_http.py
+++ b/tools/standins/src/masticdale_standins/raw_http.py
@@ -71,11 +71,7 @@
 
     def reset(self) -> None:
         """Resets the connection, as a crashed machine's kernel does."""
-        sock = self._writer.get_extra_info("socket")
-        # Without this the kernel ends the connection in order.
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self._writer.transport.abort()
+        reset_connection(self._writer)
 
 
 Handler = Callable[[RawRequest, RawConnection], Awaitable[None]]
@@ -159,6 +155,16 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection by a reset; nothing more of it is sent."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        # Without this the kernel ends the connection in order.
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def answer(
     status: int, header_by_name: dict[str, str], body: bytes = b""
 ) -> bytes:
