Records reach one turn ahead in place of the next quarter of a budget

Cause: after a second loss of all memory a record counts as spent. A record reached to 0.75 or 1.0 of the budget whatever was needed, so that programs that had used a tenth of theirs were told 402 (traced: budget 7600, some 1,100 used, 7600 counted). Change: a record reaches one turn at its most beyond the turn that needs it.

--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -1,9 +1,9 @@
 """What programs have spent of their budgets; decides without I/O.
 
-A budget is cut into steps. Up to the first step the owner of a program's
-shard counts in memory only. What lies beyond is spent only after a record in
-the store says so. Whoever takes the shard over, after the loss of any memory,
-therefore knows a bound of what was spent: the record, or the first step.
+Up to the first step of a budget the owner of a program's shard counts in
+memory only. What lies beyond is spent only after a record in the store says
+so. Whoever takes the shard over, after the loss of any memory, therefore knows
+a bound of what was spent: the record, or the first step.
 """
 
 import collections
@@ -11,12 +11,16 @@
 
 from masticdale_gateway.calls import TurnClaim
 
-# Shares of a budget at which a record is written. On a calm day programs use
+# Share of a budget up to which no record is written. On a calm day programs use
 # 0.14 to 0.22 of their budgets at the median and 0.53 at the 95th percentile,
-# so that about one program in twenty is ever written; programs that loop pass
-# every step once.
-_STEPS = (0.5, 0.75, 1.0)
-FIRST_STEP = _STEPS[0]
+# so that about one program in twenty is ever written.
+FIRST_STEP = 0.5
+# How far a record reaches beyond the turn that needs it, in turns at their
+# most. A turn uses about a fifth of its most, so that one record lasts for some
+# five turns, and a loss of all memory counts at most two turns too many. A
+# record that reached to the next quarter of the budget, whatever its size, told
+# programs that they had spent it after a second loss: 3 to 18 programs a day.
+_RECORD_AHEAD_TURNS = 1
 # A program without a turn for this long is forgotten, in seconds; twice the
 # time within which programs come back.
 _FORGET_AFTER_S = 120.0
@@ -119,13 +123,8 @@
         if is_covered:
             return Admitted()
         version = self.bound.version if self.bound else 0
-        return NeedsRecord(self._step_above(needed), version)
-
-    def _step_above(self, tokens: int) -> int:
-        for share in _STEPS[1:]:
-            if tokens <= share * self.budget_tokens:
-                return int(share * self.budget_tokens)
-        return tokens
+        ahead = needed + _RECORD_AHEAD_TURNS * claim.turn_tokens
+        return NeedsRecord(max(needed, min(ahead, self.budget_tokens)), version)
 
 
 class Accounts:
@@ -226,7 +225,7 @@
         if bound is not None:
             spent = bound.tokens
         elif not is_new:
-            spent = int(_STEPS[0] * claim.budget_tokens)
+            spent = int(FIRST_STEP * claim.budget_tokens)
         return Account(
             program_id=claim.program_id,
             budget_tokens=claim.budget_tokens,
--- a/libs/ledger/tests/test_accounts.py
+++ b/libs/ledger/tests/test_accounts.py
@@ -116,6 +116,30 @@
         admitted = sum(ledger.admit(f"after-{n}") for n in range(50))
         self.assertLessEqual(admitted, 1)
 
+    def test_a_program_outlives_losses_while_it_uses_little(self):
+        """All hosts are killed again and again while a long program runs.
+
+        Each turn uses a fifth of its most. A record that reached far beyond
+        what was needed would count as spent after the next loss, and a program
+        with most of its budget left would be told that it has none.
+        """
+        ledger = Ledger(budget=1600, most=100)
+        for loss in range(4):
+            for turn in range(2):
+                request_id = f"{loss}-{turn}"
+                self.assertTrue(ledger.admit(request_id))
+                ledger.accounts.settle("program", request_id, 20)
+            ledger.lose_memory()
+        self.assertTrue(ledger.admit("last"))
+
+    def test_a_record_lasts_for_some_turns(self):
+        ledger = Ledger(budget=1600, most=100)
+        ledger.lose_memory()
+        for number in range(5):
+            self.assertTrue(ledger.admit(str(number)))
+            ledger.accounts.settle("program", str(number), 20)
+        self.assertEqual(ledger.writes, 1)
+
     def test_a_program_of_one_turn_goes_on_after_a_loss(self):
         ledger = Ledger(budget=150, most=100)
         self.assertTrue(ledger.admit("first"))
