--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -43,6 +43,7 @@
     LedgerClient,
     LedgerService,
     ProgramRecords,
+    SeenHosts,
     ShardClaims,
     ShardKeeper,
     ShardMap,
@@ -87,8 +88,13 @@
         peers_at = _required(settings.peers)
         reached_at = _required(settings.peers_reached_at)
         identity = Identity(
-            settings.host, incarnation, str(reached_at.ip), reached_at.port
+            settings.host,
+            incarnation,
+            str(reached_at.ip),
+            reached_at.port,
+            settings.failure_domain,
         )
+        seen = SeenHosts(identity.reached_at)
         self._direct = PlatformObjects(
             str(settings.store.ip), settings.store.port, self._metrics
         )
@@ -108,11 +114,11 @@
         self._ledger = LedgerClient(
             self._shard_map,
             self._owner,
-            (identity.address, identity.port),
+            identity.reached_at,
             self._peers.client,
             self._metrics,
         )
-        copies = StandbyCopies()
+        self._copies = StandbyCopies()
         claims = ShardClaims(
             identity,
             self._store,
@@ -122,13 +128,14 @@
             self._lease,
             self._ledger,
             self._peers,
+            seen,
         )
         acting = ActingStandby(
             identity,
             self._shard_map,
             self._owner,
             self._lease,
-            copies,
+            self._copies,
             claims,
             self._peers,
         )
@@ -143,9 +150,15 @@
             acting,
             self._peers,
             lambda: self._store.is_lost,
+            seen,
         )
         service = LedgerService(
-            self._owner, self._keeper, acting, copies, self._direct
+            self._owner,
+            self._keeper,
+            acting,
+            self._copies,
+            self._direct,
+            seen,
         )
         self._ledger.admit_here = service.admit
         self._peer_server = RpcServer(service, peers_at, LEDGER)
@@ -270,6 +283,8 @@
         end_at = began + self._settings.grace_s - _END_S
         self._is_stopping = True
         self._relay.is_stopping = True
+        self._ledger.is_stopping = True
+        self._copies.is_stopping = True
         logs.write("stopping", busy=self._relay.busy)
         await self._keeper.hand_over_all()
         while time.monotonic() < began + _BALANCER_S:
--- a/apps/masticdale_entry/tests/test_peers.py
+++ b/apps/masticdale_entry/tests/test_peers.py
@@ -10,7 +10,12 @@
 from masticdale_entry.peers import PeerClients
 from masticdale_entry.settings import Settings
 from masticdale_ledger import LEDGER, ShardMap
-from masticdale_ledger.messages import ADMIT, AdmitReply, AdmitRequest
+from masticdale_ledger.messages import (
+    ADMIT,
+    AdmitReply,
+    AdmitRequest,
+    HostAddress,
+)
 from masticdale_rpc import Address, RpcServer
 
 WAITING_TURNS = 40
@@ -53,7 +58,9 @@
         client = peers.client("127.0.0.1", port)
 
         def ask(program):
-            request = AdmitRequest(1, program, f"{program}-0", 100, 10)
+            request = AdmitRequest(
+                1, program, f"{program}-0", 100, 10, HostAddress("", 0, "")
+            )
             return client.call(ADMIT, request, PATIENCE_S)
 
         waiting = [
--- a/libs/ledger/src/masticdale_ledger/__init__.py
+++ b/libs/ledger/src/masticdale_ledger/__init__.py
@@ -3,7 +3,7 @@
 from masticdale_ledger.acting import ActingStandby
 from masticdale_ledger.claims import ShardClaims
 from masticdale_ledger.client import SHARD_COUNT, LedgerClient
-from masticdale_ledger.hosts import Hosts, Identity
+from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
 from masticdale_ledger.keeper import (
     LOOK_EVERY_S,
     RENEW_EVERY_S,
@@ -33,6 +33,7 @@
     "LedgerClient",
     "LedgerService",
     "ProgramRecords",
+    "SeenHosts",
     "ShardClaims",
     "ShardKeeper",
     "ShardMap",
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Iterable
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -10,7 +11,7 @@
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.client import LedgerClient
 from masticdale_ledger.copier import Copier
-from masticdale_ledger.hosts import Hosts, Identity
+from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
 from masticdale_ledger.leases import LEASE_S, Lease
 from masticdale_ledger.messages import AccountState
 from masticdale_ledger.owner import (
@@ -69,6 +70,7 @@
         lease: Lease,
         client: LedgerClient,
         hosts: Hosts,
+        seen: SeenHosts,
     ) -> None:
         self._identity = identity
         self._store = store
@@ -78,6 +80,7 @@
         self._lease = lease
         self._client = client
         self._hosts = hosts
+        self._seen = seen
         self._random = random.Random(identity.incarnation)
         self._busy_shards: set[int] = set()
         self._failed_at_by_standby: dict[tuple[str, int], float] = {}
@@ -170,25 +173,46 @@
         value = record.model_dump_json().encode()
         self._map.put(StoredObject(shard_key(number), version, value))
 
-    def candidates(self) -> list[tuple[str, int]]:
-        """Returns hosts that may consent; a dead one would cost a write."""
+    def choose_standby(self) -> tuple[str, int] | None:
+        """Returns the address of the best standby; None where there is none.
+
+        Hosts that have asked for something lately live. A host that is only
+        known by name may be dead, and naming it would cost a write.
+        """
+        domain_by_address = {
+            (host.address, host.port): host.failure_domain
+            for host in self._seen.fresh()
+        }
+        addresses = self._sound(domain_by_address)
+        addresses = addresses or self._sound(self._hosts.candidates())
+        addresses = addresses or list(domain_by_address)
+        if not addresses:
+            return None
+        # One host's loss then leaves each shard its owner or its standby, and
+        # so does the loss of a failure domain.
+        owners = {
+            (view.record.address, view.record.port)
+            for view in self._map.views().values()
+        }
+        own_domain = self._identity.failure_domain
+        return min(
+            self._random.sample(addresses, len(addresses)),
+            key=lambda a: (a in owners, domain_by_address.get(a) == own_domain),
+        )
+
+    def _sound(
+        self, addresses: Iterable[tuple[str, int]]
+    ) -> list[tuple[str, int]]:
         now = self._lease.now()
         return [
             address
-            for address in self._hosts.candidates()
+            for address in addresses
             if now - self._failed_at_by_standby.get(address, -_AVOID_S)
             >= _AVOID_S
         ]
 
     def _new_record(self, epoch: int, previous: Previous) -> ShardRecord:
-        candidates = self.candidates()
-        # One host's loss then leaves each shard its owner or its standby.
-        owners = {
-            (view.record.address, view.record.port)
-            for view in self._map.views().values()
-        }
-        candidates = [c for c in candidates if c not in owners] or candidates
-        standby = self._random.choice(candidates) if candidates else ("", 0)
+        standby = self.choose_standby() or ("", 0)
         return ShardRecord(
             owner=self._identity.host,
             incarnation=self._identity.incarnation,
@@ -216,15 +240,21 @@
             return
         self._busy_shards.add(shard.number)
         try:
-            if not isinstance(await shard.copy_now(), Failed):
-                shard.alone = None
-                self._owner.failure_by_broken_copy.pop(shard.number, None)
+            copied = await shard.copy_now()
+            if isinstance(copied, Failed):
+                failure = await self._write_standby(shard)
+                if failure is not None:
+                    self._go_alone(shard, failure)
                 return
-            await self._write_standby(shard)
+            shard.alone = None
+            self._owner.failure_by_broken_copy.pop(shard.number, None)
+            if shard.is_standby_leaving:
+                await self._write_standby(shard)
         finally:
             self._busy_shards.discard(shard.number)
 
-    async def _write_standby(self, shard: OwnedShard) -> None:
+    async def _write_standby(self, shard: OwnedShard) -> Failure | None:
+        """Returns why no other standby could be named; None if one was."""
         old = shard.view.record
         failed = (old.standby_address, old.standby_port)
         self._failed_at_by_standby[failed] = self._lease.now()
@@ -240,10 +270,10 @@
             else "",
         )
         if isinstance(written, Failed):
-            self._go_alone(shard, written.failure())
-            return
+            failure: Failure = written.failure()
+            return failure
         if self._owner.owned().get(shard.number) is not shard:
-            return
+            return None
         self._own(
             shard.number,
             record,
@@ -255,6 +285,7 @@
                 predecessor=shard.predecessor,
             ),
         )
+        return None
 
     def _go_alone(self, shard: OwnedShard, failure: Failure) -> None:
         broken = self._owner.failure_by_broken_copy.get(shard.number)
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -15,6 +15,7 @@
     SETTLE,
     AdmitReply,
     AdmitRequest,
+    HostAddress,
     Settlement,
     SettleRequest,
 )
@@ -68,13 +69,14 @@
 
     Attributes:
         unreachable_by_shard: Owners that did not answer lately.
+        is_stopping: Whether this host is about to end; owners are told.
     """
 
     def __init__(
         self,
         shard_map: ShardMap,
         owner: ShardOwner,
-        address: tuple[str, int],
+        own: HostAddress,
         peers: Peers,
         metrics: Metrics,
     ) -> None:
@@ -83,15 +85,17 @@
         Args:
             shard_map: Who owns the shards.
             owner: The shards of this host.
-            address: IP number and port of this host for other hosts.
+            own: This host.
             peers: Returns the client of an address.
             metrics: Counts.
         """
         self.admit_here: Admit | None = None
+        self.is_stopping = False
         self.unreachable_by_shard: dict[int, Unreachable] = {}
         self._map = shard_map
         self._owner = owner
-        self._address = address
+        self._own = own
+        self._address = (own.address, own.port)
         self._peers = peers
         self._metrics = metrics
         self._settlements: collections.deque[Settlement] = collections.deque(
@@ -170,6 +174,8 @@
             request_id=claim.request_id,
             budget_tokens=claim.budget_tokens,
             turn_tokens=claim.turn_tokens,
+            asker=self._own,
+            asker_stops=self.is_stopping,
         )
         record = view.record
         addresses = [(record.address, record.port)]
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -35,10 +35,15 @@
 
 
 class Copier:
-    """Sends changed accounts to one standby, those of one round together."""
+    """Sends changed accounts to one standby, those of one round together.
+
+    Attributes:
+        is_leaving: Whether the standby has said that it is about to end.
+    """
 
     def __init__(self, peer: RpcClient) -> None:
         self._peer = peer
+        self.is_leaving = False
         self._is_complete = False
         self._lock = asyncio.Lock()
         self._changed: dict[str, None] = {}
@@ -94,10 +99,11 @@
         self._is_complete = (
             not isinstance(outcome, Failed) and outcome.unwrap().held
         )
-        if self._is_complete:
-            return Success(None)
         if isinstance(outcome, Failed):
             return outcome
+        self.is_leaving = outcome.unwrap().stops
+        if self._is_complete:
+            return Success(None)
         logs.write_bounded("copy_refused", shard=state.shard, sealed=True)
         return Failed(Failure(ErrorKind.CONFLICT, "the copy is sealed"))
 
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -1,6 +1,7 @@
 """Sees to it that every shard has an owner, and every owner a standby."""
 
 import asyncio
+import collections
 import random
 from collections.abc import Callable
 
@@ -14,13 +15,14 @@
     ShardClaims,
 )
 from masticdale_ledger.client import SHARD_COUNT, LedgerClient
-from masticdale_ledger.hosts import Hosts, Identity
+from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
 from masticdale_ledger.leases import LEASE_S, Lease
 from masticdale_ledger.messages import (
     HAND_OVER,
     SEAL,
     HandOver,
     HandOverReply,
+    HostAddress,
     SealReply,
     SealRequest,
 )
@@ -51,6 +53,8 @@
 # seconds, so that the first one's record spares the others their calls.
 _CLAIM_SPREAD_S = 1.0
 _CALL_TIMEOUT_S = 0.5
+# Hosts that are offered a shard at a stop; one that stops too says so at once.
+_OFFERS = 3
 
 
 class ShardKeeper:
@@ -68,6 +72,7 @@
         acting: ActingStandby,
         hosts: Hosts,
         is_store_lost: Callable[[], bool],
+        seen: SeenHosts,
     ) -> None:
         self.is_stopping = False
         self._identity = identity
@@ -80,6 +85,7 @@
         self._acting = acting
         self._hosts = hosts
         self._is_store_lost = is_store_lost
+        self._seen = seen
         self._random = random.Random(identity.incarnation)
         self._claim_at_by_shard: dict[int, float] = {}
 
@@ -140,7 +146,7 @@
         return HandOverReply()
 
     async def hand_over_all(self) -> None:
-        """Offers every shard to another owner; for a planned stop."""
+        """Offers every shard to another host; for a planned stop."""
         self.is_stopping = True
         for shard in self._owner.owned().values():
             await self._hand_over(shard)
@@ -273,15 +279,22 @@
 
     def _needs_standby(self, shard: OwnedShard) -> bool:
         is_broken = shard.number in self._owner.failure_by_broken_copy
-        if is_broken or shard.alone is not None:
+        if is_broken or shard.alone is not None or shard.is_standby_leaving:
             return True
-        return shard.copier is None and bool(self._claims.candidates())
+        return (
+            shard.copier is None and self._claims.choose_standby() is not None
+        )
 
     async def _hand_over(self, shard: OwnedShard) -> None:
-        target = self._target()
-        if target is None:
-            return
+        """Offers a shard to one host after the other, until one takes it."""
         shard.is_moving = True
+        for target in self._targets()[:_OFFERS]:
+            if not await self._offer(shard, target):
+                return
+        shard.is_moving = False
+
+    async def _offer(self, shard: OwnedShard, target: HostAddress) -> bool:
+        """Returns whether the target surely has not taken the shard."""
         offer = HandOver(
             shard.number,
             shard.view.version,
@@ -295,32 +308,43 @@
             if isinstance(outcome, Failed)
             else outcome.unwrap().failure
         )
-        if failure is None:
-            self._owner.drop(shard.number)
-        elif not isinstance(outcome, Failed) or not was_sent(failure):
-            shard.is_moving = False
-        # Else the other host may own it with these accounts. To admit turns
-        # here too would spend a budget twice; the shard waits for its takeover.
         logs.write(
             "shard_handed_over",
             shard=shard.number,
-            to=target.owner,
+            to=target.address,
             accounts=len(offer.accounts),
             failure=str(failure) if failure else "",
         )
+        if failure is None:
+            self._owner.drop(shard.number)
+            return False
+        # If it may have been taken, the other host may own it with these
+        # accounts. To admit turns here too would spend a budget twice; the
+        # shard waits for its takeover.
+        return not isinstance(outcome, Failed) or not was_sent(failure)
+
+    def _targets(self) -> list[HostAddress]:
+        """Returns the hosts that may take a shard, the least loaded first.
 
-    def _target(self) -> ShardRecord | None:
-        """Returns the other owner that has the fewest shards."""
-        record_by_owner: dict[str, ShardRecord] = {}
-        count_by_owner: dict[str, int] = {}
+        Any host that lives can, not only those that own shards already: in a
+        rolling restart all shards would end up at the host that is stopped
+        last, and with nobody to take them their accounts would be lost.
+        """
+        shards_by_address: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        host_by_address = {(h.address, h.port): h for h in self._seen.fresh()}
         for view in self._map.views().values():
             record = view.record
             if record.owner == self._identity.host:
                 continue
-            record_by_owner[record.owner] = record
-            count = count_by_owner.get(record.owner, 0)
-            count_by_owner[record.owner] = count + 1
-        if not count_by_owner:
-            return None
-        fewest = min(count_by_owner, key=lambda o: (count_by_owner[o], o))
-        return record_by_owner[fewest]
+            address = (record.address, record.port)
+            shards_by_address[address] += 1
+            host_by_address.setdefault(address, HostAddress(*address, ""))
+        return sorted(
+            host_by_address.values(),
+            key=lambda h: (
+                shards_by_address[(h.address, h.port)],
+                self._random.random(),
+            ),
+        )
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -8,12 +8,20 @@
   4: string host,
 }
 
+struct HostAddress {
+  1: string address,         // IP number and port for other hosts
+  2: i64 port,
+  3: string failure_domain,
+}
+
 struct AdmitRequest {
   1: i64 shard,
   2: string program_id,
   3: string request_id,
   4: i64 budget_tokens,
   5: i64 turn_tokens,
+  6: HostAddress asker,
+  7: bool asker_stops,       // it must not be given anything to keep
 }
 
 struct AdmitReply {
@@ -64,6 +72,7 @@
 struct CopyReply {
   1: bool held,
   2: bool sealed,            // another host takes the shard over
+  3: bool stops,             // the standby is about to end
 }
 
 struct SealRequest {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -6,15 +6,42 @@
 from masticdale_rpc import Contract, Rpc, build_structs
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostAddress:
+    """Where other hosts reach a host, and where it stands.
+
+    Attributes:
+        address: IP number on which it listens for other hosts.
+        port: And the port.
+        failure_domain: Its failure domain.
+    """
+
+    address: str
+    port: int
+    failure_domain: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmitRequest:
-    """Asks a shard's owner to admit a turn; see ``TurnClaim``."""
+    """Asks a shard's owner to admit a turn; see ``TurnClaim``.
+
+    Attributes:
+        shard: The shard.
+        program_id: The program.
+        request_id: The turn.
+        budget_tokens: The whole budget of the program.
+        turn_tokens: What the turn uses at most.
+        asker: The host that asks. Owners learn from it which hosts live.
+        asker_stops: Whether that host is about to end.
+    """
 
     shard: int
     program_id: str
     request_id: str
     budget_tokens: int
     turn_tokens: int
+    asker: HostAddress
+    asker_stops: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,10 +145,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyReply:
-    """Whether the standby holds the copy, or another host has sealed it."""
+    """What a standby says of a copy.
+
+    Attributes:
+        held: Whether it holds the copy.
+        sealed: Whether another host takes the shard over.
+        stops: Whether the standby is about to end.
+    """
 
     held: bool = False
     sealed: bool = False
+    stops: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,7 +231,7 @@
 STORE = Rpc("store", StoreRequest, StoreReply)
 
 _RPCS = (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, STORE)
-_INNER_TYPES = (Settlement, AccountState, StoreItem)
+_INNER_TYPES = (HostAddress, Settlement, AccountState, StoreItem)
 
 LEDGER = Contract(
     lambda: build_structs(_RPCS, _INNER_TYPES), _RPCS, _INNER_TYPES
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -139,6 +139,11 @@
         found = (self.accounts.get(i) for i in program_ids)
         return tuple(_state(a) for a in found if a is not None)
 
+    @property
+    def is_standby_leaving(self) -> bool:
+        """Whether the standby is about to end."""
+        return self.copier is not None and self.copier.is_leaving
+
     async def copy(self) -> Result[None, Failure]:
         """Returns once the standby holds every account as it is now."""
         if self.copier is None or self.alone is not None:
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -5,6 +5,7 @@
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.acting import ActingStandby
 from masticdale_ledger.admissions import Admissions
+from masticdale_ledger.hosts import SeenHosts
 from masticdale_ledger.keeper import ShardKeeper
 from masticdale_ledger.messages import (
     AdmitReply,
@@ -36,6 +37,7 @@
         acting: ActingStandby,
         copies: StandbyCopies,
         direct: ObjectStore,
+        seen: SeenHosts,
     ) -> None:
         self._acting = acting
         self._admissions = Admissions(owner, acting)
@@ -43,9 +45,14 @@
         self._owner = owner
         self._keeper = keeper
         self._direct = direct
+        self._seen = seen
 
     async def admit(self, request: AdmitRequest) -> AdmitReply:
         """Admits a turn of an own shard."""
+        if request.asker_stops:
+            self._seen.forget(request.asker)
+        else:
+            self._seen.note(request.asker)
         claim = TurnClaim(
             program_id=request.program_id,
             request_id=request.request_id,
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -39,9 +39,16 @@
 
 
 class StandbyCopies:
-    """The copies that this host holds."""
+    """The copies that this host holds.
+
+    Attributes:
+        is_stopping: Whether this host is about to end. Owners are told, and
+            name another standby while this one still answers: none of their
+            turns has to wait for a host that is gone.
+    """
 
     def __init__(self) -> None:
+        self.is_stopping = False
         self._copy_by_shard: dict[int, _Copy] = {}
         self._sealed_epoch_by_shard: dict[int, int] = {}
 
@@ -65,7 +72,7 @@
             copy.account_by_id.move_to_end(account.program_id)
         while len(copy.account_by_id) > _MAX_ACCOUNTS:
             copy.account_by_id.popitem(last=False)
-        return CopyReply(held=True)
+        return CopyReply(held=True, stops=self.is_stopping)
 
     def holds(self, shard: int, epoch: int) -> bool:
         """Returns whether there is a copy of an epoch that is not sealed."""
--- a/libs/ledger/tests/test_keeper.py
+++ b/libs/ledger/tests/test_keeper.py
@@ -8,10 +8,10 @@
 from masticdale_common import ErrorKind, Failure, Metrics
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.accounts import Accounts
-from masticdale_ledger.hosts import Hosts, Identity
+from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
 from masticdale_ledger.keeper import ShardKeeper
 from masticdale_ledger.leases import Lease
-from masticdale_ledger.messages import HandOverReply
+from masticdale_ledger.messages import HandOverReply, HostAddress
 from masticdale_ledger.owner import OwnedShard, ShardOwner
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
@@ -31,19 +31,36 @@
 TAKEN = Success(HandOverReply())
 
 
-class Peer(Hosts):
-    """One other host, with one answer to every call."""
+OWN = HostAddress("127.0.0.1", 1, "a")
+
+
+class Peer:
+    """Another host, with one answer to every call."""
 
     def __init__(self, answer):
         self.answer = answer
-
-    def client(self, address, port):
-        return self
+        self.calls = 0
 
     async def call(self, rpc, request, timeout_s):
+        self.calls += 1
         return self.answer
 
 
+class Peers(Hosts):
+    """The other hosts by port."""
+
+    def __init__(self, *answers):
+        self.peer_by_port = {
+            port: Peer(answer) for port, answer in enumerate(answers, start=2)
+        }
+
+    def client(self, address, port):
+        return self.peer_by_port[port]
+
+    def candidates(self):
+        return [("127.0.0.1", port) for port in self.peer_by_port]
+
+
 def record(owner, port):
     return ShardRecord(
         owner=owner,
@@ -55,8 +72,16 @@
     )
 
 
+def heard_of(*hosts):
+    """Returns the hosts that have asked for something just now."""
+    seen = SeenHosts(OWN)
+    for host in hosts:
+        seen.note(host)
+    return seen
+
+
 class HandOverTest(unittest.IsolatedAsyncioTestCase):
-    async def admitted_after(self, answer):
+    async def hand_over(self, hosts, seen, other_owner="b"):
         """Gives shard 0 away; returns how a turn is judged here after it."""
         store = MemoryStore()
         lease = Lease()
@@ -65,7 +90,7 @@
         view = ShardView(record("a", 1), 1)
         owner.take(OwnedShard(0, view, Accounts(), 0.0, lease, None))
         shard_map = ShardMap()
-        value = record("b", 2).model_dump_json().encode()
+        value = record(other_owner, 2).model_dump_json().encode()
         shard_map.put(StoredObject(shard_key(1), 1, value))
         keeper = ShardKeeper(
             Identity("a", "a", "127.0.0.1", 1),
@@ -76,8 +101,9 @@
             client=None,
             claims=None,
             acting=None,
-            hosts=Peer(answer),
+            hosts=hosts,
             is_store_lost=lambda: False,
+            seen=seen,
         )
         await keeper.hand_over_all()
         return await owner.admit(0, TurnClaim("p", "r", 1000, 10))
@@ -89,14 +115,53 @@
         was lost. This one must not go on as if it had been refused.
         """
         for answer in (TIMED_OUT, TAKEN):
-            outcome = await self.admitted_after(answer)
+            outcome = await self.hand_over(Peers(answer), heard_of())
             self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
 
     async def test_a_shard_that_was_surely_not_taken_is_served_on(self):
         for answer in (NOT_CONNECTED, REFUSED):
-            outcome = await self.admitted_after(answer)
+            outcome = await self.hand_over(Peers(answer), heard_of())
             self.assertIsInstance(outcome, Success)
 
+    async def test_the_last_owner_gives_its_shards_to_any_host_that_lives(self):
+        """Programs would be told 402 after a rolling restart.
+
+        Each host gives its shards to another owner, until one host has all of
+        them. There is no other owner left when that one stops, and with it
+        the accounts of all programs would be gone.
+        """
+        hosts = Peers(TAKEN)
+        seen = heard_of(HostAddress("127.0.0.1", 2, "b"))
+        outcome = await self.hand_over(hosts, seen, other_owner="a")
+        self.assertEqual(hosts.peer_by_port[2].calls, 1)
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
+
+    async def test_a_host_that_stops_too_is_not_the_last_one_asked(self):
+        """Two hosts that stop at once would keep their shards to the end."""
+        hosts = Peers(REFUSED, TAKEN)
+        seen = heard_of(HostAddress("127.0.0.1", 3, "b"))
+        outcome = await self.hand_over(hosts, seen)
+        self.assertEqual(hosts.peer_by_port[3].calls, 1)
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
+
+    async def test_after_an_unknown_outcome_no_other_host_is_asked(self):
+        hosts = Peers(TIMED_OUT, TIMED_OUT)
+        seen = heard_of(HostAddress("127.0.0.1", 3, "b"))
+        await self.hand_over(hosts, seen)
+        calls = [peer.calls for peer in hosts.peer_by_port.values()]
+        self.assertEqual(sum(calls), 1)
+
+
+class SeenHostsTest(unittest.TestCase):
+    def test_a_host_is_never_its_own_candidate(self):
+        self.assertEqual(heard_of(OWN).fresh(), [])
+
+    def test_a_host_that_stops_is_no_candidate(self):
+        other = HostAddress("127.0.0.1", 2, "b")
+        seen = heard_of(other)
+        seen.forget(other)
+        self.assertEqual(seen.fresh(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/scripts/play.py
+++ b/scripts/play.py
@@ -128,7 +128,9 @@
     rows = [f"{'day':<18}{'plays':>6}{'mean':>8}{'least':>8}{'most':>8}"]
     for day, played in sorted(by_day.items()):
         values = [w.worth for w in played]
-        broken = [f"{w.day}: {w.rules}{w.fault}" for w in played if not w.is_clean]
+        broken = [
+            f"{w.day}: {w.rules}{w.fault}" for w in played if not w.is_clean
+        ]
         rows.append(
             f"{day:<18}{len(values):>6}{statistics.mean(values):>8.3f}"
             f"{min(values):>8.3f}{max(values):>8.3f}  {'; '.join(broken)}"
@@ -137,7 +139,10 @@
 
 
 def play_days(
-    copy: pathlib.Path, site: pathlib.Path, plays: list[Play], args: argparse.Namespace
+    copy: pathlib.Path,
+    site: pathlib.Path,
+    plays: list[Play],
+    args: argparse.Namespace,
 ) -> None:
     """Plays days beside each other."""
 
@@ -178,7 +183,9 @@
         copy_tree(copy)
         call_bench(copy, ["build"], f"{args.tag}build")
         if args.verb == "days":
-            days = [str(ROOT / d) if d.endswith(".toml") else d for d in args.days]
+            days = [
+                str(ROOT / d) if d.endswith(".toml") else d for d in args.days
+            ]
             seeds = args.seeds or [None]
             plays = [Play(day, seed) for day in days for seed in seeds]
             play_days(copy, site, plays, args)
