An owner and a standby that are apart share what a record leaves

Cause: with the store away both went on up to the first step, together up to the whole budget, while after the loss of all memory the program counted as half spent.

Ruled out: no share at all while apart (programs of four turns would wait for the end of each outage); exact accounts where the old owner refuses connections (a cut may refuse too). Change: each takes half of what is left, or one turn where half holds none; whoever takes over counts the other's share; a standby that was sealed lets its owner go on within its share. The turn beyond the budget is granted here and no longer after a loss, but to budgets of less than two turns.

--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -88,6 +88,7 @@
             no record is needed below the first step.
         reserved_by_request_id: The most that each turn under way may use.
         used_at: When it was last asked for, in seconds.
+        most_tokens: The most that any of its turns might have used.
     """
 
     program_id: str
@@ -97,30 +98,61 @@
     counts_from_start: bool
     reserved_by_request_id: dict[str, int]
     used_at: float
+    most_tokens: int = 0
 
     @property
     def reserved_tokens(self) -> int:
         """What turns under way may still use."""
         return sum(self.reserved_by_request_id.values())
 
+    @property
+    def taken_tokens(self) -> int:
+        """What is spent, or may still be by turns under way."""
+        return self.spent_tokens + self.reserved_tokens
+
+    @property
+    def ceiling_tokens(self) -> int:
+        """What counts as spent after the loss of all memory."""
+        if self.bound is not None:
+            return self.bound.tokens
+        return int(FIRST_STEP * self.budget_tokens)
+
+    def share_of(self, free_tokens: int) -> int:
+        """Returns what one of two hosts may give that can't ask each other.
+
+        Half of what is left, or one turn where half holds none and all of it
+        holds one: together one turn more than is left. The promise allows one
+        turn beyond the budget; it is granted here, and not after a loss of all
+        memory, but to small budgets; see ``judge``.
+
+        Args:
+            free_tokens: What is left up to the ceiling.
+        """
+        half = max(0, free_tokens) // 2
+        if half >= self.most_tokens or self._is_small(self.most_tokens):
+            return half
+        return self.most_tokens if free_tokens >= self.most_tokens else 0
+
+    def _is_small(self, turn_tokens: int) -> bool:
+        """Whether not even one turn fits above the first step."""
+        return FIRST_STEP * self.budget_tokens < turn_tokens
+
     def judge(self, claim: TurnClaim) -> Verdict:
         """Decides on a turn; takes nothing."""
         if claim.request_id in self.reserved_by_request_id:
             return Admitted()
-        taken = self.spent_tokens + self.reserved_tokens
-        needed = taken + claim.turn_tokens
-        # A bound is rarely reached. Where it stands in for the true count,
-        # one turn may go beyond the budget, which the promise allows; without
-        # it, programs of two or three turns could not go on after a loss.
-        slack = 0 if self.counts_from_start else claim.turn_tokens
+        needed = self.taken_tokens + claim.turn_tokens
+        # A bound is rarely reached. Where it stands in for the true count of a
+        # small budget, one turn may go beyond it, which the promise allows;
+        # without it, programs of one turn could not go on after a loss.
+        is_granted = not self.counts_from_start and self._is_small(
+            claim.turn_tokens
+        )
+        slack = claim.turn_tokens if is_granted else 0
         if needed > self.budget_tokens + slack:
             return Spent(self.spent_tokens, self.reserved_tokens)
-        if self.bound is not None:
-            is_covered = needed <= self.bound.tokens
-        else:
-            first_step = FIRST_STEP * self.budget_tokens
-            is_covered = self.counts_from_start and needed <= first_step
-        if is_covered:
+        is_counted = self.bound is not None or self.counts_from_start
+        if is_counted and needed <= self.ceiling_tokens:
             return Admitted()
         version = self.bound.version if self.bound else 0
         ahead = needed + _RECORD_AHEAD_TURNS * claim.turn_tokens
@@ -171,6 +203,7 @@
             if len(self._account_by_id) > _MAX_ACCOUNTS:
                 self._account_by_id.popitem(last=False)
         account.used_at = now
+        account.most_tokens = max(account.most_tokens, claim.turn_tokens)
         self._account_by_id.move_to_end(claim.program_id)
         return account
 
--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -4,25 +4,20 @@
 
 from masticdale_common import logs
 from masticdale_ledger.accounts import Accounts
+from masticdale_ledger.apart import Alone, shares_of
 from masticdale_ledger.claims import ShardClaims
 from masticdale_ledger.hosts import Hosts, Identity
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import (
     SETTLE,
-    AccountState,
     SealReply,
     SealRequest,
     SettleRequest,
 )
-from masticdale_ledger.owner import (
-    Alone,
-    OwnedShard,
-    ShardOwner,
-    account_of,
-    limited,
-)
+from masticdale_ledger.owner import OwnedShard, ShardOwner
 from masticdale_ledger.shards import ShardMap, ShardView
 from masticdale_ledger.standby import StandbyCopies
+from masticdale_ledger.states import account_of
 
 # One question to the owner whether it lives, in seconds.
 _CALL_TIMEOUT_S = 0.5
@@ -87,7 +82,7 @@
         self._owner.drop(request.shard)
         return SealReply(
             held=True,
-            accounts=acted_accounts(shard),
+            accounts=shard.acted_states(),
             incomplete_for_s=shard.incomplete_for_s,
         )
 
@@ -106,10 +101,7 @@
         shard = OwnedShard(
             number, view, accounts, copy.incomplete_for_s, self._lease, None
         )
-        shard.alone = Alone(
-            frozenset(state.program_id for state in copy.accounts),
-            takes_new=True,
-        )
+        shard.alone = Alone(shares_of(accounts.all()), takes_new=True)
         self._owner.take(shard)
         logs.write(
             "shard_acted_for",
@@ -118,15 +110,3 @@
             owner=record.owner,
             accounts=len(copy.accounts),
         )
-
-
-def acted_accounts(shard: OwnedShard) -> tuple[AccountState, ...]:
-    """Returns the accounts of a shard that was acted for.
-
-    Programs that its owner knew may have gone on there meanwhile.
-    """
-    known = shard.alone.known_ids if shard.alone else frozenset()
-    return tuple(
-        limited(state) if state.program_id in known else state
-        for state in shard.states(None)
-    )
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -9,17 +9,13 @@
 
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_ledger.accounts import Accounts
+from masticdale_ledger.apart import Alone, shares_of
 from masticdale_ledger.client import LedgerClient
 from masticdale_ledger.copier import Copier
 from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
 from masticdale_ledger.leases import LEASE_S, Lease
 from masticdale_ledger.messages import AccountState
-from masticdale_ledger.owner import (
-    Alone,
-    OwnedShard,
-    ShardOwner,
-    account_of,
-)
+from masticdale_ledger.owner import OwnedShard, ShardOwner
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
     Previous,
@@ -29,6 +25,7 @@
     read_shard,
     shard_key,
 )
+from masticdale_ledger.states import account_of
 from masticdale_platform import ObjectStore, StoredObject
 
 # A standby that failed is not named again for this long, in seconds: a killed
@@ -241,10 +238,15 @@
         self._busy_shards.add(shard.number)
         try:
             copied = await shard.copy_now()
+            if _is_sealed(copied) and shard.alone is None:
+                # Whoever sealed the standby counts what may be given here,
+                # and is about to write that it owns the shard.
+                self._go_alone(shard)
+                return
             if isinstance(copied, Failed):
                 failure = await self._write_standby(shard)
-                if failure is not None:
-                    self._go_alone(shard, failure)
+                if _is_away(failure) and shard.alone is None:
+                    self._go_alone(shard)
                 return
             shard.alone = None
             self._owner.failure_by_broken_copy.pop(shard.number, None)
@@ -274,28 +276,30 @@
             return failure
         if self._owner.owned().get(shard.number) is not shard:
             return None
+        accounts, incomplete_for_s = shard.accounts, shard.incomplete_for_s
+        if shard.alone is not None:
+            # The old standby may have acted meanwhile, and can't be asked.
+            accounts = Accounts()
+            states = shard.acted_states()
+            accounts.adopt([account_of(state) for state in states])
+            incomplete_for_s = LOST_PROGRAMS_S
         self._own(
             shard.number,
             record,
             written.unwrap(),
-            shard.accounts,
+            accounts,
             Inheritance(
                 Previous.ENDED,
-                incomplete_for_s=shard.incomplete_for_s,
+                incomplete_for_s=incomplete_for_s,
                 predecessor=shard.predecessor,
             ),
         )
         return None
 
-    def _go_alone(self, shard: OwnedShard, failure: Failure) -> None:
-        broken = self._owner.failure_by_broken_copy.get(shard.number)
-        is_sealed = broken is not None and broken.kind is ErrorKind.CONFLICT
-        is_away = failure.kind is ErrorKind.PLATFORM_UNAVAILABLE
-        if is_sealed or not is_away or shard.alone is not None:
-            return
-        known = frozenset(a.program_id for a in shard.accounts.all())
-        shard.alone = Alone(known, takes_new=False)
-        logs.write("shard_alone", shard=shard.number, programs=len(known))
+    def _go_alone(self, shard: OwnedShard) -> None:
+        shares = shares_of(shard.accounts.all())
+        shard.alone = Alone(shares, takes_new=False)
+        logs.write("shard_alone", shard=shard.number, programs=len(shares))
 
     async def _write(
         self, number: int, record: ShardRecord, version: int
@@ -324,3 +328,15 @@
             return Success(view.version)
         self._map.put(stored)
         return outcome
+
+
+def _is_sealed(copied: Result[None, Failure]) -> bool:
+    return isinstance(copied, Failed) and (
+        copied.failure().kind is ErrorKind.CONFLICT
+    )
+
+
+def _is_away(failure: Failure | None) -> bool:
+    return failure is not None and (
+        failure.kind is ErrorKind.PLATFORM_UNAVAILABLE
+    )
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -8,7 +8,8 @@
 from returns.result import Failure as Failed
 
 from masticdale_common import ErrorKind, Failure, logs
-from masticdale_ledger.acting import ActingStandby, acted_accounts
+from masticdale_ledger.acting import ActingStandby
+from masticdale_ledger.apart import limited
 from masticdale_ledger.claims import (
     LOST_PROGRAMS_S,
     Inheritance,
@@ -26,7 +27,7 @@
     SealReply,
     SealRequest,
 )
-from masticdale_ledger.owner import OwnedShard, ShardOwner, limited
+from masticdale_ledger.owner import OwnedShard, ShardOwner
 from masticdale_ledger.shards import (
     SHARD_PREFIX,
     Previous,
@@ -224,12 +225,9 @@
             return Inheritance(previous, (), LOST_PROGRAMS_S)
         if not reply.held:
             return Inheritance(Previous.ENDED, (), LOST_PROGRAMS_S)
-        if previous is Previous.LOST:
-            accounts = tuple(limited(state) for state in reply.accounts)
-            return Inheritance(Previous.ENDED, accounts, reply.incomplete_for_s)
         return Inheritance(
             Previous.ENDED,
-            reply.accounts,
+            tuple(limited(state) for state in reply.accounts),
             reply.incomplete_for_s,
             view.record.incarnation,
         )
@@ -244,7 +242,7 @@
         if self._is_store_lost():
             return
         inheritance = Inheritance(
-            Previous.ENDED, acted_accounts(shard), shard.incomplete_for_s
+            Previous.ENDED, shard.acted_states(), shard.incomplete_for_s
         )
         outcome = await self._claims.claim(
             shard.number, shard.view.version, inheritance
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -52,6 +52,7 @@
   6: i64 bound_version,      // 0: no record in the store
   7: list<string> reserved_ids,
   8: list<i64> reserved_tokens,
+  9: i64 most_tokens,        // that any turn of the program might have used
 }
 
 struct HandOver {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -88,6 +88,7 @@
         bound_version: Version of the record; 0 for none.
         reserved_ids: Turns under way.
         reserved_tokens: The most that each of them may use.
+        most_tokens: The most that any of its turns might have used.
     """
 
     program_id: str
@@ -98,6 +99,7 @@
     bound_version: int
     reserved_ids: tuple[str, ...]
     reserved_tokens: tuple[int, ...]
+    most_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import time
 
 from returns.result import Failure as Failed
@@ -11,19 +10,19 @@
 from masticdale_common import ErrorKind, Failure, Metrics, logs
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.accounts import (
-    FIRST_STEP,
     Account,
     Accounts,
     Admitted,
-    Bound,
     NeedsRecord,
     Spent,
 )
+from masticdale_ledger.apart import Alone, acted_states
 from masticdale_ledger.copier import AccountSource, Copier, CopyState
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import AccountState, Settlement
 from masticdale_ledger.records import ProgramRecords, record_name
 from masticdale_ledger.shards import ShardView
+from masticdale_ledger.states import state_of
 
 # How often settled turns are copied, in seconds; as often as they arrive.
 COPY_EVERY_S = 0.15
@@ -36,27 +35,6 @@
 _ROUNDS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Alone:
-    """How far an owner and its standby may go without each other.
-
-    Both know the same accounts when they lose each other. While the store is
-    away neither can be replaced, and each goes on within the part of a budget
-    that needs no record. Together they hand out no more than a budget: what
-    lies below the first step at most twice, and nothing above it. A program
-    that has a record waits: two that spent up to it would spend it twice.
-
-    Attributes:
-        known_ids: Programs known when they lost each other.
-        takes_new: Whether other programs are admitted too. Only the standby
-            does: whoever takes the shard over later can seal the standby, and
-            learns of them.
-    """
-
-    known_ids: frozenset[str]
-    takes_new: bool
-
-
 class OwnedShard(AccountSource):
     """A shard while this host owns it.
 
@@ -112,11 +90,16 @@
         """Returns whether a turn has to wait until the shard isn't alone."""
         if self.alone is None:
             return False
-        is_known = claim.program_id in self.alone.known_ids
-        if not is_known and not self.alone.takes_new:
-            return True
+        share = self.alone.share_by_id.get(claim.program_id)
+        if share is None:
+            return not self.alone.takes_new
         account = self.accounts.get(claim.program_id)
-        return account is not None and account.bound is not None
+        if account is None:
+            return True
+        if claim.request_id in account.reserved_by_request_id:
+            return False
+        needed = account.taken_tokens + claim.turn_tokens
+        return needed > share.limit_tokens
 
     @property
     def incomplete_for_s(self) -> float:
@@ -135,15 +118,19 @@
     def states(self, program_ids: list[str] | None) -> tuple[AccountState, ...]:
         """See ``AccountSource.states``."""
         if program_ids is None:
-            return tuple(_state(a) for a in self.accounts.all())
+            return tuple(state_of(a) for a in self.accounts.all())
         found = (self.accounts.get(i) for i in program_ids)
-        return tuple(_state(a) for a in found if a is not None)
+        return tuple(state_of(a) for a in found if a is not None)
 
     @property
     def is_standby_leaving(self) -> bool:
         """Whether the standby is about to end."""
         return self.copier is not None and self.copier.is_leaving
 
+    def acted_states(self) -> tuple[AccountState, ...]:
+        """Returns all accounts, with what another host may have given."""
+        return acted_states(self.states(None), self.alone)
+
     async def copy(self) -> Result[None, Failure]:
         """Returns once the standby holds every account as it is now."""
         if self.copier is None or self.alone is not None:
@@ -214,6 +201,11 @@
                 return await self._reserve(shard, claim)
             if isinstance(verdict, Spent):
                 return Failed(self._spent(number, claim, account, verdict))
+            if shard.alone is not None:
+                # A higher bound would count what the other may have handed
+                # out as unspent.
+                detail = f"shard {number} has neither standby nor store"
+                return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
             written = await self._write(shard, claim, account)
             if isinstance(written, Failed):
                 return written
@@ -340,52 +332,3 @@
             lease_age_s=self._lease.age_s,
         )
         return Failure(ErrorKind.BUDGET_EXCEEDED)
-
-
-def _state(account: Account) -> AccountState:
-    bound = account.bound or Bound(0, 0)
-    reserved = account.reserved_by_request_id
-    return AccountState(
-        program_id=account.program_id,
-        budget_tokens=account.budget_tokens,
-        spent_tokens=account.spent_tokens,
-        counts_from_start=account.counts_from_start,
-        bound_tokens=bound.tokens,
-        bound_version=bound.version,
-        reserved_ids=tuple(reserved),
-        reserved_tokens=tuple(reserved.values()),
-    )
-
-
-def limited(state: AccountState) -> AccountState:
-    """Returns an account as it has to be if its last owner may live.
-
-    Without standby and store that owner may have gone on with the programs
-    that it knew, up to the first step; those with a record it declined.
-    """
-    if state.bound_version:
-        return state
-    first_step = int(FIRST_STEP * state.budget_tokens)
-    return dataclasses.replace(
-        state,
-        spent_tokens=max(state.spent_tokens, first_step),
-        counts_from_start=False,
-    )
-
-
-def account_of(state: AccountState) -> Account:
-    """Returns the account that another host has held."""
-    bound = None
-    if state.bound_version:
-        bound = Bound(state.bound_tokens, state.bound_version)
-    return Account(
-        program_id=state.program_id,
-        budget_tokens=state.budget_tokens,
-        spent_tokens=state.spent_tokens,
-        bound=bound,
-        counts_from_start=state.counts_from_start,
-        reserved_by_request_id=dict(
-            zip(state.reserved_ids, state.reserved_tokens, strict=True)
-        ),
-        used_at=time.monotonic(),
-    )
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/states.py
@@ -0,0 +1,42 @@
+"""Accounts as other hosts hold them."""
+
+import time
+
+from masticdale_ledger.accounts import Account, Bound
+from masticdale_ledger.messages import AccountState
+
+
+def state_of(account: Account) -> AccountState:
+    """Returns an account for another host."""
+    bound = account.bound or Bound(0, 0)
+    reserved = account.reserved_by_request_id
+    return AccountState(
+        program_id=account.program_id,
+        budget_tokens=account.budget_tokens,
+        spent_tokens=account.spent_tokens,
+        counts_from_start=account.counts_from_start,
+        bound_tokens=bound.tokens,
+        bound_version=bound.version,
+        reserved_ids=tuple(reserved),
+        reserved_tokens=tuple(reserved.values()),
+        most_tokens=account.most_tokens,
+    )
+
+
+def account_of(state: AccountState) -> Account:
+    """Returns the account that another host has held."""
+    bound = None
+    if state.bound_version:
+        bound = Bound(state.bound_tokens, state.bound_version)
+    return Account(
+        program_id=state.program_id,
+        budget_tokens=state.budget_tokens,
+        spent_tokens=state.spent_tokens,
+        bound=bound,
+        counts_from_start=state.counts_from_start,
+        reserved_by_request_id=dict(
+            zip(state.reserved_ids, state.reserved_tokens, strict=True)
+        ),
+        used_at=time.monotonic(),
+        most_tokens=state.most_tokens,
+    )
