Turns wait for turns of their program; shards are looked at together and at once after a start

Cause 2: after a start the first look at the shards came 0.2 s after the map, and each claim, seal and dead standby held up the next shard. Change: a look as soon as the map is there, all shards at once.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -272,7 +272,11 @@
 
     def _apply_shards(self, batch: WatchBatch, was_away: bool) -> None:
         del was_away
+        is_first = not self._shard_map.is_loaded
         self._shard_map.apply(batch)
+        if is_first and self._shard_map.is_loaded:
+            # After the loss of all hosts programs wait for this look.
+            self._tasks.append(asyncio.create_task(self._keeper.look()))
 
     async def _close_idle(self) -> None:
         self._relay.pool.close_idle()
--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -40,10 +40,12 @@
     Attributes:
         spent_tokens: What counts as spent.
         reserved_tokens: What turns under way may still use.
+        is_final: Whether the turn would not fit if those used nothing.
     """
 
     spent_tokens: int
     reserved_tokens: int
+    is_final: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,8 +128,10 @@
         # one turn may go beyond the budget, which the promise allows; without
         # it, 50 of 1,000 programs were told 402 after a loss of all hosts.
         slack = 0 if self.counts_from_start else claim.turn_tokens
-        if needed > self.budget_tokens + slack:
-            return Spent(self.spent_tokens, self.reserved_tokens)
+        limit = self.budget_tokens + slack
+        if needed > limit:
+            is_final = self.spent_tokens + claim.turn_tokens > limit
+            return Spent(self.spent_tokens, self.reserved_tokens, is_final)
         is_counted = self.bound is not None or self.counts_from_start
         if is_counted and needed <= self.ceiling_tokens:
             return Admitted()
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -95,17 +95,24 @@
         await self._drop_lost()
         if self.is_stopping or not self._map.is_loaded:
             return
-        for number in range(SHARD_COUNT):
-            previous = self._vacancy(number)
-            if previous is None:
-                self._claim_at_by_shard.pop(number, None)
-            elif self._is_due(number, previous):
-                await self._claim(number, previous)
-        for shard in self._owner.owned().values():
-            if shard.is_acting:
-                await self._claim_acting(shard)
-            elif self._needs_standby(shard):
-                await self._claims.replace_standby(shard)
+        # All at once: one dead standby would hold up the other shards.
+        await asyncio.gather(*(self._look_at(n) for n in range(SHARD_COUNT)))
+
+    async def _look_at(self, number: int) -> None:
+        shard = self._owner.owned().get(number)
+        if shard is None:
+            await self._look_for_owner(number)
+        elif shard.is_acting:
+            await self._claim_acting(shard)
+        elif self._needs_standby(shard):
+            await self._claims.replace_standby(shard)
+
+    async def _look_for_owner(self, number: int) -> None:
+        previous = self._vacancy(number)
+        if previous is None:
+            self._claim_at_by_shard.pop(number, None)
+        elif self._is_due(number, previous):
+            await self._claim(number, previous)
 
     async def renew(self) -> None:
         """Asks the store who owns the shards, while some are owned here.
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import time
 
 from returns.result import Failure as Failed
@@ -33,6 +34,12 @@
 # Rounds of judging and writing for one turn. Each conflict raises the bound
 # to another owner's, so that three rounds pass every step.
 _ROUNDS = 4
+# A turn that only fits once others of its program have ended waits so long, in
+# seconds: three turns as they usually last. They reserve their most and use a
+# fifth to a half of it, and 402 ends a program at once: sub-agents that started
+# together told their own program that its budget was spent.
+_TURNS_END_WITHIN_S = 1.0
+_LOOK_AGAIN_S = 0.03
 
 
 class OwnedShard(AccountSource):
@@ -144,6 +151,14 @@
         return await self.copier.send(state, self)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Spent:
+    """A turn that the budget does not hold now."""
+
+    account: Account
+    verdict: Spent
+
+
 class ShardOwner:
     """The shards of this host.
 
@@ -182,6 +197,18 @@
         self, number: int, claim: TurnClaim
     ) -> Result[None, Failure]:
         """Reserves what a turn may use; see ``BudgetLedger.admit``."""
+        wait_until = time.monotonic() + _TURNS_END_WITHIN_S
+        while True:
+            outcome = await self._try(number, claim)
+            if not isinstance(outcome, _Spent):
+                return outcome
+            if outcome.verdict.is_final or time.monotonic() >= wait_until:
+                return Failed(self._spent(number, claim, outcome))
+            await asyncio.sleep(_LOOK_AGAIN_S)
+
+    async def _try(
+        self, number: int, claim: TurnClaim
+    ) -> "Result[None, Failure] | _Spent":
         for _ in range(_ROUNDS):
             shard = self._shard_by_number.get(number)
             if shard is None or shard.is_moving:
@@ -197,7 +224,7 @@
             if isinstance(verdict, Admitted):
                 return await self._reserve(shard, claim)
             if isinstance(verdict, Spent):
-                return Failed(self._spent(number, claim, account, verdict))
+                return _Spent(account, verdict)
             if shard.alone is not None:
                 # A higher bound would count what the other may have handed
                 # out as unspent.
@@ -313,8 +340,9 @@
         return Success(None)
 
     def _spent(
-        self, number: int, claim: TurnClaim, account: Account, verdict: Spent
+        self, number: int, claim: TurnClaim, outcome: "_Spent"
     ) -> Failure:
+        account, verdict = outcome.account, outcome.verdict
         self._metrics.count("ledger_refusals_total")
         logs.write_bounded(
             "budget_spent",
--- a/libs/ledger/tests/test_accounts.py
+++ b/libs/ledger/tests/test_accounts.py
@@ -146,6 +146,24 @@
         ledger.lose_memory()
         self.assertTrue(ledger.admit("again"))
 
+    def test_turns_under_way_are_no_reason_to_tell_that_a_budget_is_spent(self):
+        """A program would end because its sub-agents started together.
+
+        Two turns under way reserve their most, which leaves no room for a
+        third. Once they have ended, with a fifth of it, there is room again.
+        """
+        ledger = Ledger(budget=250, most=100)
+        self.assertTrue(ledger.admit("a"))
+        self.assertTrue(ledger.admit("b"))
+        account = ledger.accounts.get("program")
+        waits = account.judge(claim("c", 250, 100))
+        self.assertFalse(waits.is_final)
+        ledger.accounts.settle("program", "a", 20)
+        self.assertTrue(ledger.admit("c"))
+        ledger.accounts.settle("program", "b", 100)
+        ledger.accounts.settle("program", "c", 100)
+        self.assertTrue(account.judge(claim("d", 250, 100)).is_final)
+
     def test_asking_again_for_one_turn_reserves_once(self):
         ledger = Ledger(budget=300, most=100)
         for _ in range(10):
--- a/libs/ledger/tests/test_apart.py
+++ b/libs/ledger/tests/test_apart.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies as st
@@ -219,6 +220,8 @@
 )
 
 
+# No turn ends by itself here, so that waiting for one decides nothing.
+@mock.patch("masticdale_ledger.owner._TURNS_END_WITHIN_S", 0.0)
 class ApartTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
     @hypothesis.given(
