Hosts watch the store through the seeds

Each change costs each host a call, each outage some calls a second and host, and a host cut off had others make calls for it. Change: the seeds watch, all others wait at one of them (0.8 s a call between hosts, which costs no store call); a silent one costs one timeout, one without the store passes to the next, none known: the store itself.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -48,6 +48,7 @@
     ShardKeeper,
     ShardMap,
     ShardOwner,
+    SharedWatches,
     StandbyCopies,
 )
 from masticdale_platform import WatchBatch
@@ -100,8 +101,10 @@
         )
         self._shard_map = ShardMap()
         self._peers = PeerClients(self._shard_map, settings, self._metrics)
+        leaders = self._peers.leaders()
+        shared = None if leaders else SharedWatches()
         self._store = FallbackStore(
-            self._direct, self._peers.all, self._metrics
+            self._direct, self._peers.all, self._metrics, leaders, shared
         )
         self._fleet = Fleet(settings.failure_domain)
         self._configuration = ConfigurationInForce(
@@ -159,6 +162,7 @@
             self._copies,
             self._direct,
             seen,
+            shared,
         )
         self._ledger.admit_here = service.admit
         self._peer_server = RpcServer(service, peers_at, LEDGER)
--- a/apps/masticdale_entry/src/masticdale_entry/peers.py
+++ b/apps/masticdale_entry/src/masticdale_entry/peers.py
@@ -1,5 +1,7 @@
 """Clients of the other entry hosts."""
 
+import random
+
 from masticdale_common import Metrics
 from masticdale_entry.settings import Settings
 from masticdale_ledger import LEDGER, Hosts, ShardMap
@@ -26,6 +28,21 @@
         """Returns the clients of all known hosts but this one."""
         return [self.client(*address) for address in self.candidates()]
 
+    def leaders(self) -> list[RpcClient]:
+        """Returns the hosts whose watches of the store this host follows.
+
+        The seeds are the same for all hosts; they watch the store themselves,
+        and follow nobody. The order differs, so that the others spread.
+        """
+        own = self._settings.peers_reached_at
+        seeds = {(str(a.ip), a.port) for a in self._settings.seeds}
+        if own is not None and (str(own.ip), own.port) in seeds:
+            return []
+        return [
+            self.client(*address)
+            for address in random.sample(sorted(seeds), len(seeds))
+        ]
+
     def candidates(self) -> list[tuple[str, int]]:
         """See ``Hosts.candidates``."""
         addresses = {(str(a.ip), a.port) for a in self._settings.seeds}
--- a/libs/ledger/src/masticdale_ledger/__init__.py
+++ b/libs/ledger/src/masticdale_ledger/__init__.py
@@ -15,6 +15,7 @@
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.service import LedgerService
 from masticdale_ledger.shards import SHARD_PREFIX, ShardMap, ShardRecord
+from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_ledger.standby import StandbyCopies
 from masticdale_ledger.store_relay import FallbackStore
 
@@ -39,6 +40,7 @@
     "ShardMap",
     "ShardOwner",
     "ShardRecord",
+    "SharedWatches",
     "StandbyCopies",
     "boot_time_s",
 ]
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/peer_store.py
@@ -0,0 +1,183 @@
+"""Store calls that another host makes for this one, at both ends."""
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure
+from masticdale_ledger.messages import (
+    STORE,
+    StoreItem,
+    StoreReply,
+    StoreRequest,
+)
+from masticdale_ledger.shared_watches import SharedWatches
+from masticdale_platform import ObjectStore, StoredObject, WatchBatch
+from masticdale_rpc import RpcClient
+
+# What another host may take for a call besides a watch's wait, in seconds:
+# one timeout of the store's client there.
+_RELAY_TIMEOUT_S = 1.0
+# How long a host waits at another one for something new, in seconds. The host
+# asked may have gone silent; a change of the configuration has to be in force
+# two seconds after it, so that this, a timeout and a list of one's own fit in.
+_FOLLOW_WAIT_S = 0.8
+_FOLLOW_TIMEOUT_S = 0.3
+
+
+class PeerStore:
+    """An ``ObjectStore`` that another host asks for us."""
+
+    def __init__(self, peer: RpcClient) -> None:
+        self._peer = peer
+
+    async def read(self, key: str) -> Result[StoredObject | None, Failure]:
+        """See ``ObjectStore.read``."""
+        reply = await self._call(StoreRequest("read", key))
+        return reply.map(lambda r: _stored(r.items[0]) if r.items else None)
+
+    async def write(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[int, Failure]:
+        """See ``ObjectStore.write``."""
+        request = StoreRequest("write", key, value.decode(), expected_version)
+        reply = await self._call(request)
+        return reply.map(lambda r: r.version)
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, Failure]:
+        """See ``ObjectStore.delete``."""
+        request = StoreRequest("delete", key, version=expected_version)
+        return (await self._call(request)).map(lambda _: None)
+
+    async def list(
+        self, prefix: str
+    ) -> Result[tuple[StoredObject, ...], Failure]:
+        """See ``ObjectStore.list``."""
+        reply = await self._call(StoreRequest("list", prefix))
+        return reply.map(lambda r: tuple(_stored(i) for i in r.items))
+
+    async def watch(
+        self, prefix: str, position: int, wait_s: float
+    ) -> Result[WatchBatch, Failure]:
+        """See ``ObjectStore.watch``."""
+        request = StoreRequest(
+            "watch", prefix, position=position, wait_ms=int(1000 * wait_s)
+        )
+        return (await self._call(request, wait_s)).map(_batch)
+
+    async def follow(
+        self, prefix: str, position: int
+    ) -> Result[WatchBatch, Failure]:
+        """Waits for what the other host's own watches return.
+
+        Failures: those of ``SharedWatches.newer``; PEER_UNAVAILABLE where the
+        host does not answer.
+        """
+        wait_s = _FOLLOW_WAIT_S if position else 0.0
+        request = StoreRequest(
+            "follow", prefix, position=position, wait_ms=int(1000 * wait_s)
+        )
+        outcome = await self._peer.call(
+            STORE, request, wait_s + _FOLLOW_TIMEOUT_S
+        )
+        if isinstance(outcome, Failed):
+            return outcome
+        reply = outcome.unwrap()
+        if reply.failure is not None:
+            return Failed(reply.failure)
+        return Success(_batch(reply))
+
+    async def _call(
+        self, request: StoreRequest, wait_s: float = 0.0
+    ) -> Result[StoreReply, Failure]:
+        outcome = await self._peer.call(
+            STORE, request, wait_s + _RELAY_TIMEOUT_S
+        )
+        if isinstance(outcome, Failed):
+            is_write = request.operation in ("write", "delete")
+            kind = (
+                ErrorKind.WRITE_UNKNOWN
+                if is_write
+                else ErrorKind.PLATFORM_UNAVAILABLE
+            )
+            return Failed(Failure(kind, str(outcome.failure())))
+        reply = outcome.unwrap()
+        return Failed(reply.failure) if reply.failure else Success(reply)
+
+
+async def serve_store(
+    direct: ObjectStore,
+    request: StoreRequest,
+    shared: SharedWatches | None = None,
+) -> StoreReply:
+    """Makes a store call for another host, on the direct way only.
+
+    Args:
+        direct: The store.
+        request: The call.
+        shared: What this host's own watches have returned.
+    """
+    key = request.key
+    outcome: Result[StoreReply, Failure]
+    match request.operation:
+        case "read":
+            outcome = (await direct.read(key)).map(
+                lambda item: StoreReply((_item(item),) if item else ())
+            )
+        case "write":
+            outcome = (
+                await direct.write(key, request.value.encode(), request.version)
+            ).map(lambda version: StoreReply(version=version))
+        case "delete":
+            outcome = (await direct.delete(key, request.version)).map(
+                lambda _: StoreReply()
+            )
+        case "list":
+            outcome = (await direct.list(key)).map(
+                lambda items: StoreReply(tuple(_item(i) for i in items))
+            )
+        case "watch":
+            outcome = (
+                await direct.watch(
+                    key, request.position, request.wait_ms / 1000
+                )
+            ).map(_reply)
+        case "follow" if shared is not None:
+            outcome = (
+                await shared.newer(
+                    key, request.position, request.wait_ms / 1000
+                )
+            ).map(_reply)
+        case _:
+            detail = f"operation {request.operation}"
+            return StoreReply(failure=Failure(ErrorKind.BAD_REQUEST, detail))
+    if isinstance(outcome, Failed):
+        return StoreReply(failure=outcome.failure())
+    return outcome.unwrap()
+
+
+def _reply(batch: WatchBatch) -> StoreReply:
+    return StoreReply(
+        tuple(_item(i) for i in batch.changed),
+        batch.deleted_keys,
+        batch.position,
+        batch.is_snapshot,
+    )
+
+
+def _batch(reply: StoreReply) -> WatchBatch:
+    return WatchBatch(
+        reply.position,
+        tuple(_stored(i) for i in reply.items),
+        reply.deleted_keys,
+        reply.is_snapshot,
+    )
+
+
+def _stored(item: StoreItem) -> StoredObject:
+    return StoredObject(item.key, item.version, item.value.encode())
+
+
+def _item(stored: StoredObject) -> StoreItem:
+    return StoreItem(stored.key, stored.version, stored.value.decode())
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -22,8 +22,9 @@
     StoreRequest,
 )
 from masticdale_ledger.owner import ShardOwner
+from masticdale_ledger.peer_store import serve_store
+from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_ledger.standby import StandbyCopies
-from masticdale_ledger.store_relay import serve_store
 from masticdale_platform import ObjectStore
 
 
@@ -38,6 +39,7 @@
         copies: StandbyCopies,
         direct: ObjectStore,
         seen: SeenHosts,
+        shared: SharedWatches | None,
     ) -> None:
         self._acting = acting
         self._admissions = Admissions(owner, acting)
@@ -46,6 +48,7 @@
         self._keeper = keeper
         self._direct = direct
         self._seen = seen
+        self._shared = shared
 
     async def admit(self, request: AdmitRequest) -> AdmitReply:
         """Admits a turn of an own shard."""
@@ -87,4 +90,4 @@
 
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't."""
-        return await serve_store(self._direct, request)
+        return await serve_store(self._direct, request, self._shared)
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -6,15 +6,11 @@
 from typing import Any, TypeVar
 
 from returns.result import Failure as Failed
-from returns.result import Result, Success
+from returns.result import Result
 
 from masticdale_common import ErrorKind, Failure, Metrics, logs
-from masticdale_ledger.messages import (
-    STORE,
-    StoreItem,
-    StoreReply,
-    StoreRequest,
-)
+from masticdale_ledger.peer_store import PeerStore
+from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_platform import (
     ListedHost,
     ObjectStore,
@@ -31,84 +27,25 @@
 _RETRY_DIRECT_S = 1.0
 # How long a watch waits that finds out whether the store answers, in seconds.
 _PROBE_WAIT_S = 0.05
-# What another host may take for a call besides a watch's wait, in seconds:
-# one timeout of the store's client there.
-_RELAY_TIMEOUT_S = 1.0
 # Hosts asked for one call.
 _RELAYS = 2
 
+# A host that watches and did not answer is not asked for this long, in seconds.
+_LEADER_SILENT_S = 5.0
+# The same for one that has itself lost the store, or has just started: it will
+# soon know more.
+_LEADER_LOST_S = 0.25
+# A host that watches through others tries the direct way less often while it is
+# closed, in seconds: they hear of the store's return first.
+_RETRY_FOLLOWING_S = 2.5
+
 PeerList = Callable[[], list[RpcClient]]
 StoreCall = Callable[[ObjectStore], Awaitable[Result[T, Failure]]]
 
 
-class PeerStore:
-    """An ``ObjectStore`` that another host asks for us."""
-
-    def __init__(self, peer: RpcClient) -> None:
-        self._peer = peer
-
-    async def read(self, key: str) -> Result[StoredObject | None, Failure]:
-        """See ``ObjectStore.read``."""
-        reply = await self._call(StoreRequest("read", key))
-        return reply.map(lambda r: _stored(r.items[0]) if r.items else None)
-
-    async def write(
-        self, key: str, value: bytes, expected_version: int
-    ) -> Result[int, Failure]:
-        """See ``ObjectStore.write``."""
-        request = StoreRequest("write", key, value.decode(), expected_version)
-        reply = await self._call(request)
-        return reply.map(lambda r: r.version)
-
-    async def delete(
-        self, key: str, expected_version: int
-    ) -> Result[None, Failure]:
-        """See ``ObjectStore.delete``."""
-        request = StoreRequest("delete", key, version=expected_version)
-        return (await self._call(request)).map(lambda _: None)
-
-    async def list(
-        self, prefix: str
-    ) -> Result[tuple[StoredObject, ...], Failure]:
-        """See ``ObjectStore.list``."""
-        reply = await self._call(StoreRequest("list", prefix))
-        return reply.map(lambda r: tuple(_stored(i) for i in r.items))
-
-    async def watch(
-        self, prefix: str, position: int, wait_s: float
-    ) -> Result[WatchBatch, Failure]:
-        """See ``ObjectStore.watch``."""
-        request = StoreRequest(
-            "watch", prefix, position=position, wait_ms=int(1000 * wait_s)
-        )
-        reply = await self._call(request, wait_s)
-        return reply.map(
-            lambda r: WatchBatch(
-                r.position,
-                tuple(_stored(i) for i in r.items),
-                r.deleted_keys,
-                r.is_snapshot,
-            )
-        )
-
-    async def _call(
-        self, request: StoreRequest, wait_s: float = 0.0
-    ) -> Result[StoreReply, Failure]:
-        outcome = await self._peer.call(
-            STORE, request, wait_s + _RELAY_TIMEOUT_S
-        )
-        if isinstance(outcome, Failed):
-            is_write = request.operation in ("write", "delete")
-            kind = (
-                ErrorKind.WRITE_UNKNOWN
-                if is_write
-                else ErrorKind.PLATFORM_UNAVAILABLE
-            )
-            return Failed(Failure(kind, str(outcome.failure())))
-        reply = outcome.unwrap()
-        return Failed(reply.failure) if reply.failure else Success(reply)
-
-
+_NO_WAY: Result[Any, Failure] = Failed(
+    Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no way to the store")
+)
 _WAY_CHANGED: Result[Any, Failure] = Failed(
     Failure(ErrorKind.PLATFORM_UNAVAILABLE, "the way to the store has changed")
 )
@@ -122,15 +59,16 @@
         changed: Set when that changes; renewed each time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, retry_s: float) -> None:
         self.is_open = True
         self.changed = asyncio.Event()
         self._probe_at = 0.0
+        self._retry_s = retry_s
 
     def note(self, *, is_open: bool, reason: str) -> None:
         """Notes how a direct call ended."""
         now = asyncio.get_running_loop().time()
-        self._probe_at = now + _RETRY_DIRECT_S
+        self._probe_at = now + self._retry_s
         if is_open == self.is_open:
             return
         self.is_open = is_open
@@ -143,10 +81,38 @@
         now = asyncio.get_running_loop().time()
         if now < self._probe_at:
             return False
-        self._probe_at = now + _RETRY_DIRECT_S
+        self._probe_at = now + self._retry_s
         return True
 
 
+class _Leaders:
+    """The hosts whose watches this host follows.
+
+    Attributes:
+        all: Their clients.
+        have_lost: Whether those asked last have lost the store themselves.
+    """
+
+    def __init__(self, leaders: list[RpcClient]) -> None:
+        self.all = leaders
+        self.have_lost = False
+        self._left_out_until: dict[int, float] = {}
+
+    def usable(self) -> list[RpcClient]:
+        """Returns those that are worth asking now."""
+        now = asyncio.get_running_loop().time()
+        return [
+            leader
+            for number, leader in enumerate(self.all)
+            if self._left_out_until.get(number, 0.0) <= now
+        ]
+
+    def leave_out(self, leader: RpcClient, for_s: float) -> None:
+        """Does not ask one for a while."""
+        now = asyncio.get_running_loop().time()
+        self._left_out_until[self.all.index(leader)] = now + for_s
+
+
 class FallbackStore:
     """An ``ObjectStore``: the direct way, else by way of other hosts.
 
@@ -157,13 +123,32 @@
     """
 
     def __init__(
-        self, direct: ObjectStore, peers: PeerList, metrics: Metrics
+        self,
+        direct: ObjectStore,
+        peers: PeerList,
+        metrics: Metrics,
+        leaders: list[RpcClient] | None = None,
+        shared: SharedWatches | None = None,
     ) -> None:
+        """Prepares to call.
+
+        Args:
+            direct: The store itself.
+            peers: Returns hosts that may make a call for this one.
+            metrics: Counts.
+            leaders: Hosts whose watches this host follows; none for a host
+                that watches the store itself.
+            shared: Where a host that others follow keeps what it saw.
+        """
         self._direct = direct
         self._peers = peers
         self._metrics = metrics
+        self._shared = shared
         self._random = random.Random()
-        self._reachability = _Reachability()
+        self._leaders = _Leaders(leaders or [])
+        self._reachability = _Reachability(
+            _RETRY_FOLLOWING_S if leaders else _RETRY_DIRECT_S
+        )
         self._is_relay_lost = False
 
     @property
@@ -206,14 +191,24 @@
         the host that waits for us may itself have lost the store, and a store
         that stopped to answer would leave us waiting for nothing.
         """
-        if not self._reachability.is_open:
+        if self._reachability.is_open:
+            followed = await self._follow(prefix, position)
+            if followed is not None:
+                return followed
+        else:
             if not self._reachability.takes_probe():
+                followed = await self._follow(prefix, position)
+                if followed is not None:
+                    return followed
                 limit_s = min(wait_s, _RETRY_DIRECT_S)
                 relayed = self._relay(
                     lambda store: store.watch(prefix, position, limit_s)
                 )
                 return await self._until_changed(relayed) or _WAY_CHANGED
             wait_s = _PROBE_WAIT_S
+        if self._leaders.all:
+            # Soon one of them may be followed again.
+            wait_s = min(wait_s, _LEADER_SILENT_S)
         watched: Any = self._direct.watch(prefix, position, wait_s)
         outcome = await self._until_changed(watched)
         if outcome is None:
@@ -222,6 +217,7 @@
         # read after it tells whether the store answers.
         if position == 0 or not isinstance(outcome, Failed):
             self._note(outcome)
+            self._share(prefix, outcome)
         return outcome
 
     async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
@@ -232,9 +228,7 @@
         if self.is_lost:
             # The watches go on to look for a way; whoever waits for this
             # call is better told at once.
-            return Failed(
-                Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no way to the store")
-            )
+            return _NO_WAY
         if not self._reachability.is_open:
             return await self._relay(call)
         outcome = await call(self._direct)
@@ -243,10 +237,45 @@
             return await self._relay(call)
         return outcome
 
+    async def _follow(
+        self, prefix: str, position: int
+    ) -> Result[WatchBatch, Failure] | None:
+        """Watches through another host; None if the store is to be asked.
+
+        A host that has lost the store says so, and the next one is asked. One
+        that is silent has cost its timeout, and the store is asked at once: a
+        change must not wait for a second one.
+        """
+        for leader in self._leaders.usable():
+            outcome = await PeerStore(leader).follow(prefix, position)
+            if not isinstance(outcome, Failed):
+                self._leaders.have_lost = False
+                self._metrics.count("watches_followed_total")
+                return outcome
+            kind = outcome.failure().kind
+            if kind not in (
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                ErrorKind.NOT_FOUND,
+            ):
+                self._leaders.leave_out(leader, _LEADER_SILENT_S)
+                return None
+            self._leaders.leave_out(leader, _LEADER_LOST_S)
+            is_lost = kind is ErrorKind.PLATFORM_UNAVAILABLE
+            self._leaders.have_lost = self._leaders.have_lost or is_lost
+        if self._leaders.have_lost and not self._reachability.takes_probe():
+            return _NO_WAY
+        return None
+
+    def _share(self, prefix: str, outcome: Result[WatchBatch, Failure]) -> None:
+        if self._shared is None:
+            return
+        if not isinstance(outcome, Failed):
+            self._shared.note(prefix, outcome.unwrap())
+        elif _is_unavailable(outcome):
+            self._shared.lose()
+
     async def _relay(self, call: StoreCall[T]) -> Result[T, Failure]:
-        outcome: Result[T, Failure] = Failed(
-            Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no way to the store")
-        )
+        outcome: Result[T, Failure] = _NO_WAY
         peers = self._peers()
         for peer in self._random.sample(peers, min(_RELAYS, len(peers))):
             self._metrics.count("store_calls_relayed_total")
@@ -287,57 +316,7 @@
         self._reachability.note(is_open=is_open, reason=str(failure))
 
 
-async def serve_store(direct: ObjectStore, request: StoreRequest) -> StoreReply:
-    """Makes a store call for another host, on the direct way only."""
-    key = request.key
-    outcome: Result[StoreReply, Failure]
-    match request.operation:
-        case "read":
-            outcome = (await direct.read(key)).map(
-                lambda item: StoreReply((_item(item),) if item else ())
-            )
-        case "write":
-            outcome = (
-                await direct.write(key, request.value.encode(), request.version)
-            ).map(lambda version: StoreReply(version=version))
-        case "delete":
-            outcome = (await direct.delete(key, request.version)).map(
-                lambda _: StoreReply()
-            )
-        case "list":
-            outcome = (await direct.list(key)).map(
-                lambda items: StoreReply(tuple(_item(i) for i in items))
-            )
-        case "watch":
-            outcome = (
-                await direct.watch(
-                    key, request.position, request.wait_ms / 1000
-                )
-            ).map(
-                lambda batch: StoreReply(
-                    tuple(_item(i) for i in batch.changed),
-                    batch.deleted_keys,
-                    batch.position,
-                    batch.is_snapshot,
-                )
-            )
-        case _:
-            detail = f"operation {request.operation}"
-            return StoreReply(failure=Failure(ErrorKind.BAD_REQUEST, detail))
-    if isinstance(outcome, Failed):
-        return StoreReply(failure=outcome.failure())
-    return outcome.unwrap()
-
-
 def _is_unavailable(outcome: Result[T, Failure]) -> bool:
     return isinstance(outcome, Failed) and (
         outcome.failure().kind is ErrorKind.PLATFORM_UNAVAILABLE
     )
-
-
-def _stored(item: StoreItem) -> StoredObject:
-    return StoredObject(item.key, item.version, item.value.encode())
-
-
-def _item(stored: StoredObject) -> StoreItem:
-    return StoreItem(stored.key, stored.version, stored.value.decode())
--- /dev/null
+++ b/libs/ledger/tests/test_shared_watches.py
@@ -0,0 +1,151 @@
+"""Tests of hosts that watch the store through others."""
+
+import asyncio
+import unittest
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import ErrorKind, Failure, Metrics
+from masticdale_ledger.peer_store import serve_store
+from masticdale_ledger.shared_watches import SharedWatches
+from masticdale_ledger.store_relay import FallbackStore
+from masticdale_platform.testing import MemoryStore
+
+PREFIX = "a/"
+
+
+class CountedStore(MemoryStore):
+    """Counts the watches that reach the store."""
+
+    def __init__(self):
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, prefix, position, wait_s):
+        self.watches += 1
+        return await super().watch(prefix, position, wait_s)
+
+
+class Leader:
+    """A host that watches the store and is asked by others."""
+
+    def __init__(self, store):
+        self.shared = SharedWatches()
+        self.store = FallbackStore(store, list, Metrics(), None, self.shared)
+        self.direct = store
+        self.is_silent = False
+        self.position = 0
+
+    async def step(self, wait_s=0.0):
+        outcome = await self.store.watch(PREFIX, self.position, wait_s)
+        if isinstance(outcome, Failed):
+            self.position = 0
+        else:
+            self.position = outcome.unwrap().position
+
+    async def call(self, rpc, request, timeout_s):
+        if self.is_silent:
+            await asyncio.sleep(timeout_s)
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, "silent"))
+        return Success(await serve_store(self.direct, request, self.shared))
+
+
+class FollowingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.direct = CountedStore()
+        self.leaders = [Leader(self.direct) for _ in range(2)]
+        await self.direct.write("a/x", b"1", 0)
+        for leader in self.leaders:
+            await leader.step()
+        self.store = FallbackStore(self.direct, list, Metrics(), self.leaders)
+        self.direct.watches = 0
+
+    async def test_a_host_that_follows_makes_no_calls(self):
+        """Each change would cost every host of a fleet a call."""
+        batch = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        self.assertTrue(batch.is_snapshot)
+        self.assertEqual([s.value for s in batch.changed], [b"1"])
+        waiting = asyncio.create_task(
+            self.store.watch(PREFIX, batch.position, 5.0)
+        )
+        await asyncio.sleep(0.05)
+        await self.direct.write("a/y", b"2", 0)
+        for leader in self.leaders:
+            await leader.step()
+        newer = (await waiting).unwrap()
+        self.assertEqual(
+            {s.key: s.value for s in newer.changed}, {"a/x": b"1", "a/y": b"2"}
+        )
+        self.assertEqual(self.direct.watches, 2)
+
+    async def test_what_is_deleted_is_in_no_later_snapshot(self):
+        first = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        found = (await self.direct.read("a/x")).unwrap()
+        await self.direct.delete("a/x", found.version)
+        for leader in self.leaders:
+            await leader.step()
+        later = (await self.store.watch(PREFIX, first.position, 5.0)).unwrap()
+        self.assertTrue(later.is_snapshot)
+        self.assertEqual(later.changed, ())
+
+    async def test_a_silent_leader_costs_one_timeout(self):
+        """A change would not be in force in time on hosts that follow it.
+
+        The leader is suspended. The host that waits there asks the store
+        itself after one timeout, and sees a change that came meanwhile.
+        """
+        first = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        for leader in self.leaders:
+            leader.is_silent = True
+        await self.direct.write("a/y", b"2", 0)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        later = (await self.store.watch(PREFIX, first.position, 5.0)).unwrap()
+        self.assertLess(loop.time() - began, 1.5)
+        self.assertEqual([s.key for s in later.changed], ["a/y"])
+
+    async def test_a_leader_without_the_store_passes_to_the_next(self):
+        """A host that lost the store alone would keep old lists of replicas."""
+        first = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        for leader in self.leaders:
+            leader.shared.lose()
+        await self.direct.write("a/y", b"2", 0)
+        await self.leaders[1].step()
+        later = (await self.store.watch(PREFIX, first.position, 5.0)).unwrap()
+        self.assertEqual(later.position, self.leaders[1].position)
+        self.assertEqual(self.direct.watches, 1)
+
+    async def test_an_outage_is_heard_of_and_rarely_probed(self):
+        """Hosts would ask a store that is away some times a second each."""
+        first = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        self.direct.faults.down = True
+        for leader in self.leaders:
+            leader.position = 0
+            await leader.step()
+        self.direct.watches = 0
+        for _ in range(20):
+            outcome = await self.store.watch(PREFIX, first.position, 5.0)
+            self.assertIsInstance(outcome, Failed)
+            await asyncio.sleep(0.05)
+        self.assertLessEqual(self.direct.watches, 2)
+        self.direct.faults.down = False
+        for leader in self.leaders:
+            await leader.step()
+        async with asyncio.timeout(1.0):
+            while isinstance(await self.store.watch(PREFIX, 0, 5.0), Failed):
+                await asyncio.sleep(0.05)
+
+    async def test_an_older_leader_takes_nothing_back(self):
+        await self.direct.write("a/y", b"2", 0)
+        await self.leaders[0].step()
+        newest = self.leaders[0].position
+        self.leaders[0].is_silent = True
+        outcome = await self.leaders[1].shared.newer(PREFIX, newest, 0.05)
+        batch = outcome.unwrap()
+        self.assertEqual((batch.position, batch.changed), (newest, ()))
+        self.assertFalse(batch.is_snapshot)
+
+
+if __name__ == "__main__":
+    unittest.main()
