--- a/deploy/start.py
+++ b/deploy/start.py
@@ -19,8 +19,10 @@
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _SETTINGS_VARIABLE = "MASTICDALE_BOOT"
 
+# At the end: each import looks through the folders in order, and most of them
+# are of the standard library and of third parties.
 for _pattern in ("libs/*/src", "platform/src", "apps/masticdale_entry/src"):
-    sys.path[:0] = sorted(glob.glob(str(_ROOT / _pattern)))
+    sys.path += sorted(glob.glob(str(_ROOT / _pattern)))
 
 
 def main() -> None:
