--- a/scripts/play.py
+++ b/scripts/play.py
@@ -7,6 +7,7 @@
     scripts/play.py days SITE_FILE "WHY" quiet-1 trouble-3 --seeds 1 2 3
     scripts/play.py hunt SITE_FILE "WHY" --count 40
     scripts/play.py score SITE_FILE "WHY"
+    scripts/play.py incident SITE_FILE "WHY"
 """
 
 import argparse
@@ -161,7 +162,7 @@
 def read_arguments() -> argparse.Namespace:
     """Reads the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("verb", choices=("days", "hunt", "score"))
+    parser.add_argument("verb", choices=("days", "hunt", "score", "incident"))
     parser.add_argument("site", type=pathlib.Path)
     parser.add_argument("why", help="a line for the journal")
     parser.add_argument("days", nargs="*", help="names or files of days")
