What a seed passes on has no gaps and takes nothing back

Change: everything a host's watches return, by whichever way, goes into what it passes on; a batch that doesn't join drops it. Read on the same way: a host that reads everything again doesn't take a list older than what it knew. Tests fail without the change.

--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -39,16 +39,33 @@
         self._is_lost = True
         self._changed = asyncio.Event()
 
-    def note(self, prefix: str, batch: WatchBatch) -> None:
-        """Takes what the store has returned to this host."""
-        part = self._part_by_prefix.setdefault(prefix, _Part())
+    def take(self, prefix: str, asked_from: int, batch: WatchBatch) -> None:
+        """Takes what a watch of this host has returned, by whichever way.
+
+        Args:
+            prefix: What was watched.
+            asked_from: The position from which it was.
+            batch: What came.
+        """
+        part = self._part_by_prefix.get(prefix)
         if batch.is_snapshot:
-            part.object_by_key.clear()
+            part = self._part_by_prefix[prefix] = _Part()
+        elif part is None or part.position != asked_from:
+            # What lies between was taken elsewhere. Passed on with a newer
+            # position, hosts would miss it for good: a replica that leaves
+            # would get new work from all who follow this one.
+            self._part_by_prefix.pop(prefix, None)
+            self._wake()
+            return
         for stored in batch.changed:
             part.object_by_key[stored.key] = stored
         for key in batch.deleted_keys:
             part.object_by_key.pop(key, None)
         part.position = batch.position
+        self._wake()
+
+    def regain(self) -> None:
+        """Notes that the store answers this host."""
         self._is_lost = False
         self._wake()
 
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -150,6 +150,7 @@
             _RETRY_FOLLOWING_S if leaders else _RETRY_DIRECT_S
         )
         self._is_relay_lost = False
+        self._newest_by_prefix: dict[str, int] = {}
 
     @property
     def is_lost(self) -> bool:
@@ -191,6 +192,18 @@
         the host that waits for us may itself have lost the store, and a store
         that stopped to answer would leave us waiting for nothing.
         """
+        outcome = await self._watch(prefix, position, wait_s)
+        if isinstance(outcome, Failed):
+            return outcome
+        batch = outcome.unwrap()
+        self._newest_by_prefix[prefix] = batch.position
+        if self._shared is not None:
+            self._shared.take(prefix, position, batch)
+        return outcome
+
+    async def _watch(
+        self, prefix: str, position: int, wait_s: float
+    ) -> Result[WatchBatch, Failure]:
         if self._reachability.is_open:
             followed = await self._follow(prefix, position)
             if followed is not None:
@@ -217,7 +230,7 @@
         # read after it tells whether the store answers.
         if position == 0 or not isinstance(outcome, Failed):
             self._note(outcome)
-            self._share(prefix, outcome)
+            self._tell_followers(outcome)
         return outcome
 
     async def hosts(self) -> Result[tuple[ListedHost, ...], Failure]:
@@ -249,9 +262,12 @@
         for leader in self._leaders.usable():
             outcome = await PeerStore(leader).follow(prefix, position)
             if not isinstance(outcome, Failed):
-                self._leaders.have_lost = False
-                self._metrics.count("watches_followed_total")
-                return outcome
+                if not self._is_older(prefix, outcome.unwrap()):
+                    self._leaders.have_lost = False
+                    self._metrics.count("watches_followed_total")
+                    return outcome
+                self._leaders.leave_out(leader, _LEADER_SILENT_S)
+                continue
             kind = outcome.failure().kind
             if kind not in (
                 ErrorKind.PLATFORM_UNAVAILABLE,
@@ -266,11 +282,19 @@
             return _NO_WAY
         return None
 
-    def _share(self, prefix: str, outcome: Result[WatchBatch, Failure]) -> None:
+    def _is_older(self, prefix: str, batch: WatchBatch) -> bool:
+        """Whether the host asked knows less than this one did.
+
+        Its own watch may have gone silent. After a failure everything is read
+        again, and its list would take back what is known of leaving replicas.
+        """
+        return batch.position < self._newest_by_prefix.get(prefix, 0)
+
+    def _tell_followers(self, outcome: Result[WatchBatch, Failure]) -> None:
         if self._shared is None:
             return
         if not isinstance(outcome, Failed):
-            self._shared.note(prefix, outcome.unwrap())
+            self._shared.regain()
         elif _is_unavailable(outcome):
             self._shared.lose()
 
--- a/libs/ledger/tests/test_shared_watches.py
+++ b/libs/ledger/tests/test_shared_watches.py
@@ -136,6 +136,57 @@
             while isinstance(await self.store.watch(PREFIX, 0, 5.0), Failed):
                 await asyncio.sleep(0.05)
 
+    async def test_what_a_leader_took_through_others_is_passed_on(self):
+        """A replica that leaves got new work from every host but the leader.
+
+        The leader was cut off from the store and took changes through another
+        host. Back at the store it took the next change directly, and passed
+        the one in between on as it had been before.
+        """
+        first = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        leader = self.leaders[0]
+        self.leaders[1].is_silent = True
+        leader.shared.lose()
+        found = (await self.direct.read("a/x")).unwrap()
+        await self.direct.write("a/x", b"leaves", found.version)
+        through = (await self.direct.watch(PREFIX, leader.position, 0)).unwrap()
+        leader.shared.take(PREFIX, leader.position, through)
+        leader.position = through.position
+        await self.direct.write("a/y", b"2", 0)
+        await leader.step()
+        later = (await self.store.watch(PREFIX, first.position, 5.0)).unwrap()
+        self.assertEqual(
+            {s.key: s.value for s in later.changed},
+            {"a/x": b"leaves", "a/y": b"2"},
+        )
+
+    async def test_a_gap_in_what_a_leader_took_is_never_passed_on(self):
+        leader = self.leaders[0]
+        found = (await self.direct.read("a/x")).unwrap()
+        await self.direct.write("a/x", b"leaves", found.version)
+        missed = (await self.direct.watch(PREFIX, leader.position, 0)).unwrap()
+        leader.position = missed.position
+        await self.direct.write("a/y", b"2", 0)
+        await leader.step()
+        outcome = await leader.shared.newer(PREFIX, 0, 0.0)
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_FOUND)
+
+    async def test_a_list_older_than_what_was_known_is_not_taken(self):
+        """A replica that leaves would count as ready again.
+
+        The host followed a leader that fell silent, reads everything again,
+        and asks another one whose own watch has been silent for longer.
+        """
+        await self.direct.write("a/y", b"2", 0)
+        await self.leaders[0].step()
+        newest = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        self.assertEqual(newest.position, self.leaders[0].position)
+        self.leaders[0].is_silent = True
+        self.leaders[0].shared.lose()
+        again = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        self.assertGreaterEqual(again.position, newest.position)
+        self.assertEqual(len(again.changed), 2)
+
     async def test_an_older_leader_takes_nothing_back(self):
         await self.direct.write("a/y", b"2", 0)
         await self.leaders[0].step()
