A claim that is written, and whose records can't be read yet, is not declined

Read on the way through the diff: the host that offered the shard would have gone on with it while the store names another owner. Test in test_acting.

--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -138,15 +138,21 @@
         known = self._map.get(number)
         epoch = (known.record.epoch if known else 0) + 1
         record = self._new_record(epoch, inheritance.previous)
+        unclear = UnclearClaim(record, version, inheritance)
         written = await self._write(number, record, version)
         if isinstance(written, Failed):
             if written.failure().kind is ErrorKind.WRITE_UNKNOWN:
-                self._unclear_by_shard[number] = UnclearClaim(
-                    record, version, inheritance
-                )
+                self._unclear_by_shard[number] = unclear
             return written
         view = ShardView(record, written.unwrap())
-        return await self._begin(number, view, inheritance)
+        begun = await self._begin(number, view, inheritance)
+        if isinstance(begun, Failed):
+            # Written, and not owned yet: a host that offered the shard must
+            # not go on as if it had been declined.
+            self._unclear_by_shard[number] = unclear
+            detail = str(begun.failure())
+            return Failed(Failure(ErrorKind.WRITE_UNKNOWN, detail))
+        return begun
 
     async def adopt_written(self) -> None:
         """Owns the shards whose claims turn out to have been written."""
@@ -154,13 +160,27 @@
             view = self._map.get(number)
             if view is None or view.version <= claim.version:
                 continue
-            del self._unclear_by_shard[number]
             if view.record == claim.record:
-                await self._begin(number, view, claim.inheritance)
+                await self._adopt(number, view, claim.inheritance)
+            else:
+                self._unclear_by_shard.pop(number, None)
 
     async def adopt(self, number: int, view: ShardView) -> None:
         """Goes on with a shard whose record this process has written."""
-        await self._begin(number, view, LOST_ACCOUNTS)
+        await self._adopt(number, view, LOST_ACCOUNTS)
+
+    async def _adopt(
+        self, number: int, view: ShardView, inheritance: Inheritance
+    ) -> None:
+        if number in self._busy_shards:
+            return
+        self._busy_shards.add(number)
+        try:
+            begun = await self._begin(number, view, inheritance)
+            if not isinstance(begun, Failed):
+                self._unclear_by_shard.pop(number, None)
+        finally:
+            self._busy_shards.discard(number)
 
     async def _begin(
         self, number: int, view: ShardView, inheritance: Inheritance
--- a/libs/ledger/tests/test_acting.py
+++ b/libs/ledger/tests/test_acting.py
@@ -77,6 +77,12 @@
     def __init__(self):
         super().__init__()
         self.is_lossy = False
+        self.is_silent_for_lists = False
+
+    async def list(self, prefix):
+        if self.is_silent_for_lists:
+            return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "no answer"))
+        return await super().list(prefix)
 
     async def write(self, key, value, expected_version):
         outcome = await super().write(key, value, expected_version)
@@ -243,6 +249,26 @@
         account = self.owner.owned()[SHARD].accounts.get("known")
         self.assertEqual(account.spent_tokens, 40)
 
+    async def test_a_claim_without_the_records_is_not_declined(self):
+        """Two hosts would admit turns of the same programs.
+
+        The claim of an offered shard is written, and the store gone before the
+        records are read. Told that it was declined, the host that offered the
+        shard would go on with it.
+        """
+        self.store.is_silent_for_lists = True
+        state = AccountState("known", BUDGET, 40, True, 0, 0, (), (), 100)
+        version = self.map.get(SHARD).version
+        reply = await self.keeper.accept(
+            HandOver(SHARD, version, (state,), 0.0)
+        )
+        self.assertIs(reply.failure.kind, ErrorKind.WRITE_UNKNOWN)
+        self.store.is_silent_for_lists = False
+        await self.read_map()
+        await self.keeper.look()
+        account = self.owner.owned()[SHARD].accounts.get("known")
+        self.assertEqual(account.spent_tokens, 40)
+
     async def test_a_claim_that_was_not_written_is_forgotten(self):
         self.store.faults.drop_writes = 1
         await self.acting.act(SHARD)
