A program with a record waits while hosts are apart, and loses nothing to a takeover

A record leaves at most two turns; the part of it that a lost owner might have given (110 of 220) counted as spent. Ruled out: a dead host named as the next standby (it is no longer, too; that one cost the same again). Change: no part of a record is shared.

--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -138,6 +138,7 @@
 
     def _begin(self, number: int, view: ShardView) -> OwnedShard:
         record = view.record
+        self._claims.avoid(record.address, record.port)
         copy = self._copies.seal(SealRequest(number, record.epoch))
         accounts = Accounts()
         accounts.adopt([account_of(state) for state in copy.accounts])
--- a/libs/ledger/src/masticdale_ledger/admissions.py
+++ b/libs/ledger/src/masticdale_ledger/admissions.py
@@ -18,7 +18,7 @@
 
 # A host that asks is told after this long that the turn is not decided yet,
 # in seconds: 0.15 less than it waits, for the way and for a busy processor.
-ANSWER_WITHIN_S = 0.15
+ANSWER_WITHIN_S = 0.25
 
 
 class Admissions:
--- a/libs/ledger/src/masticdale_ledger/apart.py
+++ b/libs/ledger/src/masticdale_ledger/apart.py
@@ -13,10 +13,10 @@
 
     Both know the same accounts when they lose each other. While the store is
     away neither can be replaced, and no record can be written. Each then takes
-    a part of what is left up to a program's record, or up to the first step,
-    which is what counts as spent if both lose their memory afterwards. Where
-    each took all of it, programs that loop got half of their budget a second
-    time after a loss of all hosts.
+    a part of what is left up to the first step, which is what counts as spent
+    if both lose their memory afterwards. Where each took all of it, programs
+    that loop got half of their budget a second time after a loss of all hosts.
+    A program that has a record waits.
 
     Attributes:
         share_by_id: Shares in the programs known when they lost each other.
@@ -57,6 +57,10 @@
 
 
 def _share(account: Account, acting: bool) -> Share:
+    if account.bound is not None:
+        # A record leaves two turns at most. Half of that holds none, and
+        # would still count as spent after each loss of an owner.
+        return Share(account.spent_tokens, 0)
     most = account.most_tokens
     free = max(0, account.ceiling_tokens - account.taken_tokens)
     most_free = max(0, account.ceiling_tokens - account.spent_tokens)
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -264,6 +264,10 @@
             key=lambda a: (a in owners, domain_by_address.get(a) == own_domain),
         )
 
+    def avoid(self, address: str, port: int) -> None:
+        """Names a host that was lost no standby for a while."""
+        self._failed_at_by_standby[(address, port)] = self._lease.now()
+
     def _sound(
         self, addresses: Iterable[tuple[str, int]]
     ) -> list[tuple[str, int]]:
@@ -325,8 +329,7 @@
     async def _write_standby(self, shard: OwnedShard) -> Failure | None:
         """Returns why no other standby could be named; None if one was."""
         old = shard.view.record
-        failed = (old.standby_address, old.standby_port)
-        self._failed_at_by_standby[failed] = self._lease.now()
+        self.avoid(old.standby_address, old.standby_port)
         record = self._new_record(old.epoch + 1, Previous.ENDED)
         written = await self._write(shard.number, record, shard.view.version)
         logs.write_bounded(
@@ -359,7 +362,7 @@
         states = shard.states(None)
         if shard.alone is not None:
             states = shard.acted_states()
-        elif shard.copier is not None and not shard.is_standby_leaving:
+        elif shard.may_be_acted_for and not shard.is_standby_leaving:
             shares = shares_of(shard.accounts.all(), acting=False)
             states = acted_states(states, Alone(shares, takes_new=False))
         incomplete_for_s = shard.incomplete_for_s
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -29,7 +29,7 @@
 # One question to an owner, in seconds: some hundred times the round trip
 # between failure domains; a host that is short of processor time answers in
 # some tens of milliseconds.
-CALL_TIMEOUT_S = 0.3
+CALL_TIMEOUT_S = 0.4
 # All questions about one turn, in seconds: an owner that was lost is replaced
 # within this time, and a caller that is refused comes back sooner.
 _PATIENCE_S = 1.2
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -13,7 +13,7 @@
     CopyReply,
     CopyRequest,
 )
-from masticdale_rpc import RpcClient
+from masticdale_rpc import RpcClient, was_sent
 
 # One copy, in seconds: a hundred round trips between failure domains.
 _COPY_TIMEOUT_S = 0.3
@@ -39,11 +39,14 @@
 
     Attributes:
         is_leaving: Whether the standby has said that it is about to end.
+        may_be_held: Whether the standby may hold anything; else it can't act
+            for its owner.
     """
 
     def __init__(self, peer: RpcClient) -> None:
         self._peer = peer
         self.is_leaving = False
+        self.may_be_held = False
         self._is_complete = False
         self._lock = asyncio.Lock()
         self._changed: dict[str, None] = {}
@@ -120,7 +123,10 @@
             accounts=accounts,
             incomplete_for_s=state.incomplete_for_s,
         )
-        return await self._peer.call(COPY, request, _COPY_TIMEOUT_S)
+        outcome = await self._peer.call(COPY, request, _COPY_TIMEOUT_S)
+        if not isinstance(outcome, Failed) or was_sent(outcome.failure()):
+            self.may_be_held = True
+        return outcome
 
 
 class AccountSource:
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -235,6 +235,8 @@
         """Stops the last owner where it may live, and gets its accounts."""
         if view is None:
             return Inheritance(Previous.NONE)
+        if previous is Previous.LOST:
+            self._claims.avoid(view.record.address, view.record.port)
         reply = await self._seal(number, view.record)
         if reply is None:
             return Inheritance(previous, (), LOST_PROGRAMS_S)
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -126,6 +126,11 @@
         found = (self.accounts.get(i) for i in program_ids)
         return tuple(state_of(a) for a in found if a is not None)
 
+    @property
+    def may_be_acted_for(self) -> bool:
+        """Whether the standby may go on without this host."""
+        return self.copier is not None and self.copier.may_be_held
+
     @property
     def is_standby_leaving(self) -> bool:
         """Whether the standby is about to end."""
