--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -36,9 +36,10 @@
 
     The standby has every account, and hosts that miss the owner come to it. It
     asks the owner once, goes on with the programs that it knows, and claims the
-    shard meanwhile. A loss of the owner's power stops its programs for 0.7 s,
+    shard meanwhile. A loss of the owner's power stopped its programs for 0.7 s,
     in place of 1.4 s where any host that missed the owner claimed the shard
-    after a while (from the loss to the log line of who goes on).
+    after a while (from the loss to the log line of who goes on; a host then
+    waited 0.3 s for the owner, now ``CALL_TIMEOUT_S``).
     """
 
     def __init__(
