--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -157,7 +157,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Spent:
+class _NoRoom:
     """A turn that the budget does not hold now."""
 
     account: Account
@@ -204,16 +204,16 @@
         """Reserves what a turn may use; see ``BudgetLedger.admit``."""
         wait_until = time.monotonic() + _TURNS_END_WITHIN_S
         while True:
-            outcome = await self._try(number, claim)
-            if not isinstance(outcome, _Spent):
+            outcome = await self._decide(number, claim)
+            if not isinstance(outcome, _NoRoom):
                 return outcome
             if outcome.verdict.is_final or time.monotonic() >= wait_until:
                 return Failed(self._spent(number, claim, outcome))
             await asyncio.sleep(_LOOK_AGAIN_S)
 
-    async def _try(
+    async def _decide(
         self, number: int, claim: TurnClaim
-    ) -> "Result[None, Failure] | _Spent":
+    ) -> "Result[None, Failure] | _NoRoom":
         for _ in range(_ROUNDS):
             shard = self._shard_by_number.get(number)
             if shard is None or shard.is_moving:
@@ -229,7 +229,7 @@
             if isinstance(verdict, Admitted):
                 return await self._reserve(shard, claim)
             if isinstance(verdict, Spent):
-                return _Spent(account, verdict)
+                return _NoRoom(account, verdict)
             if shard.alone is not None:
                 # A higher bound would count what the other may have handed
                 # out as unspent.
@@ -345,7 +345,7 @@
         return Success(None)
 
     def _spent(
-        self, number: int, claim: TurnClaim, outcome: "_Spent"
+        self, number: int, claim: TurnClaim, outcome: "_NoRoom"
     ) -> Failure:
         account, verdict = outcome.account, outcome.verdict
         self._metrics.count("ledger_refusals_total")
