Hosts ask the store at once where those that they follow have lost it alone

Cause: the store turned away just the three seeds (platform_down nodes). The other hosts took that for an outage and asked the store once in 2.5 s for one of three kinds, so that version 8 was in force 2.3 s and more after its acknowledgement. Ruled out: the store, silent seeds (they said that they had lost it). Change: without a seed that has the store, the store itself, at once, and each second while it is closed, as before the seeds were followed.

--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -35,9 +35,6 @@
 # The same for one that has itself lost the store, or has just started: it will
 # soon know more.
 _LEADER_LOST_S = 0.25
-# A host that watches through others tries the direct way less often while it is
-# closed, in seconds: they hear of the store's return first.
-_RETRY_FOLLOWING_S = 2.5
 
 PeerList = Callable[[], list[RpcClient]]
 StoreCall = Callable[[ObjectStore], Awaitable[Result[T, Failure]]]
@@ -59,16 +56,15 @@
         changed: Set when that changes; renewed each time.
     """
 
-    def __init__(self, retry_s: float) -> None:
+    def __init__(self) -> None:
         self.is_open = True
         self.changed = asyncio.Event()
         self._probe_at = 0.0
-        self._retry_s = retry_s
 
     def note(self, *, is_open: bool, reason: str) -> None:
         """Notes how a direct call ended."""
         now = asyncio.get_running_loop().time()
-        self._probe_at = now + self._retry_s
+        self._probe_at = now + _RETRY_DIRECT_S
         if is_open == self.is_open:
             return
         self.is_open = is_open
@@ -81,7 +77,7 @@
         now = asyncio.get_running_loop().time()
         if now < self._probe_at:
             return False
-        self._probe_at = now + self._retry_s
+        self._probe_at = now + _RETRY_DIRECT_S
         return True
 
 
@@ -90,12 +86,10 @@
 
     Attributes:
         all: Their clients.
-        have_lost: Whether those asked last have lost the store themselves.
     """
 
     def __init__(self, leaders: list[RpcClient]) -> None:
         self.all = leaders
-        self.have_lost = False
         self._left_out_until: dict[int, float] = {}
 
     def usable(self) -> list[RpcClient]:
@@ -146,9 +140,7 @@
         self._shared = shared
         self._random = random.Random()
         self._leaders = _Leaders(leaders or [])
-        self._reachability = _Reachability(
-            _RETRY_FOLLOWING_S if leaders else _RETRY_DIRECT_S
-        )
+        self._reachability = _Reachability()
         self._is_relay_lost = False
         self._newest_by_prefix: dict[str, int] = {}
 
@@ -255,7 +247,8 @@
     ) -> Result[WatchBatch, Failure] | None:
         """Watches through another host; None if the store is to be asked.
 
-        A host that has lost the store says so, and the next one is asked. One
+        A host that has lost the store says so, and the next one is asked. All
+        of them may have lost it alone: then the store is asked at once. One
         that is silent has cost its timeout, and the store is asked at once: a
         change must not wait for a second one.
         """
@@ -263,7 +256,6 @@
             outcome = await PeerStore(leader).follow(prefix, position)
             if not isinstance(outcome, Failed):
                 if not self._is_older(prefix, outcome.unwrap()):
-                    self._leaders.have_lost = False
                     self._metrics.count("watches_followed_total")
                     return outcome
                 self._leaders.leave_out(leader, _LEADER_SILENT_S)
@@ -276,10 +268,6 @@
                 self._leaders.leave_out(leader, _LEADER_SILENT_S)
                 return None
             self._leaders.leave_out(leader, _LEADER_LOST_S)
-            is_lost = kind is ErrorKind.PLATFORM_UNAVAILABLE
-            self._leaders.have_lost = self._leaders.have_lost or is_lost
-        if self._leaders.have_lost and not self._reachability.takes_probe():
-            return _NO_WAY
         return None
 
     def _is_older(self, prefix: str, batch: WatchBatch) -> bool:
