--- a/libs/ledger/src/masticdale_ledger/apart.py
+++ b/libs/ledger/src/masticdale_ledger/apart.py
@@ -106,18 +106,17 @@
 
 
 def acted_states(
-    states: tuple[AccountState, ...], alone: Alone | None
+    states: tuple[AccountState, ...], share_by_id: dict[str, Share]
 ) -> tuple[AccountState, ...]:
     """Returns the accounts of a shard that may have gone on elsewhere too.
 
     Args:
         states: The accounts as this host counted them.
-        alone: The shares; None if the shard was never apart.
+        share_by_id: The shares of the programs that may have.
     """
-    shares = alone.share_by_id if alone else {}
     return tuple(
-        with_elsewhere(state, shares[state.program_id])
-        if state.program_id in shares
+        with_elsewhere(state, share_by_id[state.program_id])
+        if state.program_id in share_by_id
         else state
         for state in states
     )
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -364,7 +364,7 @@
             states = shard.acted_states()
         elif shard.may_be_acted_for and not shard.is_standby_leaving:
             shares = shares_of(shard.accounts.all(), acting=False)
-            states = acted_states(states, Alone(shares, takes_new=False))
+            states = acted_states(states, shares)
         incomplete_for_s = shard.incomplete_for_s
         if shard.alone is not None and not shard.is_acting:
             incomplete_for_s = LOST_PROGRAMS_S
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -138,7 +138,8 @@
 
     def acted_states(self) -> tuple[AccountState, ...]:
         """Returns all accounts, with what another host may have given."""
-        return acted_states(self.states(None), self.alone)
+        shares = self.alone.share_by_id if self.alone else {}
+        return acted_states(self.states(None), shares)
 
     async def copy(self) -> Result[None, Failure]:
         """Returns once the standby holds every account as it is now."""
@@ -222,8 +223,7 @@
                 detail = f"lease of shard {number}, age {self._lease.age_s}"
                 return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
             if shard.declines(claim):
-                detail = f"shard {number} has neither standby nor store"
-                return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
+                return _alone_failure(number)
             account = shard.open(claim)
             verdict = account.judge(claim)
             if isinstance(verdict, Admitted):
@@ -233,8 +233,7 @@
             if shard.alone is not None:
                 # A higher bound would count what the other may have handed
                 # out as unspent.
-                detail = f"shard {number} has neither standby nor store"
-                return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
+                return _alone_failure(number)
             written = await self._write(shard, claim, account)
             if isinstance(written, Failed):
                 return written
@@ -362,3 +361,8 @@
             lease_age_s=self._lease.age_s,
         )
         return Failure(ErrorKind.BUDGET_EXCEEDED)
+
+
+def _alone_failure(number: int) -> Result[None, Failure]:
+    detail = f"shard {number} has neither standby nor store"
+    return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -36,7 +36,7 @@
 
 
 class SharedWatches:
-    """The newest of each prefix that this host follows directly."""
+    """The newest of each prefix that this host watches."""
 
     def __init__(self) -> None:
         self._part_by_prefix: dict[str, _Part] = {}
