A seal of an acted shard returns the same to every host that asks

Callers of a looping program got 2296 tokens of 1176: the store was down and the owner gone, the standby acted and gave 588 tokens to a new program; one host sealed it and lost its claim, a second one sealed it and got the copy of before.

Cause: ActingStandby.seal dropped the acting shard and returned its accounts to that one caller. Ruled out: a lost record (the program had none), two owners at once (the epochs are in order, and each claim was written once).

The accounts now replace the sealed copy. Nothing is given after the first seal, so every later one returns the same. A seal of an older epoch, delayed on its way, no longer stops a standby that acts for a newer one. Both ends of a seal leave a line with the number of accounts.

--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -109,17 +109,25 @@
             shard.alone = dataclasses.replace(shard.alone, takes_new=True)
 
     def seal(self, request: SealRequest) -> SealReply:
-        """Stops the owner of a shard that is being taken over elsewhere."""
+        """Stops the owner of a shard that is being taken over elsewhere.
+
+        A host that seals a shard may lose the race for it, its answer, or its
+        life. What was given while acting therefore stays here, in the copy, for
+        every host that seals the shard after it. Handed to the first one alone,
+        it was forgotten, and its programs got a budget again.
+        """
         shard = self._owner.owned().get(request.shard)
-        reply = self._copies.seal(request)
-        if shard is None or not shard.is_acting:
-            return reply
-        self._owner.drop(request.shard)
-        return SealReply(
-            held=True,
-            accounts=shard.acted_states(),
-            incomplete_for_s=shard.incomplete_for_s,
-        )
+        if shard is not None and shard.is_acting:
+            epoch = shard.view.record.epoch
+            if request.epoch >= epoch:
+                self._owner.drop(request.shard)
+                self._copies.keep_acted(
+                    request.shard,
+                    epoch,
+                    shard.acted_states(),
+                    shard.incomplete_for_s,
+                )
+        return self._copies.seal(request)
 
     def _is_due(self, number: int) -> bool:
         now = self._lease.now()
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -279,7 +279,16 @@
                 reason=str(outcome.failure()),
             )
             return None
-        return outcome.unwrap()
+        reply = outcome.unwrap()
+        logs.write(
+            "standby_sealed",
+            shard=number,
+            epoch=record.epoch,
+            standby=record.standby_address,
+            held=reply.held,
+            accounts=len(reply.accounts),
+        )
+        return reply
 
     def _needs_standby(self, shard: OwnedShard) -> bool:
         is_broken = shard.number in self._owner.failure_by_broken_copy
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -80,6 +80,33 @@
         is_sealed = epoch <= self._sealed_epoch_by_shard.get(shard, 0)
         return copy is not None and copy.epoch == epoch and not is_sealed
 
+    def keep_acted(
+        self,
+        shard: int,
+        epoch: int,
+        accounts: tuple[AccountState, ...],
+        incomplete_for_s: float,
+    ) -> None:
+        """Replaces a sealed copy by what became of it while this host acted.
+
+        An owner that was only cut off may have sent a copy of its next epoch
+        meanwhile, which then stays.
+
+        Args:
+            shard: The shard.
+            epoch: The epoch whose copy was sealed to act for its owner.
+            accounts: All accounts, with what was given here.
+            incomplete_for_s: Programs of before may be missing for so long.
+        """
+        held = self._copy_by_shard.get(shard)
+        if held is not None and held.epoch > epoch:
+            return
+        self._copy_by_shard[shard] = _Copy(
+            epoch,
+            collections.OrderedDict((a.program_id, a) for a in accounts),
+            boot_time_s() + incomplete_for_s,
+        )
+
     def seal(self, request: SealRequest) -> SealReply:
         """Takes no more copies up to an epoch; returns what is held of it."""
         sealed = self._sealed_epoch_by_shard.get(request.shard, 0)
@@ -91,6 +118,7 @@
             shard=request.shard,
             epoch=request.epoch,
             held=is_held,
+            accounts=len(copy.account_by_id) if copy and is_held else 0,
         )
         if copy is None or not is_held:
             return SealReply()
--- a/libs/ledger/tests/test_standby.py
+++ b/libs/ledger/tests/test_standby.py
@@ -62,6 +62,15 @@
         reply = self.copies.put(copy(4, account("a"), snapshot=True))
         self.assertTrue(reply.held)
 
+    def test_a_copy_of_a_later_epoch_is_not_replaced_by_an_acted_one(self):
+        """The accounts of a living owner would be lost with its next loss."""
+        self.copies.put(copy(3, account("a"), snapshot=True))
+        self.copies.seal(SealRequest(1, 3))
+        self.copies.put(copy(4, account("a", 50), snapshot=True))
+        self.copies.keep_acted(1, 3, (account("a", 20),), 0.0)
+        reply = self.copies.seal(SealRequest(1, 4))
+        self.assertEqual(reply.accounts, (account("a", 50),))
+
     def test_the_time_of_missing_programs_is_handed_on(self):
         self.copies.put(copy(1, snapshot=True, incomplete=50.0))
         reply = self.copies.seal(SealRequest(1, 1))
