--- /dev/null
+++ b/libs/ledger/tests/hosts_case.py
@@ -0,0 +1,492 @@
+"""Hosts of the ledger with their real parts, joined without a network.
+
+Links, the store and processes fail as a plan says. What callers are given is
+counted outside of the hosts, so that no part vouches for itself.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import types
+from unittest import mock
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import ErrorKind, Failure, Metrics
+from masticdale_ledger.acting import ActingStandby
+from masticdale_ledger.claims import ShardClaims
+from masticdale_ledger.client import Unreachable
+from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
+from masticdale_ledger.keeper import ShardKeeper
+from masticdale_ledger.leases import Lease
+from masticdale_ledger.messages import (
+    ADMIT,
+    SETTLE,
+    AdmitRequest,
+    Settlement,
+    SettleRequest,
+)
+from masticdale_ledger.owner import ShardOwner
+from masticdale_ledger.records import ProgramRecords
+from masticdale_ledger.service import LedgerService
+from masticdale_ledger.shards import ShardMap, shard_key
+from masticdale_ledger.standby import StandbyCopies
+from masticdale_platform.testing import MemoryStore
+from masticdale_rpc import unavailable
+
+SHARD = 0
+MOST = 100
+# An event takes this long on the hosts' clock, in seconds: more than a
+# standby waits between two questions to its owner.
+EVENT_S = 0.31
+
+
+class Clock:
+    """Seconds of all hosts."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class HostStore:
+    """The store as one host reaches it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.is_cut = False
+        self.loses_answers = False
+
+    @property
+    def is_lost(self):
+        return self.is_cut or self._store.faults.down
+
+    async def read(self, key):
+        if self.is_lost:
+            return self._away()
+        return await self._store.read(key)
+
+    async def list(self, prefix):
+        if self.is_lost:
+            return self._away()
+        return await self._store.list(prefix)
+
+    async def write(self, key, value, expected_version):
+        if self.is_lost:
+            return self._away()
+        outcome = await self._store.write(key, value, expected_version)
+        if not self.loses_answers:
+            return outcome
+        # The call is done, and the host can't read back what became of it.
+        self.is_cut = True
+        return Failed(Failure(ErrorKind.WRITE_UNKNOWN, "no answer"))
+
+    async def delete(self, key, expected_version):
+        if self.is_lost:
+            return self._away()
+        return await self._store.delete(key, expected_version)
+
+    def _away(self):
+        return Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE, "away"))
+
+
+class Link:
+    """The way from one host to another one's address."""
+
+    def __init__(self, world, source, target):
+        self._world = world
+        self._source = source
+        self._target = target
+
+    async def call(self, rpc, request, timeout_s):
+        world = self._world
+        process = world.process_by_name.get(self._target)
+        pair = frozenset((self._source, self._target))
+        if process is None:
+            return Failed(unavailable(self._target, "refused", sent=False))
+        if pair in world.cuts:
+            return Failed(unavailable(self._target, "timed out", sent=True))
+        reply = await getattr(process.service, rpc.name)(request)
+        if (self._source, self._target) in world.lost_answers:
+            return Failed(unavailable(self._target, "timed out", sent=True))
+        return Success(reply)
+
+
+class Links(Hosts):
+    """All ways from one host."""
+
+    def __init__(self, world, source):
+        self._world = world
+        self._source = source
+
+    def client(self, address, port):
+        return Link(self._world, self._source, self._world.names[port])
+
+    def candidates(self):
+        return [
+            ("127.0.0.1", port)
+            for port, name in self._world.names.items()
+            if name != self._source
+        ]
+
+
+class Process:
+    """One process of a host, from its start to its end."""
+
+    def __init__(self, world, name, number):
+        port = next(p for p, n in world.names.items() if n == name)
+        identity = Identity(name, f"{name}-{number}", "127.0.0.1", port, name)
+        self.name = name
+        self.identity = identity
+        self.is_stopping = False
+        self.store = HostStore(world.store)
+        self.map = ShardMap()
+        lease = Lease(world.clock)
+        records = ProgramRecords(self.store, identity.incarnation)
+        self.owner = ShardOwner(records, lease, Metrics())
+        self.copies = StandbyCopies()
+        links = Links(world, name)
+        self.seen = SeenHosts(identity.reached_at)
+        self.client = types.SimpleNamespace(unreachable_by_shard={})
+        claims = ShardClaims(
+            identity,
+            self.store,
+            records,
+            self.map,
+            self.owner,
+            lease,
+            self.client,
+            links,
+            self.seen,
+        )
+        self.acting = ActingStandby(
+            identity, self.map, self.owner, lease, self.copies, claims, links
+        )
+        self.keeper = ShardKeeper(
+            identity,
+            self.store,
+            self.map,
+            self.owner,
+            lease,
+            self.client,
+            claims,
+            self.acting,
+            links,
+            lambda: self.store.is_lost,
+            self.seen,
+        )
+        self.service = LedgerService(
+            self.owner,
+            self.keeper,
+            self.acting,
+            self.copies,
+            self.store,
+            self.seen,
+            None,
+        )
+
+    async def read_map(self):
+        """Learns what the store holds, as a watch would."""
+        found = await self.store.read(shard_key(SHARD))
+        if isinstance(found, Failed):
+            return
+        self.map.is_loaded = True
+        if found.unwrap() is not None:
+            self.map.put(found.unwrap())
+
+    def stop(self):
+        """Begins a planned stop."""
+        self.is_stopping = True
+        self.copies.is_stopping = True
+
+
+@dataclasses.dataclass(slots=True)
+class Turn:
+    """One turn that a caller was given."""
+
+    program: str
+    request_id: str
+    asked: Process
+
+
+class World:
+    """Hosts, the store, and what callers were given of each budget."""
+
+    def __init__(self, budget, names="abcd"):
+        self.budget = budget
+        self.names = dict(enumerate(names, start=1))
+        self.store = MemoryStore()
+        self.clock = Clock()
+        self.cuts = set()
+        self.lost_answers = set()
+        self.process_by_name = {}
+        self.open = []
+        self.unsent = []
+        self.given_by_program = {}
+        self.trace = []
+        self.lines = []
+        self._starts = 0
+        self._requests = 0
+        self._programs = 0
+
+    async def begin(self):
+        """Starts every host, and waits until the shard is owned."""
+        for name in self.names.values():
+            await self.start(name)
+        for process in self.process_by_name.values():
+            for other in self.process_by_name.values():
+                process.seen.note(other.identity.reached_at)
+        first = self.process_by_name[self.names[1]]
+        await first.keeper.look()
+        await self.learn()
+
+    async def learn(self):
+        for process in self.process_by_name.values():
+            await process.read_map()
+
+    async def start(self, name):
+        if name in self.process_by_name:
+            return
+        self._starts += 1
+        process = Process(self, name, self._starts)
+        await process.read_map()
+        self.process_by_name[name] = process
+
+    def kill(self, name):
+        self.process_by_name.pop(name, None)
+
+    async def turn(self, name, program):
+        """A caller asks one host for a turn; returns whether it is given."""
+        process = self.process_by_name.get(name)
+        view = process.map.get(SHARD) if process else None
+        if view is None:
+            return False
+        self._requests += 1
+        request_id = f"r{self._requests}"
+        request = AdmitRequest(
+            SHARD,
+            program,
+            request_id,
+            self.budget,
+            MOST,
+            process.identity.reached_at,
+            process.is_stopping,
+        )
+        record = view.record
+        for port in (record.port, record.standby_port):
+            if not port:
+                continue
+            outcome = await self._ask(process, port, request)
+            is_missed = isinstance(outcome, Failed)
+            if port == record.port:
+                self._note(process, view, is_missed)
+            if is_missed:
+                continue
+            failure = outcome.unwrap().failure
+            if failure is None:
+                self._give(program, request_id, process)
+                return True
+            if failure.kind is not ErrorKind.NOT_OWNER:
+                return False
+        return False
+
+    async def _ask(self, process, port, request):
+        if self.names[port] == process.name:
+            return Success(await process.service.admit(request))
+        link = Link(self, process.name, self.names[port])
+        return await link.call(ADMIT, request, 0.4)
+
+    def _note(self, process, view, is_missed):
+        known = process.client.unreachable_by_shard
+        if not is_missed:
+            known.pop(SHARD, None)
+            return
+        now = asyncio.get_running_loop().time()
+        known[SHARD] = Unreachable(view.version, now - 1.0, now)
+
+    def _give(self, program, request_id, asked):
+        given = self.given_by_program.setdefault(program, {})
+        given[request_id] = MOST
+        self.open.append(Turn(program, request_id, asked))
+
+    async def end_turn(self, used):
+        """The oldest turn ends; its host reports what it has used."""
+        if not self.open:
+            return
+        turn = self.open.pop(0)
+        self.given_by_program[turn.program][turn.request_id] = used
+        self.unsent.append((turn, used))
+        await self.send_settlements()
+
+    async def send_settlements(self):
+        unsent, self.unsent = self.unsent, []
+        for turn, used in unsent:
+            if not await self._settle(turn, used):
+                self.unsent.append((turn, used))
+
+    async def _settle(self, turn, used):
+        process = turn.asked
+        if self.process_by_name.get(process.name) is not process:
+            # What it would have reported has ended with it.
+            return True
+        settlement = Settlement(SHARD, turn.program, turn.request_id, used)
+        if process.owner.settle(settlement):
+            return True
+        view = process.map.get(SHARD)
+        for port in (view.record.port, view.record.standby_port):
+            if not port or self.names[port] == process.name:
+                continue
+            link = Link(self, process.name, self.names[port])
+            outcome = await link.call(SETTLE, SettleRequest((settlement,)), 0.4)
+            if isinstance(outcome, Failed):
+                continue
+            if SHARD not in outcome.unwrap().other_shards:
+                return True
+        return False
+
+    async def step(self, kind, first, second):
+        """Plays one event.
+
+        Args:
+            kind: Its name.
+            first: A number that chooses a host, or an amount.
+            second: A number that chooses another host, or a program.
+        """
+        names = list(self.names.values())
+        name = names[first % len(names)]
+        other = names[second % len(names)]
+        program = f"{'pq'[second % 2]}{self._programs}"
+        process = self.process_by_name.get(name)
+        self.trace.append((kind, name, other, program))
+        self.clock.now_s += EVENT_S
+        match kind:
+            case "turns":
+                for _ in range(1 + first % 4):
+                    await self.turn(name, program)
+            case "programs":
+                self._programs += 1
+            case "end":
+                await self.end_turn(first % (MOST + 1))
+            case "look" if process:
+                await process.keeper.look()
+            case "learn" if process:
+                await process.read_map()
+            case "copy" if process:
+                await process.owner.copy_changed()
+            case "cut":
+                self.cuts.add(frozenset((name, other)))
+            case "isolate":
+                self.cuts |= {frozenset((name, n)) for n in names if n != name}
+            case "lose-answers":
+                self.lost_answers.add((name, other))
+            case "heal":
+                self.cuts.clear()
+                self.lost_answers.clear()
+            case "store-cut" if process:
+                process.store.is_cut = True
+            case "store-lossy" if process:
+                process.store.loses_answers = True
+            case "store-down":
+                self.store.faults.down = True
+            case "store-up":
+                self.store.faults.down = False
+                for each in self.process_by_name.values():
+                    each.store.is_cut = False
+                    each.store.loses_answers = False
+            case "kill":
+                self.kill(name)
+            case "start":
+                await self.start(name)
+            case "stop" if process and not process.is_stopping:
+                process.stop()
+                await process.keeper.hand_over_all()
+            case "kill-all":
+                for each in names:
+                    self.kill(each)
+            case "later":
+                self.clock.now_s += 11.0
+        for _ in range(20):
+            await asyncio.sleep(0)
+        await self.send_settlements()
+
+    def overspent(self):
+        """Returns the programs that got more than they may."""
+        total_by_program = {
+            program: sum(given.values())
+            for program, given in self.given_by_program.items()
+        }
+        return {
+            program: total
+            for program, total in total_by_program.items()
+            if total > self.budget + MOST
+        }
+
+
+@contextlib.contextmanager
+def simulated(world):
+    """Has the hosts decide at once, on the world's clock and into its log."""
+
+    def write(message_type, **fields):
+        world.lines.append((message_type, fields))
+
+    with (
+        mock.patch("masticdale_common.logs.write", write),
+        mock.patch("masticdale_common.logs.write_bounded", write),
+        mock.patch("masticdale_ledger.owner._TURNS_END_WITHIN_S", 0.0),
+        mock.patch("masticdale_ledger.keeper._CLAIM_SPREAD_S", 0.0),
+        mock.patch("masticdale_ledger.standby.boot_time_s", world.clock),
+        mock.patch("masticdale_ledger.keeper.SHARD_COUNT", 1),
+    ):
+        yield
+
+
+# How often each event comes among a hundred and some. To change it changes what
+# every seed plays, also those that are kept for a fault they showed.
+WEIGHT_BY_KIND = {
+    "turns": 34,
+    "programs": 3,
+    "end": 12,
+    "look": 14,
+    "learn": 6,
+    "copy": 4,
+    "cut": 3,
+    "isolate": 2,
+    "lose-answers": 2,
+    "heal": 3,
+    "store-cut": 2,
+    "store-lossy": 1,
+    "store-down": 3,
+    "store-up": 4,
+    "kill": 3,
+    "start": 4,
+    "stop": 1,
+    "kill-all": 1,
+    "later": 1,
+}
+
+
+def random_steps(seed, count):
+    """Returns a plan: events with two numbers each."""
+    chooser = random.Random(seed)
+    kinds = chooser.choices(
+        list(WEIGHT_BY_KIND), list(WEIGHT_BY_KIND.values()), k=count
+    )
+    return [
+        (kind, chooser.randrange(101), chooser.randrange(8)) for kind in kinds
+    ]
+
+
+async def play(budget, steps):
+    """Plays a plan; returns what was overspent, and by which events."""
+    world = World(budget)
+    with simulated(world):
+        await world.begin()
+        for step in steps:
+            await world.step(*step)
+            if world.overspent():
+                break
+    return world
