Test of a standby cut off alone: its copy knows the ended turn

The setup left the ended turn uncopied, so that the program which both hosts know had no room at the standby whatever the code does. Fails as before without the mend: 3 new turns given, not 0.

--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -34,6 +34,7 @@
         await self.owner.owner.copy_changed()
         await self.world.turn("a", "old")
         await self.world.end_turn(20)
+        await self.owner.owner.copy_changed()
 
     def cut(self, *names):
         self.world.cuts.add(frozenset(names))
