A standby takes new programs only if its owner had lost the store too

Callers could get 1.5 times a program's budget: a standby that is cut off from its owner and from the store took the store for down and admitted new programs, and the owner, which had the store, named another standby and counted them from zero.

Each copy now says whether the owner has the store. Without that word the standby goes on with known programs only; an owner that has given it counts unknown programs as half spent until a copy that takes it back was answered. No clock is part of the proof: whichever of the two is wrong, one of the two rules holds. An owner alone that never gave the word no longer counts unknown programs as half spent.

Ruled out: half spent after each loss of a standby (a store write a new program, 402 for one in twenty), a kept part of each budget (one turn for programs of three), asking others (no proof in a split).

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -111,7 +111,7 @@
             CONFIGURATION_KEY, read_configuration
         )
         self._replicas = ReplicaList(REPLICA_PREFIX, read_replica, self._fleet)
-        self._lease = Lease()
+        self._lease = Lease(is_store_lost=lambda: self._store.is_lost)
         records = ProgramRecords(self._store, incarnation)
         self._owner = ShardOwner(records, self._lease, self._metrics)
         self._ledger = LedgerClient(
--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -101,12 +101,20 @@
     def take_new(self, shard: OwnedShard) -> None:
         """Admits programs, too, that the last owner did not know.
 
-        Only once the store was reached by no way. An owner that lives and
-        reaches it names another standby; it would count such programs from
-        zero, and not know what was given here.
+        Only where the store is reached by no way, and where the owner had lost
+        it too when it was last heard of. A standby that is cut off alone can't
+        tell itself from one whose owner is lost. Its owner, which lives and has
+        the store, names another standby and counts such programs from zero:
+        they got 1.5 times their budget from the two. An owner that has told its
+        standby that it lost the store counts them as half spent afterwards.
         """
-        if shard.alone is not None:
-            shard.alone = dataclasses.replace(shard.alone, takes_new=True)
+        if shard.alone is None or shard.alone.takes_new:
+            return
+        epoch = shard.view.record.epoch
+        if not self._copies.owner_was_without_store(shard.number, epoch):
+            return
+        shard.alone = dataclasses.replace(shard.alone, takes_new=True)
+        logs.write("shard_takes_new", shard=shard.number, epoch=epoch)
 
     def seal(self, request: SealRequest) -> SealReply:
         """Stops the owner of a shard that is being taken over elsewhere.
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -357,7 +357,8 @@
         """Returns what is known of a shard that this host goes on with.
 
         Its old standby may have acted meanwhile, and can't be asked: it counts
-        as having given its share. It takes new programs only without the store.
+        as having given its share. If it may have taken programs that are not
+        known here, those count as half spent when they come.
         """
         states = shard.states(None)
         if shard.alone is not None:
@@ -366,7 +367,7 @@
             shares = shares_of(shard.accounts.all(), acting=False)
             states = acted_states(states, shares)
         incomplete_for_s = shard.incomplete_for_s
-        if shard.alone is not None and not shard.is_acting:
+        if shard.may_be_acted_for_new:
             incomplete_for_s = LOST_PROGRAMS_S
         return Inheritance(
             Previous.ENDED, states, incomplete_for_s, shard.predecessor
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -27,11 +27,13 @@
         shard: The shard.
         epoch: The owner's epoch.
         incomplete_for_s: Programs of before may be missing for so long.
+        owner_has_store: Whether the owner reaches the store.
     """
 
     shard: int
     epoch: int
     incomplete_for_s: float
+    owner_has_store: bool
 
 
 class Copier:
@@ -41,12 +43,16 @@
         is_leaving: Whether the standby has said that it is about to end.
         may_be_held: Whether the standby may hold anything; else it can't act
             for its owner.
+        may_take_new: Whether the standby may have heard, as the owner's last
+            word, that the owner is without the store. It may then take
+            programs that the owner does not know.
     """
 
     def __init__(self, peer: RpcClient) -> None:
         self._peer = peer
         self.is_leaving = False
         self.may_be_held = False
+        self.may_take_new = False
         self._is_complete = False
         self._lock = asyncio.Lock()
         self._changed: dict[str, None] = {}
@@ -56,10 +62,9 @@
         """Has an account sent with the next copy."""
         self._changed[program_id] = None
 
-    @property
-    def has_changes(self) -> bool:
-        """Whether the standby lacks something."""
-        return bool(self._changed)
+    def is_due(self, *, owner_has_store: bool) -> bool:
+        """Returns whether the standby lacks something."""
+        return bool(self._changed) or self.may_take_new == owner_has_store
 
     async def send(
         self, state: CopyState, accounts: "AccountSource"
@@ -82,7 +87,8 @@
     ) -> Result[None, Failure]:
         async with self._lock:
             self._next_round = None
-            if self._is_complete and not self._changed:
+            is_due = self.is_due(owner_has_store=state.owner_has_store)
+            if self._is_complete and not is_due:
                 return Success(None)
             changed = list(self._changed)
             self._changed.clear()
@@ -122,10 +128,17 @@
             is_snapshot=is_snapshot,
             accounts=accounts,
             incomplete_for_s=state.incomplete_for_s,
+            owner_has_store=state.owner_has_store,
         )
         outcome = await self._peer.call(COPY, request, _COPY_TIMEOUT_S)
-        if not isinstance(outcome, Failed) or was_sent(outcome.failure()):
-            self.may_be_held = True
+        is_failed = isinstance(outcome, Failed)
+        if is_failed and not was_sent(outcome.failure()):
+            return outcome
+        self.may_be_held = True
+        if not state.owner_has_store:
+            self.may_take_new = True
+        elif not is_failed and outcome.unwrap().held:
+            self.may_take_new = False
         return outcome
 
 
--- a/libs/ledger/src/masticdale_ledger/leases.py
+++ b/libs/ledger/src/masticdale_ledger/leases.py
@@ -22,8 +22,19 @@
 class Lease:
     """When this host last knew what the store holds."""
 
-    def __init__(self, now: Callable[[], float] = boot_time_s) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float] = boot_time_s,
+        is_store_lost: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Begins without an answer.
+
+        Args:
+            now: A clock that counts suspension, in seconds.
+            is_store_lost: Whether the store was reached by no way lately.
+        """
         self._now = now
+        self._is_store_lost = is_store_lost
         self._confirmed_at: float | None = None
 
     def now(self) -> float:
@@ -40,6 +51,11 @@
         if self._confirmed_at is None or asked_at > self._confirmed_at:
             self._confirmed_at = asked_at
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the store was reached by no way the last time."""
+        return self._is_store_lost()
+
     @property
     def age_s(self) -> float | None:
         """Seconds since the last confirmed call; None before the first."""
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -68,6 +68,7 @@
   3: bool is_snapshot,       // replaces whatever is held
   4: list<AccountState> accounts,
   5: double incomplete_for_s,
+  6: bool owner_has_store,   // it may name another standby at any time
 }
 
 struct CopyReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -136,6 +136,8 @@
         is_snapshot: Whether these are all accounts.
         accounts: What has changed, each account whole.
         incomplete_for_s: Programs of before may be missing for so long.
+        owner_has_store: Whether the owner reaches the store, and so may name
+            another standby at any time.
     """
 
     shard: int
@@ -143,6 +145,7 @@
     is_snapshot: bool
     accounts: tuple[AccountState, ...]
     incomplete_for_s: float
+    owner_has_store: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -126,6 +126,19 @@
         found = (self.accounts.get(i) for i in program_ids)
         return tuple(state_of(a) for a in found if a is not None)
 
+    @property
+    def lacks_copy(self) -> bool:
+        """Whether the standby has to be told something."""
+        has_store = not self._lease.is_store_lost
+        return self.copier is not None and self.copier.is_due(
+            owner_has_store=has_store
+        )
+
+    @property
+    def may_be_acted_for_new(self) -> bool:
+        """Whether the standby may have taken programs not known here."""
+        return self.copier is not None and self.copier.may_take_new
+
     @property
     def may_be_acted_for(self) -> bool:
         """Whether the standby may go on without this host."""
@@ -152,7 +165,10 @@
         if self.copier is None:
             return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, "no standby"))
         state = CopyState(
-            self.number, self.view.record.epoch, self.incomplete_for_s
+            self.number,
+            self.view.record.epoch,
+            self.incomplete_for_s,
+            owner_has_store=not self._lease.is_store_lost,
         )
         return await self.copier.send(state, self)
 
@@ -260,7 +276,7 @@
         takeover, and its program would reach its budget too early.
         """
         for shard in list(self._shard_by_number.values()):
-            if shard.copier is None or not shard.copier.has_changes:
+            if not shard.lacks_copy:
                 continue
             copied = await shard.copy()
             if isinstance(copied, Failed):
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -31,11 +31,13 @@
         epoch: The owner's epoch.
         account_by_id: Its accounts.
         complete_from: Clock seconds from which no program is missing.
+        owner_has_store: Whether its owner reached the store with its last copy.
     """
 
     epoch: int
     account_by_id: collections.OrderedDict[str, AccountState]
     complete_from: float
+    owner_has_store: bool
 
 
 class StandbyCopies:
@@ -60,13 +62,14 @@
         if copy is not None and copy.epoch > request.epoch:
             return CopyReply(sealed=True)
         if request.is_snapshot:
-            copy = _Copy(request.epoch, collections.OrderedDict(), 0.0)
+            copy = _Copy(request.epoch, collections.OrderedDict(), 0.0, True)
             self._copy_by_shard[request.shard] = copy
         if copy is None or copy.epoch != request.epoch:
             # This process started after the copy was made: the owner has to
             # send everything again.
             return CopyReply(held=False)
         copy.complete_from = boot_time_s() + request.incomplete_for_s
+        copy.owner_has_store = request.owner_has_store
         for account in request.accounts:
             copy.account_by_id[account.program_id] = account
             copy.account_by_id.move_to_end(account.program_id)
@@ -80,6 +83,15 @@
         is_sealed = epoch <= self._sealed_epoch_by_shard.get(shard, 0)
         return copy is not None and copy.epoch == epoch and not is_sealed
 
+    def owner_was_without_store(self, shard: int, epoch: int) -> bool:
+        """Returns whether an owner said so with its last copy of an epoch."""
+        copy = self._copy_by_shard.get(shard)
+        return (
+            copy is not None
+            and copy.epoch == epoch
+            and not copy.owner_has_store
+        )
+
     def keep_acted(
         self,
         shard: int,
@@ -105,6 +117,7 @@
             epoch,
             collections.OrderedDict((a.program_id, a) for a in accounts),
             boot_time_s() + incomplete_for_s,
+            owner_has_store=False,
         )
 
     def seal(self, request: SealRequest) -> SealReply:
--- a/libs/ledger/tests/hosts_case.py
+++ b/libs/ledger/tests/hosts_case.py
@@ -145,7 +145,7 @@
         self.is_stopping = False
         self.store = HostStore(world.store)
         self.map = ShardMap()
-        lease = Lease(world.clock)
+        lease = Lease(world.clock, lambda: self.store.is_lost)
         records = ProgramRecords(self.store, identity.incarnation)
         self.owner = ShardOwner(records, lease, Metrics())
         self.copies = StandbyCopies()
