Test of a leaving standby: the owner is told before it loses it

The scenario sent no copy after the stop, so that the standby had told nobody and acted with a share that its owner counts, which is allowed. It now checks that the owner knows. Fails without the mend as before: 1 turn given, not 0.

--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -116,7 +116,10 @@
 
     async def test_a_standby_that_has_said_that_it_stops_does_not_act(self):
         self.standby.stop()
+        await self.ask(self.owner, "old", 1)
+        await self.world.end_turn(20)
         await self.owner.owner.copy_changed()
+        self.assertTrue(self.owner.owner.owned()[SHARD].is_standby_leaving)
         self.standby.store.is_cut = True
         await self.owner.keeper.look()
         self.cut("a", self.standby.name)
