A standby that has said that it stops no longer acts

An owner counts nothing for a standby that leaves; the leaving one, cut off from the store, did not learn that another was named, missed its owner and acted.

A copy that was answered with 'I stop' is none to act on. An owner that missed the answer counts the standby's share as before. Ruled out: counting a leaving standby's share too, which would cost budget with each planned stop.

--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -32,12 +32,14 @@
         account_by_id: Its accounts.
         complete_from: Clock seconds from which no program is missing.
         owner_has_store: Whether its owner reached the store with its last copy.
+        is_given_up: Whether its owner was told that this host stops.
     """
 
     epoch: int
     account_by_id: collections.OrderedDict[str, AccountState]
     complete_from: float
     owner_has_store: bool
+    is_given_up: bool = False
 
 
 class StandbyCopies:
@@ -75,13 +77,19 @@
             copy.account_by_id.move_to_end(account.program_id)
         while len(copy.account_by_id) > _MAX_ACCOUNTS:
             copy.account_by_id.popitem(last=False)
+        copy.is_given_up = self.is_stopping
         return CopyReply(held=True, stops=self.is_stopping)
 
     def holds(self, shard: int, epoch: int) -> bool:
-        """Returns whether there is a copy of an epoch that is not sealed."""
+        """Returns whether there is a copy of an epoch to act on.
+
+        A sealed one is none. Nor is one whose owner was told that this host
+        stops: it names another standby, and counts nothing for this one.
+        """
         copy = self._copy_by_shard.get(shard)
-        is_sealed = epoch <= self._sealed_epoch_by_shard.get(shard, 0)
-        return copy is not None and copy.epoch == epoch and not is_sealed
+        if copy is None or copy.epoch != epoch or copy.is_given_up:
+            return False
+        return epoch > self._sealed_epoch_by_shard.get(shard, 0)
 
     def owner_was_without_store(self, shard: int, epoch: int) -> bool:
         """Returns whether an owner said so with its last copy of an epoch."""
