--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -5,6 +5,8 @@
 
 from hosts_case import MOST, SHARD, World, play, random_steps, simulated
 
+from masticdale_ledger.messages import SealRequest
+
 # Plans played with each run, of this many events.
 _SEEDS = range(150)
 _EVENTS = 250
@@ -17,6 +19,10 @@
     (10181, 9.0),
     # A standby that had said that it stops acted for its owner.
     (20500, 7.5),
+    # An owner that had been replaced gave a program that its standby had never
+    # agreed to, while it was alone.
+    (11270, 10.5),
+    (10885, 9.0),
 )
 
 
@@ -126,6 +132,30 @@
         self.assertEqual(await self.ask(self.standby, "old", 6), 0)
 
 
+class ReplacedOwnerTest(HostsCase):
+    """A program got a part of its budget twice from two owners.
+
+    Another host takes the shard over and seals the standby. A turn of a new
+    program reaches the old owner, which asks the sealed standby in vain: the
+    turn is refused, and the program has an account there. The old owner then
+    loses the store, goes alone, and admits that program up to its share. The
+    new owner knows nothing of it and counts from zero.
+
+    Lines: ``copy_sealed`` with one account, ``copy_refused`` at the old owner,
+    ``shard_alone`` there with two programs.
+    """
+
+    async def test_alone_it_gives_only_what_its_standby_had_agreed_to(self):
+        record = self.owner.map.get(SHARD).record
+        self.standby.acting.seal(SealRequest(SHARD, record.epoch))
+        self.assertEqual(await self.ask(self.owner, "new", 1), 0)
+        self.owner.store.is_cut = True
+        await self.owner.keeper.look()
+        self.assertIsNotNone(self.owner.owner.owned()[SHARD].alone)
+        self.assertEqual(await self.ask(self.owner, "new", 6), 0)
+        self.assertGreater(await self.ask(self.owner, "old", 3), 0)
+
+
 class AnyOrderTest(unittest.TestCase):
     def check(self, seed, budget):
         # Not a test's own loop, whose debug mode takes twenty times as long.
