An owner alone gives only what its standby had agreed to

A shard had been taken over; the old owner, which did not know, had a turn of a new program refused by the sealed standby, kept the account, lost the store, went alone, and admitted the program up to its share.

Cause: shares were made of all accounts, also of those that no standby ever had. An account without an answered copy now has no share here, while what the standby may have given of it still counts, since an answer may have been lost.

--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -91,6 +91,7 @@
         reserved_by_request_id: The most that each turn under way may use.
         used_at: When it was last asked for, in seconds.
         most_tokens: The most that any of its turns might have used.
+        awaits_standby: Whether no standby has agreed to any of its turns yet.
     """
 
     program_id: str
@@ -101,6 +102,7 @@
     reserved_by_request_id: dict[str, int]
     used_at: float
     most_tokens: int = 0
+    awaits_standby: bool = False
 
     @property
     def reserved_tokens(self) -> int:
@@ -188,10 +190,11 @@
         self._account_by_id.move_to_end(claim.program_id)
         return account
 
-    def reserve(self, claim: TurnClaim) -> None:
-        """Takes what an admitted turn may use."""
+    def reserve(self, claim: TurnClaim) -> Account:
+        """Takes what an admitted turn may use; returns its account."""
         account = self._account_by_id[claim.program_id]
         account.reserved_by_request_id[claim.request_id] = claim.turn_tokens
+        return account
 
     def settle(self, program_id: str, request_id: str, used: int) -> None:
         """Replaces a reservation by what was used."""
--- a/libs/ledger/src/masticdale_ledger/apart.py
+++ b/libs/ledger/src/masticdale_ledger/apart.py
@@ -67,6 +67,11 @@
     own_part, other_part = _owner_part, _standby_part
     if acting:
         own_part, other_part = _standby_part, _owner_part
+    if account.awaits_standby:
+        # Whoever seals the standby learns of no such program and counts it from
+        # zero. An owner that had been replaced without knowing it admitted some
+        # of its turns a second time.
+        free = 0
     return Share(
         limit_tokens=account.spent_tokens + own_part(free, most),
         elsewhere_tokens=other_part(most_free, most),
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -112,12 +112,16 @@
 
     def open(self, claim: TurnClaim) -> Account:
         """Returns the account of a claim's program."""
-        return self.accounts.open(
+        is_known = self.accounts.get(claim.program_id) is not None
+        account = self.accounts.open(
             claim,
             record_name(claim.program_id),
             self.incomplete_for_s == 0,
             time.monotonic(),
         )
+        if not is_known:
+            account.awaits_standby = True
+        return account
 
     def states(self, program_ids: list[str] | None) -> tuple[AccountState, ...]:
         """See ``AccountSource.states``."""
@@ -299,7 +303,7 @@
     async def _reserve(
         self, shard: OwnedShard, claim: TurnClaim
     ) -> Result[None, Failure]:
-        shard.accounts.reserve(claim)
+        account = shard.accounts.reserve(claim)
         if shard.copier is not None:
             shard.copier.note(claim.program_id)
         copied = await shard.copy()
@@ -308,6 +312,8 @@
             detail = f"shard {shard.number}"
             return Failed(Failure(ErrorKind.NOT_OWNER, detail))
         if not isinstance(copied, Failed):
+            if shard.alone is None:
+                account.awaits_standby = False
             return Success(None)
         self.failure_by_broken_copy[shard.number] = copied.failure()
         shard.accounts.settle(claim.program_id, claim.request_id, 0)
