--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -23,14 +23,19 @@
     # agreed to, while it was alone.
     (11270, 10.5),
     (10885, 9.0),
+    # A host that took an offered shard had owned it before, and counted with
+    # what it remembered in place of what it was offered.
+    (50067, 6.0),
 )
 
 
 class HostsCase(unittest.IsolatedAsyncioTestCase):
     """Four hosts; the first to look owns the shard, another is its standby."""
 
+    budget = 750
+
     async def asyncSetUp(self):
-        self.world = World(budget=750)
+        self.world = World(self.budget)
         self.enterContext(simulated(self.world))
         await self.world.begin()
         record = self.world.process_by_name["a"].map.get(SHARD).record
@@ -156,6 +161,110 @@
         self.assertGreater(await self.ask(self.owner, "old", 3), 0)
 
 
+class HandOverTest(HostsCase):
+    """A shard that its owner offers to another host at a planned stop."""
+
+    budget = 1500
+
+    def other(self):
+        """Returns a host that is neither the owner nor the standby."""
+        taken = (self.owner, self.standby)
+        processes = self.world.process_by_name.values()
+        return next(p for p in processes if p not in taken)
+
+    async def test_the_standby_of_before_does_not_act_after_it(self):
+        """A program got a part of its budget twice around a planned stop.
+
+        The owner gives its shard with exact accounts to another host and ends.
+        Its standby is cut off from the store and does not learn of it. Callers
+        there miss the owner, the standby acts with the old epoch, and nobody
+        counts what it gives.
+
+        Lines: ``shard_handed_over`` without a failure, ``stopped``, then
+        ``shard_acted_for`` with the epoch before at the standby.
+        """
+        self.standby.store.is_cut = True
+        self.owner.stop()
+        await self.owner.keeper.hand_over_all()
+        self.world.kill("a")
+        taker = next(
+            p
+            for p in self.world.process_by_name.values()
+            if SHARD in p.owner.owned()
+        )
+        for _ in range(5):
+            if await self.ask(self.standby, "old", 1):
+                await self.world.end_turn(MOST)
+        for _ in range(16):
+            if await self.ask(taker, "old", 1):
+                await self.world.end_turn(MOST)
+        self.assert_within_budget("old")
+
+    async def test_a_host_that_owned_the_shard_before_counts_what_it_is_offered(
+        self,
+    ):
+        """A program got its budget a second time after a planned stop.
+
+        A host was cut off and replaced as the owner, and does not know it yet.
+        The new owner stops and offers the shard to just that host. It took its
+        own old accounts for newer than the offered ones, and wrote an epoch
+        that had been used before.
+
+        Lines: ``shard_taken`` twice with the same epoch, the second time with
+        fewer accounts than ``shard_handed_over`` names.
+        """
+        self.world.cuts |= {frozenset(("a", n)) for n in "bcd"}
+        for _ in range(2):
+            await self.ask(self.standby, "new", 2)
+        self.assertFalse(self.standby.owner.owned()[SHARD].is_acting)
+        self.world.cuts.clear()
+        for process in list(self.world.process_by_name.values()):
+            if process not in (self.owner, self.standby):
+                self.world.kill(process.name)
+        epoch = self.standby.owner.owned()[SHARD].view.record.epoch
+        self.standby.stop()
+        await self.standby.keeper.hand_over_all()
+        shard = self.owner.owner.owned()[SHARD]
+        self.assertGreater(shard.view.record.epoch, epoch)
+        account = shard.accounts.get("new")
+        self.assertIsNotNone(account)
+        given = self.world.given_by_program["new"]
+        self.assertEqual(account.taken_tokens, sum(given.values()))
+
+
+class TakeoverTest(HostsCase):
+    async def test_a_sealed_standby_that_acted_has_counted_its_owner_once(self):
+        """Programs were told 402 too early after an outage.
+
+        A standby that acted returns accounts in which the share of its lost
+        owner counts as spent. Whoever took the shard over counted that share
+        once more, also for programs that the owner had never known.
+        """
+        self.world.store.faults.down = True
+        await self.owner.owner.copy_changed()
+        self.world.kill("a")
+        await self.ask(self.standby, "new", 3)
+        await self.standby.keeper.look()
+        self.assertGreater(await self.ask(self.standby, "new", 1), 0)
+        self.standby.store.is_cut = True
+        self.world.store.faults.down = False
+        acted = self.standby.owner.owned()[SHARD].acted_states()
+        taker = next(
+            p
+            for p in self.world.process_by_name.values()
+            if p is not self.standby
+        )
+        await self.ask(taker, "old", 1)
+        self.world.kill(self.standby.name)
+        self.world.process_by_name[self.standby.name] = self.standby
+        await taker.keeper.look()
+        accounts = taker.owner.owned()[SHARD].accounts
+        for state in acted:
+            with self.subTest(program=state.program_id):
+                account = accounts.get(state.program_id)
+                self.assertEqual(account.spent_tokens, state.spent_tokens)
+
+
 class AnyOrderTest(unittest.TestCase):
     def check(self, seed, budget):
         # Not a test's own loop, whose debug mode takes twenty times as long.
