A host that owned a shard before takes it over as it is offered

It now reads the store where it does not know the offered version, declines where the offer is not the last one, and drops what it held of an older one. One read, only then. Ruled out: the claim itself, which is fenced by the version.

--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -140,6 +140,9 @@
         """Takes over a shard that its owner offers."""
         if self.is_stopping or not self._map.is_loaded:
             return HandOverReply(Failure(ErrorKind.STOPPING))
+        failure = await self._learn_offered(offer)
+        if failure is not None:
+            return HandOverReply(failure)
         inheritance = Inheritance(
             Previous.ENDED,
             offer.accounts,
@@ -153,6 +156,27 @@
             return HandOverReply(claimed.failure())
         return HandOverReply()
 
+    async def _learn_offered(self, offer: HandOver) -> Failure | None:
+        """Returns why a shard can't be taken over as it is offered.
+
+        A host that owned the shard once, and has not learned that it does no
+        more, would count with what it remembers, and write an epoch that was
+        used before: its standby then took that for the older one.
+        """
+        view = self._map.get(offer.shard)
+        if view is None or view.version < offer.version:
+            await self._claims.refresh(offer.shard)
+            view = self._map.get(offer.shard)
+        if view is None or view.version != offer.version:
+            return Failure(ErrorKind.CONFLICT, "not the shard's last version")
+        owned = self._owner.owned().get(offer.shard)
+        if owned is not None and owned.view.version < offer.version:
+            self._owner.drop(offer.shard)
+            logs.write(
+                "shard_lost", shard=offer.shard, new_owner=view.record.owner
+            )
+        return None
+
     async def hand_over_all(self) -> None:
         """Offers every shard to another host; for a planned stop."""
         self.is_stopping = True
