The share of a lost owner counts once in what a standby gave

Programs could be told 402 too early after an outage: an acting standby's accounts count what its lost owner may have given, and whoever sealed it counted that share again (275 tokens for 198; 188 for a program that the owner never knew).

The reply to a seal says whether the standby acted; its accounts then stay as they are. The sum stays sound: the share is in them once.

--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -266,9 +266,12 @@
             return Inheritance(previous, (), LOST_PROGRAMS_S)
         if not reply.held:
             return Inheritance(Previous.ENDED, (), LOST_PROGRAMS_S)
+        accounts = reply.accounts
+        if not reply.acted:
+            accounts = tuple(limited(state) for state in accounts)
         return Inheritance(
             Previous.ENDED,
-            tuple(limited(state) for state in reply.accounts),
+            accounts,
             reply.incomplete_for_s,
             view.record.incarnation,
         )
@@ -310,6 +313,7 @@
             epoch=record.epoch,
             standby=record.standby_address,
             held=reply.held,
+            acted=reply.acted,
             accounts=len(reply.accounts),
         )
         return reply
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -86,6 +86,7 @@
   1: bool held,              // the accounts are complete
   2: list<AccountState> accounts,
   3: double incomplete_for_s,
+  4: bool acted,             // they count what the owner may have given
 }
 
 struct HandOverReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -179,11 +179,14 @@
         held: Whether there is one; without, the accounts are lost.
         accounts: All accounts.
         incomplete_for_s: Programs of before may be missing for so long.
+        acted: Whether the standby has acted for the owner. The accounts then
+            count what that owner may have given meanwhile.
     """
 
     held: bool = False
     accounts: tuple[AccountState, ...] = ()
     incomplete_for_s: float = 0.0
+    acted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -33,6 +33,8 @@
         complete_from: Clock seconds from which no program is missing.
         owner_has_store: Whether its owner reached the store with its last copy.
         is_given_up: Whether its owner was told that this host stops.
+        was_acted_on: Whether it counts what was given here, and what its owner
+            may have given meanwhile.
     """
 
     epoch: int
@@ -40,6 +42,7 @@
     complete_from: float
     owner_has_store: bool
     is_given_up: bool = False
+    was_acted_on: bool = False
 
 
 class StandbyCopies:
@@ -126,6 +129,7 @@
             collections.OrderedDict((a.program_id, a) for a in accounts),
             boot_time_s() + incomplete_for_s,
             owner_has_store=False,
+            was_acted_on=True,
         )
 
     def seal(self, request: SealRequest) -> SealReply:
@@ -147,4 +151,5 @@
             held=True,
             accounts=tuple(copy.account_by_id.values()),
             incomplete_for_s=max(0.0, copy.complete_from - boot_time_s()),
+            acted=copy.was_acted_on,
         )
