A stopping owner seals its standby before it gives a shard away

Callers could get a part of a budget twice around a planned stop (test_any_order, 1720 of 1500 tokens): the next owner had exact accounts, and the standby of before, cut off from the store, missed the old owner and acted with the old epoch.

The owner now seals its standby first, one call between hosts for each shard at a stop; if that fails, or the standby has acted, the offer counts the standby's share as spent. If nobody takes the shard another standby is named, as the sealed one consents to nothing. While the store is away nothing is offered: every claim would fail, and the sealed standby could not act after the end.

--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -195,7 +195,7 @@
         shard = self._owner.owned().get(number)
         if shard is not None:
             # It has gone on here until now.
-            inheritance = self._kept(shard)
+            inheritance = self.kept(shard)
         accounts.adopt([account_of(state) for state in inheritance.accounts])
         self._own(number, view, accounts, inheritance)
         logs.write(
@@ -326,6 +326,16 @@
         finally:
             self._busy_shards.discard(shard.number)
 
+    async def name_standby(self, shard: OwnedShard) -> None:
+        """Names another standby at once, whatever the present one says."""
+        if shard.number in self._busy_shards:
+            return
+        self._busy_shards.add(shard.number)
+        try:
+            await self._write_standby(shard)
+        finally:
+            self._busy_shards.discard(shard.number)
+
     async def _write_standby(self, shard: OwnedShard) -> Failure | None:
         """Returns why no other standby could be named; None if one was."""
         old = shard.view.record
@@ -346,14 +356,14 @@
             return failure
         if self._owner.owned().get(shard.number) is not shard:
             return None
-        inheritance = self._kept(shard)
+        inheritance = self.kept(shard)
         accounts = shard.accounts
         accounts.adopt([account_of(state) for state in inheritance.accounts])
         view = ShardView(record, written.unwrap())
         self._own(shard.number, view, accounts, inheritance)
         return None
 
-    def _kept(self, shard: OwnedShard) -> Inheritance:
+    def kept(self, shard: OwnedShard) -> Inheritance:
         """Returns what is known of a shard that this host goes on with.
 
         Its old standby may have acted meanwhile, and can't be asked: it counts
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -328,19 +328,46 @@
 
     async def _hand_over(self, shard: OwnedShard) -> None:
         """Offers a shard to one host after the other, until one takes it."""
+        if self._is_store_lost():
+            # Nobody could write that the shard is theirs. The standby consents
+            # until the end here, and acts afterwards.
+            return
         shard.is_moving = True
+        inheritance = await self._stop_standby(shard)
         for target in self._targets()[:_OFFERS]:
-            if not await self._offer(shard, target):
+            if not await self._offer(shard, target, inheritance):
                 return
         shard.is_moving = False
+        if shard.copier is not None:
+            await self._claims.name_standby(shard)
+
+    async def _stop_standby(self, shard: OwnedShard) -> Inheritance:
+        """Returns what the next owner is to know of a shard.
+
+        A standby that does not learn of the hand-over misses this host once it
+        has ended, and would act with shares that nobody counts. Sealed it does
+        not; where it can't be sealed its shares count as spent.
+        """
+        exact = Inheritance(
+            Previous.ENDED, shard.states(None), shard.incomplete_for_s
+        )
+        if shard.copier is None and not shard.is_acting:
+            return exact
+        if shard.alone is None:
+            reply = await self._seal(shard.number, shard.view.record)
+            if reply is not None and reply.held and not reply.acted:
+                return exact
+        return self._claims.kept(shard)
 
-    async def _offer(self, shard: OwnedShard, target: HostAddress) -> bool:
+    async def _offer(
+        self, shard: OwnedShard, target: HostAddress, inheritance: Inheritance
+    ) -> bool:
         """Returns whether the target surely has not taken the shard."""
         offer = HandOver(
             shard.number,
             shard.view.version,
-            shard.acted_states(),
-            shard.incomplete_for_s,
+            inheritance.accounts,
+            inheritance.incomplete_for_s,
         )
         peer = self._hosts.client(target.address, target.port)
         outcome = await peer.call(HAND_OVER, offer, 2 * _CALL_TIMEOUT_S)
