An arbiter that the shard names lets one of owner and standby go on

The shard's object names a third host. Owner and standby ask it, the first one has it for that epoch; a standby needs that, or its owner's word, to take new programs, and an owner that was not let go on counts unknown programs as half spent once it names another standby. The appointment is made once an epoch, so that an arbiter that was started again knows nothing. Nobody votes: the store has named it.

--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -8,6 +8,7 @@
 from masticdale_common import ErrorKind, logs
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.apart import Alone, shares_of
+from masticdale_ledger.arbiter import Arbitration, Side
 from masticdale_ledger.claims import LOST_ACCOUNTS, ShardClaims
 from masticdale_ledger.hosts import Hosts, Identity
 from masticdale_ledger.leases import Lease
@@ -58,6 +59,7 @@
         self._lease = lease
         self._copies = copies
         self._hosts = hosts
+        self._arbitration = Arbitration(hosts)
         self._claims = claims
         self._asked_at_by_shard: dict[int, float] = {}
         self._claiming: set[asyncio.Task[None]] = set()
@@ -96,25 +98,30 @@
             reason=str(failure),
         )
         if failure.kind is not ErrorKind.CONFLICT:
-            self.take_new(shard)
+            await self.take_new(shard)
 
-    def take_new(self, shard: OwnedShard) -> None:
+    async def take_new(self, shard: OwnedShard) -> None:
         """Admits programs, too, that the last owner did not know.
 
-        Only where the store is reached by no way, and where the owner had lost
-        it too when it was last heard of. A standby that is cut off alone can't
-        tell itself from one whose owner is lost. Its owner, which lives and has
-        the store, names another standby and counts such programs from zero:
-        they got 1.5 times their budget from the two. An owner that has told its
-        standby that it lost the store counts them as half spent afterwards.
+        Only where the store is reached by no way. A standby that is cut off
+        alone can't tell itself from one whose owner is lost. Its owner, which
+        lives and has the store, names another standby and counts such programs
+        from zero: they got 1.5 times their budget from the two. So the owner
+        has to have told, with its last copy, that it lost the store too, or the
+        arbiter to let this host go on. In both cases an owner that lives counts
+        programs that it does not know as half spent.
         """
         if shard.alone is None or shard.alone.takes_new:
             return
-        epoch = shard.view.record.epoch
-        if not self._copies.owner_was_without_store(shard.number, epoch):
+        record = shard.view.record
+        if not self._copies.owner_was_without_store(
+            shard.number, record.epoch
+        ) and not await self._arbitration.is_for(
+            Side.STANDBY, shard.number, record
+        ):
             return
         shard.alone = dataclasses.replace(shard.alone, takes_new=True)
-        logs.write("shard_takes_new", shard=shard.number, epoch=epoch)
+        logs.write("shard_takes_new", shard=shard.number, epoch=record.epoch)
 
     def seal(self, request: SealRequest) -> SealReply:
         """Stops the owner of a shard that is being taken over elsewhere.
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -10,6 +10,7 @@
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.apart import Alone, acted_states, shares_of
+from masticdale_ledger.arbiter import Arbitration, Side
 from masticdale_ledger.client import LedgerClient
 from masticdale_ledger.copier import Copier
 from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
@@ -101,6 +102,7 @@
         self._busy_shards: set[int] = set()
         self._failed_at_by_standby: dict[tuple[str, int], float] = {}
         self._unclear_by_shard: dict[int, UnclearClaim] = {}
+        self._arbitration = Arbitration(hosts)
 
     async def refresh(self, number: int) -> bool:
         """Reads a shard's object; returns whether the store answered."""
@@ -234,6 +236,7 @@
             )
         )
         self._client.unreachable_by_shard.pop(number, None)
+        self._arbitration.begin(number, view.record)
         value = view.record.model_dump_json().encode()
         self._map.put(StoredObject(shard_key(number), view.version, value))
 
@@ -243,10 +246,7 @@
         Hosts that have asked for something lately live. A host that is only
         known by name may be dead, and naming it would cost a write.
         """
-        domain_by_address = {
-            (host.address, host.port): host.failure_domain
-            for host in self._seen.fresh()
-        }
+        domain_by_address = self._domain_by_address()
         addresses = self._sound(domain_by_address)
         addresses = addresses or self._sound(self._hosts.candidates())
         addresses = addresses or list(domain_by_address)
@@ -264,6 +264,31 @@
             key=lambda a: (a in owners, domain_by_address.get(a) == own_domain),
         )
 
+    def _choose_arbiter(
+        self, standby: tuple[str, int]
+    ) -> tuple[str, int] | None:
+        """Returns a host that is likely to outlive owner and standby."""
+        domain_by_address = self._domain_by_address()
+        addresses = self._sound(domain_by_address)
+        addresses = addresses or self._sound(self._hosts.candidates())
+        others = [a for a in addresses if a != standby]
+        if not others:
+            return None
+        taken = {
+            self._identity.failure_domain,
+            domain_by_address.get(standby, ""),
+        }
+        return min(
+            self._random.sample(others, len(others)),
+            key=lambda a: domain_by_address.get(a, "") in taken,
+        )
+
+    def _domain_by_address(self) -> dict[tuple[str, int], str]:
+        return {
+            (host.address, host.port): host.failure_domain
+            for host in self._seen.fresh()
+        }
+
     def avoid(self, address: str, port: int) -> None:
         """Names a host that was lost no standby for a while."""
         self._failed_at_by_standby[(address, port)] = self._lease.now()
@@ -281,6 +306,7 @@
 
     def _new_record(self, epoch: int, previous: Previous) -> ShardRecord:
         standby = self.choose_standby() or ("", 0)
+        arbiter = self._choose_arbiter(standby) or ("", 0)
         return ShardRecord(
             owner=self._identity.host,
             incarnation=self._identity.incarnation,
@@ -290,6 +316,8 @@
             previous=previous,
             standby_address=standby[0],
             standby_port=standby[1],
+            arbiter_address=arbiter[0],
+            arbiter_port=arbiter[1],
         )
 
     def _copier(self, record: ShardRecord) -> Copier | None:
@@ -336,8 +364,17 @@
         finally:
             self._busy_shards.discard(shard.number)
 
+    async def ask_arbiter(self, shard: OwnedShard) -> None:
+        """Finds out whether the standby may have gone on with new programs."""
+        if shard.has_decision or not shard.may_be_acted_for_new:
+            return
+        shard.has_decision = await self._arbitration.is_for(
+            Side.OWNER, shard.number, shard.view.record
+        )
+
     async def _write_standby(self, shard: OwnedShard) -> Failure | None:
         """Returns why no other standby could be named; None if one was."""
+        await self.ask_arbiter(shard)
         old = shard.view.record
         self.avoid(old.standby_address, old.standby_port)
         record = self._new_record(old.epoch + 1, Previous.ENDED)
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -284,7 +284,7 @@
 
     async def _claim_acting(self, shard: OwnedShard) -> None:
         if self._is_store_lost():
-            self._acting.take_new(shard)
+            await self._acting.take_new(shard)
         else:
             await self._acting.claim(shard)
 
@@ -357,6 +357,7 @@
             reply = await self._seal(shard.number, shard.view.record)
             if reply is not None and reply.held and not reply.acted:
                 return exact
+        await self._claims.ask_arbiter(shard)
         return self._claims.kept(shard)
 
     async def _offer(
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -93,6 +93,25 @@
   1: optional WireFailure failure,
 }
 
+struct AppointRequest {
+  1: i64 shard,
+  2: i64 epoch,
+}
+
+struct AppointReply {
+  1: bool accepted,
+}
+
+struct DecideRequest {
+  1: i64 shard,
+  2: i64 epoch,
+  3: string side,            // owner or standby
+}
+
+struct DecideReply {
+  1: string side,            // who may go on; empty where it isn't known
+}
+
 struct StoreItem {
   1: string key,
   2: i64 version,
@@ -123,5 +142,7 @@
   HandOverReply hand_over(1: HandOver request),
   CopyReply copy(1: CopyRequest request),
   SealReply seal(1: SealRequest request),
+  AppointReply appoint(1: AppointRequest request),
+  DecideReply decide(1: DecideRequest request),
   StoreReply store(1: StoreRequest request),
 }
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -189,6 +189,43 @@
     acted: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppointRequest:
+    """Makes a host the arbiter of one epoch; see ``Arbiter``."""
+
+    shard: int
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppointReply:
+    """Whether the host is the arbiter from now on."""
+
+    accepted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecideRequest:
+    """Asks an arbiter whether one side may go on.
+
+    Attributes:
+        shard: The shard.
+        epoch: The owner's epoch.
+        side: Who asks; a ``Side``.
+    """
+
+    shard: int
+    epoch: int
+    side: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecideReply:
+    """Who may go on: a ``Side``; empty where the arbiter does not know."""
+
+    side: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreItem:
     """A ``StoredObject`` with its value as text."""
@@ -236,9 +273,11 @@
 HAND_OVER = Rpc("hand_over", HandOver, HandOverReply)
 COPY = Rpc("copy", CopyRequest, CopyReply)
 SEAL = Rpc("seal", SealRequest, SealReply)
+APPOINT = Rpc("appoint", AppointRequest, AppointReply)
+DECIDE = Rpc("decide", DecideRequest, DecideReply)
 STORE = Rpc("store", StoreRequest, StoreReply)
 
-_RPCS = (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, STORE)
+_RPCS = (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, APPOINT, DECIDE, STORE)
 _INNER_TYPES = (HostAddress, Settlement, AccountState, StoreItem)
 
 LEDGER = Contract(
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -55,6 +55,8 @@
         is_moving: Whether it is being handed over.
         is_acting: Whether this host is the standby, in place of the owner.
         alone: Set while there is neither a standby nor a store.
+        has_decision: Whether the arbiter lets this host go on, and so not the
+            standby.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.is_moving = False
         self.is_acting = False
         self.alone: Alone | None = None
+        self.has_decision = False
         self._complete_from = lease.now() + incomplete_for_s
         self._lease = lease
 
@@ -141,7 +144,12 @@
     @property
     def may_be_acted_for_new(self) -> bool:
         """Whether the standby may have taken programs not known here."""
-        return self.copier is not None and self.copier.may_take_new
+        if self.copier is None or not self.copier.may_be_held:
+            return False
+        has_arbiter = bool(self.view.record.arbiter_address)
+        return self.copier.may_take_new or (
+            has_arbiter and not self.has_decision and not self.copier.is_leaving
+        )
 
     @property
     def may_be_acted_for(self) -> bool:
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -5,13 +5,18 @@
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.acting import ActingStandby
 from masticdale_ledger.admissions import Admissions
+from masticdale_ledger.arbiter import Arbiter
 from masticdale_ledger.hosts import SeenHosts
 from masticdale_ledger.keeper import ShardKeeper
 from masticdale_ledger.messages import (
     AdmitReply,
     AdmitRequest,
+    AppointReply,
+    AppointRequest,
     CopyReply,
     CopyRequest,
+    DecideReply,
+    DecideRequest,
     HandOver,
     HandOverReply,
     SealReply,
@@ -42,6 +47,7 @@
         shared: SharedWatches | None,
     ) -> None:
         self._acting = acting
+        self._arbiter = Arbiter()
         self._admissions = Admissions(owner, acting)
         self._copies = copies
         self._owner = owner
@@ -88,6 +94,14 @@
         """Stops the owner of a shard that is being taken over."""
         return self._acting.seal(request)
 
+    async def appoint(self, request: AppointRequest) -> AppointReply:
+        """Begins to decide between an owner and its standby."""
+        return self._arbiter.appoint(request)
+
+    async def decide(self, request: DecideRequest) -> DecideReply:
+        """Lets one of the two go on."""
+        return self._arbiter.decide(request)
+
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't."""
         return await serve_store(self._direct, request, self._shared)
--- a/libs/ledger/src/masticdale_ledger/shards.py
+++ b/libs/ledger/src/masticdale_ledger/shards.py
@@ -34,6 +34,9 @@
         standby_address: Host without whose consent the owner admits nothing;
             empty for none.
         standby_port: And its port.
+        arbiter_address: Host that lets one of the two go on where both may
+            not; empty for none.
+        arbiter_port: And its port.
     """
 
     model_config = pydantic.ConfigDict(frozen=True)
@@ -46,6 +49,8 @@
     previous: Previous
     standby_address: str = ""
     standby_port: int = 0
+    arbiter_address: str = ""
+    arbiter_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -26,6 +26,12 @@
     # A host that took an offered shard had owned it before, and counted with
     # what it remembered in place of what it was offered.
     (50067, 6.0),
+    (62253, 9.0),
+    # A program whose first turn was refused at its owner, and which a standby
+    # then took, counted from zero at that owner.
+    (72678, 10.5),
+    (90886, 10.5),
+    (91686, 10.5),
 )
 
 
@@ -74,7 +80,8 @@
     """
 
     async def test_cut_off_alone_it_takes_no_new_programs(self):
-        self.cut("a", self.standby.name)
+        for name in "abcd":
+            self.cut(name, self.standby.name)
         self.standby.store.is_cut = True
         given = await self.ask(self.standby, "new", 6)
         await self.standby.keeper.look()
@@ -83,6 +90,56 @@
         # The programs that both know go on.
         self.assertGreater(await self.ask(self.standby, "old", 3), 0)
 
+    async def test_with_the_arbiter_its_owner_counts_what_it_may_have_given(
+        self,
+    ):
+        self.cut("a", self.standby.name)
+        self.standby.store.is_cut = True
+        await self.ask(self.standby, "new", 2)
+        await self.standby.keeper.look()
+        self.assertGreater(await self.ask(self.standby, "new", 6), 0)
+        await self.ask(self.owner, "old", 1)
+        for _ in range(3):
+            await self.owner.keeper.look()
+        await self.ask(self.owner, "new", 12)
+        self.assert_within_budget("new")
+
+    async def test_an_owner_that_was_let_go_on_counts_new_programs_from_zero(
+        self,
+    ):
+        """Each loss of a standby would cost new programs half of a budget.
+
+        The standby, cut off later from owner and store, takes none.
+        """
+        self.cut("a", self.standby.name)
+        await self.ask(self.owner, "old", 1)
+        for _ in range(3):
+            await self.owner.keeper.look()
+        self.assertTrue(await self.world.turn("a", "new"))
+        account = self.owner.owner.owned()[SHARD].accounts.get("new")
+        self.assertTrue(account.counts_from_start)
+        self.standby.store.is_cut = True
+        await self.ask(self.standby, "other", 2)
+        await self.standby.keeper.look()
+        self.assertEqual(await self.ask(self.standby, "other", 6), 0)
+
+    async def test_an_arbiter_that_has_forgotten_lets_nobody_go_on(self):
+        """A standby and its owner would be let go on one after the other."""
+        record = self.owner.map.get(SHARD).record
+        arbiter = self.world.names[record.arbiter_port]
+        self.cut("a", self.standby.name)
+        self.standby.store.is_cut = True
+        await self.ask(self.standby, "new", 2)
+        await self.standby.keeper.look()
+        self.world.kill(arbiter)
+        await self.world.start(arbiter)
+        await self.ask(self.owner, "old", 1)
+        for _ in range(3):
+            await self.owner.keeper.look()
+        await self.ask(self.standby, "new", 6)
+        await self.ask(self.owner, "new", 12)
+        self.assert_within_budget("new")
+
     async def test_after_an_outage_its_owner_counts_what_it_may_have_given(
         self,
     ):
