A program that its owner refused counts as unknown there

Where the standby may have taken programs that are not known here, accounts that no standby ever agreed to count as those of unknown programs. Ruled out: dropping such accounts, since a copy may have arrived without an answer and the standby's share in the program must still count.

--- a/libs/ledger/src/masticdale_ledger/apart.py
+++ b/libs/ledger/src/masticdale_ledger/apart.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from masticdale_ledger.accounts import Account
+from masticdale_ledger.accounts import FIRST_STEP, Account
 from masticdale_ledger.messages import AccountState
 from masticdale_ledger.states import account_of
 
@@ -110,6 +110,21 @@
     return dataclasses.replace(state, spent_tokens=spent)
 
 
+def unknown_here(state: AccountState) -> AccountState:
+    """Returns an account as that of a program that began elsewhere.
+
+    A turn that is refused leaves an account behind. Its caller may go to the
+    standby next, which takes the program; counted by the account it began from
+    zero here, and got a part of its budget twice.
+    """
+    half_tokens = int(FIRST_STEP * state.budget_tokens)
+    return dataclasses.replace(
+        state,
+        spent_tokens=max(state.spent_tokens, half_tokens),
+        counts_from_start=False,
+    )
+
+
 def acted_states(
     states: tuple[AccountState, ...], share_by_id: dict[str, Share]
 ) -> tuple[AccountState, ...]:
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -9,7 +9,12 @@
 
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_ledger.accounts import Accounts
-from masticdale_ledger.apart import Alone, acted_states, shares_of
+from masticdale_ledger.apart import (
+    Alone,
+    acted_states,
+    shares_of,
+    unknown_here,
+)
 from masticdale_ledger.arbiter import Arbitration, Side
 from masticdale_ledger.client import LedgerClient
 from masticdale_ledger.copier import Copier
@@ -416,6 +421,11 @@
         incomplete_for_s = shard.incomplete_for_s
         if shard.may_be_acted_for_new:
             incomplete_for_s = LOST_PROGRAMS_S
+            waiting = shard.waiting_ids()
+            states = tuple(
+                unknown_here(s) if s.program_id in waiting else s
+                for s in states
+            )
         return Inheritance(
             Previous.ENDED, states, incomplete_for_s, shard.predecessor
         )
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -161,6 +161,10 @@
         """Whether the standby is about to end."""
         return self.copier is not None and self.copier.is_leaving
 
+    def waiting_ids(self) -> set[str]:
+        """Returns the programs that no standby has agreed to yet."""
+        return {a.program_id for a in self.accounts.all() if a.awaits_standby}
+
     def acted_states(self) -> tuple[AccountState, ...]:
         """Returns all accounts, with what another host may have given."""
         shares = self.alone.share_by_id if self.alone else {}
