An owner without its standby goes on where the arbiter lets it

Callers were refused for the whole of an outage where the standby had died and half of what was free held no turn: the standby had the first claim on it, also dead. The arbiter settles it now: the first of the two that asks has the turn, the other one has none and counts it; whoever takes the shard over asks too, so that neither may afterwards. Without an arbiter the rule stays.

--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -74,9 +74,12 @@
         record = view.record
         owner = self._hosts.client(record.address, record.port)
         answer = await owner.call(SETTLE, SettleRequest(()), _PING_TIMEOUT_S)
-        if not isinstance(answer, Failed) or not self._may_act(number, view):
+        if not isinstance(answer, Failed):
             return
-        shard = self._begin(number, view)
+        side = await self._arbitration.decide(Side.STANDBY, number, record)
+        if not self._may_act(number, view):
+            return
+        shard = self._begin(number, view, has_decision=side is Side.STANDBY)
         task = asyncio.create_task(self.claim(shard))
         self._claiming.add(task)
         task.add_done_callback(self._claiming.discard)
@@ -98,9 +101,9 @@
             reason=str(failure),
         )
         if failure.kind is not ErrorKind.CONFLICT:
-            await self.take_new(shard)
+            self.take_new(shard)
 
-    async def take_new(self, shard: OwnedShard) -> None:
+    def take_new(self, shard: OwnedShard) -> None:
         """Admits programs, too, that the last owner did not know.
 
         Only where the store is reached by no way. A standby that is cut off
@@ -114,10 +117,8 @@
         if shard.alone is None or shard.alone.takes_new:
             return
         record = shard.view.record
-        if not self._copies.owner_was_without_store(
+        if not shard.has_decision and not self._copies.owner_was_without_store(
             shard.number, record.epoch
-        ) and not await self._arbitration.is_for(
-            Side.STANDBY, shard.number, record
         ):
             return
         shard.alone = dataclasses.replace(shard.alone, takes_new=True)
@@ -160,7 +161,9 @@
             and self._copies.holds(number, record.epoch)
         )
 
-    def _begin(self, number: int, view: ShardView) -> OwnedShard:
+    def _begin(
+        self, number: int, view: ShardView, *, has_decision: bool
+    ) -> OwnedShard:
         record = view.record
         self._claims.avoid(record.address, record.port)
         copy = self._copies.seal(SealRequest(number, record.epoch))
@@ -176,9 +179,14 @@
             record.incarnation,
         )
         shard.is_acting = True
-        shard.alone = Alone(
-            shares_of(accounts.all(), acting=True), takes_new=False
+        shard.has_decision = has_decision
+        is_holder = has_decision or not record.arbiter_address
+        shares = shares_of(
+            accounts.all(),
+            acting=True,
+            holder=Side.STANDBY if is_holder else Side.OWNER,
         )
+        shard.alone = Alone(shares, takes_new=False)
         self._owner.take(shard)
         logs.write(
             "shard_acted_for",
@@ -186,5 +194,6 @@
             epoch=record.epoch,
             owner=record.owner,
             accounts=len(copy.accounts),
+            has_decision=has_decision,
         )
         return shard
--- a/libs/ledger/src/masticdale_ledger/apart.py
+++ b/libs/ledger/src/masticdale_ledger/apart.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from masticdale_ledger.accounts import FIRST_STEP, Account
+from masticdale_ledger.arbiter import Side
 from masticdale_ledger.messages import AccountState
 from masticdale_ledger.states import account_of
 
@@ -42,7 +43,9 @@
     elsewhere_tokens: int
 
 
-def shares_of(accounts: list[Account], *, acting: bool) -> dict[str, Share]:
+def shares_of(
+    accounts: list[Account], *, acting: bool, holder: Side = Side.STANDBY
+) -> dict[str, Share]:
     """Returns the share of one host in each program.
 
     The two may differ in which turns under way have ended already. A turn under
@@ -52,11 +55,14 @@
     Args:
         accounts: The programs that both know.
         acting: Whether the shares are those of the standby.
+        holder: Who may have the turn that half does not hold; where that isn't
+            known, the other host. Without an arbiter it is the standby.
     """
-    return {a.program_id: _share(a, acting) for a in accounts}
+    side = Side.STANDBY if acting else Side.OWNER
+    return {a.program_id: _share(a, side is holder) for a in accounts}
 
 
-def _share(account: Account, acting: bool) -> Share:
+def _share(account: Account, is_holder: bool) -> Share:
     if account.bound is not None:
         # A record leaves two turns at most. Half of that holds none, and
         # would still count as spent after each loss of an owner.
@@ -64,43 +70,38 @@
     most = account.most_tokens
     free = max(0, account.ceiling_tokens - account.taken_tokens)
     most_free = max(0, account.ceiling_tokens - account.spent_tokens)
-    own_part, other_part = _owner_part, _standby_part
-    if acting:
-        own_part, other_part = _standby_part, _owner_part
     if account.awaits_standby:
         # Whoever seals the standby learns of no such program and counts it from
         # zero. An owner that had been replaced without knowing it admitted some
         # of its turns a second time.
         free = 0
     return Share(
-        limit_tokens=account.spent_tokens + own_part(free, most),
-        elsewhere_tokens=other_part(most_free, most),
+        limit_tokens=account.spent_tokens + _part(free, most, is_holder),
+        elsewhere_tokens=_part(most_free, most, not is_holder),
     )
 
 
-def _standby_part(free: int, most: int) -> int:
-    """Returns half, or one turn where half holds none and all of it one.
+def _part(free: int, most: int, is_holder: bool) -> int:
+    """Returns half, or for one of the two a turn that half does not hold.
 
-    Of the two the standby is the one to have it: an owner that misses its
-    standby mostly gets another one, or the same one started again.
+    Programs of few turns soon have room for one more turn and not for two.
     """
     half = free // 2
-    if half >= most:
-        return half
-    return min(free, most)
+    holders = half if half >= most else min(free, most)
+    return holders if is_holder else free - holders
 
 
-def _owner_part(free: int, most: int) -> int:
-    return free - _standby_part(free, most)
-
-
-def limited(state: AccountState) -> AccountState:
+def limited(state: AccountState, holder: Side = Side.STANDBY) -> AccountState:
     """Returns an account as it has to be if its last owner may have gone on.
 
     Without standby and store that owner had its share of the programs that it
     knew, also if it was killed afterwards and its host is back.
+
+    Args:
+        state: The account as its standby held it.
+        holder: See ``shares_of``.
     """
-    shares = shares_of([account_of(state)], acting=True)
+    shares = shares_of([account_of(state)], acting=True, holder=holder)
     return with_elsewhere(state, shares[state.program_id])
 
 
--- a/libs/ledger/src/masticdale_ledger/arbiter.py
+++ b/libs/ledger/src/masticdale_ledger/arbiter.py
@@ -30,10 +30,18 @@
 
 
 class Side(enum.StrEnum):
-    """Who may go on in an epoch; as text in messages."""
+    """Who may go on in an epoch; as text in messages.
+
+    A host that takes the shard over asks too, so that from then on neither of
+    the others may.
+    """
 
     OWNER = "owner"
     STANDBY = "standby"
+    TAKER = "taker"
+
+
+_SIDE_BY_TEXT = {side.value: side for side in Side}
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,12 +110,12 @@
         self._appointing.add(task)
         task.add_done_callback(self._appointing.discard)
 
-    async def is_for(
+    async def decide(
         self, side: Side, number: int, record: ShardRecord
-    ) -> bool:
-        """Asks for an epoch; returns whether this side surely may go on."""
+    ) -> Side | None:
+        """Asks for an epoch; returns who may go on, None if nobody can tell."""
         if not record.arbiter_address:
-            return False
+            return None
         peer = self._hosts.client(record.arbiter_address, record.arbiter_port)
         request = DecideRequest(number, record.epoch, side)
         outcome = await peer.call(DECIDE, request, _CALL_TIMEOUT_S)
@@ -121,7 +129,7 @@
             side="" if is_failed else outcome.unwrap().side,
             failure=str(outcome.failure()) if is_failed else "",
         )
-        return not is_failed and outcome.unwrap().side == side
+        return None if is_failed else _SIDE_BY_TEXT.get(outcome.unwrap().side)
 
     async def _appoint(self, number: int, record: ShardRecord) -> None:
         peer = self._hosts.client(record.arbiter_address, record.arbiter_port)
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -11,6 +11,7 @@
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.apart import (
     Alone,
+    Share,
     acted_states,
     shares_of,
     unknown_here,
@@ -373,9 +374,21 @@
         """Finds out whether the standby may have gone on with new programs."""
         if shard.has_decision or not shard.may_be_acted_for_new:
             return
-        shard.has_decision = await self._arbitration.is_for(
+        side = await self._arbitration.decide(
             Side.OWNER, shard.number, shard.view.record
         )
+        shard.has_decision = side is Side.OWNER
+
+    async def holder(self, number: int, record: ShardRecord) -> Side:
+        """Returns who may have gone on with what only one of two may do.
+
+        For a shard that is taken over here, whose standby has not acted. The
+        arbiter lets nobody go on after this.
+        """
+        if not record.arbiter_address:
+            return Side.STANDBY
+        side = await self._arbitration.decide(Side.TAKER, number, record)
+        return Side.OWNER if side in (None, Side.OWNER) else Side.STANDBY
 
     async def _write_standby(self, shard: OwnedShard) -> Failure | None:
         """Returns why no other standby could be named; None if one was."""
@@ -416,8 +429,7 @@
         if shard.alone is not None:
             states = shard.acted_states()
         elif shard.may_be_acted_for and not shard.is_standby_leaving:
-            shares = shares_of(shard.accounts.all(), acting=False)
-            states = acted_states(states, shares)
+            states = acted_states(states, _owner_shares(shard))
         incomplete_for_s = shard.incomplete_for_s
         if shard.may_be_acted_for_new:
             incomplete_for_s = LOST_PROGRAMS_S
@@ -431,7 +443,7 @@
         )
 
     def _go_alone(self, shard: OwnedShard) -> None:
-        shares = shares_of(shard.accounts.all(), acting=False)
+        shares = _owner_shares(shard)
         shard.alone = Alone(shares, takes_new=False)
         logs.write("shard_alone", shard=shard.number, programs=len(shares))
 
@@ -465,6 +477,11 @@
         return outcome
 
 
+def _owner_shares(shard: OwnedShard) -> dict[str, Share]:
+    holder = Side.OWNER if shard.has_decision else Side.STANDBY
+    return shares_of(shard.accounts.all(), acting=False, holder=holder)
+
+
 def _is_sealed(copied: Result[None, Failure]) -> bool:
     return isinstance(copied, Failed) and (
         copied.failure().kind is ErrorKind.CONFLICT
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -268,7 +268,8 @@
             return Inheritance(Previous.ENDED, (), LOST_PROGRAMS_S)
         accounts = reply.accounts
         if not reply.acted:
-            accounts = tuple(limited(state) for state in accounts)
+            holder = await self._claims.holder(number, view.record)
+            accounts = tuple(limited(state, holder) for state in accounts)
         return Inheritance(
             Previous.ENDED,
             accounts,
@@ -284,7 +285,7 @@
 
     async def _claim_acting(self, shard: OwnedShard) -> None:
         if self._is_store_lost():
-            await self._acting.take_new(shard)
+            self._acting.take_new(shard)
         else:
             await self._acting.claim(shard)
 
--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -32,6 +32,9 @@
     (72678, 10.5),
     (90886, 10.5),
     (91686, 10.5),
+    # A standby that was started again had forgotten that it was sealed, and
+    # consented to an owner that had been replaced.
+    (150715, 6.0),
 )
 
 
