A standby that was started again consents to nothing of before

A copy says whether an earlier one of its epoch may have arrived; a standby that holds none then takes none, and the owner names a standby by a write that fails if it was replaced. Ruled out: refusing epochs older than the map (the seal may come before the claim is written).

--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -76,7 +76,8 @@
         for every turn, and delay its replacement by as much.
 
         Failures: CONFLICT where another host takes the shard over;
-        PEER_UNAVAILABLE where the standby does not answer.
+        PEER_UNAVAILABLE where the standby does not answer, or was started
+        again.
         """
         if self._next_round is None:
             self._next_round = asyncio.create_task(self._send(state, accounts))
@@ -98,23 +99,25 @@
             if isinstance(outcome, Failed):
                 self._is_complete = False
                 return outcome
-            if not outcome.unwrap().held:
-                outcome = await self._copy(state, True, accounts.states(None))
-            return self._judge(state, outcome)
+            return self._judge(state, outcome.unwrap())
 
     def _judge(
-        self, state: CopyState, outcome: Result[CopyReply, Failure]
+        self, state: CopyState, reply: CopyReply
     ) -> Result[None, Failure]:
-        self._is_complete = (
-            not isinstance(outcome, Failed) and outcome.unwrap().held
-        )
-        if isinstance(outcome, Failed):
-            return outcome
-        self.is_leaving = outcome.unwrap().stops
-        if self._is_complete:
+        self._is_complete = reply.held
+        self.is_leaving = reply.stops
+        if reply.held:
             return Success(None)
-        logs.write_bounded("copy_refused", shard=state.shard, sealed=True)
-        return Failed(Failure(ErrorKind.CONFLICT, "the copy is sealed"))
+        logs.write_bounded(
+            "copy_refused",
+            shard=state.shard,
+            epoch=state.epoch,
+            sealed=reply.sealed,
+        )
+        if reply.sealed:
+            return Failed(Failure(ErrorKind.CONFLICT, "the copy is sealed"))
+        detail = "the standby was started again"
+        return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
 
     async def _copy(
         self,
@@ -129,6 +132,7 @@
             accounts=accounts,
             incomplete_for_s=state.incomplete_for_s,
             owner_has_store=state.owner_has_store,
+            renews=self.may_be_held,
         )
         outcome = await self._peer.call(COPY, request, _COPY_TIMEOUT_S)
         is_failed = isinstance(outcome, Failed)
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -69,6 +69,7 @@
   4: list<AccountState> accounts,
   5: double incomplete_for_s,
   6: bool owner_has_store,   // it may name another standby at any time
+  7: bool renews,            // the standby must hold a copy of this epoch
 }
 
 struct CopyReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -138,6 +138,8 @@
         incomplete_for_s: Programs of before may be missing for so long.
         owner_has_store: Whether the owner reaches the store, and so may name
             another standby at any time.
+        renews: Whether a copy of this epoch may have arrived before. A standby
+            that holds none then was started again, and takes none.
     """
 
     shard: int
@@ -146,6 +148,7 @@
     accounts: tuple[AccountState, ...]
     incomplete_for_s: float
     owner_has_store: bool = False
+    renews: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -66,12 +66,15 @@
         copy = self._copy_by_shard.get(request.shard)
         if copy is not None and copy.epoch > request.epoch:
             return CopyReply(sealed=True)
-        if request.is_snapshot:
+        is_held = copy is not None and copy.epoch == request.epoch
+        if request.is_snapshot and (is_held or not request.renews):
             copy = _Copy(request.epoch, collections.OrderedDict(), 0.0, True)
             self._copy_by_shard[request.shard] = copy
         if copy is None or copy.epoch != request.epoch:
-            # This process started after the copy was made: the owner has to
-            # send everything again.
+            # This process started after the copy was made. It may have been
+            # sealed before: with consent from now on, an owner that was
+            # replaced went on beside the next one. The owner has to name it
+            # again, by a write that fails if it was replaced.
             return CopyReply(held=False)
         copy.complete_from = boot_time_s() + request.incomplete_for_s
         copy.owner_has_store = request.owner_has_store
