Failing test: a host that was paused refuses a turn it could have had

Also here: a daemon that is not ready in time puts the end of its log and its exit code into the error, which test_system_silence could not show.

--- a/tools/standins/src/masticdale_standins/clusters.py
+++ b/tools/standins/src/masticdale_standins/clusters.py
@@ -34,6 +34,7 @@
     Kind,
     RunningProcess,
     free_port,
+    log_if_not_ready,
     start_command,
     start_process,
     wait_until_ready,
@@ -114,8 +115,14 @@
         self.daemon_by_name[name] = dataclasses.replace(old, process=process)
 
     def wait_ready(self, name: str) -> None:
-        """Waits until a daemon would be sent callers."""
-        wait_until_ready(self.daemon_by_name[name].callers_url, _READY_PATH)
+        """Waits until a daemon would be sent callers.
+
+        Raises:
+            NotReadyError: It is not in time; the end of its log is in the text.
+        """
+        handle = self.daemon_by_name[name]
+        with log_if_not_ready(handle.process):
+            wait_until_ready(handle.callers_url, _READY_PATH)
 
     def faults(self, process: RunningProcess, **faults: object) -> None:
         """Replaces a stand-in's faults."""
--- a/tools/standins/src/masticdale_standins/testing.py
+++ b/tools/standins/src/masticdale_standins/testing.py
@@ -1,5 +1,6 @@
 """Starting and stopping stand-ins, and other processes, from tests."""
 
+import contextlib
 import dataclasses
 import enum
 import json
@@ -11,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 import httpx
 
@@ -163,14 +164,25 @@
     """
     process = start_process(kind, settings)
     try:
-        wait_until_ready(process.base_url)
-    except NotReadyError as error:
-        log_text = process.log_text()
+        with log_if_not_ready(process):
+            wait_until_ready(process.base_url)
+    except NotReadyError:
         process.stop()
-        raise NotReadyError(f"{error}\n{log_text}") from error
+        raise
     return process
 
 
+@contextlib.contextmanager
+def log_if_not_ready(process: RunningProcess) -> Iterator[None]:
+    """Puts what a process wrote last, and how it ended, into the error."""
+    try:
+        yield
+    except NotReadyError as error:
+        ended = f"exit code {process.exit_code}"
+        text = f"{error}\n{ended}\n{process.log_text()}"
+        raise NotReadyError(text) from error
+
+
 def wait_until_ready(
     base_url: str,
     path: str = "/v1/health",
