--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -1,8 +1,6 @@
 """Writes into the store who owns a shard, and who its standby is."""
 
 import dataclasses
-import random
-from collections.abc import Iterable
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -23,6 +21,7 @@
 from masticdale_ledger.leases import LEASE_S, Lease
 from masticdale_ledger.messages import AccountState
 from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.partners import Partners
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
     Previous,
@@ -35,9 +34,6 @@
 from masticdale_ledger.states import account_of
 from masticdale_platform import ObjectStore, StoredObject
 
-# A standby that failed is not named again for this long, in seconds: a killed
-# process is back sooner, a host that is replaced never is.
-_AVOID_S = 10.0
 # After the accounts of a shard are lost, a program of before may come back
 # for this long, in seconds; twice the longest time that callers keep one.
 LOST_PROGRAMS_S = 120.0
@@ -81,7 +77,11 @@
 
 
 class ShardClaims:
-    """Takes shards for this host, and names their standbys."""
+    """Takes shards for this host, and names their standbys.
+
+    Attributes:
+        partners: Chooses the standbys and arbiters.
+    """
 
     def __init__(
         self,
@@ -103,12 +103,10 @@
         self._lease = lease
         self._client = client
         self._hosts = hosts
-        self._seen = seen
-        self._random = random.Random(identity.incarnation)
         self._busy_shards: set[int] = set()
-        self._failed_at_by_standby: dict[tuple[str, int], float] = {}
         self._unclear_by_shard: dict[int, UnclearClaim] = {}
         self._arbitration = Arbitration(hosts)
+        self.partners = Partners(identity, shard_map, lease, hosts, seen)
 
     async def refresh(self, number: int) -> bool:
         """Reads a shard's object; returns whether the store answered."""
@@ -246,73 +244,9 @@
         value = view.record.model_dump_json().encode()
         self._map.put(StoredObject(shard_key(number), view.version, value))
 
-    def choose_standby(self) -> tuple[str, int] | None:
-        """Returns the address of the best standby; None where there is none.
-
-        Hosts that have asked for something lately live. A host that is only
-        known by name may be dead, and naming it would cost a write.
-        """
-        domain_by_address = self._domain_by_address()
-        addresses = self._sound(domain_by_address)
-        addresses = addresses or self._sound(self._hosts.candidates())
-        addresses = addresses or list(domain_by_address)
-        if not addresses:
-            return None
-        # One host's loss then leaves each shard its owner or its standby, and
-        # so does the loss of a failure domain.
-        owners = {
-            (view.record.address, view.record.port)
-            for view in self._map.views().values()
-        }
-        own_domain = self._identity.failure_domain
-        return min(
-            self._random.sample(addresses, len(addresses)),
-            key=lambda a: (a in owners, domain_by_address.get(a) == own_domain),
-        )
-
-    def _choose_arbiter(
-        self, standby: tuple[str, int]
-    ) -> tuple[str, int] | None:
-        """Returns a host that is likely to outlive owner and standby."""
-        domain_by_address = self._domain_by_address()
-        addresses = self._sound(domain_by_address)
-        addresses = addresses or self._sound(self._hosts.candidates())
-        others = [a for a in addresses if a != standby]
-        if not others:
-            return None
-        taken = {
-            self._identity.failure_domain,
-            domain_by_address.get(standby, ""),
-        }
-        return min(
-            self._random.sample(others, len(others)),
-            key=lambda a: domain_by_address.get(a, "") in taken,
-        )
-
-    def _domain_by_address(self) -> dict[tuple[str, int], str]:
-        return {
-            (host.address, host.port): host.failure_domain
-            for host in self._seen.fresh()
-        }
-
-    def avoid(self, address: str, port: int) -> None:
-        """Names a host that was lost no standby for a while."""
-        self._failed_at_by_standby[(address, port)] = self._lease.now()
-
-    def _sound(
-        self, addresses: Iterable[tuple[str, int]]
-    ) -> list[tuple[str, int]]:
-        now = self._lease.now()
-        return [
-            address
-            for address in addresses
-            if now - self._failed_at_by_standby.get(address, -_AVOID_S)
-            >= _AVOID_S
-        ]
-
     def _new_record(self, epoch: int, previous: Previous) -> ShardRecord:
-        standby = self.choose_standby() or ("", 0)
-        arbiter = self._choose_arbiter(standby) or ("", 0)
+        standby = self.partners.choose_standby() or ("", 0)
+        arbiter = self.partners.choose_arbiter(standby) or ("", 0)
         return ShardRecord(
             owner=self._identity.host,
             incarnation=self._identity.incarnation,
@@ -394,7 +328,7 @@
         """Returns why no other standby could be named; None if one was."""
         await self.ask_arbiter(shard)
         old = shard.view.record
-        self.avoid(old.standby_address, old.standby_port)
+        self.partners.avoid(old.standby_address, old.standby_port)
         record = self._new_record(old.epoch + 1, Previous.ENDED)
         written = await self._write(shard.number, record, shard.view.version)
         logs.write_bounded(
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -260,7 +260,7 @@
         if view is None:
             return Inheritance(Previous.NONE)
         if previous is Previous.LOST:
-            self._claims.avoid(view.record.address, view.record.port)
+            self._claims.partners.avoid(view.record.address, view.record.port)
         reply = await self._seal(number, view.record)
         if reply is None:
             return Inheritance(previous, (), LOST_PROGRAMS_S)
@@ -324,7 +324,8 @@
         if is_broken or shard.alone is not None or shard.is_standby_leaving:
             return True
         return (
-            shard.copier is None and self._claims.choose_standby() is not None
+            shard.copier is None
+            and self._claims.partners.choose_standby() is not None
         )
 
     async def _hand_over(self, shard: OwnedShard) -> None:
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/partners.py
@@ -0,0 +1,100 @@
+"""Which hosts are an owner's standby and arbiter."""
+
+import random
+from collections.abc import Iterable
+
+from masticdale_ledger.hosts import Hosts, Identity, SeenHosts
+from masticdale_ledger.leases import Lease
+from masticdale_ledger.shards import ShardMap
+
+# A host that failed is not named again for this long, in seconds: a killed
+# process is back sooner, a host that is replaced never is.
+_AVOID_S = 10.0
+
+
+class Partners:
+    """Chooses among the other hosts by what is known of them."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        shard_map: ShardMap,
+        lease: Lease,
+        hosts: Hosts,
+        seen: SeenHosts,
+    ) -> None:
+        self._identity = identity
+        self._map = shard_map
+        self._lease = lease
+        self._hosts = hosts
+        self._seen = seen
+        self._random = random.Random(identity.incarnation)
+        self._failed_at_by_address: dict[tuple[str, int], float] = {}
+
+    def choose_standby(self) -> tuple[str, int] | None:
+        """Returns the address of the best standby; None where there is none."""
+        domain_by_address = self._domain_by_address()
+        addresses = self._living(domain_by_address) or list(domain_by_address)
+        if not addresses:
+            return None
+        # One host's loss then leaves each shard its owner or its standby, and
+        # so does the loss of a failure domain.
+        owners = {
+            (view.record.address, view.record.port)
+            for view in self._map.views().values()
+        }
+        own_domain = self._identity.failure_domain
+        return min(
+            self._random.sample(addresses, len(addresses)),
+            key=lambda a: (a in owners, domain_by_address.get(a) == own_domain),
+        )
+
+    def choose_arbiter(
+        self, standby: tuple[str, int]
+    ) -> tuple[str, int] | None:
+        """Returns a host that is likely to outlive owner and standby."""
+        domain_by_address = self._domain_by_address()
+        others = [a for a in self._living(domain_by_address) if a != standby]
+        if not others:
+            return None
+        taken = {
+            self._identity.failure_domain,
+            domain_by_address.get(standby, ""),
+        }
+        return min(
+            self._random.sample(others, len(others)),
+            key=lambda a: domain_by_address.get(a, "") in taken,
+        )
+
+    def avoid(self, address: str, port: int) -> None:
+        """Names a host that was lost no standby for a while."""
+        self._failed_at_by_address[(address, port)] = self._lease.now()
+
+    def _domain_by_address(self) -> dict[tuple[str, int], str]:
+        return {
+            (host.address, host.port): host.failure_domain
+            for host in self._seen.fresh()
+        }
+
+    def _living(
+        self, domain_by_address: dict[tuple[str, int], str]
+    ) -> list[tuple[str, int]]:
+        """Returns hosts that probably live.
+
+        Those that have asked for something lately do. A host that is only
+        known by name may be dead, and naming it would cost a write.
+        """
+        return self._sound(domain_by_address) or self._sound(
+            self._hosts.candidates()
+        )
+
+    def _sound(
+        self, addresses: Iterable[tuple[str, int]]
+    ) -> list[tuple[str, int]]:
+        now = self._lease.now()
+        return [
+            address
+            for address in addresses
+            if now - self._failed_at_by_address.get(address, -_AVOID_S)
+            >= _AVOID_S
+        ]
