Failing test: a sealed standby whose own claim wins loses its accounts

Found by reading beside the fault of the second seal: the claim of an acting standby brings no accounts, because those of its shard are taken when it is written; if a host seals the shard meanwhile there is none any more.

--- a/libs/ledger/tests/test_seals.py
+++ b/libs/ledger/tests/test_seals.py
@@ -61,6 +61,22 @@
         self.owner.drop(SHARD)
         self.assertEqual(self.seal(), first)
 
+    async def test_its_own_claim_after_a_seal_keeps_what_it_gave(self):
+        """Programs would count as half spent, and some be told 402.
+
+        A host seals the acting standby and loses the race to the standby's own
+        claim, which was under way.
+        """
+        shard = self.owner.owned()[SHARD]
+        given = self.seal()
+        self.store.faults.down = False
+        await self.acting.claim(shard)
+        accounts = self.owner.owned()[SHARD].accounts
+        self.assertIsNotNone(accounts.get("new"))
+        self.assertEqual(accounts.get("new").taken_tokens, 100)
+        known = accounts.get("known")
+        self.assertEqual(known.spent_tokens, given["known"].spent_tokens)
+
 
 if __name__ == "__main__":
     unittest.main()
