A sealed standby whose own claim wins keeps its accounts

Programs could count as half spent, and some be told 402: an acting standby was sealed by another host while its own claim was under way, and that claim won. Its accounts were to be taken from the shard it acted for, which the seal had dropped.

The claim keeps hold of that shard. After the seal nothing is given, so that its accounts are final, and the other host's claim fails on the version.

--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -9,7 +9,7 @@
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.apart import Alone, shares_of
 from masticdale_ledger.arbiter import Arbitration, Side
-from masticdale_ledger.claims import LOST_ACCOUNTS, ShardClaims
+from masticdale_ledger.claims import Inheritance, ShardClaims
 from masticdale_ledger.hosts import Hosts, Identity
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import (
@@ -19,7 +19,7 @@
     SettleRequest,
 )
 from masticdale_ledger.owner import OwnedShard, ShardOwner
-from masticdale_ledger.shards import ShardMap, ShardView
+from masticdale_ledger.shards import Previous, ShardMap, ShardView
 from masticdale_ledger.standby import StandbyCopies
 from masticdale_ledger.states import account_of
 
@@ -86,10 +86,12 @@
 
     async def claim(self, shard: OwnedShard) -> None:
         """Claims a shard that is acted for; its accounts stay."""
-        # What was given here is counted once the claim is written; if another
-        # host has sealed the shard by then, its accounts are lost.
+        # If another host seals the shard meanwhile, nothing more is given here.
+        # Its claim then fails where this one is written first.
         outcome = await self._claims.claim(
-            shard.number, shard.view.version, LOST_ACCOUNTS
+            shard.number,
+            shard.view.version,
+            Inheritance(Previous.ENDED, acted=shard),
         )
         if not isinstance(outcome, Failed):
             return
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -49,12 +49,15 @@
         incomplete_for_s: Programs of before may be missing for so long.
         predecessor: The process whose accounts these exactly are; empty where
             they may lack something of the last owner's.
+        acted: The shard that this host has acted for until the claim is
+            written; its accounts then count in place of these.
     """
 
     previous: Previous
     accounts: tuple[AccountState, ...] = ()
     incomplete_for_s: float = 0.0
     predecessor: str = ""
+    acted: OwnedShard | None = None
 
 
 # Programs of before count as half spent, or up to their records.
@@ -198,9 +201,9 @@
         if isinstance(bounds, Failed):
             return bounds
         accounts = Accounts(bounds.unwrap())
-        shard = self._owner.owned().get(number)
+        shard = inheritance.acted or self._owner.owned().get(number)
         if shard is not None:
-            # It has gone on here until now.
+            # It has gone on here until now, or until it was sealed.
             inheritance = self.kept(shard)
         accounts.adopt([account_of(state) for state in inheritance.accounts])
         self._own(number, view, accounts, inheritance)
