--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -5,7 +5,9 @@
 
 from hosts_case import MOST, SHARD, World, play, random_steps, simulated
 
+from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import SealRequest
+from masticdale_ledger.owner import OwnedShard
 
 # Plans played with each run, of this many events.
 _SEEDS = range(150)
@@ -143,6 +145,31 @@
         await self.ask(self.owner, "new", 12)
         self.assert_within_budget("new")
 
+    async def test_another_standby_does_not_shorten_how_long_programs_miss(
+        self,
+    ):
+        """A program would get its budget from its lost owner and the next one.
+
+        Whoever took the shard from an owner that may act on for its lease
+        counts unknown programs as half spent for 150 s. The standby is lost
+        too, and the time began anew with 120 s.
+        """
+        known = self.owner.owner.owned()[SHARD]
+        lease = Lease(self.world.clock)
+        self.owner.owner.take(
+            OwnedShard(
+                SHARD, known.view, known.accounts, 150.0, lease, known.copier
+            )
+        )
+        for name in "bcd":
+            self.cut("a", name)
+        await self.ask(self.owner, "old", 1)
+        for _ in range(3):
+            await self.owner.keeper.look()
+        shard = self.owner.owner.owned()[SHARD]
+        self.assertGreater(shard.view.version, known.view.version)
+        self.assertGreater(shard.incomplete_for_s, 140.0)
+
     async def test_after_an_outage_its_owner_counts_what_it_may_have_given(
         self,
     ):
