The longer time of missing programs counts when a standby is replaced

A program could get its budget from an owner that acts on for its lease and from the next one: unknown programs count as half spent for 150 s after such a takeover, and naming another standby began that anew with 120 s.

--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -369,7 +369,7 @@
             states = acted_states(states, _owner_shares(shard))
         incomplete_for_s = shard.incomplete_for_s
         if shard.may_be_acted_for_new:
-            incomplete_for_s = LOST_PROGRAMS_S
+            incomplete_for_s = max(incomplete_for_s, LOST_PROGRAMS_S)
             waiting = shard.waiting_ids()
             states = tuple(
                 unknown_here(s) if s.program_id in waiting else s
