Followers wake when the store is back, and when a probe is due

Cause: each of a host's three followers slept its own pause (up to 1.5 s) whatever the others had found, and the probe of the direct way waited for one of them to wake. One that failed just before the way opened slept a whole pause after it.

Why it holds: the pause waits for the same event that reports the way as open, and at most for the time of the next probe, so that the worst is one probe's time (1 s). Failures beside it: has_just_opened bounds them to one short pause, not to none, so that a store that fails at once isn't asked in a loop.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -271,7 +271,7 @@
         return (200 if self.is_ready else 503), b""
 
     def _follow(self, followed: Followed) -> None:
-        follower = Follower(self._store, followed)
+        follower = Follower(self._store, followed, self._store.pause)
         self._tasks.append(asyncio.create_task(follower.run()))
 
     def _apply_shards(self, batch: WatchBatch, was_away: bool) -> None:
--- a/apps/masticdale_entry/src/masticdale_entry/following.py
+++ b/apps/masticdale_entry/src/masticdale_entry/following.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from returns.result import Failure as Failed
 
@@ -41,9 +41,19 @@
         self,
         store: ObjectStore,
         followed: Followed,
+        pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
+        """Prepares to follow.
+
+        Args:
+            store: What is followed.
+            followed: Which part, and for whom.
+            pause: Waits so many seconds after a failed watch, or less where
+                another one may succeed sooner.
+        """
         self._store = store
         self._followed = followed
+        self._pause_after_failure = pause
         self._position = 0
         self._was_away = False
         self._pause_s = _FIRST_PAUSE_S
@@ -64,11 +74,11 @@
             # A store in trouble may let a watch go on from a position whose
             # next changes it has dropped, and the watch then waits for
             # changes that will never come. Only a fresh list is certain.
-            self._position = 0
+            asked_from, self._position = self._position, 0
             logs.write_bounded(
                 "watch_failed",
                 prefix=self._followed.prefix,
-                position=self._position,
+                position=asked_from,
                 reason=str(failure),
             )
             await self._pause()
@@ -82,5 +92,7 @@
             await asyncio.sleep(self._followed.settle_s)
 
     async def _pause(self) -> None:
-        await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.5))
+        await self._pause_after_failure(
+            self._pause_s * random.uniform(0.5, 1.5)
+        )
         self._pause_s = min(_LONGEST_PAUSE_S, 2 * self._pause_s)
--- a/apps/masticdale_entry/tests/test_following.py
+++ b/apps/masticdale_entry/tests/test_following.py
@@ -46,7 +46,7 @@
             host = FallbackStore(store, list, Metrics())
             for prefix in PREFIXES:
                 followed = Followed(prefix, WATCH_S, note)
-                follower = Follower(host, followed)
+                follower = Follower(host, followed, host.pause)
                 tasks.append(asyncio.create_task(follower.run()))
         await asyncio.sleep(0.1)
         store.faults.down = True
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -1,6 +1,7 @@
 """Store calls by way of another host, where the direct way is closed."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
@@ -21,12 +22,17 @@
 
 T = TypeVar("T")
 
-# The direct way is tried again after this long, in seconds: a change of the
-# configuration is to be in force two seconds after it was acknowledged, also
-# where it comes right after an outage.
+# The direct way is tried again after this long at most, in seconds: a change
+# of the configuration is to be in force two seconds after it was acknowledged,
+# also where it comes right after an outage.
 _RETRY_DIRECT_S = 1.0
 # How long a watch waits that finds out whether the store answers, in seconds.
 _PROBE_WAIT_S = 0.05
+# A call that failed this soon after the direct way opened began before it did,
+# in seconds.
+_JUST_OPENED_S = 0.5
+# The pause after such a call, in seconds.
+_SHORT_PAUSE_S = 0.1
 # Hosts asked for one call.
 _RELAYS = 2
 
@@ -59,27 +65,46 @@
     def __init__(self) -> None:
         self.is_open = True
         self.changed = asyncio.Event()
+        self._opened_at = -_JUST_OPENED_S
         self._probe_at = 0.0
 
     def note(self, *, is_open: bool, reason: str) -> None:
         """Notes how a direct call ended."""
-        now = asyncio.get_running_loop().time()
-        self._probe_at = now + _RETRY_DIRECT_S
+        self._plan_probe()
         if is_open == self.is_open:
             return
         self.is_open = is_open
+        if is_open:
+            self._opened_at = asyncio.get_running_loop().time()
         logs.write("store_regained" if is_open else "store_lost", reason=reason)
         self.changed.set()
         self.changed = asyncio.Event()
 
+    @property
+    def has_just_opened(self) -> bool:
+        """Whether calls that fail now may have begun before the way opened."""
+        now = asyncio.get_running_loop().time()
+        return self.is_open and now < self._opened_at + _JUST_OPENED_S
+
+    @property
+    def probe_in_s(self) -> float:
+        """How long until the next probe is due; at least 0."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self._probe_at - now)
+
     def takes_probe(self) -> bool:
         """Returns whether a probe is due; the next one is due later."""
-        now = asyncio.get_running_loop().time()
-        if now < self._probe_at:
+        if self.probe_in_s > 0:
             return False
-        self._probe_at = now + _RETRY_DIRECT_S
+        self._plan_probe()
         return True
 
+    def _plan_probe(self) -> None:
+        # All hosts lose the store in the same moment; their probes must not
+        # come in the same moment as well.
+        now = asyncio.get_running_loop().time()
+        self._probe_at = now + random.uniform(0.8, 1.0) * _RETRY_DIRECT_S
+
 
 class _Leaders:
     """The hosts whose watches this host follows.
@@ -229,6 +254,26 @@
         """See ``ObjectStore.hosts``."""
         return await self._direct.hosts()
 
+    async def pause(self, most_s: float) -> None:
+        """Waits after a failed watch, until another one may do better.
+
+        Where the direct way is closed the pause ends with the time of the
+        next probe, and as soon as the way is open. Whoever slept on would
+        know of changes, and of replicas that have gone, seconds after the
+        store's return. The others of this host that end their pause for one
+        probe cost no call of the store: only the first takes the probe.
+        """
+        if self._reachability.has_just_opened:
+            most_s = min(most_s, _SHORT_PAUSE_S)
+        if self._reachability.is_open:
+            await asyncio.sleep(most_s)
+            return
+        changed = self._reachability.changed
+        limit_s = min(most_s, self._reachability.probe_in_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await changed.wait()
+
     async def _try(self, call: StoreCall[T]) -> Result[T, Failure]:
         if self.is_lost:
             # The watches go on to look for a way; whoever waits for this
