Ports for tests are reserved, below those that the kernel gives out

Seen: test_system_silence and ReleaseTest failed now and then with 'readyz does not answer', entry hosts of tests with 'not ready'.

Ruled out: outgoing connections, which get ports of the other parity; load alone.

Why it holds: a port is reserved by a datagram socket of the same number until its process ends, which is exclusive among all that call free_port, and no listener that names no port is given one below 32,768.

--- a/tools/standins/src/masticdale_standins/testing.py
+++ b/tools/standins/src/masticdale_standins/testing.py
@@ -1,11 +1,13 @@
 """Starting and stopping stand-ins, and other processes, from tests."""
 
+import atexit
 import contextlib
 import dataclasses
 import enum
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -22,6 +24,13 @@
 _POLL_S = 0.05
 _STOP_TIMEOUT_S = 5.0
 _LOG_TAIL_BYTES = 4000
+_LOOPBACK = "127.0.0.1"
+# Below the ports that Linux gives to outgoing connections and to listeners
+# that name none.
+_PORTS = range(10_000, 32_000)
+_PORT_TRIES = 1000
+_RESERVATIONS = contextlib.ExitStack()
+atexit.register(_RESERVATIONS.close)
 
 
 class Kind(enum.StrEnum):
@@ -104,11 +113,41 @@
 
 
 def free_port() -> int:
-    """Returns a loopback TCP port that nobody listens on now."""
+    """Returns a loopback TCP port that nothing else here will listen on.
+
+    Ports stand in settings before a process binds them, and are bound again
+    after its restart. Meanwhile the kernel would give a port of its own range
+    to any other listener, and the process would end with "address in use".
+    These lie below that range, and each is reserved, among all processes that
+    choose by this function, until the process that chose it ends.
+    """
+    for _ in range(_PORT_TRIES):
+        port = random.choice(_PORTS)
+        if _reserve(port) and _is_free(port):
+            return port
+    raise NotReadyError(f"no port of {_PORT_TRIES} that were tried is free")
+
+
+def _reserve(port: int) -> bool:
+    # The same number of a datagram socket is the reservation: binding it is
+    # exclusive, and the kernel ends it with the process.
+    reservation = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        reservation.bind((_LOOPBACK, port))
+    except OSError:
+        reservation.close()
+        return False
+    _RESERVATIONS.enter_context(reservation)
+    return True
+
+
+def _is_free(port: int) -> bool:
     with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        port: int = listener.getsockname()[1]
-        return port
+        try:
+            listener.bind((_LOOPBACK, port))
+        except OSError:
+            return False
+        return True
 
 
 def start_command(
