--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -11,15 +11,13 @@
 
 from masticdale_gateway.calls import TurnClaim
 
-# Share of a budget up to which no record is written. On a calm day programs use
-# 0.14 to 0.22 of their budgets at the median and 0.53 at the 95th percentile,
-# so that about one program in twenty is ever written.
-FIRST_STEP = 0.5
+# Share of a budget up to which no record is written: most programs end below
+# it, and cost the store nothing.
+_FIRST_STEP = 0.5
 # How far a record reaches beyond the turn that needs it, in turns at their
-# most. A turn uses about a fifth of its most, so that one record lasts for some
-# five turns, and a loss of all memory counts at most two turns too many. A
-# record that reached to the next quarter of the budget, whatever its size, told
-# programs that they had spent it after a second loss: 3 to 18 programs a day.
+# most. A turn uses a part of its most, so that one record lasts for some turns.
+# One that reached further would count as spent after a loss of all memory, and
+# tell programs that they have spent what they never used.
 _RECORD_AHEAD_TURNS = 1
 # A program without a turn for this long is forgotten, in seconds; twice the
 # time within which programs come back.
@@ -28,6 +26,11 @@
 _MAX_ACCOUNTS = 20_000
 
 
+def first_step_tokens(budget_tokens: int) -> int:
+    """Returns how much of a budget is spent without a record in the store."""
+    return int(_FIRST_STEP * budget_tokens)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
     """The turn may run."""
@@ -119,7 +122,7 @@
         """What counts as spent after the loss of all memory."""
         if self.bound is not None:
             return self.bound.tokens
-        return int(FIRST_STEP * self.budget_tokens)
+        return first_step_tokens(self.budget_tokens)
 
     def judge(self, claim: TurnClaim) -> Verdict:
         """Decides on a turn; takes nothing."""
@@ -128,7 +131,7 @@
         needed = self.taken_tokens + claim.turn_tokens
         # A bound is rarely reached. Where it stands in for the true count,
         # one turn may go beyond the budget, which the promise allows; without
-        # it, 50 of 1,000 programs were told 402 after a loss of all hosts.
+        # it, programs with tokens left were told 402 after a loss of all hosts.
         slack = 0 if self.counts_from_start else claim.turn_tokens
         limit = self.budget_tokens + slack
         if needed > limit:
@@ -242,7 +245,7 @@
         if bound is not None:
             spent = bound.tokens
         elif not is_new:
-            spent = int(FIRST_STEP * claim.budget_tokens)
+            spent = first_step_tokens(claim.budget_tokens)
         return Account(
             program_id=claim.program_id,
             budget_tokens=claim.budget_tokens,
--- a/libs/ledger/src/masticdale_ledger/acting.py
+++ b/libs/ledger/src/masticdale_ledger/acting.py
@@ -8,7 +8,7 @@
 from masticdale_common import ErrorKind, logs
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.apart import Alone, shares_of
-from masticdale_ledger.arbiter import Arbitration, Side
+from masticdale_ledger.arbiter import Side
 from masticdale_ledger.claims import Inheritance, ShardClaims
 from masticdale_ledger.hosts import Hosts, Identity
 from masticdale_ledger.leases import Lease
@@ -37,10 +37,8 @@
 
     The standby has every account, and hosts that miss the owner come to it. It
     asks the owner once, goes on with the programs that it knows, and claims the
-    shard meanwhile. A loss of the owner's power stopped its programs for 0.7 s,
-    in place of 1.4 s where any host that missed the owner claimed the shard
-    after a while (from the loss to the log line of who goes on; a host then
-    waited 0.3 s for the owner, now ``CALL_TIMEOUT_S``).
+    shard meanwhile. Any other host that misses the owner has to wait for longer
+    before it may claim the shard, and the programs with it.
     """
 
     def __init__(
@@ -59,7 +57,6 @@
         self._lease = lease
         self._copies = copies
         self._hosts = hosts
-        self._arbitration = Arbitration(hosts)
         self._claims = claims
         self._asked_at_by_shard: dict[int, float] = {}
         self._claiming: set[asyncio.Task[None]] = set()
@@ -76,7 +73,9 @@
         answer = await owner.call(SETTLE, SettleRequest(()), _PING_TIMEOUT_S)
         if not isinstance(answer, Failed):
             return
-        side = await self._arbitration.decide(Side.STANDBY, number, record)
+        side = await self._claims.arbitration.decide(
+            Side.STANDBY, number, record
+        )
         if not self._may_act(number, view):
             return
         shard = self._begin(number, view, has_decision=side is Side.STANDBY)
--- a/libs/ledger/src/masticdale_ledger/apart.py
+++ b/libs/ledger/src/masticdale_ledger/apart.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from masticdale_ledger.accounts import FIRST_STEP, Account
+from masticdale_ledger.accounts import Account, first_step_tokens
 from masticdale_ledger.arbiter import Side
 from masticdale_ledger.messages import AccountState
 from masticdale_ledger.states import account_of
@@ -118,10 +118,10 @@
     standby next, which takes the program; counted by the account it began from
     zero here, and got a part of its budget twice.
     """
-    half_tokens = int(FIRST_STEP * state.budget_tokens)
+    unseen_tokens = first_step_tokens(state.budget_tokens)
     return dataclasses.replace(
         state,
-        spent_tokens=max(state.spent_tokens, half_tokens),
+        spent_tokens=max(state.spent_tokens, unseen_tokens),
         counts_from_start=False,
     )
 
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -1,6 +1,8 @@
 """Writes into the store who owns a shard, and who its standby is."""
 
+import contextlib
 import dataclasses
+from collections.abc import Iterator
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -84,6 +86,7 @@
 
     Attributes:
         partners: Chooses the standbys and arbiters.
+        arbitration: Asks the arbiters.
     """
 
     def __init__(
@@ -108,7 +111,7 @@
         self._hosts = hosts
         self._busy_shards: set[int] = set()
         self._unclear_by_shard: dict[int, UnclearClaim] = {}
-        self._arbitration = Arbitration(hosts)
+        self.arbitration = Arbitration(hosts)
         self.partners = Partners(identity, shard_map, lease, hosts, seen)
 
     async def refresh(self, number: int) -> bool:
@@ -133,13 +136,10 @@
 
         Failures: CONFLICT where another host was first; else the store's.
         """
-        if number in self._busy_shards:
-            return Failed(Failure(ErrorKind.CONFLICT, "claimed right now"))
-        self._busy_shards.add(number)
-        try:
-            return await self._write_record(number, version, inheritance)
-        finally:
-            self._busy_shards.discard(number)
+        with self._sole_writer(number) as is_sole:
+            if is_sole:
+                return await self._write_record(number, version, inheritance)
+        return Failed(Failure(ErrorKind.CONFLICT, "claimed right now"))
 
     async def _write_record(
         self, number: int, version: int, inheritance: Inheritance
@@ -181,15 +181,12 @@
     async def _adopt(
         self, number: int, view: ShardView, inheritance: Inheritance
     ) -> None:
-        if number in self._busy_shards:
-            return
-        self._busy_shards.add(number)
-        try:
+        with self._sole_writer(number) as is_sole:
+            if not is_sole:
+                return
             begun = await self._begin(number, view, inheritance)
             if not isinstance(begun, Failed):
                 self._unclear_by_shard.pop(number, None)
-        finally:
-            self._busy_shards.discard(number)
 
     async def _begin(
         self, number: int, view: ShardView, inheritance: Inheritance
@@ -243,7 +240,7 @@
             )
         )
         self._client.unreachable_by_shard.pop(number, None)
-        self._arbitration.begin(number, view.record)
+        self.arbitration.begin(number, view.record)
         value = view.record.model_dump_json().encode()
         self._map.put(StoredObject(shard_key(number), view.version, value))
 
@@ -275,43 +272,56 @@
 
         The write fails where another host has taken the shard over.
         """
-        if shard.number in self._busy_shards or shard.is_moving:
+        if shard.is_moving:
             return
-        self._busy_shards.add(shard.number)
-        try:
-            copied = await shard.copy_now()
-            if _is_sealed(copied) and shard.alone is None:
-                # Whoever sealed the standby counts what may be given here,
-                # and is about to write that it owns the shard.
+        with self._sole_writer(shard.number) as is_sole:
+            if is_sole:
+                await self._replace_standby(shard)
+
+    async def _replace_standby(self, shard: OwnedShard) -> None:
+        copied = await shard.copy_now()
+        if _is_sealed(copied) and shard.alone is None:
+            # Whoever sealed the standby counts what may be given here, and is
+            # about to write that it owns the shard.
+            self._go_alone(shard)
+            return
+        if isinstance(copied, Failed):
+            failure = await self._write_standby(shard)
+            if _is_away(failure) and shard.alone is None:
                 self._go_alone(shard)
-                return
-            if isinstance(copied, Failed):
-                failure = await self._write_standby(shard)
-                if _is_away(failure) and shard.alone is None:
-                    self._go_alone(shard)
-                return
-            shard.alone = None
-            self._owner.failure_by_broken_copy.pop(shard.number, None)
-            if shard.is_standby_leaving:
-                await self._write_standby(shard)
-        finally:
-            self._busy_shards.discard(shard.number)
+            return
+        shard.alone = None
+        self._owner.failure_by_broken_copy.pop(shard.number, None)
+        if shard.is_standby_leaving:
+            await self._write_standby(shard)
 
     async def name_standby(self, shard: OwnedShard) -> None:
         """Names another standby at once, whatever the present one says."""
-        if shard.number in self._busy_shards:
+        with self._sole_writer(shard.number) as is_sole:
+            if is_sole:
+                await self._write_standby(shard)
+
+    @contextlib.contextmanager
+    def _sole_writer(self, number: int) -> Iterator[bool]:
+        """Yields whether nothing else of this host writes a shard's object.
+
+        Two writes at once would conflict, and each take the other's for that
+        of another host.
+        """
+        if number in self._busy_shards:
+            yield False
             return
-        self._busy_shards.add(shard.number)
+        self._busy_shards.add(number)
         try:
-            await self._write_standby(shard)
+            yield True
         finally:
-            self._busy_shards.discard(shard.number)
+            self._busy_shards.discard(number)
 
     async def ask_arbiter(self, shard: OwnedShard) -> None:
         """Finds out whether the standby may have gone on with new programs."""
         if shard.has_decision or not shard.may_be_acted_for_new:
             return
-        side = await self._arbitration.decide(
+        side = await self.arbitration.decide(
             Side.OWNER, shard.number, shard.view.record
         )
         shard.has_decision = side is Side.OWNER
@@ -324,7 +334,7 @@
         """
         if not record.arbiter_address:
             return Side.STANDBY
-        side = await self._arbitration.decide(Side.TAKER, number, record)
+        side = await self.arbitration.decide(Side.TAKER, number, record)
         return Side.OWNER if side in (None, Side.OWNER) else Side.STANDBY
 
     async def _write_standby(self, shard: OwnedShard) -> Failure | None:
--- a/libs/ledger/src/masticdale_ledger/keeper.py
+++ b/libs/ledger/src/masticdale_ledger/keeper.py
@@ -171,10 +171,7 @@
             return Failure(ErrorKind.CONFLICT, "not the shard's last version")
         owned = self._owner.owned().get(offer.shard)
         if owned is not None and owned.view.version < offer.version:
-            self._owner.drop(offer.shard)
-            logs.write(
-                "shard_lost", shard=offer.shard, new_owner=view.record.owner
-            )
+            self._lose(offer.shard, view)
         return None
 
     async def hand_over_all(self) -> None:
@@ -197,8 +194,11 @@
             if known.record.incarnation == self._identity.incarnation:
                 await self._claims.adopt(number, known)
                 continue
-            self._owner.drop(number)
-            logs.write("shard_lost", shard=number, new_owner=known.record.owner)
+            self._lose(number, known)
+
+    def _lose(self, number: int, view: ShardView) -> None:
+        self._owner.drop(number)
+        logs.write("shard_lost", shard=number, new_owner=view.record.owner)
 
     def _vacancy(self, number: int) -> Previous | None:
         """Returns what is known of the owner of a shard nobody serves."""
