A seed asks the store whether it answers

Cause: a seed to which the store is silent notices only by a call that times out. Its watches wait for 28 s, and it had no other call to make; hosts that follow it were told that there is nothing new.

Why it holds: the ping goes twice a second whatever else happens, with the store's own timeout, so that followers are told within 1.2 s and read the store at once. A slow store answers within that timeout. Shorter watches were weighed: the same bound costs 36 full calls a second for three seeds, the pings 0.6.

The failing test was changed before this mend: it waits until the hosts make no calls of their own, and the seeds know each other.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -64,6 +64,10 @@
 # Pause after changes of the list of replicas, in seconds: a replica that
 # leaves is to get no new work two seconds later.
 _REPLICAS_SETTLE_S = 0.3
+# How often a host whose watches others follow asks whether the store answers,
+# in seconds: with its timeout, and what those others do then, a change still is
+# in force two seconds after it.
+_CHECK_STORE_EVERY_S = 0.5
 # From SIGTERM until the balancer sends no more connections, in seconds: it
 # asks each second and leaves a host out after two misses.
 _BALANCER_S = 2.6
@@ -104,7 +108,12 @@
         leaders = self._peers.leaders()
         shared = None if leaders else SharedWatches()
         self._store = FallbackStore(
-            self._direct, self._peers.all, self._metrics, leaders, shared
+            self._direct,
+            self._peers.all,
+            self._metrics,
+            leaders,
+            shared,
+            self._direct.ping,
         )
         self._fleet = Fleet(settings.failure_domain)
         self._configuration = ConfigurationInForce(
@@ -235,6 +244,7 @@
             ("shards", LOOK_EVERY_S, self._keeper.look),
             ("lease", RENEW_EVERY_S, self._keeper.renew),
             ("copies", COPY_EVERY_S, self._owner.copy_changed),
+            ("store", _CHECK_STORE_EVERY_S, self._store.check),
             ("idle-connections", _CLOSE_IDLE_EVERY_S, self._close_idle),
             ("old-programs", _FORGET_EVERY_S, self._owner.forget_old),
         ):
--- a/apps/masticdale_entry/tests/test_silent_store.py
+++ b/apps/masticdale_entry/tests/test_silent_store.py
@@ -6,9 +6,12 @@
 from case import EntryCase, RunningHost, configuration, route
 
 from masticdale_soak.proxies import Link, LinkFault, Proxy
+from masticdale_standins.testing import free_port
 
 # A change is to be in force so long after it was acknowledged.
 IN_FORCE_S = 2.0
+# Until the hosts make no calls of their own but their watches.
+QUIET_S = 1.5
 
 
 class SilentSeedTest(EntryCase):
@@ -17,13 +20,24 @@
         self.way = Proxy()
         await self.way.start(self.store.port)
         self.addAsyncCleanup(self.way.stop)
-        self.seed = await self.start_host("seed", self.way.port)
+        # Seeds know each other; this one can ask the other one.
+        ports = [free_port(), free_port()]
+        self.seed = await self.start_host(
+            "seed", self.way.port, ports, ports[0]
+        )
+        self.other_seed = await self.start_host(
+            "other-seed", self.store.port, ports, ports[1]
+        )
         self.follower = await self.start_host(
             "follower", self.store.port, seeds=[self.seed.peers_port]
         )
+        # Hosts claim shards at their start. After that they leave the store
+        # alone.
+        await self.wait_owned()
+        await asyncio.sleep(QUIET_S)
 
-    async def start_host(self, name, store_port, seeds=()):
-        host = RunningHost(name, store_port, seeds)
+    async def start_host(self, name, store_port, seeds, peers_port=None):
+        host = RunningHost(name, store_port, seeds, peers_port)
         self.hosts.append(host)
         host.start()
         await host.wait_ready()
@@ -48,7 +62,6 @@
 
     async def test_the_seed_itself_asks_through_another_host(self):
         """The same at the seed, which callers reach."""
-        await self.follower.wait_ready()
         self.way.set_link(Link(LinkFault.SILENT))
         await asyncio.sleep(0.1)
         routes = [route("/new/", "idempotent", "desk")]
--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -43,6 +43,7 @@
 _LEADER_LOST_S = 0.25
 
 PeerList = Callable[[], list[RpcClient]]
+Ping = Callable[[], Awaitable[Result[None, Failure]]]
 StoreCall = Callable[[ObjectStore], Awaitable[Result[T, Failure]]]
 
 
@@ -148,6 +149,7 @@
         metrics: Metrics,
         leaders: list[RpcClient] | None = None,
         shared: SharedWatches | None = None,
+        ping: Ping | None = None,
     ) -> None:
         """Prepares to call.
 
@@ -158,11 +160,13 @@
             leaders: Hosts whose watches this host follows; none for a host
                 that watches the store itself.
             shared: Where a host that others follow keeps what it saw.
+            ping: A cheap call of the store itself, for ``check``.
         """
         self._direct = direct
         self._peers = peers
         self._metrics = metrics
         self._shared = shared
+        self._ping = ping
         self._random = random.Random()
         self._leaders = _Leaders(leaders or [])
         self._reachability = _Reachability()
@@ -254,6 +258,23 @@
         """See ``ObjectStore.hosts``."""
         return await self._direct.hosts()
 
+    async def check(self) -> None:
+        """Finds out whether the store still answers a host that others follow.
+
+        A watch that hears nothing looks like one without changes, and this
+        host may make no other call for half a minute. Where the store was
+        silent to it alone, all hosts that follow it went on with an old
+        configuration, and sent work to replicas that had left.
+        """
+        if self._shared is None or self._ping is None:
+            return
+        if not self._reachability.is_open:
+            return
+        outcome = await self._ping()
+        self._note(outcome)
+        if _is_unavailable(outcome):
+            self._shared.lose()
+
     async def pause(self, most_s: float) -> None:
         """Waits after a failed watch, until another one may do better.
 
