A deployed process ignores SIGHUP before it loads anything else

Callers saw (soak) a host that was missing after a restart: SIGHUP 0.12 s after a start ended its process without a log line.

Cause: the signal ends a process until it is ignored, and modules were loaded before.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -5,31 +5,37 @@
 build.
 """
 
-import gc
-import glob
-import os
-import pathlib
 import sys
 
+# The interpreter puts the folder of this file first.
+_DEPLOY = sys.path[0]
+sys.path.append(f"{_DEPLOY}/../apps/masticdale_entry/src")
+
+from masticdale_entry.starting import ignore_hang_up  # noqa: E402
+
+# Before anything else is loaded: until here SIGHUP ends the process without a
+# log line, and it is ready only after another start.
+ignore_hang_up()
+
+import gc  # noqa: E402
+import glob  # noqa: E402
+import os  # noqa: E402
+
 # Most of what is loaded lives as long as the process. Looking for garbage among
 # it costs a tenth of the processor time until callers are served; the command
 # line turns the collection on again once all is loaded.
 gc.disable()
 
-_ROOT = pathlib.Path(__file__).resolve().parent.parent
 _SETTINGS_VARIABLE = "MASTICDALE_BOOT"
 
 # At the end: each import looks through the folders in order, and most of them
 # are of the standard library and of third parties.
-for _pattern in ("libs/*/src", "platform/src", "apps/masticdale_entry/src"):
-    sys.path += sorted(glob.glob(str(_ROOT / _pattern)))
+for _pattern in ("libs/*/src", "platform/src"):
+    sys.path += sorted(glob.glob(f"{_DEPLOY}/../{_pattern}"))
 
 
 def main() -> None:
     """Runs the process that the settings file describes."""
-    from masticdale_entry.starting import ignore_hang_up
-
-    ignore_hang_up()
     from masticdale_entry.main import Commands
 
     Commands().run(os.environ[_SETTINGS_VARIABLE])
--- a/tools/soak/src/masticdale_soak/processes.py
+++ b/tools/soak/src/masticdale_soak/processes.py
@@ -9,6 +9,7 @@
 import signal
 import subprocess
 import sys
+import sysconfig
 import time
 from typing import IO
 
@@ -28,7 +29,7 @@
 _READINESS_PORT = 8002
 _PEERS_PORT = 8003
 _METRICS_PORT = 8004
-
+_DEPLOYED = pathlib.Path(__file__).parents[4] / "deploy" / "start.py"
 
 # Hosts of this process so far. Each has an address of its own, so that its
 # ports can't be taken by another run, or by a proxy, while it is down.
@@ -87,7 +88,7 @@
         self.peers_faults = Layers(Link(), self.peers_link.set_link)
         self.lives: list[Life] = []
         self._folder = folder
-        self._command = command or (_installed_command(),)
+        self._command = command or _deployed_command()
         self._process: subprocess.Popen[bytes] | None = None
         self._log: IO[bytes] | None = None
         self._address = next_address()
@@ -149,6 +150,7 @@
             (*self._command, "run", "--settings", str(self._settings_path)),
             stdout=self._log,
             stderr=subprocess.STDOUT,
+            env=os.environ | _deployed_environment(self._settings_path),
         )
         self.lives.append(Life(len(self.lives) + 1, time.monotonic()))
 
@@ -210,5 +212,13 @@
             life.exit_code = self._process.returncode
 
 
-def _installed_command() -> str:
-    return str(pathlib.Path(sys.executable).parent / "masticdale-entry")
+def _deployed_command() -> tuple[str, ...]:
+    """Returns how the deploy file starts an entry host."""
+    return (sys.executable, "-S", str(_DEPLOYED))
+
+
+def _deployed_environment(settings_path: pathlib.Path) -> dict[str, str]:
+    return {
+        "MASTICDALE_BOOT": str(settings_path),
+        "PYTHONPATH": sysconfig.get_path("purelib"),
+    }
