Soak: changes in force in time, and all hosts have the same seeds

The soak had not found that hosts follow a seed to which the store is silent. Each of its hosts was told all others as seeds, so that none was a seed itself and all watched the store; the platform tells all hosts the same three. The check of replicas that leave passed over every drain beside any fault at any host.

New check configuration-in-time, with a build that breaks its promise. Tried and left out: a fixed plan in which the store is silent to all seeds.

--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -14,7 +14,7 @@
     Kind,
 )
 from masticdale_soak.faults import Applied
-from masticdale_soak.plans import Fault
+from masticdale_soak.plans import Fault, Target
 from masticdale_soak.processes import GRACE_S, Life
 from masticdale_soak.worlds import EVENTS, TOKENS_PER_EVENT, Drain
 
@@ -23,6 +23,13 @@
 # A replica that leaves gets no new work after this long, in seconds: two as
 # promised, and half of one for this machine's load.
 _DRAIN_S = 2.5
+# A change of the configuration is in force after this long, in seconds: two as
+# promised, and half of one for this machine's load.
+_IN_FORCE_S = 2.5
+_FIRST_VERSION = 1
+# Promises with a time hold for hosts that were in order for this long, in
+# seconds, and while the store was.
+_CONTACT_S = 3.0
 # An answer may be this much later than its request's deadline, in seconds.
 _LATE_S = 2.0
 # What strikes a host that stops also breaks its connections, for this long
@@ -31,9 +38,6 @@
 # After this the processes of a stop are surely gone, in seconds.
 _END_S = GRACE_S + 0.5
 
-# Faults after which a host may not know yet that a replica leaves.
-_STALE_FAULT_PREFIXES = ("store", "kill", "stop", "pause", "peers")
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
@@ -82,6 +86,18 @@
             and a.ended > began
         ]
 
+    def is_in_touch(self, host: str, began: float, ended: float) -> bool:
+        """Whether a host and the store were in order all the while.
+
+        What strikes other hosts doesn't count: whoever depends on them has to
+        notice, and to find another way.
+        """
+        places = {host, Target.ALL_HOSTS.value, Target.STORE.value}
+        return not any(
+            a.place in places and a.fault is not Fault.HANG_UP
+            for a in self.applied_between(began - _CONTACT_S, ended, ("",))
+        )
+
     def runs_by_request(self) -> dict[str, list[Run]]:
         """Returns the runs of each request."""
         found: dict[str, list[Run]] = collections.defaultdict(list)
@@ -208,21 +224,44 @@
             )
 
 
-def _drained_replicas(evidence: Evidence) -> Found:
-    """A replica that leaves gets no new work two seconds later.
+def _configuration_in_time(evidence: Evidence) -> Found:
+    """A host has a change of the configuration two seconds after it."""
+    changes = [a for a in evidence.applied if a.fault is Fault.CONFIGURATION]
+    changed_at = sorted(a.began for a in changes)
+    for attempt in evidence.attempts:
+        is_unknown = attempt.status == httpx.codes.NOT_FOUND
+        if attempt.kind is not Kind.VERSION or not is_unknown:
+            continue
+        # The first version is there from the start.
+        number = attempt.version - _FIRST_VERSION
+        if number <= 0:
+            continue
+        written_at = changed_at[number - 1]
+        is_newest = not any(
+            written_at < at < attempt.ended for at in changed_at
+        )
+        if not is_newest or attempt.began < written_at + _IN_FORCE_S:
+            continue
+        if evidence.is_in_touch(attempt.host, written_at, attempt.ended):
+            age_s = attempt.began - written_at
+            yield (
+                f"{attempt.host} {attempt.request_id}",
+                f"version {attempt.version} unknown after {age_s:.1f} s",
+            )
 
-    Not asked of hosts that can't have heard of it, or were starting.
-    """
+
+def _drained_replicas(evidence: Evidence) -> Found:
+    """A replica that leaves gets no new work two seconds later."""
+    host_by_request = {a.request_id: a.host for a in evidence.attempts}
     for drain in evidence.drains:
         from_at = drain.began + _DRAIN_S
-        if evidence.applied_between(
-            drain.began - _DRAIN_S, drain.ended, _STALE_FAULT_PREFIXES
-        ):
-            continue
         for run in evidence.runs:
             is_late = from_at < run.at < drain.ended
-            if run.replica_id == drain.replica_id and is_late:
-                yield drain.replica_id, f"{run}"
+            if run.replica_id != drain.replica_id or not is_late:
+                continue
+            host = host_by_request.get(run.request_id, "")
+            if evidence.is_in_touch(host, drain.began, run.at):
+                yield drain.replica_id, f"{host}: {run}"
 
 
 def _orderly_stops(evidence: Evidence) -> Found:
@@ -303,6 +342,7 @@
     "budgets": _budgets,
     "early-spent": _early_spent,
     "configuration-order": _configuration_order,
+    "configuration-in-time": _configuration_in_time,
     "drained-replicas": _drained_replicas,
     "starts": _starts,
     "orderly-stops": _orderly_stops,
--- a/tools/soak/src/masticdale_soak/worlds.py
+++ b/tools/soak/src/masticdale_soak/worlds.py
@@ -19,6 +19,9 @@
 ORDER_PATH = "/orders/"
 EVENTS = 4
 TOKENS_PER_EVENT = 10
+# As many as the platform names to each host; these watch the store for the
+# others.
+_SEEDS = 3
 _ENGINES = 3
 _DESKS = 3
 _EVENT_S = 0.03
@@ -170,7 +173,7 @@
         for host in self.hosts:
             await host.open_links(self.store.port)
         for host in self.hosts:
-            host.write_settings([h for h in self.hosts if h is not host])
+            host.write_settings(self.hosts[:_SEEDS])
             host.start()
         for host in self.hosts:
             await host.wait_ready()
--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -77,6 +77,19 @@
     ConfigurationInForce._take = remember
 
 
+def take_changes_late():
+    take = ConfigurationInForce._take
+
+    def later(self, value, revision):
+        if self.current is None:
+            take(self, value, revision)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(4.0, take, self, value, revision)
+
+    ConfigurationInForce._take = later
+
+
 def ignore_drains():
     usable = Fleet.usable
 
@@ -144,6 +157,7 @@
         forget_budgets,
         spend_budgets_early,
         go_back_to_old_configurations,
+        take_changes_late,
         ignore_drains,
         hang_at_stop,
         drop_callers_at_stop,
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -58,6 +58,11 @@
         "go_back_to_old_configurations",
         steps(Fault.CONFIGURATION),
     ),
+    (
+        "configuration-in-time",
+        "take_changes_late",
+        steps(Fault.CONFIGURATION),
+    ),
     ("drained-replicas", "ignore_drains", steps(Fault.REPLICA_DRAINS, for_s=5)),
     ("starts", "start_only_once", steps(Fault.KILL, for_s=0.2)),
     ("orderly-stops", "hang_at_stop", steps(Fault.STOP)),
