--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -289,8 +289,8 @@
         is_first = not self._shard_map.is_loaded
         self._shard_map.apply(batch)
         if is_first and self._shard_map.is_loaded:
-            # After the loss of all hosts programs wait for this look: 0.14 s
-            # from the start of a process to its shards in place of 0.3 s.
+            # After the loss of all hosts programs wait for this look; the
+            # next one by the timer would come a period later.
             self._tasks.append(asyncio.create_task(self._keeper.look()))
 
     async def _close_idle(self) -> None:
--- a/apps/masticdaled/src/masticdaled/execution/placement.py
+++ b/apps/masticdaled/src/masticdaled/execution/placement.py
@@ -59,8 +59,8 @@
         engine_by_name = {engine.name: engine for engine in engines}
         locations = [Location(e.name, e.failure_domain) for e in engines]
         last = run.call.replica
-        # A new branch stays where it begins, so many are asked; measured in
-        # docs/POLICY.md.
+        # A new branch stays where it begins, so many are asked
+        # (docs/POLICY.md).
         count = _PROBES if last in engine_by_name else _PROBES_OF_NEW_BRANCH
         names = choose_probes(run.run_id, locations, count)
         if last in engine_by_name and last not in names:
--- a/apps/masticdaled/src/masticdaled/execution/tool_pauses.py
+++ b/apps/masticdaled/src/masticdaled/execution/tool_pauses.py
@@ -27,8 +27,8 @@
 
 _MOST_BRANCHES = 20_000
 _ANY_TOOL = ""
-# What a kept prefix displaces of others is left out: measured with it, more
-# was recomputed (docs/POLICY.md).
+# What a kept prefix displaces of others is left out: counting it, prefixes were
+# given up that came back (docs/POLICY.md).
 _REUSE_SHARE = 0.0
 
 
--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -2,11 +2,8 @@
 
 Each change costs every host that watches the store a call, and each outage
 some calls a second for as long as it lasts. Where three hosts watch and the
-others ask them, the calls follow the changes and not the number of hosts: 376
-store calls in place of 1,761 on a calm day of 59 hosts, 3,577 in place of
-5,598 on one with an outage and a loss of all hosts, as the store counted them.
-It costs each waiting host 1.2 calls a second and kind between hosts, less than
-a second of processor time in a minute.
+others ask them, the calls follow the changes and not the number of hosts. It
+costs each host that follows about a call a second and kind between hosts.
 """
 
 import asyncio
--- a/libs/programs/src/masticdale_programs/commit_queue.py
+++ b/libs/programs/src/masticdale_programs/commit_queue.py
@@ -15,8 +15,7 @@
 # The most of one commit, in bytes: with the tail it stays below what the
 # platform takes as one object.
 BATCH_LIMIT_BYTES = 600_000
-# The most of one shard that waits in memory for the platform, in bytes; not
-# measured yet.
+# The most of one shard that waits in memory for the platform, in bytes.
 COPY_LIMIT_BYTES = 4_000_000
 
 OnCommitted = Callable[[Record], None]
