--- a/apps/masticdaled/src/masticdaled/shards/ownership_checks.py
+++ b/apps/masticdaled/src/masticdaled/shards/ownership_checks.py
@@ -8,12 +8,11 @@
 
 import asyncio
 import enum
-import time
 from collections.abc import Iterable
 
 from returns.result import Success
 
-from masticdale_common import ErrorKind
+from masticdale_common import ErrorKind, logs
 from masticdale_programs import Shard
 
 # A host is taken for dead no sooner than about 1.9 s after it last ran: its
@@ -66,6 +65,12 @@
             return Ownership.LOST
         if self._age_s(shard) <= _VALID_S:
             return Ownership.HELD
+        logs.write_bounded(
+            "ownership_unsure",
+            shard=shard.number,
+            age_s=round(self._age_s(shard), 3),
+            answered=task.done(),
+        )
         return Ownership.UNSURE
 
     def renew(self, shards: Iterable[Shard]) -> None:
@@ -78,7 +83,7 @@
         held_at = self._held_at_by_shard.get(shard.number)
         if held_at is None:
             return float("inf")
-        return time.monotonic() - held_at
+        return asyncio.get_running_loop().time() - held_at
 
     def _renew(self, shard: Shard) -> asyncio.Task[None]:
         task = self._check_by_shard.get(shard.number)
@@ -90,7 +95,7 @@
 
     async def _ask(self, shard: Shard) -> None:
         # The time before the question: the answer may be as old as that.
-        asked_at = time.monotonic()
+        asked_at = asyncio.get_running_loop().time()
         outcome = await shard.check_head()
         if isinstance(outcome, Success):
             self._held_at_by_shard[shard.number] = asked_at
