A paused host waits for the platform's answer before it answers from memory

Cause, by reading and by test_ownership_checks: a question from before the pause was waited for, or the answer to a new one for 0.5 s only, and both counted as an outage, in which an owner answers from memory.

Why it holds: the question is asked after the call came, and its answer awaited longer than the platform's client takes to give up. An outage that is known (a question failed in the last 3 s) still holds up no read for more than 0.5 s.

--- a/apps/masticdaled/src/masticdaled/shards/ownership_checks.py
+++ b/apps/masticdaled/src/masticdaled/shards/ownership_checks.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import enum
 from collections.abc import Iterable
 
@@ -19,7 +20,14 @@
 # lease of 2.5 s less one heartbeat. What was read 1.5 s ago still holds then.
 _VALID_S = 1.5
 _RENEW_S = 0.75
-_WAIT_S = 0.5
+# How long a call waits for the platform while it is known not to answer, in
+# seconds.
+_OUTAGE_WAIT_S = 0.5
+# The same while it is not: longer than the platform's client takes to give up.
+_WAIT_S = 3.0
+# A failure says for this long that the platform does not answer, in seconds:
+# longer than the next question takes to fail too.
+_OUTAGE_S = 3.0
 
 
 class Ownership(enum.Enum):
@@ -36,6 +44,7 @@
     def __init__(self) -> None:
         self._held_at_by_shard: dict[int, float] = {}
         self._check_by_shard: dict[int, asyncio.Task[None]] = {}
+        self._failed_at = -_OUTAGE_S
 
     def opened(self, number: int, at: float) -> None:
         """Notes that a shard was taken over.
@@ -59,8 +68,10 @@
         """
         if self._age_s(shard) <= _VALID_S:
             return Ownership.HELD
-        task = self._renew(shard)
-        await asyncio.wait([task], timeout=_WAIT_S)
+        limit_s = _OUTAGE_WAIT_S if self._is_outage else _WAIT_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._ask_anew(shard)
         if not shard.is_held:
             return Ownership.LOST
         if self._age_s(shard) <= _VALID_S:
@@ -69,7 +80,7 @@
             "ownership_unsure",
             shard=shard.number,
             age_s=round(self._age_s(shard), 3),
-            answered=task.done(),
+            outage=self._is_outage,
         )
         return Ownership.UNSURE
 
@@ -79,6 +90,24 @@
             if self._age_s(shard) > _RENEW_S:
                 self._renew(shard)
 
+    @property
+    def _is_outage(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now < self._failed_at + _OUTAGE_S
+
+    async def _ask_anew(self, shard: Shard) -> None:
+        """Waits for an answer to a question that is asked from now on.
+
+        One that was under way when this host was paused is answered as things
+        stood before; a host that took that for an outage answered from memory
+        what the next owner had changed.
+        """
+        earlier = self._check_by_shard.get(shard.number)
+        if earlier is not None and not earlier.done():
+            await asyncio.wait([earlier])
+        if shard.is_held and self._age_s(shard) > _VALID_S:
+            await asyncio.wait([self._renew(shard)])
+
     def _age_s(self, shard: Shard) -> float:
         held_at = self._held_at_by_shard.get(shard.number)
         if held_at is None:
@@ -101,3 +130,5 @@
             self._held_at_by_shard[shard.number] = asked_at
         elif outcome.failure().kind is ErrorKind.NOT_OWNER:
             self._held_at_by_shard.pop(shard.number, None)
+        else:
+            self._failed_at = asyncio.get_running_loop().time()
