--- a/libs/ledger/src/masticdale_ledger/store_relay.py
+++ b/libs/ledger/src/masticdale_ledger/store_relay.py
@@ -281,8 +281,8 @@
         Where the direct way is closed the pause ends with the time of the
         next probe, and as soon as the way is open. Whoever slept on would
         know of changes, and of replicas that have gone, seconds after the
-        store's return. The others of this host that end their pause for one
-        probe cost no call of the store: only the first takes the probe.
+        store's return. Of those that end their pause for one probe the first
+        takes it, and the others ask through other hosts.
         """
         if self._reachability.has_just_opened:
             most_s = min(most_s, _SHORT_PAUSE_S)
