Ask the standby before a silent owner's call times out

Cause: every host finds out by itself that an owner is lost. A call to a host that is gone takes the whole timeout of 0.4 s; afterwards the standby is asked first for one second only. With 171 hosts a host has a turn of a shard every few seconds, so nearly each turn paid the timeout again, until the record names another owner, which it can't while the store is away.

Mend: an owner that is silent for 0.12 s is asked on, and its standby as well; the first decision counts. The standby takes over only if the owner leaves its own check unanswered, as before. A host that was admitted by an acting standby asks it first until that one refuses a turn or the record changes. What an isolated standby refuses its owner may admit, since their quotas are distinct; it is asked in the same attempt.

Why it is safe: both holders could be asked for one turn before, one after the other; each counts what it admits and the quotas of both stay apart.

--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Awaitable, Callable
+import functools
+from collections.abc import Awaitable, Callable, Coroutine
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -20,13 +21,21 @@
     SettleRequest,
 )
 from masticdale_ledger.owner import ShardOwner
-from masticdale_ledger.shards import LEDGER_SHARD_COUNT, ShardMap
+from masticdale_ledger.shards import (
+    LEDGER_SHARD_COUNT,
+    ShardMap,
+    VersionedShardRecord,
+)
 from masticdale_routing.assignments import TurnEnd
 from masticdale_rpc import RpcClient
 
 # Timeout of one call to an owner, in seconds. An owner that does not answer
 # within it counts as unreachable, and its standby is called.
 CALL_TIMEOUT_S = 0.4
+# An owner that has not answered for this long is asked on, and its standby as
+# well, in seconds. Longer than an owner with some backlog takes; a standby
+# checks by itself whether the owner is lost.
+_HEDGE_DELAY_S = 0.12
 # Timeout of all calls for one turn, in seconds. A lost owner is usually
 # replaced within this time; otherwise the caller gets a failure and may retry.
 _ADMIT_TIMEOUT_S = 1.2
@@ -44,6 +53,7 @@
 _MAX_PENDING_SETTLEMENTS = 5_000
 
 PeerLookup = Callable[[str, int], RpcClient]
+AskHost = Callable[[], Coroutine[None, None, Result[Admission, Failure]]]
 LocalAdmit = Callable[[AdmitRequest], Awaitable[AdmitReply]]
 # After an owner has not answered, its standby is called first for this long,
 # in seconds, since each call to a dead host takes a whole timeout.
@@ -101,6 +111,11 @@
         self._own_endpoint = (own_address.address, own_address.port)
         self._peers = peers
         self._metrics = metrics
+        # Versions of the records whose standby has admitted a turn, and so acts
+        # for the owner. It stays the first to be asked until it refuses one or
+        # the record changes: a lost owner can't be replaced in its record while
+        # the store is unavailable.
+        self._acting_version_by_shard: dict[int, int] = {}
         self._settlements: collections.deque[Settlement] = collections.deque(
             maxlen=_MAX_PENDING_SETTLEMENTS
         )
@@ -204,22 +219,40 @@
             asker_stops=self.is_stopping,
             service_name=claim.service,
         )
+        if not view.record.standby_address:
+            return await self._ask_owner(view, request)
+        owner = functools.partial(self._ask_owner, view, request)
+        standby = functools.partial(self._ask_standby, view, request)
+        if self._asks_standby_first(shard_number, view.version):
+            return await _first_decision(standby, owner)
+        return await _first_decision(owner, standby)
+
+    async def _ask_owner(
+        self, view: VersionedShardRecord, request: AdmitRequest
+    ) -> Result[Admission, Failure]:
+        record = view.record
+        outcome = await self._admit_at((record.address, record.port), request)
+        self._update_reachability(request.shard, view.version, outcome)
+        if not isinstance(outcome, Failed):
+            self._acting_version_by_shard.pop(request.shard, None)
+        return outcome
+
+    async def _ask_standby(
+        self, view: VersionedShardRecord, request: AdmitRequest
+    ) -> Result[Admission, Failure]:
         record = view.record
-        addresses = [(record.address, record.port)]
-        if record.standby_address:
-            addresses.append((record.standby_address, record.standby_port))
-        if self._is_unreachable(shard_number, view.version):
-            addresses.reverse()
-        outcome: Result[Admission, Failure] = Failed(
-            Failure(ErrorKind.NOT_OWNER)
+        outcome = await self._admit_at(
+            (record.standby_address, record.standby_port), request
         )
-        for address in addresses:
-            is_owner = address == (record.address, record.port)
-            outcome = await self._admit_at(address, request)
-            if is_owner:
-                self._update_reachability(shard_number, view.version, outcome)
-            if not _should_try_next(outcome):
-                return outcome
+        if not isinstance(outcome, Failed):
+            self._acting_version_by_shard[request.shard] = view.version
+            return outcome
+        self._acting_version_by_shard.pop(request.shard, None)
+        failure = outcome.failure()
+        if failure.kind is ErrorKind.LEDGER_UNAVAILABLE:
+            # The quotas of an isolated owner and its standby are distinct, so
+            # the owner may admit what its standby must refuse.
+            return Failed(Failure(ErrorKind.NOT_OWNER, failure.detail))
         return outcome
 
     async def _admit_at(
@@ -259,7 +292,9 @@
                 return True
         return False
 
-    def _is_unreachable(self, shard_number: int, version: int) -> bool:
+    def _asks_standby_first(self, shard_number: int, version: int) -> bool:
+        if self._acting_version_by_shard.get(shard_number) == version:
+            return True
         known = self.unreachable_by_shard.get(shard_number)
         now = asyncio.get_running_loop().time()
         return (
@@ -291,6 +326,34 @@
         known.last_failed_at = now
 
 
+async def _first_decision(
+    ask_first: AskHost, ask_second: AskHost
+) -> Result[Admission, Failure]:
+    """Asks two hosts, the second one if the first is slow or can't decide.
+
+    Returns:
+        The first decision; without any, the outcome of the last answer.
+    """
+    first = asyncio.create_task(ask_first())
+    pending = {first}
+    try:
+        await asyncio.wait(pending, timeout=_HEDGE_DELAY_S)
+        if first.done() and not _should_try_next(first.result()):
+            return first.result()
+        pending.add(asyncio.create_task(ask_second()))
+        while True:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            outcomes = [task.result() for task in done]
+            decisions = [o for o in outcomes if not _should_try_next(o)]
+            if decisions or not pending:
+                return (decisions or outcomes)[0]
+    finally:
+        for task in pending:
+            task.cancel()
+
+
 def _should_try_next(outcome: Result[Admission, Failure]) -> bool:
     """Returns whether another host may be able to decide."""
     return isinstance(outcome, Failed) and outcome.failure().kind in (
