Spread owners, standbys and arbiters over hosts

Cause: the delay of a claim is drawn for all vacant shards when a host first sees them, before it owns any, so that the longer delay of owners was never used: the first host up claimed all four within a second if the others were slower. And a standby was chosen among hosts that own no shard, whatever other shards they stood by for or arbitrated.

Mend: an owner, or a host with a claim under way, waits one whole jitter longer than any other host. Standbys and arbiters are chosen by failure domain first and then by the number of roles that the hosts hold.

--- a/libs/ledger/src/masticdale_ledger/peer_selector.py
+++ b/libs/ledger/src/masticdale_ledger/peer_selector.py
@@ -1,5 +1,6 @@
 """Chooses the standby and the arbiter of an owner's shards."""
 
+import collections
 import random
 from collections.abc import Iterable
 
@@ -39,17 +40,17 @@
         )
         if not addresses:
             return None
-        # Prefer hosts that own no shard and are in another failure domain, so
-        # that the loss of a host or of a failure domain leaves each shard its
-        # owner or its standby.
-        owners = {
-            (view.record.address, view.record.port)
-            for view in self._map.views().values()
-        }
+        # Prefer another failure domain, so that its loss leaves each shard its
+        # owner or its standby, and there a host with few roles, so that the
+        # loss of one host affects few programs.
+        roles_by_address = self._roles_by_address()
         own_domain = self._identity.failure_domain
         return min(
             self._random.sample(addresses, len(addresses)),
-            key=lambda a: (a in owners, domain_by_address.get(a) == own_domain),
+            key=lambda a: (
+                domain_by_address.get(a) == own_domain,
+                roles_by_address[a],
+            ),
         )
 
     def choose_arbiter(
@@ -70,15 +71,32 @@
             self._identity.failure_domain,
             domain_by_address.get(standby, ""),
         }
+        roles_by_address = self._roles_by_address()
         return min(
             self._random.sample(others, len(others)),
-            key=lambda a: domain_by_address.get(a, "") in used_domains,
+            key=lambda a: (
+                domain_by_address.get(a, "") in used_domains,
+                roles_by_address[a],
+            ),
         )
 
     def mark_failed(self, address: str, port: int) -> None:
         """Excludes a failed host from the choice for a while."""
         self._failed_at_by_address[(address, port)] = self._lease.now()
 
+    def _roles_by_address(self) -> collections.Counter[tuple[str, int]]:
+        """Returns in how many shards each host is owner, standby or arbiter."""
+        records = [view.record for view in self._map.views().values()]
+        return collections.Counter(
+            address
+            for r in records
+            for address in (
+                (r.address, r.port),
+                (r.standby_address, r.standby_port),
+                (r.arbiter_address, r.arbiter_port),
+            )
+        )
+
     def _domain_by_address(self) -> dict[tuple[str, int], str]:
         return {
             (host.address, host.port): host.failure_domain
--- a/libs/ledger/src/masticdale_ledger/reconciler.py
+++ b/libs/ledger/src/masticdale_ledger/reconciler.py
@@ -97,6 +97,7 @@
         self._live_hosts = live_hosts
         self._random = random.Random(identity.incarnation)
         self._claim_due_at_by_shard: dict[int, float] = {}
+        self._claiming_shards: set[int] = set()
 
     async def reconcile(self) -> None:
         """Drops superseded shards, claims vacant ones and replaces standbys."""
@@ -240,20 +241,30 @@
         if previous is PreviousOwnerState.ENDED:
             return True
         now = asyncio.get_running_loop().time()
-        # Hosts that own shards wait longer, so that shards spread over hosts
-        # and the loss of one host affects fewer programs.
-        max_delay_s = _CLAIM_JITTER_S * (2 if self._owner.owned() else 1)
+        max_delay_s = _CLAIM_JITTER_S
         if previous is PreviousOwnerState.LOST:
             max_delay_s /= 4
         due_at = self._claim_due_at_by_shard.setdefault(
             shard_number, now + self._random.uniform(0, max_delay_s)
         )
-        return now >= due_at
+        # Hosts that own shards, or are claiming one, let all others go first,
+        # so that the loss of one host affects fewer programs.
+        is_owner = bool(self._owner.owned() or self._claiming_shards)
+        return now >= due_at + (max_delay_s if is_owner else 0.0)
 
     async def _claim(
         self, shard_number: int, previous: PreviousOwnerState
     ) -> None:
         self._claim_due_at_by_shard.pop(shard_number, None)
+        self._claiming_shards.add(shard_number)
+        try:
+            await self._claim_vacant(shard_number, previous)
+        finally:
+            self._claiming_shards.discard(shard_number)
+
+    async def _claim_vacant(
+        self, shard_number: int, previous: PreviousOwnerState
+    ) -> None:
         # A claim needs the store. Sealing the standby without it would stop the
         # only host that may still admit turns of the shard.
         if not await self._claims.refresh(shard_number):
--- a/libs/ledger/tests/test_reconciler.py
+++ b/libs/ledger/tests/test_reconciler.py
@@ -1,5 +1,7 @@
 """Tests of handing shards over at a planned stop."""
 
+import asyncio
+import time
 import unittest
 
 from returns.result import Failure as Failed
@@ -164,5 +166,71 @@
         self.assertEqual(live_hosts.live(), [])
 
 
+class Claims:
+    """Claims that take as long as a write to the store."""
+
+    def __init__(self, shard_map, owner, lease):
+        self.taken = []
+        self._map = shard_map
+        self._owner = owner
+        self._lease = lease
+
+    @property
+    def peer_selector(self):
+        return self
+
+    def choose_standby(self):
+        return None
+
+    async def resolve_unconfirmed(self):
+        pass
+
+    async def refresh(self, shard):
+        return True
+
+    async def claim(self, shard, version, takeover):
+        await asyncio.sleep(0.01)
+        view = VersionedShardRecord(record("a", 1), 1)
+        value = view.record.model_dump_json().encode()
+        self._map.put(StoredObject(shard_key(shard), 1, value))
+        self._owner.take(
+            OwnedShard(shard, view, Accounts(), 0.0, self._lease, None)
+        )
+        self.taken.append(shard)
+        return Success(None)
+
+
+class SpreadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_first_host_leaves_shards_to_the_others(self):
+        """Guards against one host whose loss stops half of the programs.
+
+        All shards are vacant when the first host starts; others start within
+        some tenths of a second and claim a shard within one.
+        """
+        lease = Lease()
+        owner = ShardOwner(ProgramRecords(MemoryStore(), "a"), lease, Metrics())
+        shard_map = ShardMap()
+        claims = Claims(shard_map, owner, lease)
+        shard_map.is_loaded = True
+        reconciler = ShardReconciler(
+            Identity("a", "a", "127.0.0.1", 1),
+            MemoryStore(),
+            shard_map,
+            owner,
+            lease,
+            client=None,
+            claims=claims,
+            failover=None,
+            hosts=Peers(),
+            is_store_unreachable=lambda: False,
+            live_hosts=create_live_hosts(),
+        )
+        began = time.monotonic()
+        while time.monotonic() - began < 1.0:
+            await reconciler.reconcile()
+            await asyncio.sleep(0.02)
+        self.assertLessEqual(len(claims.taken), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
