Release a half-open circuit's probe that ends without an outcome

What callers saw: a replica that recovers stays without requests of a host for 30 s while others exist, if the one probe is rejected ("not run") or its caller leaves.

--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -138,6 +138,7 @@
             self._state.circuit.record_success()
             self._sender.pool.release(self._state.replica, self._connection)
         else:
+            self._state.circuit.release()
             self._connection.abort()
         self._state.in_flight -= 1
 
@@ -197,6 +198,7 @@
             )
         finally:
             if exchange is None:
+                state.circuit.release()
                 state.in_flight -= 1
                 if connection is not None:
                     self.pool.release(state.replica, connection)
--- a/libs/routing/src/masticdale_routing/retries.py
+++ b/libs/routing/src/masticdale_routing/retries.py
@@ -188,6 +188,14 @@
             self._probe_until = now + _PROBE_LEASE_S
         return True
 
+    def release(self) -> None:
+        """Returns the permit of a call without an outcome.
+
+        For a call that the replica did not execute, or whose caller left: the
+        next call may probe a half-open circuit at once.
+        """
+        self._probe_until = None
+
     def record_success(self) -> None:
         """Records a successful call."""
         self._consecutive_failures = 0
