Keep accounts with turns in flight when others can be evicted

A program whose last admission request is 120 s old, or that is the least recently used of 20,000, lost its account while a turn was in flight: the settlement was dropped, the record deleted, and the budget could be granted again.

Programs with turns in flight are evicted after 240 s without an admission request, since a settlement may be lost for good, and at the limit only when every program has turns in flight. Three of the tests fail on the code before.

--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -21,11 +21,15 @@
 # are lost; if it is too high, programs with tokens left are rejected.
 _RECORD_AHEAD_TURNS = 1
 # Programs without an admission request for this long are evicted, in seconds,
-# also those with turns in flight. Must exceed the time within which callers
-# resume a program.
+# unless turns are in flight. Must exceed the time within which callers resume a
+# program.
 _IDLE_TIMEOUT_S = 120.0
+# Programs with turns in flight are evicted after this long, in seconds, since
+# the settlements of their turns may be lost. Must exceed the longest turn.
+_UNSETTLED_TIMEOUT_S = 2 * _IDLE_TIMEOUT_S
 # Maximum number of accounts per shard; the least recently used is evicted
-# first, with its reservations. What such a program has spent is forgotten.
+# first, if possible one without turns in flight. What such a program has spent
+# is forgotten.
 _MAX_ACCOUNTS = 20_000
 
 
@@ -113,6 +117,11 @@
     most_tokens: int = 0
     awaits_standby_ack: bool = False
 
+    @property
+    def has_turns_in_flight(self) -> bool:
+        """Whether any of its turns is reserved and not settled."""
+        return bool(self.reserved_by_request_id)
+
     @property
     def reserved_tokens(self) -> int:
         """Tokens that turns in flight may still use."""
@@ -193,10 +202,10 @@
         """
         account = self._account_by_id.get(claim.program_id)
         if account is None:
+            if len(self._account_by_id) >= _MAX_ACCOUNTS:
+                self._evict_one()
             account = self._create(claim, record, is_new, now)
             self._account_by_id[claim.program_id] = account
-            if len(self._account_by_id) > _MAX_ACCOUNTS:
-                self._account_by_id.popitem(last=False)
         account.last_used_at = now
         account.most_tokens = max(account.most_tokens, claim.turn_tokens)
         self._account_by_id.move_to_end(claim.program_id)
@@ -238,14 +247,22 @@
             The evicted accounts.
         """
         evicted: list[Account] = []
-        while self._account_by_id:
-            oldest = next(iter(self._account_by_id.values()))
-            if now - oldest.last_used_at < _IDLE_TIMEOUT_S:
+        for account in self._account_by_id.values():
+            idle_s = now - account.last_used_at
+            if idle_s < _IDLE_TIMEOUT_S:
                 break
-            self._account_by_id.popitem(last=False)
-            evicted.append(oldest)
+            if not account.has_turns_in_flight or idle_s > _UNSETTLED_TIMEOUT_S:
+                evicted.append(account)
+        for account in evicted:
+            del self._account_by_id[account.program_id]
         return evicted
 
+    def _evict_one(self) -> None:
+        accounts = self._account_by_id.values()
+        idle = (a for a in accounts if not a.has_turns_in_flight)
+        evicted = next(idle, next(iter(accounts)))
+        del self._account_by_id[evicted.program_id]
+
     def _create(
         self, claim: TurnClaim, record: str, is_new: bool, now: float
     ) -> Account:
--- a/libs/ledger/tests/test_accounts.py
+++ b/libs/ledger/tests/test_accounts.py
@@ -1,6 +1,7 @@
 """Tests of budgets when accounts in memory are lost."""
 
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies as st
@@ -176,5 +177,55 @@
         self.assertIsInstance(account.evaluate(turn), NeedsRecord)
 
 
+class EvictionTest(unittest.TestCase):
+    """Guards against budgets that are granted again after an eviction."""
+
+    def setUp(self):
+        self.accounts = Accounts()
+
+    def reserve(self, program_id, now=0.0):
+        turn = TurnClaim(program_id, f"{program_id}-1", 400, 100)
+        self.accounts.get_or_create(turn, RECORD, True, now)
+        self.accounts.reserve(turn)
+
+    def test_a_turn_in_flight_keeps_its_account_beyond_the_idle_time(self):
+        self.reserve("p")
+        self.assertEqual(self.accounts.evict_idle(130.0), [])
+        self.accounts.settle("p", "p-1", 80)
+        self.assertEqual(self.accounts.get("p").spent_tokens, 80)
+        evicted = self.accounts.evict_idle(130.0)
+        self.assertEqual([a.program_id for a in evicted], ["p"])
+
+    def test_an_older_turn_in_flight_does_not_keep_other_accounts(self):
+        self.reserve("running")
+        self.reserve("idle", now=1.0)
+        self.accounts.settle("idle", "idle-1", 80)
+        evicted = self.accounts.evict_idle(130.0)
+        self.assertEqual([a.program_id for a in evicted], ["idle"])
+
+    def test_a_turn_that_never_settles_is_evicted_in_the_end(self):
+        """Guards against accounts leaked by lost settlements."""
+        self.reserve("p")
+        evicted = self.accounts.evict_idle(300.0)
+        self.assertEqual([a.program_id for a in evicted], ["p"])
+
+    def test_at_the_limit_programs_without_turns_in_flight_go_first(self):
+        with mock.patch("masticdale_ledger.accounts._MAX_ACCOUNTS", 3):
+            for number in range(3):
+                self.reserve(f"p{number}")
+            self.accounts.settle("p1", "p1-1", 80)
+            self.reserve("p3")
+        kept = [a.program_id for a in self.accounts.all()]
+        self.assertEqual(kept, ["p0", "p2", "p3"])
+
+    def test_at_the_limit_the_newest_program_is_kept(self):
+        """Guards against a turn whose account goes before it is reserved."""
+        with mock.patch("masticdale_ledger.accounts._MAX_ACCOUNTS", 2):
+            for number in range(3):
+                self.reserve(f"p{number}")
+        kept = [a.program_id for a in self.accounts.all()]
+        self.assertEqual(kept, ["p1", "p2"])
+
+
 if __name__ == "__main__":
     unittest.main()
