Say on SIGHUP which settings need a restart

What operators saw: `reloaded` for a settings file that was checked and not applied. The line is now `settings_checked`; `pending` names the settings that differ from those in use.

--- a/apps/masticdale_entry/src/masticdale_entry/main.py
+++ b/apps/masticdale_entry/src/masticdale_entry/main.py
@@ -52,7 +52,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _check_settings, path)
+    loop.add_signal_handler(signal.SIGHUP, check_settings, path, settings)
     logs.write("started", role=settings.role, store=str(settings.store))
     if settings.role is Role.ENTRY:
         from masticdale_entry.entry import EntryHost
@@ -76,14 +76,27 @@
     gc.enable()
 
 
-def _check_settings(path: str) -> None:
-    """Checks the settings file on SIGHUP and logs the result.
+def check_settings(path: str, active: Settings) -> None:
+    """Checks a settings file that may have changed, and logs the result.
 
     The process keeps the settings that it started with.
+
+    Args:
+        path: Path of the JSON settings file.
+        active: The settings of the process.
     """
     outcome = settings_files.load(pathlib.Path(path), Settings)
-    failure = str(outcome.failure()) if isinstance(outcome, Failed) else ""
-    logs.write("reloaded", path=path, failure=failure)
+    if isinstance(outcome, Failed):
+        reason = str(outcome.failure())
+        logs.write("settings_checked", path=path, failure=reason, pending=[])
+        return
+    changed = outcome.unwrap()
+    pending = [
+        name
+        for name in Settings.model_fields
+        if getattr(changed, name) != getattr(active, name)
+    ]
+    logs.write("settings_checked", path=path, failure="", pending=pending)
 
 
 def _load(path: str) -> Settings:
--- a/apps/masticdale_entry/tests/test_settings.py
+++ b/apps/masticdale_entry/tests/test_settings.py
@@ -7,8 +7,9 @@
 import re
 import tempfile
 import unittest
+from unittest import mock
 
-from masticdale_entry.main import Commands
+from masticdale_entry.main import Commands, check_settings
 from masticdale_entry.settings import Settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -36,6 +37,35 @@
     )
 
 
+class ChangedSettingsTest(unittest.TestCase):
+    """Guards against a log that claims a reload which did not happen."""
+
+    def check(self, text):
+        """Returns the fields of the log line for a changed file."""
+        active = Settings.model_validate_json(
+            fill_in(TEMPLATE.read_text(), VALUE_BY_PLACEHOLDER)
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.json"
+            path.write_text(text)
+            with mock.patch("masticdale_common.logs.write") as write:
+                check_settings(str(path), active)
+        self.assertEqual(write.call_args.args, ("settings_checked",))
+        return write.call_args.kwargs
+
+    def test_changes_that_need_a_restart_are_named(self):
+        changed = VALUE_BY_PLACEHOLDER | {"bounds.grace_s": 20}
+        fields = self.check(fill_in(TEMPLATE.read_text(), changed))
+        self.assertEqual(fields["pending"], ["grace_s"])
+
+    def test_an_unchanged_file_has_nothing_pending(self):
+        text = fill_in(TEMPLATE.read_text(), VALUE_BY_PLACEHOLDER)
+        self.assertEqual(self.check(text)["pending"], [])
+
+    def test_an_invalid_file_is_reported(self):
+        self.assertTrue(self.check("{")["failure"])
+
+
 class SettingsTest(unittest.TestCase):
     def check(self, text):
         with tempfile.TemporaryDirectory() as folder:
