--- a/tools/load/src/masticdale_load/main.py
+++ b/tools/load/src/masticdale_load/main.py
@@ -15,6 +15,12 @@
     select_runs,
 )
 from masticdale_load.experiments import load_experiment
+from masticdale_load.placements import (
+    PlacementPolicy,
+    PlacementScenario,
+    format_placements,
+    simulate_placement,
+)
 from masticdale_load.reports import format_table
 from masticdale_load.system_reports import format_report
 from masticdale_load.system_runs import load_plan, run_system
@@ -75,10 +81,9 @@
         processes: Number of parallel runs, at most 4.
     """
     value = _unwrap(load_experiment(pathlib.Path(experiment)))
-    chosen = loads if isinstance(loads, (str, tuple)) else str(loads)
     selection = Selection(
         _names(policies),
-        frozenset(float(x) for x in _names(chosen)),
+        frozenset(float(x) for x in _split(loads)),
         _names(caches),
         _names(faults),
     )
@@ -96,9 +101,61 @@
     print(format_costs(measure_decisions()))
 
 
+def placement(
+    hosts: str | int | tuple[int, ...] = "9,60,171,340",
+    loads: str | float | tuple[float, ...] = "0.5,0.7,0.85",
+    replicas: int = 32,
+    shards: int = 4,
+    slow_share: float = 0.0,
+    failing: int = 0,
+    duration_s: float = 25.0,
+    seed: int = 1,
+) -> None:
+    """Simulates placement by hosts and by shard owners; prints a table.
+
+    Args:
+        hosts: Comma-separated numbers of entry hosts.
+        loads: Comma-separated loads, as shares of all slots.
+        replicas: Number of replicas.
+        shards: Number of ledger shards.
+        slow_share: Share of the replicas that take twice as long for a turn.
+        failing: Number of replicas that fail each turn at once.
+        duration_s: Seconds during which programs begin.
+        seed: Random seed.
+    """
+    results = []
+    for load in sorted(float(x) for x in _split(loads)):
+        for count in sorted(int(x) for x in _split(hosts)):
+            for choice in PlacementPolicy:
+                scenario = PlacementScenario(
+                    choice,
+                    count,
+                    load,
+                    replicas=replicas,
+                    shards=shards,
+                    slow_share=slow_share,
+                    failing=failing,
+                    duration_s=duration_s,
+                    seed=seed,
+                )
+                results.append((scenario, simulate_placement(scenario)))
+    print(format_placements(results))
+
+
+def _split(value: str | float | tuple[float, ...]) -> frozenset[str]:
+    return _names(value if isinstance(value, (str, tuple)) else str(value))
+
+
 def main() -> None:
     """Runs the command line."""
-    fire.Fire({"system": system, "policy": policy, "decisions": decisions})
+    fire.Fire(
+        {
+            "system": system,
+            "policy": policy,
+            "decisions": decisions,
+            "placement": placement,
+        }
+    )
 
 
 if __name__ == "__main__":
--- a/tools/load/src/masticdale_load/placements.py
+++ b/tools/load/src/masticdale_load/placements.py
@@ -260,6 +260,23 @@
             self._assignments[turn.shard].release(turn, end, now)
 
 
+def format_placements(
+    results: list[tuple[PlacementScenario, PlacementResult]],
+) -> str:
+    """Returns a table with one row per scenario."""
+    rows = [
+        f"{'choice':<8}{'hosts':>6}{'replicas':>10}{'load':>7}{'turns':>8}"
+        f"{'waits > 0.2 s':>15}{'p99 s':>8}{'moved':>8}{'failed':>8}"
+    ]
+    rows += [
+        f"{s.policy:<8}{s.hosts:>6}{s.replicas:>10}{s.load:>7.2f}"
+        f"{r.turns:>8}{r.long_wait_share:>15.4f}{r.p99_wait_s:>8.3f}"
+        f"{r.moved_share:>8.4f}{r.failed_share:>8.4f}"
+        for s, r in results
+    ]
+    return "\n".join(rows)
+
+
 def simulate_placement(scenario: PlacementScenario) -> PlacementResult:
     """Simulates a scenario in virtual time; deterministic for its seed."""
 
