Choose among idle replicas by the shared part of the prompt

New programs now go, among the replicas with the fewest of the owner's turns, to one that ranks first for the first part of their prompt, in place of their own id. Owners fill equals first as before, so that the load stays as even.

--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -9,7 +9,7 @@
 from masticdale_common import Failure
 from masticdale_gateway.codec import RequestMetadata
 from masticdale_gateway.messages import Request
-from masticdale_routing.assignments import TurnEnd
+from masticdale_routing.assignments import TurnEnd, TurnPrompt
 from masticdale_routing.routes import Route, RouteKind, Service
 
 
@@ -75,6 +75,9 @@
         return metadata.program_id or metadata.prefix_key or metadata.request_id
 
 
+_NO_PROMPT = TurnPrompt(service="")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TurnClaim:
     """A turn's request for tokens of its program's budget.
@@ -85,14 +88,14 @@
             the turn is in flight reserves nothing more.
         budget_tokens: Total budget of the program.
         turn_tokens: Maximum number of tokens that the turn uses.
-        service: Name of the service that runs the turn.
+        prompt: What the turn needs of a replica.
     """
 
     program_id: str
     request_id: str
     budget_tokens: int
     turn_tokens: int
-    service: str = ""
+    prompt: TurnPrompt = _NO_PROMPT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -29,6 +29,7 @@
 from masticdale_gateway.streaming import StreamRelay
 from masticdale_gateway.transports import ConnectionLostError
 from masticdale_gateway.unary import BufferedResponse, UnaryRelay
+from masticdale_routing.assignments import TurnPrompt
 from masticdale_routing.fleet import Fleet
 from masticdale_routing.routes import Configuration, Service
 
@@ -288,7 +289,7 @@
         request_id=metadata.request_id,
         budget_tokens=metadata.budget_tokens,
         turn_tokens=metadata.turn_tokens,
-        service=call.service.name,
+        prompt=TurnPrompt(call.service.name, metadata.prefix_key),
     )
 
 
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -217,7 +217,8 @@
             turn_tokens=claim.turn_tokens,
             asker=self._own_address,
             asker_stops=self.is_stopping,
-            service_name=claim.service,
+            service_name=claim.prompt.service,
+            prefix_key=claim.prompt.prefix_key,
         )
         if not view.record.standby_address:
             return await self._ask_owner(view, request)
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -23,6 +23,7 @@
   6: HostAddress asker,
   7: bool asker_stops,       // must not become a standby or an owner
   8: string service_name,    // that runs the turn
+  9: string prefix_key,      // of the first part of its prompt
 }
 
 struct AdmitReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -35,6 +35,7 @@
         asker_stops: Whether the calling host is stopping, and so must not
             become a standby or an owner.
         service_name: The service that runs the turn.
+        prefix_key: Key of the first part of its prompt; see ``TurnPrompt``.
     """
 
     shard: int
@@ -45,6 +46,7 @@
     asker: HostAddress
     asker_stops: bool = False
     service_name: str = ""
+    prefix_key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -309,7 +309,7 @@
             return ""
         return self._assignments.assign(
             TurnKey(shard_number, claim.program_id, claim.request_id),
-            claim.service,
+            claim.prompt,
             len(self._shard_by_number) / LEDGER_SHARD_COUNT,
             time.monotonic(),
         )
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -31,6 +31,7 @@
 from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_ledger.standby import StandbyCopies
 from masticdale_platform import ObjectStore
+from masticdale_routing.assignments import TurnPrompt
 
 
 class LedgerService:
@@ -67,7 +68,7 @@
             request_id=request.request_id,
             budget_tokens=request.budget_tokens,
             turn_tokens=request.turn_tokens,
-            service=request.service_name,
+            prompt=TurnPrompt(request.service_name, request.prefix_key),
         )
         outcome = await self._admissions.admit(request.shard, claim)
         if isinstance(outcome, Failed):
--- a/libs/routing/src/masticdale_routing/assignments.py
+++ b/libs/routing/src/masticdale_routing/assignments.py
@@ -48,6 +48,20 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnPrompt:
+    """What a turn needs of a replica.
+
+    Attributes:
+        service: Name of the service that runs it.
+        prefix_key: Key of the first part of its prompt, which other programs
+            may share; empty if unknown.
+    """
+
+    service: str
+    prefix_key: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TurnEnd:
     """How a turn ended.
@@ -87,18 +101,22 @@
         return self._turns_by_replica_id[replica_id]
 
     def assign(
-        self, turn: TurnKey, service: str, owned_share: float, now: float
+        self,
+        turn: TurnKey,
+        prompt: TurnPrompt,
+        owned_share: float,
+        now: float,
     ) -> str:
         """Assigns a replica to an admitted turn.
 
         A repeated call for a turn in flight returns the same replica. A program
         keeps its replica, which caches its prefix, until this host's share of
-        the replica's slots is used up. A new program gets the least utilized
-        replica.
+        the replica's slots is used up. A new program gets one of the least
+        utilized replicas, if possible the same as others of its prefix.
 
         Args:
             turn: The turn.
-            service: Name of the service that runs it.
+            prompt: What it needs of a replica.
             owned_share: The share of all ledger shards that this host owns,
                 above 0 and at most 1. Its turns may use the same share of each
                 replica's slots.
@@ -113,11 +131,12 @@
             return known.replica_id
         utilization_by_id = {
             s.replica.id: self._utilization(s, owned_share)
-            for s in self._fleet.healthy(service, now)
+            for s in self._fleet.healthy(prompt.service, now)
         }
         if not utilization_by_id:
             return ""
-        replica_id = self._choose(turn.program_id, utilization_by_id)
+        key = prompt.prefix_key or turn.program_id
+        replica_id = self._choose(turn.program_id, key, utilization_by_id)
         expires_at = now + _MAX_ASSIGNMENT_AGE_S
         self._assignment_by_turn[turn] = _Assignment(replica_id, expires_at)
         self._turns_by_replica_id[replica_id] += 1
@@ -151,7 +170,7 @@
                 self._discard(self._assignment_by_turn.pop(turn))
 
     def _choose(
-        self, program_id: str, utilization_by_id: dict[str, float]
+        self, program_id: str, key: str, utilization_by_id: dict[str, float]
     ) -> str:
         least = min(utilization_by_id.values())
         own_id = self._replica_id_by_program.get(program_id, "")
@@ -160,9 +179,8 @@
             own < _MOVE_UTILIZATION or own - least < _MOVE_MARGIN
         ):
             return own_id
-        # Among equals, the replica that a host without a hint would choose.
         idlest = [i for i, u in utilization_by_id.items() if u == least]
-        return hashing.rendezvous_rank(program_id, idlest)[0]
+        return hashing.rendezvous_rank(key, idlest)[0]
 
     def _utilization(self, state: ReplicaState, owned_share: float) -> float:
         slots = max(1, state.replica.slots) * owned_share
--- a/libs/routing/tests/test_assignments.py
+++ b/libs/routing/tests/test_assignments.py
@@ -3,7 +3,12 @@
 import collections
 import unittest
 
-from masticdale_routing.assignments import TurnAssignments, TurnEnd, TurnKey
+from masticdale_routing.assignments import (
+    TurnAssignments,
+    TurnEnd,
+    TurnKey,
+    TurnPrompt,
+)
 from masticdale_routing.fleet import Fleet, Replica
 
 SHARDS = 4
@@ -32,9 +37,9 @@
             }
             self.fleet.put(Replica(**(fields | changes)))
 
-    def assign(self, program, request="r", now=0.0):
+    def assign(self, program, request="r", now=0.0, prefix=""):
         return self.assignments.assign(
-            turn(program, request), "model", SHARE, now
+            turn(program, request), TurnPrompt("model", prefix), SHARE, now
         )
 
     def test_new_programs_spread_evenly(self):
@@ -52,6 +57,18 @@
             self.assign(f"other{number}")
         self.assertEqual(self.assign("p", "2", 0.2), first)
 
+    def test_programs_of_one_prefix_share_a_replica(self):
+        """Guards against each replica reading each shared part of a prompt."""
+        self.add_replicas(8)
+        for prefix in ("x", "y", "z"):
+            replicas = set()
+            for number in range(10):
+                program = f"{prefix}{number}"
+                chosen = self.assign(program, prefix=prefix)
+                self.assignments.release(turn(program), TurnEnd(chosen), 0.0)
+                replicas.add(chosen)
+            self.assertEqual(len(replicas), 1)
+
     def test_a_program_leaves_a_full_replica(self):
         """Guards against waiting at a full replica while others are idle."""
         self.add_replicas(2)
--- a/tools/load/src/masticdale_load/placements.py
+++ b/tools/load/src/masticdale_load/placements.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import enum
 import random
@@ -13,7 +14,12 @@
 
 from masticdale_common import hashing
 from masticdale_load import virtual_time
-from masticdale_routing.assignments import TurnAssignments, TurnEnd, TurnKey
+from masticdale_routing.assignments import (
+    TurnAssignments,
+    TurnEnd,
+    TurnKey,
+    TurnPrompt,
+)
 from masticdale_routing.fleet import Fleet, Replica, ReplicaState, ReportedLoad
 
 _SERVICE = "model"
@@ -30,6 +36,10 @@
 # Longest time from the end of a turn until its owner has the settlement.
 _MAX_SETTLE_DELAY_S = 0.05
 _LONG_WAIT_S = 0.2
+# Programs share the first part of their prompt with others of the same subject;
+# a replica's memory holds only some of these parts.
+_SUBJECTS = 6
+_CACHED_SUBJECTS = 4
 
 
 class PlacementPolicy(enum.StrEnum):
@@ -83,6 +93,8 @@
         p99_wait_s: 99th percentile of the wait for a slot.
         moved_share: Share of the turns at another replica than the program's
             turn before, which lack the program's prefix.
+        reread_share: Share of the turns at a replica that did not hold the
+            shared part of their prompt.
         failed_share: Share of the attempts that failed at a replica.
     """
 
@@ -90,6 +102,7 @@
     long_wait_share: float
     p99_wait_s: float
     moved_share: float
+    reread_share: float
     failed_share: float
 
 
@@ -101,6 +114,18 @@
         self.slots = asyncio.Semaphore(replica.slots)
         self.queued = 0
         self.running = 0
+        self._subjects: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def read(self, subject: str) -> bool:
+        """Reads the shared part of a prompt; returns whether it was cached."""
+        is_cached = subject in self._subjects
+        self._subjects[subject] = None
+        self._subjects.move_to_end(subject)
+        if len(self._subjects) > _CACHED_SUBJECTS:
+            self._subjects.popitem(last=False)
+        return is_cached
 
 
 class _Simulation:
@@ -114,6 +139,7 @@
         self._assignments = [TurnAssignments(f) for f in self._fleets]
         self._waits: list[float] = []
         self._moved = 0
+        self._reread = 0
         self._failed = 0
 
     @property
@@ -169,6 +195,7 @@
             sum(w > _LONG_WAIT_S for w in self._waits) / turns,
             statistics.quantiles(self._waits, n=100)[-1],
             self._moved / turns,
+            self._reread / turns,
             self._failed / attempts,
         )
 
@@ -190,7 +217,9 @@
             state = self._choose(host, turn, failed)
             replica_id = state.replica.id
             state.in_flight += 1
-            is_done = await self._run_at(self._replica_by_id[replica_id])
+            is_done = await self._run_at(
+                self._replica_by_id[replica_id], _subject_of(turn.program_id)
+            )
             state.in_flight -= 1
             self._record(state, is_done)
             if is_done:
@@ -219,7 +248,10 @@
             number = turn.shard
             share = 1 / self._scenario.shards
             assigned_id = self._assignments[number].assign(
-                turn, _SERVICE, share, now
+                turn,
+                TurnPrompt(_SERVICE, _subject_of(turn.program_id)),
+                share,
+                now,
             )
         state = self._fleets[number].choose(
             _SERVICE, turn.program_id, now, failed, assigned_id
@@ -228,7 +260,7 @@
             raise RuntimeError("each replica has failed the turn")
         return state
 
-    async def _run_at(self, simulated: _SimulatedReplica) -> bool:
+    async def _run_at(self, simulated: _SimulatedReplica, subject: str) -> bool:
         if simulated.fails:
             await asyncio.sleep(_FAILED_TURN_S)
             return False
@@ -238,6 +270,7 @@
         async with simulated.slots:
             simulated.queued -= 1
             simulated.running += 1
+            self._reread += not simulated.read(subject)
             self._waits.append(loop.time() - arrived_at)
             factor = self._random.uniform(0.8, 1.2)
             await asyncio.sleep(factor * simulated.turn_s)
@@ -260,18 +293,24 @@
             self._assignments[turn.shard].release(turn, end, now)
 
 
+def _subject_of(program_id: str) -> str:
+    return f"subject-{hashing.shard_of(f'subject/{program_id}', _SUBJECTS)}"
+
+
 def format_placements(
     results: list[tuple[PlacementScenario, PlacementResult]],
 ) -> str:
     """Returns a table with one row per scenario."""
     rows = [
         f"{'choice':<8}{'hosts':>6}{'replicas':>10}{'load':>7}{'turns':>8}"
-        f"{'waits > 0.2 s':>15}{'p99 s':>8}{'moved':>8}{'failed':>8}"
+        f"{'waits > 0.2 s':>15}{'p99 s':>8}{'moved':>8}{'reread':>8}"
+        f"{'failed':>8}"
     ]
     rows += [
         f"{s.policy:<8}{s.hosts:>6}{s.replicas:>10}{s.load:>7.2f}"
         f"{r.turns:>8}{r.long_wait_share:>15.4f}{r.p99_wait_s:>8.3f}"
-        f"{r.moved_share:>8.4f}{r.failed_share:>8.4f}"
+        f"{r.moved_share:>8.4f}{r.reread_share:>8.4f}"
+        f"{r.failed_share:>8.4f}"
         for s, r in results
     ]
     return "\n".join(rows)
--- a/tools/load/tests/test_placements.py
+++ b/tools/load/tests/test_placements.py
@@ -39,6 +39,12 @@
                 alone = simulate(PlacementPolicy.HOST, 171, load)
                 self.assertLessEqual(assigned.moved_share, alone.moved_share)
 
+    def test_shared_parts_of_prompts_are_read_less_often(self):
+        """Guards against each replica reading the parts of all subjects."""
+        assigned = simulate(PlacementPolicy.OWNER, 171, 0.5)
+        alone = simulate(PlacementPolicy.HOST, 171, 0.5)
+        self.assertLess(assigned.reread_share, alone.reread_share)
+
     def test_slow_replicas_get_fewer_turns(self):
         """Guards against queues at replicas that take twice as long."""
         result = simulate(PlacementPolicy.OWNER, 171, 0.7, slow_share=0.25)
