Refuse to relay store calls on a host that has lost the store

A host that finds the store unreachable relays each watch through two others, and these called the store although they had lost it as well: calls grow with hosts, prefixes and relays.

A host whose last direct call or probe failed now refuses to relay; its own probes, one a second, tell when the store is back. In a partial outage a host that is turned away finds one that is served sooner, since the others answer at once.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -182,6 +182,7 @@
             self._direct_store,
             live_hosts,
             shared,
+            lambda: self._store.is_directly_reachable,
         )
         self._ledger.admit_locally = service.admit
         self._peer_server = RpcServer(service, peers_bind, LEDGER)
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -187,6 +187,11 @@
         """Whether the last direct and the last relayed call both failed."""
         return not self._direct_path.is_reachable and self._relay_failed
 
+    @property
+    def is_directly_reachable(self) -> bool:
+        """Whether the store answered the last direct call or probe."""
+        return self._direct_path.is_reachable
+
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
         return await self._call_with_fallback(lambda store: store.read(key))
--- a/libs/ledger/src/masticdale_ledger/peer_store.py
+++ b/libs/ledger/src/masticdale_ledger/peer_store.py
@@ -112,6 +112,8 @@
     direct: ObjectStore,
     request: StoreRequest,
     shared: SharedWatches | None = None,
+    *,
+    can_relay: bool = True,
 ) -> StoreReply:
     """Makes a store call for another host; never relays it further.
 
@@ -120,7 +122,14 @@
         request: The call.
         shared: The results of this host's own watches; None if it has none,
             so that it can't be followed.
+        can_relay: Whether the store answers this host, as far as it knows. If
+            it does not, calls to it are refused at once: in an outage each
+            host's calls would otherwise be repeated by several others.
     """
+    if not can_relay and request.operation != "follow":
+        detail = "the relaying host can't reach the store"
+        failure = Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+        return StoreReply(failure=failure)
     key = request.key
     outcome: Result[StoreReply, Failure]
     match request.operation:
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -1,5 +1,7 @@
 """Serves the ledger calls of other hosts."""
 
+from collections.abc import Callable
+
 from returns.result import Failure as Failed
 
 from masticdale_gateway.calls import TurnClaim
@@ -46,7 +48,21 @@
         direct_store: ObjectStore,
         live_hosts: LiveHosts,
         shared_watches: SharedWatches | None,
+        can_relay: Callable[[], bool],
     ) -> None:
+        """Creates the handlers.
+
+        Args:
+            owner: The shards that this host owns.
+            reconciler: Takes over shards that are handed over.
+            failover: Takes over shards whose owner is lost.
+            copies: The copies that this host holds as a standby.
+            direct_store: The store itself, for relayed calls.
+            live_hosts: Records which hosts call.
+            shared_watches: This host's watches; None if it has none to share.
+            can_relay: Returns whether the store answers this host.
+        """
+        self._can_relay = can_relay
         self._failover = failover
         self._arbiter = Arbiter()
         self._admissions = Admissions(owner, failover)
@@ -108,5 +124,8 @@
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't reach the store."""
         return await serve_store(
-            self._direct_store, request, self._shared_watches
+            self._direct_store,
+            request,
+            self._shared_watches,
+            can_relay=self._can_relay(),
         )
--- a/libs/ledger/tests/hosts_case.py
+++ b/libs/ledger/tests/hosts_case.py
@@ -189,6 +189,7 @@
             self.store,
             self.live_hosts,
             None,
+            lambda: True,
         )
 
     async def read_map(self):
--- a/libs/ledger/tests/test_fallback_store.py
+++ b/libs/ledger/tests/test_fallback_store.py
@@ -8,6 +8,7 @@
 
 from masticdale_common import ErrorKind, Failure, Metrics
 from masticdale_ledger.fallback_store import FallbackStore
+from masticdale_ledger.messages import StoreRequest
 from masticdale_ledger.peer_store import serve_store
 from masticdale_platform.testing import MemoryStore
 
@@ -85,6 +86,13 @@
             kind = (await self.store.read("a/x")).failure().kind
         self.assertIs(kind, ErrorKind.PLATFORM_UNAVAILABLE)
 
+    async def test_a_host_without_the_store_relays_no_calls(self):
+        """Guards against relayed calls to a store that nobody reaches."""
+        (await self.direct.write("a/x", b"{}", 0)).unwrap()
+        request = StoreRequest("read", "a/x")
+        reply = await serve_store(self.direct, request, can_relay=False)
+        self.assertIs(reply.failure.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+
     async def test_a_watch_detects_that_the_store_is_reachable_again(self):
         self.direct.faults.down = True
         self.peer.store.faults.down = True
@@ -98,5 +106,57 @@
         self.assertEqual(self.direct.write_count, 1)
 
 
+class OutageTest(unittest.IsolatedAsyncioTestCase):
+    """Pattern: many hosts lose the store at once, for some seconds."""
+
+    HOSTS = 30
+    PREFIXES = ("a/", "b/", "c/")
+    OUTAGE_S = 2.0
+
+    async def test_each_host_calls_the_store_about_once_a_second(self):
+        """Guards against hosts that send each other's calls to a lost store.
+
+        A host may find the outage with one call for each prefix; after that
+        it may probe at most every 0.8 s.
+        """
+        direct = MemoryStore()
+        direct.faults.down = True
+        peers = []
+        stores = [
+            FallbackStore(direct, lambda: list(peers), Metrics())
+            for _ in range(self.HOSTS)
+        ]
+        peers += [RelayingPeer(store, direct) for store in stores]
+        watches = [
+            asyncio.create_task(self.watch(store, prefix))
+            for store in stores
+            for prefix in self.PREFIXES
+        ]
+        await asyncio.sleep(self.OUTAGE_S)
+        for task in watches:
+            task.cancel()
+        probes = 1 + int(self.OUTAGE_S / 0.8)
+        most = self.HOSTS * (len(self.PREFIXES) + probes)
+        self.assertLessEqual(direct.calls_while_down, most)
+
+    async def watch(self, store, prefix):
+        while True:
+            await store.watch(prefix, 0, 1.0)
+            await store.wait_before_retry(0.1)
+
+
+class RelayingPeer:
+    """Another host that may have lost the store too."""
+
+    def __init__(self, store, direct):
+        self.store = store
+        self.direct = direct
+
+    async def call(self, rpc, request, timeout_s=None):
+        can_relay = self.store.is_directly_reachable
+        reply = await serve_store(self.direct, request, can_relay=can_relay)
+        return Success(reply)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/platform/src/masticdale_platform/testing.py
+++ b/libs/platform/src/masticdale_platform/testing.py
@@ -37,11 +37,19 @@
 
 
 class MemoryStore:
-    """An ``ObjectStore`` that all clients of one test share."""
+    """An ``ObjectStore`` that all clients of one test share.
+
+    Attributes:
+        faults: What goes wrong.
+        listed_hosts: The hosts that it lists.
+        calls_while_down: Calls received while it is down.
+        write_count: Successful writes.
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
         self.listed_hosts: list[ListedHost] = []
+        self.calls_while_down = 0
         self.write_count = 0
         self._position = 0
         self._object_by_key: dict[str, StoredObject] = {}
@@ -128,6 +136,7 @@
 
     async def _is_down_after_delay(self) -> bool:
         await asyncio.sleep(self.faults.delay_s)
+        self.calls_while_down += self.faults.down
         return self.faults.down
 
     def _version_matches(self, key: str, expected_version: int) -> bool:
