Admit new programs at once where the arbiter has decided for the standby

Cause: new programs were admitted only once the claim had failed or the store was found unreachable. A store that leaves calls unanswered is found unreachable after two timeouts. The arbiter's decision alone is enough: from then on the owner counts programs that it does not know as half spent, and whoever takes the shard over seals the standby's copy and learns of them.

Without that decision nothing changes (test).

--- a/libs/ledger/src/masticdale_ledger/failover.py
+++ b/libs/ledger/src/masticdale_ledger/failover.py
@@ -89,6 +89,11 @@
         shard = self._take_over(
             shard_number, view, won_arbitration=side is Side.STANDBY
         )
+        if shard.won_arbitration:
+            # The owner counts new programs as half spent from now on, and a
+            # host that takes over learns of them from the sealed copy. Waiting
+            # for the claim would stop them for as long as the store is silent.
+            self.admit_unknown_programs(shard)
         task = asyncio.create_task(self.claim(shard))
         self._claim_tasks.add(task)
         task.add_done_callback(self._claim_tasks.discard)
@@ -117,12 +122,12 @@
     def admit_unknown_programs(self, shard: OwnedShard) -> None:
         """Admits programs, too, that the last owner did not know.
 
-        Called when the store can't be reached. The owner may be alive, assign
-        another standby and count unknown programs from zero; programs admitted
-        here too would exceed their budget by half. They are therefore admitted
-        only if the owner's last copy said that it can't reach the store either,
-        or if the arbiter has decided for this host. In both cases a live owner
-        counts unknown programs as spent up to the unrecorded limit.
+        The owner may be alive, assign another standby and count unknown
+        programs from zero; programs admitted here too would exceed their budget
+        by half. They are therefore admitted only if the arbiter has decided for
+        this host, or if the store can't be reached and the owner's last copy
+        said that it can't reach it either. In both cases a live owner counts
+        unknown programs as spent up to the unrecorded limit.
         """
         if shard.isolation is None or shard.isolation.admits_unknown:
             return
