End a hanging watch when a watch source has the store again

Causes, by the logs: - A follower whose sources have lost the store asks the store itself, for 5 s and a timeout. A silent store leaves that watch hanging, and most followers make no other call that would show it. It now ends when a source can be followed again; as a failed watch, so that the next one begins with a list and replicas that lapsed in the outage are kept for a while. Only after a source has said that it lost the store: elsewhere a failure would keep replicas that left. - The successor read the records a second late (8.586 s), and another claim ended with an unknown outcome: both calls were relayed through the removed host. A host that does not answer a relayed call is not asked for 5 s, and a write that certainly was not sent is not of unknown outcome; the next host is asked.

--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -35,11 +35,17 @@
 _RECOVERY_RETRY_S = 0.1
 # The most hosts through which one call is tried.
 _MAX_RELAYS = 2
+# A host that did not answer a relayed call is not asked for this long, in
+# seconds.
+_SILENT_RELAY_S = 5.0
 
 # A watch source that did not answer is not asked for this long, in seconds.
 _SILENT_SOURCE_BACKOFF_S = 5.0
 # The same for a watch source that has lost the store or has just started.
 _STORELESS_SOURCE_BACKOFF_S = 0.25
+# Interval, in seconds, at which a host that watches the store itself asks a
+# watch source whether it can be followed again.
+_SOURCE_CHECK_INTERVAL_S = 0.8
 
 PeerList = Callable[[], list[RpcClient]]
 Ping = Callable[[], Awaitable[Result[None, Failure]]]
@@ -55,7 +61,8 @@
 _PATH_CHANGED: Result[Any, Failure] = Failed(
     Failure(
         ErrorKind.PLATFORM_UNAVAILABLE,
-        "watch interrupted: the store's reachability has changed",
+        "watch interrupted: the store or a watch source can be reached again, "
+        "or no longer",
     )
 )
 
@@ -121,10 +128,13 @@
 
     Attributes:
         all: Clients of all watch sources.
+        have_lost_store: Whether the source that was asked last said that the
+            store does not answer it.
     """
 
     def __init__(self, watch_sources: list[RpcClient]) -> None:
         self.all = watch_sources
+        self.have_lost_store = False
         self._excluded_until: dict[int, float] = {}
 
     def available(self) -> list[RpcClient]:
@@ -181,6 +191,7 @@
         self._direct_path = _DirectPath()
         self._relay_failed = False
         self._last_position_by_prefix: dict[str, int] = {}
+        self._skipped_until_by_peer: dict[RpcClient, float] = {}
 
     @property
     def is_store_unreachable(self) -> bool:
@@ -261,7 +272,10 @@
             # A watch source may be available again by then.
             wait_s = min(wait_s, _SILENT_SOURCE_BACKOFF_S)
         watched: Any = self._direct.watch(prefix, position, wait_s)
-        outcome = await self._await_unless_path_changes(watched)
+        events = []
+        if self._watch_sources.have_lost_store:
+            events.append(self._wait_for_source(prefix, position))
+        outcome = await self._await_unless_path_changes(watched, *events)
         if outcome is None:
             return _PATH_CHANGED
         # The connection of a waiting watch may be dropped at any time. Only
@@ -339,12 +353,16 @@
         for source in self._watch_sources.available():
             outcome = await PeerStore(source).follow(prefix, position)
             if not isinstance(outcome, Failed):
+                self._watch_sources.have_lost_store = False
                 if not self._is_stale(prefix, outcome.unwrap()):
                     self._metrics.count("watches_followed_total")
                     return outcome
                 self._watch_sources.exclude(source, _SILENT_SOURCE_BACKOFF_S)
                 continue
             kind = outcome.failure().kind
+            self._watch_sources.have_lost_store = (
+                kind is ErrorKind.PLATFORM_UNAVAILABLE
+            )
             if kind not in (
                 ErrorKind.PLATFORM_UNAVAILABLE,
                 ErrorKind.NOT_FOUND,
@@ -372,33 +390,58 @@
 
     async def _relay(self, call: StoreCall[T]) -> Result[T, Failure]:
         outcome: Result[T, Failure] = _UNREACHABLE
-        peers = self._peers()
+        now = asyncio.get_running_loop().time()
+        peers = [p for p in self._peers() if now >= self._skipped_until(p)]
         for peer in self._random.sample(peers, min(_MAX_RELAYS, len(peers))):
             self._metrics.count("store_calls_relayed_total")
             store: Any = PeerStore(peer)
             outcome = await call(store)
+            if not store.has_answered:
+                # A host that is gone would cost each call a timeout.
+                self._skipped_until_by_peer[peer] = now + _SILENT_RELAY_S
             if not _is_unavailable(outcome):
                 break
         self._relay_failed = _is_unavailable(outcome)
         return outcome
 
+    def _skipped_until(self, peer: RpcClient) -> float:
+        return self._skipped_until_by_peer.get(peer, 0.0)
+
     async def _await_unless_path_changes(
         self,
         watch: Coroutine[Any, Any, Result[WatchBatch, Failure]],
+        *other_events: Coroutine[Any, Any, None],
     ) -> Result[WatchBatch, Failure] | None:
+        """Awaits a watch; returns None if another event comes first."""
         changed = self._direct_path.changed
         task = asyncio.create_task(watch)
-        waiter = asyncio.create_task(changed.wait())
+        waiters = [asyncio.create_task(event) for event in other_events]
+        waiters.append(asyncio.create_task(_wait(changed)))
         try:
             await asyncio.wait(
-                (task, waiter), return_when=asyncio.FIRST_COMPLETED
+                (task, *waiters), return_when=asyncio.FIRST_COMPLETED
             )
-            if task.done():
-                return task.result()
-            return None
+            return task.result() if task.done() else None
         finally:
-            task.cancel()
-            waiter.cancel()
+            for pending in (task, *waiters):
+                pending.cancel()
+
+    async def _wait_for_source(self, prefix: str, position: int) -> None:
+        """Waits until a watch source can be followed; forever without one.
+
+        A store that falls silent leaves the watch of a follower hanging. The
+        watch sources notice when it is back, since they ask it all the time.
+        """
+        while True:
+            interval_s = self._random.uniform(0.5, 1.0)
+            await asyncio.sleep(interval_s * _SOURCE_CHECK_INTERVAL_S)
+            sources = self._watch_sources.available()
+            if not sources:
+                continue
+            source = self._random.choice(sources)
+            outcome = await PeerStore(source).follow(prefix, position)
+            if not isinstance(outcome, Failed):
+                return
 
     def _record_outcome(self, outcome: Result[Any, Failure]) -> None:
         if not isinstance(outcome, Failed):
@@ -412,6 +455,10 @@
         self._direct_path.record(is_reachable=is_reachable, reason=str(failure))
 
 
+async def _wait(event: asyncio.Event) -> None:
+    await event.wait()
+
+
 def _is_unavailable(outcome: Result[T, Failure]) -> bool:
     return isinstance(outcome, Failed) and (
         outcome.failure().kind is ErrorKind.PLATFORM_UNAVAILABLE
--- a/libs/ledger/src/masticdale_ledger/peer_store.py
+++ b/libs/ledger/src/masticdale_ledger/peer_store.py
@@ -12,7 +12,7 @@
 )
 from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_platform import ObjectStore, StoredObject, WatchBatch
-from masticdale_rpc import RpcClient
+from masticdale_rpc import RpcClient, may_have_been_sent
 
 # Timeout of a relayed call in seconds, besides a watch's wait: one timeout of
 # the other host's store client.
@@ -27,10 +27,15 @@
 
 
 class PeerStore:
-    """An ``ObjectStore`` whose calls another host makes for this one."""
+    """An ``ObjectStore`` whose calls another host makes for this one.
+
+    Attributes:
+        has_answered: Whether the host has answered the last call.
+    """
 
     def __init__(self, peer: RpcClient) -> None:
         self._peer = peer
+        self.has_answered = False
 
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
@@ -96,14 +101,16 @@
         outcome = await self._peer.call(
             STORE, request, wait_s + _RELAY_TIMEOUT_S
         )
+        self.has_answered = not isinstance(outcome, Failed)
         if isinstance(outcome, Failed):
+            failure = outcome.failure()
             is_write = request.operation in ("write", "delete")
             kind = (
                 ErrorKind.WRITE_UNKNOWN
-                if is_write
+                if is_write and may_have_been_sent(failure)
                 else ErrorKind.PLATFORM_UNAVAILABLE
             )
-            return Failed(Failure(kind, str(outcome.failure())))
+            return Failed(Failure(kind, str(failure)))
         reply = outcome.unwrap()
         return Failed(reply.failure) if reply.failure else Success(reply)
 
--- a/libs/ledger/tests/test_fallback_store.py
+++ b/libs/ledger/tests/test_fallback_store.py
@@ -11,6 +11,7 @@
 from masticdale_ledger.messages import StoreRequest
 from masticdale_ledger.peer_store import serve_store
 from masticdale_platform.testing import MemoryStore
+from masticdale_rpc import unavailable
 
 
 class StubPeer:
@@ -29,6 +30,17 @@
         return Success(await serve_store(self.store, request))
 
 
+class RemovedPeer:
+    """A host that has been removed: no connection can be opened."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def call(self, rpc, request, timeout_s=None):
+        self.calls += 1
+        return Failed(unavailable("c", "no connection", sent=False))
+
+
 class FallbackTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.direct = MemoryStore()
@@ -86,6 +98,20 @@
             kind = (await self.store.read("a/x")).failure().kind
         self.assertIs(kind, ErrorKind.PLATFORM_UNAVAILABLE)
 
+    async def test_a_relay_that_was_never_reached_is_followed_by_another(self):
+        """Guards against a claim that waits a second for a removed host.
+
+        Nothing was sent, so the write has certainly not been done.
+        """
+        removed = RemovedPeer()
+        self.store = FallbackStore(
+            self.direct, lambda: [removed, self.peer], Metrics()
+        )
+        self.direct.faults.down = True
+        for number in range(10):
+            (await self.store.write(f"a/{number}", b"{}", 0)).unwrap()
+        self.assertLessEqual(removed.calls, 1)
+
     async def test_a_host_without_the_store_relays_no_calls(self):
         """Guards against relayed calls to a store that nobody reaches."""
         (await self.direct.write("a/x", b"{}", 0)).unwrap()
--- a/libs/ledger/tests/test_shared_watches.py
+++ b/libs/ledger/tests/test_shared_watches.py
@@ -63,6 +63,32 @@
         )
         self.direct.watches = 0
 
+    async def test_a_hanging_watch_ends_when_a_source_has_the_store_again(
+        self,
+    ):
+        """Guards against old owners and replicas used after an outage.
+
+        The store falls silent: the sources say so, and the follower asks the
+        store, whose watch hangs. The outage is over before that times out.
+        """
+        batch = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        for source in self.watch_sources:
+            source.shared.mark_store_unreachable()
+        hanging = asyncio.create_task(
+            self.store.watch(PREFIX, batch.position, 28.0)
+        )
+        await asyncio.sleep(0.5)
+        for source in self.watch_sources:
+            source.shared.mark_store_reachable()
+        async with asyncio.timeout(1.5):
+            outcome = await hanging
+        # A failure, so that the watch begins again from a list and replicas
+        # that lapsed in the outage are kept for a while.
+        self.assertIsInstance(outcome, Failed)
+        async with asyncio.timeout(0.5):
+            again = await self.store.watch(PREFIX, 0, 28.0)
+        self.assertTrue(again.unwrap().is_snapshot)
+
     async def test_a_follower_makes_no_store_calls(self):
         """Guards against a load on the store that grows with the hosts."""
         batch = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
