--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -226,6 +226,7 @@
             request_id=request_id,
             program_id=call.metadata.program_id,
             replica=state.replica.id,
+            assigned=call.assigned_replica_id,
             in_flight=state.in_flight,
             attempt=len(call.replica_ids),
             last_event_id=options.last_event_id,
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -58,6 +58,7 @@
         metadata=types.SimpleNamespace(request_id="q", program_id="p"),
         remaining_s=3.0,
         replica_ids=[],
+        assigned_replica_id="",
     )
 
 
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -307,12 +307,23 @@
         shard = self._shard_by_number.get(shard_number)
         if self._assignments is None or shard is None:
             return ""
-        return self._assignments.assign(
+        owned_share = len(self._shard_by_number) / LEDGER_SHARD_COUNT
+        replica_id = self._assignments.assign(
             TurnKey(shard_number, claim.program_id, claim.request_id),
             claim.prompt,
-            len(self._shard_by_number) / LEDGER_SHARD_COUNT,
+            owned_share,
             time.monotonic(),
         )
+        logs.write_bounded(
+            "replica_assigned",
+            request_id=claim.request_id,
+            program_id=claim.program_id,
+            shard=shard_number,
+            replica=replica_id,
+            turns=self._assignments.turns_at(replica_id),
+            owned_share=owned_share,
+        )
+        return replica_id
 
     def settle(self, settlement: Settlement) -> bool:
         """Settles a turn; returns False if another host owns the shard."""
