Prefer replicas that generate fast

Hosts report the mean time between two events of a stream with its settlement. The cost of a replica is that pace, a quarter for sharing all of its slots, and twice the turns that would have to wait.

--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -29,6 +29,8 @@
             assigned; empty for none.
         completed_replica_id: The replica whose response was forwarded whole.
         failed_replica_ids: Replicas at which attempts failed, in order.
+        event_interval_s: Mean time between two events forwarded, in seconds; 0
+            if unknown.
     """
 
     request: Request
@@ -41,12 +43,15 @@
     assigned_replica_id: str = ""
     completed_replica_id: str = ""
     failed_replica_ids: list[str] = dataclasses.field(default_factory=list)
+    event_interval_s: float = 0.0
 
     @property
     def turn_end(self) -> TurnEnd:
         """How the call has ended at the replicas."""
         return TurnEnd(
-            self.completed_replica_id, tuple(self.failed_replica_ids)
+            self.completed_replica_id,
+            tuple(self.failed_replica_ids),
+            self.event_interval_s,
         )
 
     @property
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -26,6 +26,8 @@
 # A connection that was idle for longer may have been dropped on the network. A
 # request sent on it would get no response until the attempt times out.
 _MAX_IDLE_S = 10.0
+# Events of a stream from which on their mean interval is reported.
+_MIN_EVENTS_FOR_PACE = 4
 # Delay before a caller retries, unless a rejecting replica names one.
 _RETRY_AFTER_S = 0.2
 
@@ -217,6 +219,7 @@
         self.has_started = False
         self.may_have_executed = False
         self.last_event_id = ""
+        self._first_event_at = 0.0
 
     def start(self, codec: HeaderCodec, exchange: Exchange) -> None:
         """Sends the head unless it was sent; a resumed stream keeps its own."""
@@ -232,9 +235,19 @@
         fresh = [e for e in events if self._is_new(e)]
         if not fresh:
             return
-        self.call.events += len(fresh)
+        self._record_pace(len(fresh))
         await self.writer.send_chunk(b"".join(e.data for e in fresh))
 
+    def _record_pace(self, count: int) -> None:
+        call = self.call
+        now = asyncio.get_running_loop().time()
+        if call.events == 0:
+            self._first_event_at = now
+        call.events += count
+        if call.events >= _MIN_EVENTS_FOR_PACE:
+            intervals = call.events - 1
+            call.event_interval_s = (now - self._first_event_at) / intervals
+
     def _is_new(self, event: Event) -> bool:
         if not event.id:
             return True
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -173,6 +173,7 @@
             used_tokens,
             end.replica_id,
             end.failed_replica_ids,
+            end.event_interval_s,
         )
         if not self._owner.settle(settlement):
             self._settlements.append(settlement)
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -38,6 +38,7 @@
   4: i64 used_tokens,
   5: string replica_id,      // that completed the turn
   6: list<string> failed_replica_ids,
+  7: double event_interval_s, // mean time between two events; 0: unknown
 }
 
 struct SettleRequest {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -73,6 +73,7 @@
         used_tokens: Tokens handed to the caller.
         replica_id: The replica that completed the turn; empty for none.
         failed_replica_ids: The replicas at which attempts failed.
+        event_interval_s: Mean time between two events; 0 if unknown.
     """
 
     shard: int
@@ -81,6 +82,7 @@
     used_tokens: int
     replica_id: str = ""
     failed_replica_ids: tuple[str, ...] = ()
+    event_interval_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -344,7 +344,11 @@
                     settlement.program_id,
                     settlement.request_id,
                 ),
-                TurnEnd(settlement.replica_id, settlement.failed_replica_ids),
+                TurnEnd(
+                    settlement.replica_id,
+                    settlement.failed_replica_ids,
+                    settlement.event_interval_s,
+                ),
                 time.monotonic(),
             )
         return True
--- a/libs/routing/src/masticdale_routing/assignments.py
+++ b/libs/routing/src/masticdale_routing/assignments.py
@@ -14,12 +14,17 @@
 
 from masticdale_common import hashing
 from masticdale_routing.fleet import Fleet, ReplicaState
+from masticdale_routing.paces import ReplicaPaces
 
-# Utilization of a program's replica at which its next turn may move to another
-# one, which lacks the program's prefix.
-_MOVE_UTILIZATION = 1.0
-# Utilization by which another replica must be lower for a turn to move there.
+# Cost by which another replica must be lower for a program's next turn to move
+# there, since that one lacks the program's prefix. Costs are multiples of the
+# duration of a turn at an idle replica of median speed.
 _MOVE_MARGIN = 0.25
+# Cost of using all slots of a replica: turns that run together slow each other.
+_SHARING_COST = 0.25
+# Cost of turns that wait for a slot, for as many as a replica has slots. More
+# than the mean wait, since programs are late by their longest waits.
+_WAITING_COST = 2.0
 # A turn that failed at a replica counts as in flight there for this long, in
 # seconds. Otherwise a replica that fails quickly would look idle and attract
 # all new programs.
@@ -69,10 +74,13 @@
     Attributes:
         replica_id: The replica that completed it; empty for none.
         failed_replica_ids: The replicas at which attempts failed.
+        event_interval_s: Mean time between two events of the stream, in
+            seconds; 0 if unknown.
     """
 
     replica_id: str = ""
     failed_replica_ids: tuple[str, ...] = ()
+    event_interval_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,11 +89,42 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Load:
+    """What speaks against a replica.
+
+    Attributes:
+        slowness: Duration of a turn that runs alone, relative to the median.
+        turns: Turns in flight that this host has assigned.
+        slots: This host's share of the replica's slots.
+    """
+
+    slowness: float
+    turns: int
+    slots: float
+
+    @property
+    def cost_of_new(self) -> float:
+        """Cost of a turn whose program has run elsewhere or nowhere."""
+        return self._cost(self.turns + 1)
+
+    @property
+    def cost_of_own(self) -> float:
+        """Cost of a turn whose program has run here: one may be over."""
+        return self._cost(self.turns)
+
+    def _cost(self, expected_turns: int) -> float:
+        sharing = _SHARING_COST * self.turns / self.slots
+        waiting = max(0.0, expected_turns / self.slots - 1)
+        return self.slowness + sharing + _WAITING_COST * waiting
+
+
 class TurnAssignments:
     """Replicas assigned to turns, and turns in flight by replica."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
+        self._paces = ReplicaPaces()
         self._assignment_by_turn: dict[TurnKey, _Assignment] = {}
         self._failures: collections.deque[_Assignment] = collections.deque()
         self._turns_by_replica_id: collections.Counter[str] = (
@@ -111,8 +150,9 @@
 
         A repeated call for a turn in flight returns the same replica. A program
         keeps its replica, which caches its prefix, until this host's share of
-        the replica's slots is used up. A new program gets one of the least
-        utilized replicas, if possible the same as others of its prefix.
+        the replica's slots is used up or a clearly faster one is free. A new
+        program gets a fast replica with few turns, if possible the same as
+        others of its prefix.
 
         Args:
             turn: The turn.
@@ -129,14 +169,12 @@
         known = self._assignment_by_turn.get(turn)
         if known is not None:
             return known.replica_id
-        utilization_by_id = {
-            s.replica.id: self._utilization(s, owned_share)
-            for s in self._fleet.healthy(prompt.service, now)
-        }
-        if not utilization_by_id:
+        states = self._fleet.healthy(prompt.service, now)
+        if not states:
             return ""
+        load_by_id = self._loads(states, owned_share, now)
         key = prompt.prefix_key or turn.program_id
-        replica_id = self._choose(turn.program_id, key, utilization_by_id)
+        replica_id = self._choose(turn.program_id, key, load_by_id)
         expires_at = now + _MAX_ASSIGNMENT_AGE_S
         self._assignment_by_turn[turn] = _Assignment(replica_id, expires_at)
         self._turns_by_replica_id[replica_id] += 1
@@ -158,6 +196,8 @@
             expires_at = now + _FAILURE_PENALTY_S
             self._failures.append(_Assignment(failed_id, expires_at))
             self._turns_by_replica_id[failed_id] += 1
+        if end.event_interval_s > 0 and not end.failed_replica_ids:
+            self._paces.observe(end.replica_id, end.event_interval_s, now)
         if end.replica_id:
             self._remember(turn.program_id, end.replica_id)
         elif end.failed_replica_ids:
@@ -170,22 +210,32 @@
                 self._discard(self._assignment_by_turn.pop(turn))
 
     def _choose(
-        self, program_id: str, key: str, utilization_by_id: dict[str, float]
+        self, program_id: str, key: str, load_by_id: dict[str, "_Load"]
     ) -> str:
-        least = min(utilization_by_id.values())
+        least = min(load.cost_of_new for load in load_by_id.values())
         own_id = self._replica_id_by_program.get(program_id, "")
-        own = utilization_by_id.get(own_id)
-        if own is not None and (
-            own < _MOVE_UTILIZATION or own - least < _MOVE_MARGIN
-        ):
+        own = load_by_id.get(own_id)
+        if own is not None and own.cost_of_own - least < _MOVE_MARGIN:
             return own_id
-        idlest = [i for i, u in utilization_by_id.items() if u == least]
-        return hashing.rendezvous_rank(key, idlest)[0]
-
-    def _utilization(self, state: ReplicaState, owned_share: float) -> float:
-        slots = max(1, state.replica.slots) * owned_share
-        turns = self._turns_by_replica_id[state.replica.id]
-        return turns / slots + state.warmup_penalty
+        # Among equals, replicas that cache the shared part of the prompt.
+        best = [
+            i for i, load in load_by_id.items() if load.cost_of_new == least
+        ]
+        return hashing.rendezvous_rank(key, best)[0]
+
+    def _loads(
+        self, states: list[ReplicaState], owned_share: float, now: float
+    ) -> dict[str, "_Load"]:
+        ids = [s.replica.id for s in states]
+        slowness_by_id = self._paces.slowness(ids, now)
+        return {
+            s.replica.id: _Load(
+                slowness_by_id.get(s.replica.id, 1.0) + s.warmup_penalty,
+                self._turns_by_replica_id[s.replica.id],
+                max(1, s.replica.slots) * owned_share,
+            )
+            for s in states
+        }
 
     def _remember(self, program_id: str, replica_id: str) -> None:
         self._replica_id_by_program[program_id] = replica_id
--- a/libs/routing/tests/test_assignments.py
+++ b/libs/routing/tests/test_assignments.py
@@ -78,6 +78,37 @@
         self.assertEqual(first, second)
         self.assertNotEqual(third, first)
 
+    def run_turns(self, interval_by_id, now=0.0):
+        """Runs turns at all replicas, so that their pace is known."""
+        for replica_id, interval_s in interval_by_id.items():
+            for number in range(10):
+                key = turn(f"measured-{replica_id}", f"{number}")
+                self.assign(key.program_id, key.request_id, now)
+                end = TurnEnd(replica_id, (), interval_s)
+                self.assignments.release(key, end, now)
+
+    def test_new_programs_prefer_fast_replicas(self):
+        """Guards against programs that are late by a slow replica alone."""
+        self.add_replicas(4)
+        fast = {"r0": 0.033, "r1": 0.033, "r2": 0.033}
+        self.run_turns(fast | {"r3": 0.044})
+        chosen = {self.assign(f"p{n}") for n in range(3)}
+        self.assertEqual(chosen, set(fast))
+
+    def test_a_slow_replica_is_used_when_the_fast_ones_are_full(self):
+        self.add_replicas(4)
+        self.run_turns({"r0": 0.03, "r1": 0.03, "r2": 0.03, "r3": 0.04})
+        chosen = {self.assign(f"p{n}") for n in range(8)}
+        self.assertIn("r3", chosen)
+
+    def test_a_program_leaves_a_replica_that_has_become_slow(self):
+        self.add_replicas(4)
+        first = self.assign("p", "1")
+        self.assignments.release(turn("p", "1"), TurnEnd(first), 0.0)
+        fast = {f"r{n}": 0.033 for n in range(4)}
+        self.run_turns(fast | {first: 0.3})
+        self.assertNotEqual(self.assign("p", "2"), first)
+
     def test_a_repeated_call_returns_the_same_replica(self):
         """Guards against counting a turn twice whose reply was lost."""
         self.add_replicas(4)
--- a/tools/load/src/masticdale_load/placements.py
+++ b/tools/load/src/masticdale_load/placements.py
@@ -36,6 +36,7 @@
 # Longest time from the end of a turn until its owner has the settlement.
 _MAX_SETTLE_DELAY_S = 0.05
 _LONG_WAIT_S = 0.2
+_EVENTS = 10
 # Programs share the first part of their prompt with others of the same subject;
 # a replica's memory holds only some of these parts.
 _SUBJECTS = 6
@@ -95,6 +96,7 @@
             turn before, which lack the program's prefix.
         reread_share: Share of the turns at a replica that did not hold the
             shared part of their prompt.
+        slow_share: Share of the turns at a slow replica.
         failed_share: Share of the attempts that failed at a replica.
     """
 
@@ -103,6 +105,7 @@
     p99_wait_s: float
     moved_share: float
     reread_share: float
+    slow_share: float
     failed_share: float
 
 
@@ -140,6 +143,7 @@
         self._waits: list[float] = []
         self._moved = 0
         self._reread = 0
+        self._slow = 0
         self._failed = 0
 
     @property
@@ -196,6 +200,7 @@
             statistics.quantiles(self._waits, n=100)[-1],
             self._moved / turns,
             self._reread / turns,
+            self._slow / turns,
             self._failed / attempts,
         )
 
@@ -226,7 +231,8 @@
                 break
             self._failed += 1
             failed.append(replica_id)
-        end = TurnEnd(replica_id, tuple(failed))
+        interval_s = self._replica_by_id[replica_id].turn_s / _EVENTS
+        end = TurnEnd(replica_id, tuple(failed), interval_s)
         asyncio.get_running_loop().call_later(
             self._random.uniform(0, _MAX_SETTLE_DELAY_S),
             self._settle,
@@ -271,6 +277,7 @@
             simulated.queued -= 1
             simulated.running += 1
             self._reread += not simulated.read(subject)
+            self._slow += simulated.turn_s > _MEAN_TURN_S
             self._waits.append(loop.time() - arrived_at)
             factor = self._random.uniform(0.8, 1.2)
             await asyncio.sleep(factor * simulated.turn_s)
@@ -304,12 +311,14 @@
     rows = [
         f"{'choice':<8}{'hosts':>6}{'replicas':>10}{'load':>7}{'turns':>8}"
         f"{'waits > 0.2 s':>15}{'p99 s':>8}{'moved':>8}{'reread':>8}"
+        f"{'slow':>8}"
         f"{'failed':>8}"
     ]
     rows += [
         f"{s.policy:<8}{s.hosts:>6}{s.replicas:>10}{s.load:>7.2f}"
         f"{r.turns:>8}{r.long_wait_share:>15.4f}{r.p99_wait_s:>8.3f}"
         f"{r.moved_share:>8.4f}{r.reread_share:>8.4f}"
+        f"{r.slow_share:>8.4f}"
         f"{r.failed_share:>8.4f}"
         for s, r in results
     ]
