Do not ask a lost store with a long wait

Cause, by its log: a write finds the store lost at 4.74 s while the three watches wait for silent sources. Each goes on to ask the store itself with a wait of 5 s, as if it were reachable; all three hang until 10.9 s, and nothing else probes the store. A watch whose sources are silent now checks first whether the store has been lost meanwhile, and ends as soon as another source answers. Without an outage that is no failure: what is missing from the list would else be kept for two seconds.

Both tests fail on the code before.

--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeVar
 
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, Metrics, logs
 from masticdale_ledger.peer_store import PeerStore
@@ -254,6 +254,8 @@
             followed = await self._follow(prefix, position)
             if followed is not None:
                 return followed
+            if not self._direct_path.is_reachable:
+                return _PATH_CHANGED
         else:
             if not self._direct_path.claim_probe():
                 followed = await self._follow(prefix, position)
@@ -272,12 +274,16 @@
             # A watch source may be available again by then.
             wait_s = min(wait_s, _SILENT_SOURCE_BACKOFF_S)
         watched: Any = self._direct.watch(prefix, position, wait_s)
+        changed = self._direct_path.changed
         events = []
-        if self._watch_sources.have_lost_store:
+        if self._direct_path.is_reachable and self._watch_sources.all:
             events.append(self._wait_for_source(prefix, position))
         outcome = await self._await_unless_path_changes(watched, *events)
         if outcome is None:
-            return _PATH_CHANGED
+            is_after_outage = self._watch_sources.have_lost_store
+            if changed.is_set() or is_after_outage or position == 0:
+                return _PATH_CHANGED
+            return Success(WatchBatch(position, (), (), is_snapshot=False))
         # The connection of a waiting watch may be dropped at any time. Only
         # the list that is read next shows whether the store answers.
         if position == 0 or not isinstance(outcome, Failed):
--- a/libs/ledger/tests/test_shared_watches.py
+++ b/libs/ledger/tests/test_shared_watches.py
@@ -89,6 +89,38 @@
             again = await self.store.watch(PREFIX, 0, 28.0)
         self.assertTrue(again.unwrap().is_snapshot)
 
+    async def test_a_watch_does_not_hang_if_the_store_is_lost_meanwhile(self):
+        """Guards against an owner that probes a lost store only 6 s later.
+
+        A call finds the store lost while the watches still wait for silent
+        sources. They must not ask it with their long wait then.
+        """
+        batch = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        for source in self.watch_sources:
+            source.is_unresponsive = True
+        hanging = asyncio.create_task(
+            self.store.watch(PREFIX, batch.position, 28.0)
+        )
+        await asyncio.sleep(0.2)
+        self.direct.faults.down = True
+        await self.store.read("a/x")
+        self.assertFalse(self.store.is_directly_reachable)
+        self.direct.faults.down = False
+        async with asyncio.timeout(2.0):
+            self.assertIsInstance(await hanging, Failed)
+
+    async def test_a_silent_source_is_replaced_by_one_that_answers(self):
+        """Guards against replicas kept as if the store had been away.
+
+        The store was never lost, so that this is no failure: after one, what
+        is missing from the list would be used for two seconds more.
+        """
+        batch = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
+        self.watch_sources[0].is_unresponsive = True
+        async with asyncio.timeout(4.0):
+            outcome = await self.store.watch(PREFIX, batch.position, 28.0)
+        self.assertEqual(outcome.unwrap().position, batch.position)
+
     async def test_a_follower_makes_no_store_calls(self):
         """Guards against a load on the store that grows with the hosts."""
         batch = (await self.store.watch(PREFIX, 0, 5.0)).unwrap()
