Send followers of a watch what has changed, not whole lists

Cause: a source answers each follower with the whole list at every change. It now sends the objects whose version is later than the follower's position, and the deletions since. It remembers 1,000 of these for each prefix; a follower that is further behind, or whose position is older than the source's list, gets a list as before. What was deleted and created again is not reported as deleted.

--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 
@@ -16,6 +17,18 @@
 from masticdale_common import ErrorKind, Failure
 from masticdale_platform import StoredObject, WatchBatch
 
+# Deletions remembered for each prefix. A follower that is further behind gets a
+# whole list.
+_MAX_DELETIONS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Deletion:
+    """A deleted object, and the position of the batch that reported it."""
+
+    position: int
+    key: str
+
 
 @dataclasses.dataclass(slots=True)
 class _WatchedPrefix:
@@ -23,13 +36,60 @@
 
     Attributes:
         position: The store position that the objects reflect.
+        complete_since: Position from which on all deletions are known.
         object_by_key: The objects under the prefix.
+        deletions: The latest deletions, oldest first.
     """
 
     position: int = 0
+    complete_since: int = 0
     object_by_key: dict[str, StoredObject] = dataclasses.field(
         default_factory=dict
     )
+    deletions: collections.deque[_Deletion] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    _batch_by_position: dict[int, WatchBatch] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def apply(self, batch: WatchBatch) -> None:
+        """Applies a batch that continues this state."""
+        for stored in batch.changed:
+            self.object_by_key[stored.key] = stored
+        for key in batch.deleted_keys:
+            self.object_by_key.pop(key, None)
+            self.deletions.append(_Deletion(batch.position, key))
+        while len(self.deletions) > _MAX_DELETIONS:
+            self.complete_since = self.deletions.popleft().position
+        self.position = batch.position
+        self._batch_by_position.clear()
+
+    def since(self, position: int) -> WatchBatch:
+        """Returns what has changed since a position, or else a snapshot."""
+        if position < self.complete_since:
+            objects = tuple(self.object_by_key.values())
+            return WatchBatch(self.position, objects, (), is_snapshot=True)
+        # Most followers have the same position.
+        batch = self._batch_by_position.get(position)
+        if batch is None:
+            batch = self._batch_by_position[position] = self._since(position)
+        return batch
+
+    def _since(self, position: int) -> WatchBatch:
+        changed = tuple(
+            stored
+            for stored in self.object_by_key.values()
+            if stored.version > position
+        )
+        deleted = dict.fromkeys(
+            d.key
+            for d in self.deletions
+            if d.position > position and d.key not in self.object_by_key
+        )
+        return WatchBatch(
+            self.position, changed, tuple(deleted), is_snapshot=False
+        )
 
 
 class SharedWatches:
@@ -50,7 +110,9 @@
         """
         state = self._state_by_prefix.get(prefix)
         if batch.is_snapshot:
-            state = self._state_by_prefix[prefix] = _WatchedPrefix()
+            state = self._state_by_prefix[prefix] = _WatchedPrefix(
+                complete_since=batch.position
+            )
         elif state is None or state.position != from_position:
             # The changes in between are missing here. Followers that got the
             # newer position without them would never see them: they would go
@@ -58,11 +120,7 @@
             self._state_by_prefix.pop(prefix, None)
             self._notify()
             return
-        for stored in batch.changed:
-            state.object_by_key[stored.key] = stored
-        for key in batch.deleted_keys:
-            state.object_by_key.pop(key, None)
-        state.position = batch.position
+        state.apply(batch)
         self._notify()
 
     def mark_store_reachable(self) -> None:
@@ -86,7 +144,8 @@
             wait_s: The longest wait, in seconds.
 
         Returns:
-            A snapshot of the prefix, or an empty batch after the wait.
+            The changes since the position, a snapshot if the position is too
+            old for that, or an empty batch after the wait.
 
         Failures: NOT_FOUND if this host does not watch the prefix;
         PLATFORM_UNAVAILABLE if the store does not answer this host either.
@@ -102,7 +161,7 @@
                 return Failed(failure)
             # A follower of another source may already have a later position.
             if state.position > position:
-                return Success(_snapshot(state))
+                return Success(state.since(position))
             remaining_s = deadline - asyncio.get_running_loop().time()
             if remaining_s <= 0:
                 return Success(WatchBatch(position, (), (), False))
@@ -114,9 +173,3 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-
-
-def _snapshot(state: _WatchedPrefix) -> WatchBatch:
-    return WatchBatch(
-        state.position, tuple(state.object_by_key.values()), (), True
-    )
