--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -32,9 +32,9 @@
 # Timeout of one call to an owner, in seconds. An owner that does not answer
 # within it counts as unreachable, and its standby is called.
 CALL_TIMEOUT_S = 0.4
-# An owner that has not answered for this long is asked on, and its standby as
-# well, in seconds. Longer than an owner with some backlog takes; a standby
-# checks by itself whether the owner is lost.
+# Time without an answer from an owner after which its standby is called too, in
+# seconds. Calls of a living owner seldom take as long; the standby checks by
+# itself whether the owner is lost.
 _HEDGE_DELAY_S = 0.12
 # Timeout of all calls for one turn, in seconds. A lost owner is usually
 # replaced within this time; otherwise the caller gets a failure and may retry.
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -9,9 +9,14 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from masticdale_common import ErrorKind, Failure, Metrics, logs
+from masticdale_common import ErrorKind, Failure, Metrics
 from masticdale_ledger.peer_store import PeerStore
 from masticdale_ledger.shared_watches import SharedWatches
+from masticdale_ledger.store_paths import (
+    PROBE_INTERVAL_S,
+    DirectPath,
+    WatchSources,
+)
 from masticdale_platform import (
     ListedHost,
     ObjectStore,
@@ -22,15 +27,8 @@
 
 T = TypeVar("T")
 
-# Longest time between probes of an unreachable store, in seconds. A
-# configuration change has to take effect 2 s after its acknowledgement, also
-# right after an outage.
-_PROBE_INTERVAL_S = 1.0
 # How long a watch that probes the store waits for changes, in seconds.
 _PROBE_WATCH_S = 0.05
-# A call that fails this soon after the store has become reachable, in seconds,
-# was probably sent before.
-_RECOVERY_PERIOD_S = 0.5
 # The delay before such a call is retried, in seconds.
 _RECOVERY_RETRY_S = 0.1
 # The most hosts through which one call is tried.
@@ -67,91 +65,6 @@
 )
 
 
-class _DirectPath:
-    """Tracks whether the store answers this host directly.
-
-    Attributes:
-        is_reachable: Whether calls go to the store first.
-        changed: Set when that changes; replaced by a new event each time.
-    """
-
-    def __init__(self) -> None:
-        self.is_reachable = True
-        self.changed = asyncio.Event()
-        self._recovered_at = -_RECOVERY_PERIOD_S
-        self._probe_at = 0.0
-
-    def record(self, *, is_reachable: bool, reason: str) -> None:
-        """Records the outcome of a direct call."""
-        self._schedule_probe()
-        if is_reachable == self.is_reachable:
-            return
-        self.is_reachable = is_reachable
-        if is_reachable:
-            self._recovered_at = asyncio.get_running_loop().time()
-        logs.write(
-            "store_regained" if is_reachable else "store_lost", reason=reason
-        )
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    @property
-    def has_just_recovered(self) -> bool:
-        """Whether a call that fails now may precede the store's recovery."""
-        now = asyncio.get_running_loop().time()
-        return (
-            self.is_reachable and now < self._recovered_at + _RECOVERY_PERIOD_S
-        )
-
-    @property
-    def next_probe_in_s(self) -> float:
-        """Seconds until the next probe is due; at least 0."""
-        now = asyncio.get_running_loop().time()
-        return max(0.0, self._probe_at - now)
-
-    def claim_probe(self) -> bool:
-        """Returns whether a probe is due; if so, schedules the next one."""
-        if self.next_probe_in_s > 0:
-            return False
-        self._schedule_probe()
-        return True
-
-    def _schedule_probe(self) -> None:
-        # Jitter: all hosts lose the store at the same time, and must not probe
-        # it at the same time.
-        now = asyncio.get_running_loop().time()
-        self._probe_at = now + random.uniform(0.8, 1.0) * _PROBE_INTERVAL_S
-
-
-class _WatchSources:
-    """The hosts whose watches this host follows.
-
-    Attributes:
-        all: Clients of all watch sources.
-        have_lost_store: Whether the source that was asked last said that the
-            store does not answer it.
-    """
-
-    def __init__(self, watch_sources: list[RpcClient]) -> None:
-        self.all = watch_sources
-        self.have_lost_store = False
-        self._excluded_until: dict[int, float] = {}
-
-    def available(self) -> list[RpcClient]:
-        """Returns the watch sources that are not excluded at present."""
-        now = asyncio.get_running_loop().time()
-        return [
-            source
-            for number, source in enumerate(self.all)
-            if self._excluded_until.get(number, 0.0) <= now
-        ]
-
-    def exclude(self, source: RpcClient, duration_s: float) -> None:
-        """Excludes a watch source for some seconds."""
-        now = asyncio.get_running_loop().time()
-        self._excluded_until[self.all.index(source)] = now + duration_s
-
-
 class FallbackStore:
     """An ``ObjectStore`` that relays calls if the store is unreachable.
 
@@ -187,8 +100,8 @@
         self._shared = shared
         self._ping = ping
         self._random = random.Random()
-        self._watch_sources = _WatchSources(watch_sources or [])
-        self._direct_path = _DirectPath()
+        self._watch_sources = WatchSources(watch_sources or [])
+        self._direct_path = DirectPath()
         self._relay_failed = False
         self._last_position_by_prefix: dict[str, int] = {}
         self._skipped_until_by_peer: dict[RpcClient, float] = {}
@@ -261,12 +174,12 @@
                 followed = await self._follow(prefix, position)
                 if followed is not None:
                     return followed
-                limit_s = min(wait_s, _PROBE_INTERVAL_S)
+                limit_s = min(wait_s, PROBE_INTERVAL_S)
                 relayed = self._relay(
                     lambda store: store.watch(prefix, position, limit_s)
                 )
                 return (
-                    await self._await_unless_path_changes(relayed)
+                    await self._await_unless_interrupted(relayed)
                     or _PATH_CHANGED
                 )
             wait_s = _PROBE_WATCH_S
@@ -278,7 +191,7 @@
         events = []
         if self._direct_path.is_reachable and self._watch_sources.all:
             events.append(self._wait_for_source(prefix, position))
-        outcome = await self._await_unless_path_changes(watched, *events)
+        outcome = await self._await_unless_interrupted(watched, *events)
         if outcome is None:
             is_after_outage = self._watch_sources.have_lost_store
             if changed.is_set() or is_after_outage or position == 0:
@@ -413,7 +326,7 @@
     def _skipped_until(self, peer: RpcClient) -> float:
         return self._skipped_until_by_peer.get(peer, 0.0)
 
-    async def _await_unless_path_changes(
+    async def _await_unless_interrupted(
         self,
         watch: Coroutine[Any, Any, Result[WatchBatch, Failure]],
         *other_events: Coroutine[Any, Any, None],
