--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -27,7 +27,8 @@
 )
 from masticdale_ledger.leases import LEASE_S, Lease
 from masticdale_ledger.messages import AccountState
-from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.owned_shard import OwnedShard
+from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.peer_selector import PeerSelector
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
--- a/libs/ledger/src/masticdale_ledger/failover.py
+++ b/libs/ledger/src/masticdale_ledger/failover.py
@@ -19,7 +19,8 @@
     SealRequest,
     SettleRequest,
 )
-from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.owned_shard import OwnedShard
+from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.shards import (
     PreviousOwnerState,
     ShardMap,
--- a/libs/ledger/src/masticdale_ledger/reconciler.py
+++ b/libs/ledger/src/masticdale_ledger/reconciler.py
@@ -31,7 +31,8 @@
     SealReply,
     SealRequest,
 )
-from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.owned_shard import OwnedShard
+from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.shards import (
     LEDGER_SHARD_COUNT,
     SHARD_PREFIX,
--- a/libs/ledger/tests/test_admissions.py
+++ b/libs/ledger/tests/test_admissions.py
@@ -15,7 +15,8 @@
 from masticdale_ledger.copier import Copier
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import CopyReply
-from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.owned_shard import OwnedShard
+from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
     PreviousOwnerState,
--- a/libs/ledger/tests/test_any_order.py
+++ b/libs/ledger/tests/test_any_order.py
@@ -14,7 +14,7 @@
 
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import SealRequest
-from masticdale_ledger.owner import OwnedShard
+from masticdale_ledger.owned_shard import OwnedShard
 
 # Seeds of the random plans played in each run, and events per plan.
 _SEEDS = range(150)
--- a/libs/ledger/tests/test_isolation.py
+++ b/libs/ledger/tests/test_isolation.py
@@ -21,7 +21,8 @@
 )
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import SealRequest
-from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.owned_shard import OwnedShard
+from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.records import ProgramRecords, record_name
 from masticdale_ledger.shards import (
     PreviousOwnerState,
--- a/libs/ledger/tests/test_reconciler.py
+++ b/libs/ledger/tests/test_reconciler.py
@@ -13,7 +13,8 @@
 from masticdale_ledger.hosts import Hosts, Identity, LiveHosts
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import HandOverReply, HostAddress
-from masticdale_ledger.owner import OwnedShard, ShardOwner
+from masticdale_ledger.owned_shard import OwnedShard
+from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.reconciler import ShardReconciler
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
