Settle turns at the acting standby first

Each flush of settlements called the lost owner first and waited 0.4 s for it, so that turns counted as in flight, with their whole reservation, after they had ended. The order is now that of admissions. The test fails on the code before.

--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -279,10 +279,13 @@
         if view is None:
             return False
         record = view.record
-        for address in (
+        addresses = [
             (record.address, record.port),
             (record.standby_address, record.standby_port),
-        ):
+        ]
+        if self._asks_standby_first(shard_number, view.version):
+            addresses.reverse()
+        for address in addresses:
             if not address[0] or address == self._own_endpoint:
                 continue
             outcome = await self._peers(*address).call(
--- a/libs/ledger/tests/test_client.py
+++ b/libs/ledger/tests/test_client.py
@@ -11,7 +11,12 @@
 from masticdale_gateway.calls import TurnClaim
 from masticdale_ledger.client import LedgerClient
 from masticdale_ledger.leases import Lease
-from masticdale_ledger.messages import AdmitReply, HostAddress
+from masticdale_ledger.messages import (
+    SETTLE,
+    AdmitReply,
+    HostAddress,
+    SettleReply,
+)
 from masticdale_ledger.owner import ShardOwner
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import (
@@ -22,6 +27,7 @@
 )
 from masticdale_platform import StoredObject
 from masticdale_platform.testing import MemoryStore
+from masticdale_routing.assignments import TurnEnd
 from masticdale_rpc import unavailable
 
 OWN = HostAddress("127.0.0.1", 1, "a")
@@ -105,9 +111,13 @@
         self.delay_s = delay_s
         self.failure = failure
         self.calls = 0
+        self.settled = []
 
     async def call(self, rpc, request, timeout_s):
         self.calls += 1
+        if rpc is SETTLE and self.delay_s is not None:
+            self.settled += [s.request_id for s in request.settlements]
+            return Success(SettleReply())
         if self.delay_s is None or self.delay_s >= timeout_s:
             await asyncio.sleep(timeout_s)
             return TIMED_OUT
@@ -165,6 +175,19 @@
         self.assertLess(took_s, 0.05)
         self.assertEqual(self.owner.calls, calls)
 
+    async def test_turns_are_settled_at_the_acting_standby_at_once(self):
+        """Guards against turns that count as in flight after they ended.
+
+        Each settlement would first wait for the lost owner's timeout.
+        """
+        await self.admit("1")
+        calls = self.owner.calls
+        claim = TurnClaim("p", "1", 400, 100)
+        self.client.settle(claim, 80, TurnEnd("r"))
+        await self.client.flush()
+        self.assertEqual(self.owner.calls, calls)
+        self.assertEqual(self.standby.settled, ["1"])
+
     async def test_a_standby_that_refuses_is_no_longer_asked_first(self):
         """Guards against hosts that never return to a living owner."""
         await self.admit("1")
