Choose a replica without looking at all of them where possible

An assignment took 0.15 ms at 32 replicas and 4.6 ms at 810 (medians, trial on a busy machine): each call compared all replicas, sorted the equal ones by hash and took the median pace.

--- a/libs/common/src/masticdale_common/hashing.py
+++ b/libs/common/src/masticdale_common/hashing.py
@@ -27,14 +27,14 @@
     When a candidate leaves, only the keys that ranked it first are moved.
     """
     return sorted(
-        candidates, key=lambda c: _rendezvous_weight(key, c), reverse=True
+        candidates, key=lambda c: rendezvous_weight(key, c), reverse=True
     )
 
 
 def rendezvous_choose(key: str, candidates: Iterable[str]) -> str | None:
     """Returns the candidate with the highest weight; None without any."""
     return max(
-        candidates, key=lambda c: _rendezvous_weight(key, c), default=None
+        candidates, key=lambda c: rendezvous_weight(key, c), default=None
     )
 
 
@@ -43,6 +43,7 @@
     return xxhash.xxh3_64_intdigest(program_id.encode()) % shard_count
 
 
-def _rendezvous_weight(key: str, candidate: str) -> tuple[int, str]:
+def rendezvous_weight(key: str, candidate: str) -> tuple[int, str]:
+    """Returns the weight of a candidate for a key; the highest is chosen."""
     digest = xxhash.xxh3_64_intdigest(f"{key}\0{candidate}".encode())
     return digest, candidate
--- a/libs/routing/src/masticdale_routing/assignments.py
+++ b/libs/routing/src/masticdale_routing/assignments.py
@@ -11,6 +11,9 @@
 
 import collections
 import dataclasses
+import functools
+import math
+from collections.abc import Callable
 
 from masticdale_common import hashing
 from masticdale_routing.fleet import Fleet, ReplicaState
@@ -33,6 +36,10 @@
 _MAX_ASSIGNMENT_AGE_S = 10.0
 # Interval at which expired assignments are dropped, in seconds.
 _EXPIRY_INTERVAL_S = 0.25
+# Interval at which paces are compared, in seconds.
+_SLOWNESS_INTERVAL_S = 0.1
+# Keys whose ranking of replicas is remembered: the shared prompts in use.
+_MAX_CACHED_KEYS = 64
 # Programs whose replica is remembered; the least recently assigned is evicted
 # first.
 _MAX_PROGRAMS = 20_000
@@ -89,34 +96,59 @@
     expires_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Load:
-    """What speaks against a replica.
+def _cost(
+    slowness: float, turns: int, expected_turns: int, slots: float
+) -> float:
+    """Returns what speaks against a replica.
 
-    Attributes:
+    Args:
         slowness: Duration of a turn that runs alone, relative to the median.
         turns: Turns in flight that this host has assigned.
+        expected_turns: The same with the turn to be assigned, unless its
+            program has run there.
         slots: This host's share of the replica's slots.
     """
+    sharing = _SHARING_COST * turns / slots
+    waiting = max(0.0, expected_turns / slots - 1)
+    return slowness + sharing + _WAITING_COST * waiting
 
-    slowness: float
-    turns: int
-    slots: float
 
-    @property
-    def cost_of_new(self) -> float:
-        """Cost of a turn whose program has run elsewhere or nowhere."""
-        return self._cost(self.turns + 1)
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shares:
+    """Costs of replicas for an owner of some of the shards.
 
-    @property
-    def cost_of_own(self) -> float:
-        """Cost of a turn whose program has run here: one may be over."""
-        return self._cost(self.turns)
+    Attributes:
+        owned_share: Share of the shards, and so of each replica's slots.
+        slowness_by_id: Known paces; see ``ReplicaPaces.slowness``.
+    """
 
-    def _cost(self, expected_turns: int) -> float:
-        sharing = _SHARING_COST * self.turns / self.slots
-        waiting = max(0.0, expected_turns / self.slots - 1)
-        return self.slowness + sharing + _WAITING_COST * waiting
+    owned_share: float
+    slowness_by_id: dict[str, float]
+
+    @property
+    def least_slowness(self) -> float:
+        """The slowness of the fastest replica."""
+        return min(1.0, min(self.slowness_by_id.values(), default=1.0))
+
+    def cost(
+        self, state: ReplicaState, turns: int, expected_turns: int
+    ) -> float:
+        """Returns the cost of a replica; see ``_cost``."""
+        replica = state.replica
+        slowness = self.slowness_by_id.get(replica.id, 1.0)
+        slots = max(1, replica.slots) * self.owned_share
+        cost = _cost(slowness, turns, expected_turns, slots)
+        return cost + state.warmup_penalty
+
+
+def _weigh(
+    key: str, weight_by_id: dict[str, tuple[int, str]], replica_id: str
+) -> tuple[int, str]:
+    weight = weight_by_id.get(replica_id)
+    if weight is None:
+        weight = hashing.rendezvous_weight(key, replica_id)
+        weight_by_id[replica_id] = weight
+    return weight
 
 
 class TurnAssignments:
@@ -134,6 +166,12 @@
             collections.OrderedDict()
         )
         self._expired_at = 0.0
+        self._slowness_by_service: dict[
+            str, tuple[float, dict[str, float]]
+        ] = {}
+        self._weight_by_id_by_key: collections.OrderedDict[
+            str, dict[str, tuple[int, str]]
+        ] = collections.OrderedDict()
 
     def turns_at(self, replica_id: str) -> int:
         """Returns the number of turns that count as in flight at a replica."""
@@ -169,12 +207,12 @@
         known = self._assignment_by_turn.get(turn)
         if known is not None:
             return known.replica_id
-        states = self._fleet.healthy(prompt.service, now)
-        if not states:
+        slowness_by_id = self._slowness(prompt.service, now)
+        replica_id = self._choose(
+            turn.program_id, prompt, _Shares(owned_share, slowness_by_id), now
+        )
+        if not replica_id:
             return ""
-        load_by_id = self._loads(states, owned_share, now)
-        key = prompt.prefix_key or turn.program_id
-        replica_id = self._choose(turn.program_id, key, load_by_id)
         expires_at = now + _MAX_ASSIGNMENT_AGE_S
         self._assignment_by_turn[turn] = _Assignment(replica_id, expires_at)
         self._turns_by_replica_id[replica_id] += 1
@@ -210,32 +248,56 @@
                 self._discard(self._assignment_by_turn.pop(turn))
 
     def _choose(
-        self, program_id: str, key: str, load_by_id: dict[str, "_Load"]
+        self, program_id: str, prompt: TurnPrompt, shares: "_Shares", now: float
     ) -> str:
-        least = min(load.cost_of_new for load in load_by_id.values())
         own_id = self._replica_id_by_program.get(program_id, "")
-        own = load_by_id.get(own_id)
-        if own is not None and own.cost_of_own - least < _MOVE_MARGIN:
+        own = self._fleet.find(own_id)
+        own_cost = math.inf
+        if own is not None and own.is_usable_for(prompt.service, now):
+            turns = self._turns_by_replica_id[own_id]
+            own_cost = shares.cost(own, turns, turns)
+            # No replica costs less than the fastest one without turns.
+            if own_cost - shares.least_slowness < _MOVE_MARGIN:
+                return own_id
+        least, least_ids = self._find_least(prompt.service, shares, now)
+        if own_cost - least < _MOVE_MARGIN:
             return own_id
         # Among equals, replicas that cache the shared part of the prompt.
-        best = [
-            i for i, load in load_by_id.items() if load.cost_of_new == least
-        ]
-        return hashing.rendezvous_rank(key, best)[0]
-
-    def _loads(
-        self, states: list[ReplicaState], owned_share: float, now: float
-    ) -> dict[str, "_Load"]:
-        ids = [s.replica.id for s in states]
-        slowness_by_id = self._paces.slowness(ids, now)
-        return {
-            s.replica.id: _Load(
-                slowness_by_id.get(s.replica.id, 1.0) + s.warmup_penalty,
-                self._turns_by_replica_id[s.replica.id],
-                max(1, s.replica.slots) * owned_share,
-            )
-            for s in states
-        }
+        weigh = self._weigher(prompt.prefix_key or program_id)
+        return max(least_ids, key=weigh, default="")
+
+    def _find_least(
+        self, service: str, shares: "_Shares", now: float
+    ) -> tuple[float, list[str]]:
+        """Returns the least cost of a replica, and all replicas of it."""
+        least = math.inf
+        least_ids: list[str] = []
+        for state in self._fleet.healthy(service, now):
+            replica_id = state.replica.id
+            turns = self._turns_by_replica_id.get(replica_id, 0)
+            cost = shares.cost(state, turns, turns + 1)
+            if cost < least:
+                least, least_ids = cost, [replica_id]
+            elif cost == least:
+                least_ids.append(replica_id)
+        return least, least_ids
+
+    def _slowness(self, service: str, now: float) -> dict[str, float]:
+        known = self._slowness_by_service.get(service)
+        if known is None or now - known[0] >= _SLOWNESS_INTERVAL_S:
+            ids = [s.replica.id for s in self._fleet.eligible(service)]
+            known = (now, self._paces.slowness(ids, now))
+            self._slowness_by_service[service] = known
+        return known[1]
+
+    def _weigher(self, key: str) -> Callable[[str], tuple[int, str]]:
+        """Returns a function from replica id to its weight for a key."""
+        weight_by_id = self._weight_by_id_by_key.get(key)
+        if weight_by_id is None:
+            weight_by_id = self._weight_by_id_by_key[key] = {}
+            if len(self._weight_by_id_by_key) > _MAX_CACHED_KEYS:
+                self._weight_by_id_by_key.popitem(last=False)
+        return functools.partial(_weigh, key, weight_by_id)
 
     def _remember(self, program_id: str, replica_id: str) -> None:
         self._replica_id_by_program[program_id] = replica_id
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -101,6 +101,15 @@
             busy = max(busy, self._load.running + self._load.waiting)
         return busy / max(1, self.replica.slots) + self.warmup_penalty
 
+    def is_usable_for(self, service: str, now: float) -> bool:
+        """Whether it runs requests of a service and its circuit admits one."""
+        replica = self.replica
+        return (
+            replica.service == service
+            and not replica.is_draining
+            and self.circuit.allows(now)
+        )
+
     @property
     def warmup_penalty(self) -> float:
         """Utilization to add while the replica is warming up, else 0."""
@@ -150,6 +159,10 @@
         if state is not None:
             del self._state_by_id_by_service[state.replica.service][replica_id]
 
+    def find(self, replica_id: str) -> ReplicaState | None:
+        """Returns the state of a replica, or None if it is not listed."""
+        return self._state_by_id.get(replica_id)
+
     def eligible(
         self, service: str, excluded: Iterable[str] = ()
     ) -> list[ReplicaState]:
--- a/libs/routing/src/masticdale_routing/retries.py
+++ b/libs/routing/src/masticdale_routing/retries.py
@@ -168,9 +168,9 @@
 
     def allows(self, now: float) -> bool:
         """Returns whether a call would get a permit, without acquiring it."""
-        state = self.state(now)
-        if state is CircuitState.CLOSED:
+        if self._open_until is None:
             return True
+        state = self.state(now)
         probing = self._probe_until is not None and now < self._probe_until
         return state is CircuitState.HALF_OPEN and not probing
 
