--- a/libs/routing/src/masticdale_routing/paces.py
+++ b/libs/routing/src/masticdale_routing/paces.py
@@ -14,6 +14,8 @@
 # Slowness is rounded to this step: smaller differences come from the load.
 _STEP = 0.25
 _MAX_SLOWNESS = 3.0
+# Replicas get a new id with each start; at this many all are learned anew.
+_MAX_REPLICAS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +40,8 @@
         """
         pace = self._pace_by_id.get(replica_id)
         if pace is None or now - pace.observed_at > _MAX_AGE_S:
+            if len(self._pace_by_id) >= _MAX_REPLICAS:
+                self._pace_by_id.clear()
             self._pace_by_id[replica_id] = _Pace(interval_s, now)
             return
         lowest, highest = (
