Bring the broken builds of the soak in line with admissions and the fleet's index

Two builds that break a promise on purpose used names that have changed and so served nothing: their checks found 'recovery' in place of 'budgets' and 'drained-replicas'. What they break, and what is checked, is the same.

--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -16,7 +16,7 @@
 from masticdale_entry.main import main
 from masticdale_entry.watched_state import ActiveConfiguration
 from masticdale_entry.watching import Watcher
-from masticdale_gateway import Relay
+from masticdale_gateway import Admission, Relay
 from masticdale_gateway.exchanges import AttemptFailure, Sender
 from masticdale_gateway.streaming import _Stream
 from masticdale_ledger import LedgerClient
@@ -50,7 +50,7 @@
 
 def skip_budget_checks():
     async def admit(self, claim, deadline_at):
-        return Success(None)
+        return Success(Admission())
 
     LedgerClient.admit = admit
 
@@ -97,8 +97,8 @@
 
     def all_replicas(self, service, excluded=()):
         del excluded
-        ids = self._ids_by_service.get(service, ())
-        return [self._state_by_id[i] for i in ids] or eligible(self, service)
+        states = self._state_by_id_by_service.get(service, {})
+        return list(states.values()) or eligible(self, service)
 
     Fleet.eligible = all_replicas
 
