Answer what was read before the process ends at a planned stop

A cause that fits, shown by a test: once no request is in progress, the host sent its last settlements, up to 0.35 s, with its listener still open. Where most hosts of a failure domain are stopping, the balancer sends callers to all of them; a request read in that time was cut off by the end of the process. The listener is now closed first, what has been read is answered, and only then is the rest sent.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -329,8 +329,13 @@
         await self._reconciler.hand_over_all()
         while time.monotonic() < started_at + _BALANCER_DRAIN_S:
             await asyncio.sleep(_POLL_INTERVAL_S)
-        while self._relay.active_requests and time.monotonic() < drain_deadline:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+        await self._wait_idle(drain_deadline)
+        # From here on callers are refused a connection and go elsewhere; what
+        # has been read meanwhile is still answered.
+        for server in self._servers:
+            server.close()
+        self._relay.close_idle()
+        await self._wait_idle(drain_deadline + _SHUTDOWN_RESERVE_S / 2)
         self._relay.close_idle()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_SHUTDOWN_RESERVE_S / 2):
@@ -339,14 +344,17 @@
         for task in self._tasks:
             task.cancel()
         await self._peer_server.close(0.0)
-        for server in self._servers:
-            server.close()
         logs.write(
             "stopped",
             busy=self._relay.active_requests,
             took_s=round(time.monotonic() - started_at, 3),
         )
 
+    async def _wait_idle(self, deadline: float) -> None:
+        """Waits until no request is in progress, or until a monotonic time."""
+        while self._relay.active_requests and time.monotonic() < deadline:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
     def _register_dumps(self) -> None:
         self._dump.register(
             "configuration",
--- a/apps/masticdale_entry/tests/test_stopping.py
+++ b/apps/masticdale_entry/tests/test_stopping.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+import httpx
 from case import HOST, IDEMPOTENT, EntryCase, event_ids, send_raw
 
 
@@ -33,6 +35,33 @@
             await asyncio.sleep(0.1)
         self.assertEqual(event_ids((await stream).text), list(range(1, 9)))
 
+    async def test_requests_read_at_the_very_end_are_answered(self):
+        """Guards against requests cut off by the end of the process.
+
+        While the last settlements are sent, the balancer may still send
+        callers, where most hosts of a failure domain are stopping.
+        """
+        self.set_unary_replicas(processing_s=0.3)
+        is_flushing = asyncio.Event()
+
+        async def flush():
+            is_flushing.set()
+            await asyncio.sleep(0.3)
+
+        with mock.patch.object(self.host.entry._ledger, "flush", flush):
+            self.host.stop_event.set()
+            await is_flushing.wait()
+            late = asyncio.create_task(self.send(IDEMPOTENT, "late"))
+            await asyncio.wait({self.host.task})
+            # At this moment the process ends. Either nothing was read, or the
+            # answer has been sent.
+            await asyncio.sleep(0.02)
+            self.assertTrue(late.done())
+        if late.exception() is None:
+            self.assertEqual(late.result().status_code, 200)
+        else:
+            self.assertIsInstance(late.exception(), httpx.ConnectError)
+
     async def test_a_stop_ends_within_its_grace(self):
         self.set_unary_replicas(processing_s=60.0)
         slow = asyncio.create_task(
