Take the fastest pace once for each comparison

Each assignment searched the paces of all replicas for the fastest one, also for a program that stays at its replica; it is now kept with the comparison that is made every 0.1 s. Two plain bounds in place of a tuple, and a comment whose antecedent had moved to store_paths.py.

--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -29,7 +29,8 @@
 
 # How long a watch that probes the store waits for changes, in seconds.
 _PROBE_WATCH_S = 0.05
-# The delay before such a call is retried, in seconds.
+# The delay before a call is retried that failed right after the store had
+# become reachable, in seconds.
 _RECOVERY_RETRY_S = 0.1
 # The most hosts through which one call is tried.
 _MAX_RELAYS = 2
--- a/libs/routing/src/masticdale_routing/assignments.py
+++ b/libs/routing/src/masticdale_routing/assignments.py
@@ -113,29 +113,39 @@
     return slowness + sharing + _WAITING_COST * waiting
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ComparedPaces:
+    """Paces of the replicas of one service.
+
+    Attributes:
+        compared_at: Event loop time in seconds.
+        slowness_by_id: See ``ReplicaPaces.slowness``.
+        least_slowness: The slowness of the fastest replica.
+    """
+
+    compared_at: float
+    slowness_by_id: dict[str, float]
+    least_slowness: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Shares:
     """Costs of replicas for an owner of some of the shards.
 
     Attributes:
         owned_share: Share of the shards, and so of each replica's slots.
-        slowness_by_id: Known paces; see ``ReplicaPaces.slowness``.
+        paces: Paces of the service's replicas.
     """
 
     owned_share: float
-    slowness_by_id: dict[str, float]
-
-    @property
-    def least_slowness(self) -> float:
-        """The slowness of the fastest replica."""
-        return min(1.0, min(self.slowness_by_id.values(), default=1.0))
+    paces: _ComparedPaces
 
     def cost(
         self, state: ReplicaState, turns: int, expected_turns: int
     ) -> float:
         """Returns the cost of a replica; see ``_cost``."""
         replica = state.replica
-        slowness = self.slowness_by_id.get(replica.id, 1.0)
+        slowness = self.paces.slowness_by_id.get(replica.id, 1.0)
         slots = max(1, replica.slots) * self.owned_share
         cost = _cost(slowness, turns, expected_turns, slots)
         return cost + state.warmup_penalty
@@ -166,9 +176,7 @@
             collections.OrderedDict()
         )
         self._expired_at = 0.0
-        self._slowness_by_service: dict[
-            str, tuple[float, dict[str, float]]
-        ] = {}
+        self._paces_by_service: dict[str, _ComparedPaces] = {}
         self._weight_by_id_by_key: collections.OrderedDict[
             str, dict[str, tuple[int, str]]
         ] = collections.OrderedDict()
@@ -207,9 +215,9 @@
         known = self._assignment_by_turn.get(turn)
         if known is not None:
             return known.replica_id
-        slowness_by_id = self._slowness(prompt.service, now)
+        paces = self._compared_paces(prompt.service, now)
         replica_id = self._choose(
-            turn.program_id, prompt, _Shares(owned_share, slowness_by_id), now
+            turn.program_id, prompt, _Shares(owned_share, paces), now
         )
         if not replica_id:
             return ""
@@ -257,7 +265,7 @@
             turns = self._turns_by_replica_id[own_id]
             own_cost = shares.cost(own, turns, turns)
             # No replica costs less than the fastest one without turns.
-            if own_cost - shares.least_slowness < _MOVE_MARGIN:
+            if own_cost - shares.paces.least_slowness < _MOVE_MARGIN:
                 return own_id
         least, least_ids = self._find_least(prompt.service, shares, now)
         if own_cost - least < _MOVE_MARGIN:
@@ -282,13 +290,15 @@
                 least_ids.append(replica_id)
         return least, least_ids
 
-    def _slowness(self, service: str, now: float) -> dict[str, float]:
-        known = self._slowness_by_service.get(service)
-        if known is None or now - known[0] >= _SLOWNESS_INTERVAL_S:
+    def _compared_paces(self, service: str, now: float) -> "_ComparedPaces":
+        known = self._paces_by_service.get(service)
+        if known is None or now - known.compared_at >= _SLOWNESS_INTERVAL_S:
             ids = [s.replica.id for s in self._fleet.eligible(service)]
-            known = (now, self._paces.slowness(ids, now))
-            self._slowness_by_service[service] = known
-        return known[1]
+            slowness_by_id = self._paces.slowness(ids, now)
+            least = min(1.0, min(slowness_by_id.values(), default=1.0))
+            known = _ComparedPaces(now, slowness_by_id, least)
+            self._paces_by_service[service] = known
+        return known
 
     def _weigher(self, key: str) -> Callable[[str], tuple[int, str]]:
         """Returns a function from replica id to its weight for a key."""
--- a/libs/routing/src/masticdale_routing/paces.py
+++ b/libs/routing/src/masticdale_routing/paces.py
@@ -44,11 +44,9 @@
                 self._pace_by_id.clear()
             self._pace_by_id[replica_id] = _Pace(interval_s, now)
             return
-        lowest, highest = (
-            pace.interval_s / _MAX_RATIO,
-            _MAX_RATIO * pace.interval_s,
-        )
-        bounded_s = min(highest, max(lowest, interval_s))
+        lowest_s = pace.interval_s / _MAX_RATIO
+        highest_s = pace.interval_s * _MAX_RATIO
+        bounded_s = min(highest_s, max(lowest_s, interval_s))
         pace.interval_s += _LEARNING_RATE * (bounded_s - pace.interval_s)
         pace.observed_at = now
 
