--- a/scripts/play.py
+++ b/scripts/play.py
@@ -12,6 +12,7 @@
 
 import argparse
 import concurrent.futures
+import contextlib
 import dataclasses
 import json
 import pathlib
@@ -21,6 +22,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BENCH = ROOT / "../given/kit/more/system/more/bench-cc6490/bin/fleetbench"
@@ -82,6 +84,17 @@
         shutil.copytree(incidents, target / "journal/incidents")
 
 
+@contextlib.contextmanager
+def copied_tree() -> Iterator[pathlib.Path]:
+    """Yields a copy of the working tree, which is deleted afterwards."""
+    copy = pathlib.Path(tempfile.mkdtemp(prefix="play-", dir=ROOT.parent))
+    try:
+        copy_tree(copy)
+        yield copy
+    finally:
+        shutil.rmtree(copy)
+
+
 def run_bench(copy: pathlib.Path, arguments: list[str], name: str) -> str:
     """Runs the bench in a copy, writes its output to a log and returns it."""
     output = OUTPUT / f"{name}.log"
@@ -190,9 +203,7 @@
     args = read_arguments()
     site = args.site.resolve()
     OUTPUT.mkdir(parents=True, exist_ok=True)
-    copy = pathlib.Path(tempfile.mkdtemp(prefix="play-", dir=ROOT.parent))
-    try:
-        copy_tree(copy)
+    with copied_tree() as copy:
         run_bench(copy, ["build"], f"{args.tag}build")
         if args.verb == "days":
             days = [
@@ -210,8 +221,6 @@
             name = f"{args.tag}{site.stem}-{args.verb}-{stamp}"
             print(run_bench(copy, arguments, name)[-6000:])
         results = import_journal(copy)
-    finally:
-        shutil.rmtree(copy)
     print(summarize(results))
     return 0 if all(result.is_clean for result in results) else 1
 
--- a/scripts/regression.py
+++ b/scripts/regression.py
@@ -12,10 +12,8 @@
 import dataclasses
 import json
 import pathlib
-import shutil
 import statistics
 import sys
-import tempfile
 
 import play
 
@@ -117,15 +115,11 @@
 
 def play_score(site: RegressionSite, why: str) -> None:
     """Scores a site on a copy of the working tree; imports its journal."""
-    copy = pathlib.Path(tempfile.mkdtemp(prefix="play-", dir=play.ROOT.parent))
-    try:
-        play.copy_tree(copy)
+    with play.copied_tree() as copy:
         arguments = ["score", str((SITES / f"{site.path}.toml").resolve())]
         arguments += ["--why", why, "--jobs", str(site.jobs)]
         play.run_bench(copy, arguments, f"regression-{site.name}")
         play.import_journal(copy)
-    finally:
-        shutil.rmtree(copy)
 
 
 def main() -> int:
