Soak: program names that no two workers share, a pause after a refused connection

Cause: worker N named its programs N x 1000 + count. While all hosts are killed a worker ended a program at each refused connection without a pause, began more than its thousand names and took those of its neighbour, so that an id was served once and truly refused as another program's. The hosts' logs show each id answered 200 and again 6 s later.

--- a/tools/soak/src/masticdale_soak/load_generator.py
+++ b/tools/soak/src/masticdale_soak/load_generator.py
@@ -39,8 +39,6 @@
 _LONG_PROGRAM_INTERVAL = 3
 _SHORT_PROGRAM_TURNS = 3
 _MAX_RETRY_WAIT_S = 2.0
-# Maximum number of programs of a worker; keeps program ids unique.
-_NAMES_PER_WORKER = 1000
 
 
 class RequestKind(enum.StrEnum):
@@ -201,7 +199,7 @@
             count += 1
             is_long = (number + count) % _LONG_PROGRAM_INTERVAL == 0
             await self._run_program(
-                f"p{number * _NAMES_PER_WORKER + count}",
+                program_name(number, count),
                 _MAX_TURNS if is_long else _SHORT_PROGRAM_TURNS,
             )
 
@@ -215,6 +213,9 @@
                 RequestKind.TURN, name, host, program_id
             )
             if not last.is_served:
+                # Without a pause a worker begins thousands of programs while
+                # all hosts refuse connections.
+                await asyncio.sleep(_PAUSE_S)
                 return
             host = self._find_host(last)
             await asyncio.sleep(_PAUSE_S)
@@ -288,6 +289,11 @@
         return time.monotonic() < self._deadline
 
 
+def program_name(worker: int, count: int) -> str:
+    """Returns the id of a worker's program; unique over all workers."""
+    return f"p{worker}-{count}"
+
+
 def _build_request(attempt: Attempt) -> tuple[str, dict[str, str]]:
     fields = {
         "Host": HOST_HEADER,
