--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -151,6 +151,7 @@
             self._ledger,
             self._peer_clients,
             live_hosts,
+            settings.usage_tolerance,
         )
         failover = StandbyFailover(
             identity,
@@ -193,6 +194,9 @@
                 ledger=self._ledger,
                 codec=PlatformHeaderCodec(),
                 metrics=self._metrics,
+                is_configuration_fresh=lambda: (
+                    not self._store.is_store_unreachable
+                ),
             )
         )
         self._register_dumps()
--- a/apps/masticdale_entry/src/masticdale_entry/settings.py
+++ b/apps/masticdale_entry/src/masticdale_entry/settings.py
@@ -7,6 +7,7 @@
 
 from masticdale_common import StrictModel
 from masticdale_rpc import Address
+from masticdale_workspaces import UsageTolerance
 
 
 class Role(enum.StrEnum):
@@ -44,6 +45,11 @@
         metrics_port: Port of metrics and state dump on the address of
             ``callers``.
         seeds: Peer addresses of other hosts; may be stale.
+        usage_window_s: Length of the window in which requests beyond a usage
+            cap are tolerated; None for no tolerance.
+        usage_excess_share: Tolerated excess as a share of what a cap allows in
+            the window.
+        usage_excess_requests: Tolerated excess in requests, besides the share.
     """
 
     host: str = pydantic.Field(min_length=1)
@@ -57,12 +63,26 @@
     peers_advertised: HostPort | None = None
     metrics_port: int | None = pydantic.Field(default=None, ge=1, le=65_535)
     seeds: tuple[HostPort, ...] = ()
+    usage_window_s: float | None = pydantic.Field(default=None, gt=0)
+    usage_excess_share: float | None = pydantic.Field(default=None, ge=0)
+    usage_excess_requests: float | None = pydantic.Field(default=None, ge=0)
 
     @property
     def effective_peers_address(self) -> Address | None:
         """The address for other hosts; None for a role without peers."""
         return self.peers_advertised or self.peers
 
+    @property
+    def usage_tolerance(self) -> UsageTolerance:
+        """The excess over usage caps that the operator tolerates."""
+        if self.usage_window_s is None:
+            return UsageTolerance()
+        return UsageTolerance(
+            self.usage_window_s,
+            self.usage_excess_share or 0.0,
+            self.usage_excess_requests or 0.0,
+        )
+
     @pydantic.model_validator(mode="after")
     def _check_addresses(self) -> "Settings":
         is_entry = self.role is Role.ENTRY
--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -13,6 +13,7 @@
     REQUEST_TIMEOUT = "request_timeout"
     NO_ROUTE = "no_route"
     UNAUTHENTICATED = "unauthenticated"
+    KEY_UNVERIFIED = "key_unverified"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
     CONFLICT = "conflict"
@@ -89,6 +90,9 @@
     ErrorKind.UNAUTHENTICATED: ErrorResponse(
         401, Executed.NO, None, "The key is missing or unknown.", 3
     ),
+    ErrorKind.KEY_UNVERIFIED: ErrorResponse(
+        503, Executed.NO, 300, "The host can't tell whether the key is valid."
+    ),
     ErrorKind.FORBIDDEN: ErrorResponse(
         403, Executed.NO, None, "The token's role does not allow this.", 3
     ),
--- a/libs/gateway/src/masticdale_gateway/__init__.py
+++ b/libs/gateway/src/masticdale_gateway/__init__.py
@@ -2,9 +2,9 @@
 
 from masticdale_gateway.calls import (
     Admission,
+    AdmissionClaim,
     BudgetLedger,
     RelaySettings,
-    TurnClaim,
 )
 from masticdale_gateway.codec import (
     ForwardingMetadata,
@@ -17,6 +17,7 @@
 
 __all__ = [
     "Admission",
+    "AdmissionClaim",
     "BudgetLedger",
     "ForwardingMetadata",
     "Header",
@@ -29,6 +30,5 @@
     "RequestMetadata",
     "ResponseHead",
     "ResponseMetadata",
-    "TurnClaim",
     "listen",
 ]
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -150,8 +150,10 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
-        self._headers.fields.append((name, value))
+        """Called by the parser, also for the trailers of a chunked body."""
+        # A trailer must not change what the headers said, such as the key.
+        if not self._headers_done:
+            self._headers.fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -11,6 +11,7 @@
 from masticdale_gateway.messages import Request
 from masticdale_routing.assignments import TurnEnd, TurnPrompt
 from masticdale_routing.routes import Route, RouteKind, Service
+from masticdale_workspaces import UsageClaim, Workspace
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +32,8 @@
         failed_replica_ids: Replicas at which attempts failed, in order.
         event_interval_s: Mean time between two events forwarded, in seconds; 0
             if unknown.
+        workspace: The workspace of the caller; None for an anonymous request.
+        version: Version of the configuration by which it was routed.
     """
 
     request: Request
@@ -44,6 +47,13 @@
     completed_replica_id: str = ""
     failed_replica_ids: list[str] = dataclasses.field(default_factory=list)
     event_interval_s: float = 0.0
+    workspace: Workspace | None = None
+    version: int = 0
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the caller's workspace; empty for none."""
+        return self.workspace.name if self.workspace else ""
 
     @property
     def turn_end(self) -> TurnEnd:
@@ -84,16 +94,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class TurnClaim:
-    """A turn's request for tokens of its program's budget.
+class AdmissionClaim:
+    """What a request needs before it may be sent to a replica.
+
+    A turn claims tokens of its program's budget. Any request may count against
+    the usage cap of its workspace.
 
     Attributes:
-        program_id: The program.
+        program_id: The program; empty for none.
         request_id: Id of the caller's request. A claim repeated under it while
             the turn is in flight reserves nothing more.
         budget_tokens: Total budget of the program.
         turn_tokens: Maximum number of tokens that the turn uses.
         prompt: What the turn needs of a replica.
+        workspace: Name of the caller's workspace; empty for none.
+        usage: The cap that the request counts against; None for none.
+        is_turn: Whether it claims tokens.
     """
 
     program_id: str
@@ -101,6 +117,18 @@
     budget_tokens: int
     turn_tokens: int
     prompt: TurnPrompt = _NO_PROMPT
+    workspace: str = ""
+    usage: UsageClaim | None = None
+    is_turn: bool = True
+
+    @property
+    def shard_key(self) -> str:
+        """Key whose hash selects the shard that decides.
+
+        The programs of a workspace share its shard, so that one call admits a
+        turn and counts it against the cap.
+        """
+        return self.workspace or self.program_id
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,22 +144,25 @@
 
 
 class BudgetLedger(Protocol):
-    """Keeps programs within their budgets."""
+    """Keeps programs within their budgets and workspaces within their caps."""
 
     async def admit(
-        self, claim: TurnClaim, deadline_at: float
+        self, claim: AdmissionClaim, deadline_at: float
     ) -> Result[Admission, Failure]:
-        """Reserves the tokens that a turn may use.
+        """Reserves the tokens that a turn may use; counts the request.
 
-        A turn that is not admitted must not be sent to a replica.
+        A request that is not admitted must not be sent to a replica.
 
         Returns:
-            The admission, or BUDGET_EXCEEDED if the budget is spent, or
-            LEDGER_UNAVAILABLE if that can't be determined.
+            The admission, or BUDGET_EXCEEDED if the budget is spent,
+            LIMIT_REACHED if the usage cap is, or LEDGER_UNAVAILABLE if that
+            can't be determined.
         """
         ...
 
-    def settle(self, claim: TurnClaim, used_tokens: int, end: TurnEnd) -> None:
+    def settle(
+        self, claim: AdmissionClaim, used_tokens: int, end: TurnEnd
+    ) -> None:
         """Reports the tokens that a turn has used, and how it ended."""
         ...
 
--- a/libs/gateway/src/masticdale_gateway/codec.py
+++ b/libs/gateway/src/masticdale_gateway/codec.py
@@ -21,6 +21,7 @@
         budget_tokens: Output tokens the program may use; None for no budget.
         turn_tokens: Maximum number of output tokens of this turn.
         last_event_id: Last stream event that the caller has; empty for none.
+        key_digests: Digest of each API key field; see ``digest_key``.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     budget_tokens: int | None = None
     turn_tokens: int = 0
     last_event_id: str = ""
+    key_digests: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,11 +64,13 @@
         remaining_s: Seconds until the deadline.
         last_event_id: Event after which a stream resumes; empty to keep the
             caller's.
+        workspace: Name of the caller's workspace; empty for none.
     """
 
     replica_id: str
     remaining_s: float
     last_event_id: str = ""
+    workspace: str = ""
 
 
 class HeaderCodec(Protocol):
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -214,7 +214,10 @@
         fields = self._codec.request_headers(
             request.headers,
             ForwardingMetadata(
-                state.replica.id, call.remaining_s, options.last_event_id
+                state.replica.id,
+                call.remaining_s,
+                options.last_event_id,
+                call.workspace_name,
             ),
         )
         request_id = call.metadata.request_id
--- a/libs/gateway/src/masticdale_gateway/messages.py
+++ b/libs/gateway/src/masticdale_gateway/messages.py
@@ -44,6 +44,10 @@
                 return value
         return None
 
+    def all(self, name: bytes) -> list[bytes]:
+        """Returns every value of the fields with this lowercase name."""
+        return [value for key, value in self.fields if key.lower() == name]
+
     def count(self, name: bytes) -> int:
         """Returns how many fields have this lowercase name."""
         return sum(key.lower() == name for key, _ in self.fields)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -17,10 +17,10 @@
     close_gracefully,
 )
 from masticdale_gateway.calls import (
+    AdmissionClaim,
     BudgetLedger,
     Call,
     RelaySettings,
-    TurnClaim,
 )
 from masticdale_gateway.codec import HeaderCodec, RequestMetadata
 from masticdale_gateway.exchanges import Sender
@@ -31,7 +31,8 @@
 from masticdale_gateway.unary import BufferedResponse, UnaryRelay
 from masticdale_routing.assignments import TurnPrompt
 from masticdale_routing.fleet import Fleet
-from masticdale_routing.routes import Configuration, Service
+from masticdale_routing.routes import Configuration, Route, Service
+from masticdale_workspaces import UsageClaim, Workspace
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +46,8 @@
         ledger: Enforces the budgets of programs.
         codec: Parses and builds header fields.
         metrics: Metrics registry.
+        is_configuration_fresh: Returns whether changes of the configuration
+            reach this host.
         settings: Limits of the data path.
     """
 
@@ -53,6 +56,7 @@
     ledger: BudgetLedger
     codec: HeaderCodec
     metrics: Metrics
+    is_configuration_fresh: Callable[[], bool] = lambda: True
     settings: RelaySettings = dataclasses.field(default_factory=RelaySettings)
 
 
@@ -183,6 +187,9 @@
         if route is None:
             detail = f"version {configuration.version}"
             return Failed(Failure(ErrorKind.NO_ROUTE, detail))
+        authenticated = self._authenticate(configuration, route, metadata)
+        if isinstance(authenticated, Failed):
+            return authenticated
         name = route.service_for(metadata.program_id or metadata.request_id)
         service = configuration.service_by_name.get(name) or Service(name, 0)
         limit_s = route.timeout_s
@@ -190,18 +197,45 @@
             limit_s = min(limit_s, metadata.deadline_s)
         return Success(
             Call(
-                request, metadata, route, service, request.received_at + limit_s
+                request,
+                metadata,
+                route,
+                service,
+                request.received_at + limit_s,
+                workspace=authenticated.unwrap(),
+                version=configuration.version,
             )
         )
 
+    def _authenticate(
+        self,
+        configuration: Configuration,
+        route: Route,
+        metadata: RequestMetadata,
+    ) -> Result[Workspace | None, Failure]:
+        workspaces = configuration.workspaces
+        if workspaces is None:
+            return Success(None)
+        outcome = workspaces.authenticate(
+            metadata.key_digests, allows_anonymous=route.allows_anonymous
+        )
+        if not isinstance(outcome, Failed):
+            return outcome
+        failure = outcome.failure()
+        detail = f"{failure.detail}, version {configuration.version}"
+        is_unknown = failure.kind is ErrorKind.UNAUTHENTICATED
+        if is_unknown and not self._dependencies.is_configuration_fresh():
+            # 401 is final for the caller. A host that is cut off may lack the
+            # version that adds the key.
+            return Failed(Failure(ErrorKind.KEY_UNVERIFIED, detail))
+        return Failed(Failure(failure.kind, detail))
+
     async def _run(
         self, call: Call, writer: ResponseWriter
     ) -> BufferedResponse | Failure | None:
-        if not call.is_stream:
-            return await self._unary.run(call)
-        claim = _turn_claim(call)
+        claim = _admission_claim(call)
         if claim is None:
-            return await self._streams.run(call, writer)
+            return await self._forward(call, writer)
         try:
             admitted = await self._dependencies.ledger.admit(
                 claim, call.deadline_at
@@ -210,13 +244,21 @@
                 failure: Failure = admitted.failure()
                 return failure
             call.assigned_replica_id = admitted.unwrap().replica_id
-            return await self._streams.run(call, writer)
+            return await self._forward(call, writer)
         finally:
             # Also after a rejection, or if the caller disconnected before the
             # reply: the owner may have reserved the turn's tokens, and leaking
             # them would exhaust the program's budget too early.
-            used = call.events * call.service.tokens_per_event
-            self._dependencies.ledger.settle(claim, used, call.turn_end)
+            if claim.is_turn:
+                used = call.events * call.service.tokens_per_event
+                self._dependencies.ledger.settle(claim, used, call.turn_end)
+
+    async def _forward(
+        self, call: Call, writer: ResponseWriter
+    ) -> BufferedResponse | Failure | None:
+        if call.is_stream:
+            return await self._streams.run(call, writer)
+        return await self._unary.run(call)
 
     def _send_error(
         self, writer: ResponseWriter, request_id: str, failure: Failure
@@ -268,6 +310,7 @@
             "request",
             request_id=metadata.request_id,
             program_id=metadata.program_id,
+            workspace=call.workspace_name if call else "",
             prompt_parts=metadata.prompt_parts,
             route=route.name if route else "",
             version=configuration.version if configuration else 0,
@@ -280,19 +323,36 @@
         )
 
 
-def _turn_claim(call: Call) -> TurnClaim | None:
+def _admission_claim(call: Call) -> AdmissionClaim | None:
+    """Returns what a call needs of the ledger; None for nothing."""
     metadata = call.metadata
-    if not metadata.program_id or metadata.budget_tokens is None:
+    is_turn = (
+        call.is_stream
+        and bool(metadata.program_id)
+        and metadata.budget_tokens is not None
+    )
+    usage = _usage_claim(call)
+    if not is_turn and usage is None:
         return None
-    return TurnClaim(
+    return AdmissionClaim(
         program_id=metadata.program_id,
         request_id=metadata.request_id,
-        budget_tokens=metadata.budget_tokens,
+        budget_tokens=metadata.budget_tokens or 0,
         turn_tokens=metadata.turn_tokens,
         prompt=TurnPrompt(call.service.name, metadata.prefix_key),
+        workspace=call.workspace_name,
+        usage=usage,
+        is_turn=is_turn,
     )
 
 
+def _usage_claim(call: Call) -> UsageClaim | None:
+    workspace = call.workspace
+    if workspace is None or workspace.cap is None:
+        return None
+    return UsageClaim(workspace.name, workspace.cap, call.version)
+
+
 async def listen(
     relay: Relay, host: str, port: int, backlog: int
 ) -> asyncio.Server:
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -59,6 +59,7 @@
         remaining_s=3.0,
         replica_ids=[],
         assigned_replica_id="",
+        workspace_name="",
     )
 
 
--- a/libs/ledger/src/masticdale_ledger/accounts.py
+++ b/libs/ledger/src/masticdale_ledger/accounts.py
@@ -11,7 +11,7 @@
 import collections
 import dataclasses
 
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 
 # Share of a budget that is granted without a record. Programs that end below
 # it cause no store writes.
@@ -139,7 +139,7 @@
             return self.bound.tokens
         return unrecorded_limit_tokens(self.budget_tokens)
 
-    def evaluate(self, claim: TurnClaim) -> Verdict:
+    def evaluate(self, claim: AdmissionClaim) -> Verdict:
         """Decides whether a turn may run; reserves nothing."""
         if claim.request_id in self.reserved_by_request_id:
             return Admitted()
@@ -188,7 +188,7 @@
         return list(self._account_by_id.values())
 
     def get_or_create(
-        self, claim: TurnClaim, record: str, is_new: bool, now: float
+        self, claim: AdmissionClaim, record: str, is_new: bool, now: float
     ) -> Account:
         """Returns the account of a claim's program; creates it if missing.
 
@@ -211,7 +211,7 @@
         self._account_by_id.move_to_end(claim.program_id)
         return account
 
-    def reserve(self, claim: TurnClaim) -> Account:
+    def reserve(self, claim: AdmissionClaim) -> Account:
         """Reserves the maximum of an admitted turn; returns the account."""
         account = self._account_by_id[claim.program_id]
         account.reserved_by_request_id[claim.request_id] = claim.turn_tokens
@@ -264,7 +264,7 @@
         del self._account_by_id[evicted.program_id]
 
     def _create(
-        self, claim: TurnClaim, record: str, is_new: bool, now: float
+        self, claim: AdmissionClaim, record: str, is_new: bool, now: float
     ) -> Account:
         bound = self._bound_by_record.get(record)
         spent = 0
--- a/libs/ledger/src/masticdale_ledger/admissions.py
+++ b/libs/ledger/src/masticdale_ledger/admissions.py
@@ -11,7 +11,7 @@
 from returns.result import Result
 
 from masticdale_common import ErrorKind, Failure
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.failover import StandbyFailover
 from masticdale_ledger.owner import ShardOwner
 
@@ -32,7 +32,7 @@
         ] = {}
 
     async def admit(
-        self, shard_number: int, claim: TurnClaim
+        self, shard_number: int, claim: AdmissionClaim
     ) -> Result[None, Failure]:
         """Decides on a turn, or reports that the decision is pending.
 
@@ -54,7 +54,7 @@
         return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
 
     async def _decide(
-        self, shard_number: int, claim: TurnClaim
+        self, shard_number: int, claim: AdmissionClaim
     ) -> Result[None, Failure]:
         outcome = await self._owner.admit(shard_number, claim)
         if not _is_not_owner(outcome):
--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -40,11 +40,16 @@
     shard_key,
 )
 from masticdale_platform import ObjectStore, StoredObject
+from masticdale_workspaces import UsageCounter, UsageLevel, UsageTolerance
 
 # After the accounts of a shard are lost, programs that they counted may return
 # for this long, in seconds: as long as an owner keeps the account of an idle
 # program (``accounts._IDLE_TIMEOUT_S``).
 RECOVERY_WINDOW_S = 120.0
+# Time in seconds for which the previous owner or its standby may still count
+# against usage caps, if the arbiter may have decided for it. Must exceed
+# ``owned_shard._ALONE_LIMIT_S`` by the time until a host notices its isolation.
+USAGE_SHARED_S = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +65,11 @@
             empty if they may lack changes of the previous owner.
         acting_shard: The shard for which this host acts as standby until the
             claim is written; its accounts then replace these.
+        usages: Levels of the usage caps.
+        usage_incomplete_for_s: Seconds for which other levels may be missing;
+            None if all are lost.
+        usage_shared_for_s: Seconds for which another host may count against
+            the same caps.
     """
 
     previous: PreviousOwnerState
@@ -67,10 +77,19 @@
     incomplete_for_s: float = 0.0
     predecessor_incarnation: str = ""
     acting_shard: OwnedShard | None = None
+    usages: tuple[UsageLevel, ...] = ()
+    usage_incomplete_for_s: float | None = 0.0
+    usage_shared_for_s: float = 0.0
 
 
 # Returning programs count as spent up to the unrecorded limit or their record.
-LOST_ACCOUNTS = TakeoverState(PreviousOwnerState.ENDED, (), RECOVERY_WINDOW_S)
+LOST_ACCOUNTS = TakeoverState(
+    PreviousOwnerState.ENDED,
+    (),
+    RECOVERY_WINDOW_S,
+    usage_incomplete_for_s=None,
+    usage_shared_for_s=USAGE_SHARED_S,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +126,9 @@
         client: LedgerClient,
         hosts: Hosts,
         live_hosts: LiveHosts,
+        usage_tolerance: UsageTolerance | None = None,
     ) -> None:
+        self._usage_tolerance = usage_tolerance or UsageTolerance()
         self._identity = identity
         self._store = store
         self._records = records
@@ -123,6 +144,25 @@
             identity, shard_map, lease, hosts, live_hosts
         )
 
+    def usage_counter(
+        self,
+        levels: tuple[UsageLevel, ...],
+        incomplete_for_s: float | None,
+    ) -> UsageCounter:
+        """Returns a counter that goes on from the levels of another.
+
+        Args:
+            levels: The known levels.
+            incomplete_for_s: Seconds for which others may be missing; None if
+                all are lost.
+        """
+        tolerance = self._usage_tolerance
+        if incomplete_for_s is None:
+            incomplete_for_s = max(tolerance.window_s, USAGE_SHARED_S)
+        return UsageCounter(
+            tolerance, self._lease.now(), levels, incomplete_for_s
+        )
+
     async def refresh(self, shard_number: int) -> bool:
         """Reads a shard's record; returns whether the store answered."""
         found = await self._store.read(shard_key(shard_number))
@@ -260,6 +300,10 @@
                 self._lease,
                 self._copier(view.record),
                 takeover.predecessor_incarnation,
+                self.usage_counter(
+                    takeover.usages, takeover.usage_incomplete_for_s
+                ),
+                takeover.usage_shared_for_s,
             )
         )
         self._client.unreachable_by_shard.pop(shard_number, None)
@@ -318,6 +362,7 @@
                 self._isolate(shard)
             return
         shard.isolation = None
+        shard.usage.lift_restriction()
         self._owner.replication_failure_by_shard.pop(shard.number, None)
         if shard.is_standby_stopping:
             await self._write_standby(shard)
@@ -428,16 +473,40 @@
                 else s
                 for s in states
             )
+        usage_incomplete_for_s = shard.usage.incomplete_for_s(shard.now)
+        if self._other_may_count(shard) and not shard.is_acting:
+            # The old standby may go on from the same levels.
+            shard.usage.restrict_to_reserve()
+            usage_incomplete_for_s = max(usage_incomplete_for_s, USAGE_SHARED_S)
         return TakeoverState(
             PreviousOwnerState.ENDED,
             states,
             incomplete_for_s,
             shard.predecessor_incarnation,
+            usages=shard.usage.levels(shard.now),
+            usage_incomplete_for_s=usage_incomplete_for_s,
+            usage_shared_for_s=USAGE_SHARED_S
+            if self._other_may_count(shard)
+            else shard.usage_shared_for_s,
+        )
+
+    def _other_may_count(self, shard: OwnedShard) -> bool:
+        """Returns whether the other side may count usage as well.
+
+        Without the arbiter's decision it grants only its reserve.
+        """
+        has_arbiter = bool(shard.view.record.arbiter_address)
+        other_may_act = shard.is_acting or (
+            shard.standby_may_act and not shard.is_standby_stopping
         )
+        return has_arbiter and other_may_act and not shard.won_arbitration
 
     def _isolate(self, shard: OwnedShard) -> None:
         quotas = _owner_quotas(shard)
-        shard.isolation = Isolation(quotas, admits_unknown=False)
+        shard.isolation = Isolation(
+            quotas, admits_unknown=False, began_at=shard.now
+        )
+        shard.usage.restrict_to_reserve()
         logs.write("shard_alone", shard=shard.number, programs=len(quotas))
 
     async def _write(
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -10,7 +10,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, Metrics, hashing, logs
-from masticdale_gateway.calls import Admission, TurnClaim
+from masticdale_gateway.calls import Admission, AdmissionClaim
 from masticdale_ledger.messages import (
     ADMIT,
     SETTLE,
@@ -39,6 +39,9 @@
 # Timeout of all calls for one turn, in seconds. A lost owner is usually
 # replaced within this time; otherwise the caller gets a failure and may retry.
 _ADMIT_TIMEOUT_S = 1.2
+# Part of the time left that may pass until a call is admitted or refused; the
+# rest is for its execution, or for another host that the caller asks.
+_CALL_SHARE = 0.5
 # Longest time in seconds that an attempt takes, which calls the owner and then
 # its standby; with a margin. If it took longer, this host itself was paused.
 _MAX_ATTEMPT_S = 2 * CALL_TIMEOUT_S + 0.2
@@ -52,6 +55,9 @@
 # dropped, and the full reservations of their turns keep counting.
 _MAX_PENDING_SETTLEMENTS = 5_000
 
+# Decisions that another attempt would only repeat.
+_REFUSALS = (ErrorKind.BUDGET_EXCEEDED, ErrorKind.LIMIT_REACHED)
+
 PeerLookup = Callable[[str, int], RpcClient]
 AskHost = Callable[[], Coroutine[None, None, Result[Admission, Failure]]]
 LocalAdmit = Callable[[AdmitRequest], Awaitable[AdmitReply]]
@@ -122,13 +128,16 @@
         self._has_settlements = asyncio.Event()
 
     async def admit(
-        self, claim: TurnClaim, deadline_at: float
+        self, claim: AdmissionClaim, deadline_at: float
     ) -> Result[Admission, Failure]:
         """See ``BudgetLedger.admit``."""
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         retry_until = min(deadline_at, started_at + _ADMIT_TIMEOUT_S)
-        shard_number = hashing.shard_of(claim.program_id, LEDGER_SHARD_COUNT)
+        if not claim.is_turn:
+            allowed_s = _CALL_SHARE * (deadline_at - started_at)
+            retry_until = min(retry_until, started_at + allowed_s)
+        shard_number = hashing.shard_of(claim.shard_key, LEDGER_SHARD_COUNT)
         failure = Failure(
             ErrorKind.LEDGER_UNAVAILABLE, "the deadline expired before any call"
         )
@@ -141,7 +150,7 @@
                 )
                 return outcome
             failure = outcome.failure()
-            if failure.kind is ErrorKind.BUDGET_EXCEEDED:
+            if failure.kind in _REFUSALS:
                 return outcome
             if loop.time() - attempt_started_at > _MAX_ATTEMPT_S:
                 # This host was paused, so that its call timed out although the
@@ -163,9 +172,11 @@
             )
         )
 
-    def settle(self, claim: TurnClaim, used_tokens: int, end: TurnEnd) -> None:
+    def settle(
+        self, claim: AdmissionClaim, used_tokens: int, end: TurnEnd
+    ) -> None:
         """See ``BudgetLedger.settle``."""
-        shard_number = hashing.shard_of(claim.program_id, LEDGER_SHARD_COUNT)
+        shard_number = hashing.shard_of(claim.shard_key, LEDGER_SHARD_COUNT)
         settlement = Settlement(
             shard_number,
             claim.program_id,
@@ -203,14 +214,27 @@
                 self._has_settlements.set()
 
     async def _admit_once(
-        self, shard_number: int, claim: TurnClaim
+        self, shard_number: int, claim: AdmissionClaim
     ) -> Result[Admission, Failure]:
         view = self._map.get(shard_number)
         if view is None:
             return Failed(
                 Failure(ErrorKind.NOT_OWNER, "the shard has no owner yet")
             )
-        request = AdmitRequest(
+        request = self._request(shard_number, claim)
+        if not view.record.standby_address:
+            return await self._ask_owner(view, request)
+        owner = functools.partial(self._ask_owner, view, request)
+        standby = functools.partial(self._ask_standby, view, request)
+        if self._asks_standby_first(shard_number, view.version):
+            return await _first_decision(standby, owner)
+        return await _first_decision(owner, standby)
+
+    def _request(
+        self, shard_number: int, claim: AdmissionClaim
+    ) -> AdmitRequest:
+        usage = claim.usage
+        return AdmitRequest(
             shard=shard_number,
             program_id=claim.program_id,
             request_id=claim.request_id,
@@ -220,14 +244,12 @@
             asker_stops=self.is_stopping,
             service_name=claim.prompt.service,
             prefix_key=claim.prompt.prefix_key,
+            is_call=not claim.is_turn,
+            workspace=claim.workspace,
+            cap_rate_per_s=usage.cap.rate_per_s if usage else 0.0,
+            cap_burst=usage.cap.burst if usage else 0.0,
+            cap_version=usage.version if usage else 0,
         )
-        if not view.record.standby_address:
-            return await self._ask_owner(view, request)
-        owner = functools.partial(self._ask_owner, view, request)
-        standby = functools.partial(self._ask_standby, view, request)
-        if self._asks_standby_first(shard_number, view.version):
-            return await _first_decision(standby, owner)
-        return await _first_decision(owner, standby)
 
     async def _ask_owner(
         self, view: VersionedShardRecord, request: AdmitRequest
--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -14,6 +14,7 @@
     CopyRequest,
 )
 from masticdale_rpc import RpcClient, may_have_been_sent
+from masticdale_workspaces import UsageCopy
 
 # Timeout of a copy, in seconds. Turns wait for it if the standby is lost.
 _COPY_TIMEOUT_S = 0.3
@@ -30,12 +31,15 @@
         incomplete_for_s: For how many more seconds a program without an
             account may have had turns before.
         owner_has_store: Whether the owner reaches the store.
+        usage_incomplete_for_s: For how many more seconds levels of usage caps
+            may be missing.
     """
 
     shard: int
     epoch: int
     incomplete_for_s: float
     owner_has_store: bool
+    usage_incomplete_for_s: float = 0.0
 
 
 class Copier:
@@ -58,12 +62,17 @@
         self._standby_has_snapshot = False
         self._lock = asyncio.Lock()
         self._changed_ids: dict[str, None] = {}
+        self._changed_workspaces: dict[str, None] = {}
         self._next_copy: asyncio.Task[Result[None, Failure]] | None = None
 
     def mark_changed(self, program_id: str) -> None:
         """Includes an account in the next copy."""
         self._changed_ids[program_id] = None
 
+    def mark_usage_changed(self, workspace: str) -> None:
+        """Includes the level of a workspace in the next copy."""
+        self._changed_workspaces[workspace] = None
+
     def has_pending(self, *, owner_has_store: bool) -> bool:
         """Returns whether the standby has not received all changes.
 
@@ -73,6 +82,7 @@
         """
         return (
             bool(self._changed_ids)
+            or bool(self._changed_workspaces)
             or self.standby_may_admit_unknown == owner_has_store
         )
 
@@ -103,13 +113,19 @@
             if self._standby_has_snapshot and not has_pending:
                 return Success(None)
             changed = list(self._changed_ids)
+            workspaces = list(self._changed_workspaces)
             self._changed_ids.clear()
+            self._changed_workspaces.clear()
             is_snapshot = not self._standby_has_snapshot
             states = accounts.states(None if is_snapshot else changed)
-            outcome = await self._copy(header, is_snapshot, states)
+            usages = accounts.usage_copies(None if is_snapshot else workspaces)
+            outcome = await self._copy(header, is_snapshot, states, usages)
             if isinstance(outcome, Failed):
                 self._standby_has_snapshot = False
                 return outcome
+            if outcome.unwrap().held:
+                for usage in usages:
+                    usage.confirm()
             return self._handle_reply(header, outcome.unwrap())
 
     def _handle_reply(
@@ -140,6 +156,7 @@
         header: CopyHeader,
         is_snapshot: bool,
         accounts: tuple[AccountState, ...],
+        usages: tuple[UsageCopy, ...],
     ) -> Result[CopyReply, Failure]:
         request = CopyRequest(
             shard=header.shard,
@@ -149,6 +166,8 @@
             incomplete_for_s=header.incomplete_for_s,
             owner_has_store=header.owner_has_store,
             renews=self.standby_may_hold_copy,
+            usages=tuple(usage.level for usage in usages),
+            usage_incomplete_for_s=header.usage_incomplete_for_s,
         )
         outcome = await self._peer.call(COPY, request, _COPY_TIMEOUT_S)
         is_failed = isinstance(outcome, Failed)
@@ -163,8 +182,14 @@
 
 
 class AccountSource:
-    """Interface from which ``Copier`` reads accounts; see ``OwnedShard``."""
+    """Interface from which ``Copier`` reads a shard; see ``OwnedShard``."""
 
     def states(self, program_ids: list[str] | None) -> tuple[AccountState, ...]:
         """Returns the accounts of the given programs; for None, of all."""
         raise NotImplementedError
+
+    def usage_copies(
+        self, workspaces: list[str] | None
+    ) -> tuple[UsageCopy, ...]:
+        """Returns the levels of the given workspaces; for None, of all."""
+        raise NotImplementedError
--- a/libs/ledger/src/masticdale_ledger/failover.py
+++ b/libs/ledger/src/masticdale_ledger/failover.py
@@ -160,6 +160,8 @@
                     epoch,
                     shard.states_with_peer_spending(),
                     shard.incomplete_for_s,
+                    shard.usage.levels(shard.now),
+                    shard.usage.incomplete_for_s(shard.now),
                 )
         return self._copies.seal(request)
 
@@ -205,6 +207,9 @@
             self._lease,
             None,
             record.incarnation,
+            self._claims.usage_counter(
+                copy.usages, copy.usage_incomplete_for_s
+            ),
         )
         shard.is_acting = True
         shard.won_arbitration = won_arbitration
@@ -214,7 +219,9 @@
             is_standby=True,
             remainder_side=Side.STANDBY if is_remainder_side else Side.OWNER,
         )
-        shard.isolation = Isolation(quotas, admits_unknown=False)
+        shard.isolation = Isolation(
+            quotas, admits_unknown=False, began_at=shard.now
+        )
         self._owner.take(shard)
         logs.write(
             "shard_acted_for",
--- a/libs/ledger/src/masticdale_ledger/isolation.py
+++ b/libs/ledger/src/masticdale_ledger/isolation.py
@@ -31,10 +31,12 @@
         admits_unknown: Whether other programs are admitted too. Only the
             standby admits them, and only while the store is unreachable: the
             next owner seals the standby and so learns of them.
+        began_at: Time of its beginning on the clock of the lease, in seconds.
     """
 
     quota_by_program_id: dict[str, "IsolationQuota"]
     admits_unknown: bool
+    began_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -24,6 +24,11 @@
   7: bool asker_stops,       // must not become a standby or an owner
   8: string service_name,    // that runs the turn
   9: string prefix_key,      // of the first part of its prompt
+  10: bool is_call,          // no turn: claims no tokens
+  11: string workspace,      // empty: none
+  12: double cap_rate_per_s, // 0: counts against no cap
+  13: double cap_burst,
+  14: i64 cap_version,       // of the configuration that states the cap
 }
 
 struct AdmitReply {
@@ -49,6 +54,14 @@
   1: list<i64> other_shards, // whose settlements were not applied
 }
 
+struct UsageLevel {
+  1: string workspace,
+  2: double rate_per_s,
+  3: double burst,
+  4: i64 version,            // of the configuration that states the cap
+  5: double level,           // requests left; negative after an overdraft
+}
+
 struct AccountState {
   1: string program_id,
   2: i64 budget_tokens,
@@ -66,6 +79,9 @@
   2: i64 version,            // of the shard's object as the owner has written it
   3: list<AccountState> accounts,
   4: double incomplete_for_s, // for which unknown programs may have had turns
+  5: list<UsageLevel> usages,
+  6: double usage_incomplete_for_s, // for which other levels may be missing
+  7: double usage_shared_for_s, // for which another host may count as well
 }
 
 struct CopyRequest {
@@ -76,6 +92,8 @@
   5: double incomplete_for_s,
   6: bool owner_has_store,   // so it may name another standby at any time
   7: bool renews,            // a copy of this epoch may have arrived before
+  8: list<UsageLevel> usages, // less what the owner may grant before the next
+  9: double usage_incomplete_for_s,
 }
 
 struct CopyReply {
@@ -94,6 +112,8 @@
   2: list<AccountState> accounts,
   3: double incomplete_for_s,
   4: bool acted,             // was acting owner; includes the owner's quotas
+  5: list<UsageLevel> usages,
+  6: double usage_incomplete_for_s,
 }
 
 struct HandOverReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -4,6 +4,7 @@
 
 from masticdale_common import Failure
 from masticdale_rpc import Contract, Rpc, build_structs
+from masticdale_workspaces import UsageLevel
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmitRequest:
-    """Asks a shard's owner to admit a turn; see ``TurnClaim``.
+    """Asks a shard's owner to admit a request; see ``AdmissionClaim``.
 
     Attributes:
         shard: The shard.
@@ -36,6 +37,11 @@
             become a standby or an owner.
         service_name: The service that runs the turn.
         prefix_key: Key of the first part of its prompt; see ``TurnPrompt``.
+        is_call: Whether it is no turn, and so claims no tokens.
+        workspace: Name of the caller's workspace; empty for none.
+        cap_rate_per_s: Rate of the workspace's cap; 0 for no cap.
+        cap_burst: Burst of the cap.
+        cap_version: Version of the configuration that states the cap.
     """
 
     shard: int
@@ -47,6 +53,11 @@
     asker_stops: bool = False
     service_name: str = ""
     prefix_key: str = ""
+    is_call: bool = False
+    workspace: str = ""
+    cap_rate_per_s: float = 0.0
+    cap_burst: float = 0.0
+    cap_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,12 +148,20 @@
         accounts: All accounts.
         incomplete_for_s: For how many more seconds a program without an
             account may have had turns before.
+        usages: Levels of the usage caps.
+        usage_incomplete_for_s: For how many more seconds other levels may be
+            missing.
+        usage_shared_for_s: For how many more seconds another host may count
+            against the same caps.
     """
 
     shard: int
     version: int
     accounts: tuple[AccountState, ...]
     incomplete_for_s: float
+    usages: tuple[UsageLevel, ...] = ()
+    usage_incomplete_for_s: float = 0.0
+    usage_shared_for_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -168,6 +187,10 @@
         renews: Whether a copy of this epoch may have arrived before. A standby
             that holds none then rejects this one, since it may have been
             sealed and restarted.
+        usages: Changed levels of usage caps, less what the owner may grant
+            before the next copy.
+        usage_incomplete_for_s: For how many more seconds other levels may be
+            missing.
     """
 
     shard: int
@@ -177,6 +200,8 @@
     incomplete_for_s: float
     owner_has_store: bool = False
     renews: bool = False
+    usages: tuple[UsageLevel, ...] = ()
+    usage_incomplete_for_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -214,12 +239,17 @@
             account may have had turns before.
         acted: Whether the standby was the acting owner. The accounts then
             include turns that the owner may have admitted meanwhile.
+        usages: Levels of the usage caps.
+        usage_incomplete_for_s: For how many more seconds other levels may be
+            missing.
     """
 
     held: bool = False
     accounts: tuple[AccountState, ...] = ()
     incomplete_for_s: float = 0.0
     acted: bool = False
+    usages: tuple[UsageLevel, ...] = ()
+    usage_incomplete_for_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -312,7 +342,7 @@
 STORE = Rpc("store", StoreRequest, StoreReply)
 
 _RPCS = (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, APPOINT, DECIDE, STORE)
-_INNER_TYPES = (HostAddress, Settlement, AccountState, StoreItem)
+_INNER_TYPES = (HostAddress, Settlement, UsageLevel, AccountState, StoreItem)
 
 LEDGER = Contract(
     lambda: build_structs(_RPCS, _INNER_TYPES), _RPCS, _INNER_TYPES
--- a/libs/ledger/src/masticdale_ledger/owned_shard.py
+++ b/libs/ledger/src/masticdale_ledger/owned_shard.py
@@ -6,7 +6,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.account_codec import account_to_state
 from masticdale_ledger.accounts import Account, Accounts
 from masticdale_ledger.copier import AccountSource, Copier, CopyHeader
@@ -15,6 +15,14 @@
 from masticdale_ledger.messages import AccountState
 from masticdale_ledger.records import record_name
 from masticdale_ledger.shards import VersionedShardRecord
+from masticdale_workspaces import UsageCopy, UsageCounter, UsageTolerance
+
+# Share of each usage cap that a host may grant while another one may count
+# against the same caps.
+_SHARED_USAGE = 0.5
+# Time in seconds for which a host that can't reach the other side grants this
+# share. Must be shorter than ``claims.USAGE_SHARED_S``.
+_ALONE_LIMIT_S = 6.0
 
 
 class OwnedShard(AccountSource):
@@ -32,6 +40,7 @@
         isolation: Limits while this host can't coordinate with the other side,
             its standby or the owner for which it acts; None otherwise.
         won_arbitration: Whether the arbiter has decided for this host.
+        usage: Counts requests against the usage caps of workspaces.
     """
 
     def __init__(
@@ -43,6 +52,8 @@
         lease: Lease,
         copier: Copier | None,
         predecessor_incarnation: str = "",
+        usage: UsageCounter | None = None,
+        usage_shared_for_s: float = 0.0,
     ) -> None:
         """Creates the state of an owned shard.
 
@@ -55,6 +66,9 @@
             lease: Lease of this host, whose clock measures that time.
             copier: Replicates accounts to the standby.
             predecessor_incarnation: See the attribute.
+            usage: The counted usage; None to begin with full bursts.
+            usage_shared_for_s: Seconds for which another host may count
+                against the same caps.
         """
         self.number = number
         self.view = view
@@ -65,10 +79,12 @@
         self.is_acting = False
         self.isolation: Isolation | None = None
         self.won_arbitration = False
+        self.usage = usage or UsageCounter(UsageTolerance(), lease.now())
+        self._usage_shared_until = lease.now() + usage_shared_for_s
         self._complete_from = lease.now() + incomplete_for_s
         self._lease = lease
 
-    def is_blocked_by_isolation(self, claim: TurnClaim) -> bool:
+    def is_blocked_by_isolation(self, claim: AdmissionClaim) -> bool:
         """Returns whether an isolated shard must refuse a turn for now."""
         if self.isolation is None:
             return False
@@ -83,12 +99,37 @@
         needed = account.committed_tokens + claim.turn_tokens
         return needed > quota.limit_tokens
 
+    @property
+    def usage_shared_for_s(self) -> float:
+        """Seconds for which another host may count against the same caps."""
+        return max(0.0, self._usage_shared_until - self._lease.now())
+
+    @property
+    def usage_share(self) -> float:
+        """Share of each usage cap that this host may grant now.
+
+        While it can't reach the other side, only the host for which the
+        arbiter has decided grants anything. It can't tell whether a third host
+        has claimed the shard meanwhile.
+        """
+        isolation = self.isolation
+        if isolation is not None:
+            alone_s = self._lease.now() - isolation.began_at
+            is_allowed = self.won_arbitration and alone_s < _ALONE_LIMIT_S
+            return _SHARED_USAGE if is_allowed else 0.0
+        return _SHARED_USAGE if self.usage_shared_for_s > 0 else 1.0
+
+    @property
+    def now(self) -> float:
+        """Present seconds of the clock by which usage is counted."""
+        return self._lease.now()
+
     @property
     def incomplete_for_s(self) -> float:
         """Seconds for which unknown programs may have had turns before."""
         return max(0.0, self._complete_from - self._lease.now())
 
-    def get_or_create(self, claim: TurnClaim) -> Account:
+    def get_or_create(self, claim: AdmissionClaim) -> Account:
         """Returns the account of a claim's program; creates it if missing."""
         is_known = self.accounts.get(claim.program_id) is not None
         account = self.accounts.get_or_create(
@@ -108,6 +149,12 @@
         found = (self.accounts.get(i) for i in program_ids)
         return tuple(account_to_state(a) for a in found if a is not None)
 
+    def usage_copies(
+        self, workspaces: list[str] | None
+    ) -> tuple[UsageCopy, ...]:
+        """See ``AccountSource.usage_copies``."""
+        return self.usage.copies(workspaces, self.now)
+
     @property
     def needs_replication(self) -> bool:
         """Whether the standby lacks changes or the state of the store."""
@@ -166,5 +213,6 @@
             self.view.record.epoch,
             self.incomplete_for_s,
             owner_has_store=not self._lease.is_store_unreachable,
+            usage_incomplete_for_s=self.usage.incomplete_for_s(self.now),
         )
         return await self.copier.send(header, self)
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -1,4 +1,4 @@
-"""Admits turns of the shards that this host owns."""
+"""Admits the requests of the shards that this host owns."""
 
 import asyncio
 import collections
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure, Metrics, logs
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.accounts import (
     Account,
     Admitted,
@@ -22,6 +22,7 @@
 from masticdale_ledger.records import ProgramRecords
 from masticdale_ledger.shards import LEDGER_SHARD_COUNT
 from masticdale_routing.assignments import TurnAssignments, TurnEnd, TurnKey
+from masticdale_workspaces import Demand
 
 # Interval at which settled turns are replicated to standbys, in seconds.
 REPLICATION_INTERVAL_S = 0.15
@@ -99,7 +100,7 @@
         self.replication_failure_by_shard.pop(shard_number, None)
 
     async def admit(
-        self, shard_number: int, claim: TurnClaim
+        self, shard_number: int, claim: AdmissionClaim
     ) -> Result[None, Failure]:
         """Reserves the maximum of a turn; see ``BudgetLedger.admit``."""
         wait_until = time.monotonic() + _RESERVATION_WAIT_S
@@ -114,7 +115,7 @@
             await asyncio.sleep(_RETRY_INTERVAL_S)
 
     async def _decide(
-        self, shard_number: int, claim: TurnClaim
+        self, shard_number: int, claim: AdmissionClaim
     ) -> "Result[None, Failure] | _OverBudget":
         for _ in range(_MAX_ATTEMPTS):
             shard = self._shard_by_number.get(shard_number)
@@ -127,6 +128,11 @@
                     f"lease of shard {shard_number}, age {self._lease.age_s}"
                 )
                 return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
+            refusal = self._usage_refusal(shard, claim)
+            if refusal is not None:
+                return Failed(refusal)
+            if not claim.is_turn:
+                return await self._count_call(shard, claim)
             if shard.is_blocked_by_isolation(claim):
                 return _isolated_failure(shard_number)
             account = shard.get_or_create(claim)
@@ -146,7 +152,7 @@
             Failure(ErrorKind.LEDGER_UNAVAILABLE, "too many record conflicts")
         )
 
-    def assign_replica(self, shard_number: int, claim: TurnClaim) -> str:
+    def assign_replica(self, shard_number: int, claim: AdmissionClaim) -> str:
         """Assigns a replica to an admitted turn; empty if none is known."""
         shard = self._shard_by_number.get(shard_number)
         if self._assignments is None or shard is None:
@@ -215,6 +221,7 @@
     async def evict_idle_programs(self) -> None:
         """Evicts idle programs; deletes their records and expired ones."""
         for shard in list(self._shard_by_number.values()):
+            shard.usage.evict_full(shard.now)
             for account in shard.accounts.evict_idle(time.monotonic()):
                 self._write_lock_by_program.pop(account.program_id, None)
                 if account.bound is not None:
@@ -227,11 +234,35 @@
             await self._records.delete_expired(time.time_ns() // 1_000_000)
 
     async def _reserve(
-        self, shard: OwnedShard, claim: TurnClaim
+        self, shard: OwnedShard, claim: AdmissionClaim
     ) -> Result[None, Failure]:
+        if not _is_reserved(shard, claim):
+            self._take_usage(shard, claim)
         account = shard.accounts.reserve(claim)
         if shard.copier is not None:
             shard.copier.mark_changed(claim.program_id)
+        copied = await self._replicate(shard)
+        if not isinstance(copied, Failed):
+            if shard.isolation is None:
+                account.awaits_standby_ack = False
+            return copied
+        if copied.failure().kind is ErrorKind.LEDGER_UNAVAILABLE:
+            shard.accounts.settle(claim.program_id, claim.request_id, 0)
+            self._give_back_usage(shard, claim)
+        return copied
+
+    async def _count_call(
+        self, shard: OwnedShard, claim: AdmissionClaim
+    ) -> Result[None, Failure]:
+        """Counts a call that claims no tokens against its usage cap."""
+        if self._take_usage(shard, claim):
+            return Success(None)
+        copied = await self._replicate(shard)
+        if isinstance(copied, Failed):
+            self._give_back_usage(shard, claim)
+        return copied
+
+    async def _replicate(self, shard: OwnedShard) -> Result[None, Failure]:
         copied = await shard.replicate()
         # Another host may have taken the shard over meanwhile, for example
         # while this one was suspended.
@@ -239,16 +270,66 @@
             detail = f"shard {shard.number}"
             return Failed(Failure(ErrorKind.NOT_OWNER, detail))
         if not isinstance(copied, Failed):
-            if shard.isolation is None:
-                account.awaits_standby_ack = False
             return Success(None)
         self.replication_failure_by_shard[shard.number] = copied.failure()
-        shard.accounts.settle(claim.program_id, claim.request_id, 0)
         detail = f"standby of shard {shard.number}: {copied.failure()}"
         return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
 
+    def _usage_refusal(
+        self, shard: OwnedShard, claim: AdmissionClaim
+    ) -> Failure | None:
+        """Returns why a request does not fit its usage cap, or None."""
+        usage = claim.usage
+        if usage is None or _is_reserved(shard, claim):
+            return None
+        share = shard.usage_share
+        shard.usage.set_share(share, shard.now)
+        demand = _demand(shard, claim)
+        wait_s = shard.usage.wait_s(usage, demand, shard.now)
+        if wait_s == 0:
+            return None
+        logs.write_bounded(
+            "usage_refused",
+            request_id=claim.request_id,
+            program_id=claim.program_id,
+            workspace=usage.workspace,
+            shard=shard.number,
+            demand=demand.name.lower(),
+            level=shard.usage.level(usage, shard.now),
+            rate_per_s=usage.cap.rate_per_s,
+            burst=usage.cap.burst,
+            version=usage.version,
+            share=share,
+            wait_ms=None if wait_s is None else round(1000 * wait_s),
+        )
+        self._metrics.count("usage_refusals_total", demand=demand.name.lower())
+        if wait_s is None:
+            detail = f"usage of shard {shard.number} can't be counted"
+            return Failure(ErrorKind.LEDGER_UNAVAILABLE, detail)
+        return Failure(
+            ErrorKind.LIMIT_REACHED, retry_after_ms=1 + int(1000 * wait_s)
+        )
+
+    def _take_usage(self, shard: OwnedShard, claim: AdmissionClaim) -> bool:
+        """Counts a request; returns whether the standby has counted it."""
+        if claim.usage is None:
+            return True
+        is_covered = shard.usage.take(claim.usage, shard.now)
+        workspace = claim.usage.workspace
+        if shard.copier is None:
+            return True
+        if claim.is_turn or shard.usage.needs_copy(workspace):
+            shard.copier.mark_usage_changed(workspace)
+        return is_covered
+
+    def _give_back_usage(
+        self, shard: OwnedShard, claim: AdmissionClaim
+    ) -> None:
+        if claim.usage is not None:
+            shard.usage.give_back(claim.usage, shard.now)
+
     async def _raise_stored_bound(
-        self, shard: OwnedShard, claim: TurnClaim, account: Account
+        self, shard: OwnedShard, claim: AdmissionClaim, account: Account
     ) -> Result[None, Failure]:
         async with self._write_lock_by_program[claim.program_id]:
             verdict = account.evaluate(claim)
@@ -267,7 +348,7 @@
             return await self._adopt_stored_bound(shard, claim, account)
 
     async def _adopt_stored_bound(
-        self, shard: OwnedShard, claim: TurnClaim, account: Account
+        self, shard: OwnedShard, claim: AdmissionClaim, account: Account
     ) -> Result[None, Failure]:
         found = await self._records.read(claim.program_id)
         if isinstance(found, Failed):
@@ -298,7 +379,7 @@
         return Success(None)
 
     def _over_budget_failure(
-        self, shard_number: int, claim: TurnClaim, outcome: "_OverBudget"
+        self, shard_number: int, claim: AdmissionClaim, outcome: "_OverBudget"
     ) -> Failure:
         account, verdict = outcome.account, outcome.verdict
         self._metrics.count("ledger_refusals_total")
@@ -317,6 +398,23 @@
         return Failure(ErrorKind.BUDGET_EXCEEDED)
 
 
+def _is_reserved(shard: OwnedShard, claim: AdmissionClaim) -> bool:
+    """Returns whether a turn was admitted before, so that it counts no more."""
+    account = shard.accounts.get(claim.program_id)
+    return account is not None and (
+        claim.request_id in account.reserved_by_request_id
+    )
+
+
+def _demand(shard: OwnedShard, claim: AdmissionClaim) -> Demand:
+    if not claim.program_id:
+        return Demand.NEW
+    if not claim.is_turn:
+        return Demand.CALL
+    is_known = shard.accounts.get(claim.program_id) is not None
+    return Demand.TURN if is_known else Demand.NEW
+
+
 def _isolated_failure(shard_number: int) -> Result[None, Failure]:
     detail = f"shard {shard_number} is isolated; no quota for the turn"
     return Failed(Failure(ErrorKind.LEDGER_UNAVAILABLE, detail))
--- a/libs/ledger/src/masticdale_ledger/reconciler.py
+++ b/libs/ledger/src/masticdale_ledger/reconciler.py
@@ -12,8 +12,10 @@
 from returns.result import Failure as Failed
 
 from masticdale_common import ErrorKind, Failure, logs
+from masticdale_ledger.arbiter import Side
 from masticdale_ledger.claims import (
     RECOVERY_WINDOW_S,
+    USAGE_SHARED_S,
     ShardClaims,
     TakeoverState,
 )
@@ -160,6 +162,9 @@
             offer.accounts,
             offer.incomplete_for_s,
             self._incarnation_of(offer.shard, offer.version),
+            usages=offer.usages,
+            usage_incomplete_for_s=offer.usage_incomplete_for_s,
+            usage_shared_for_s=offer.usage_shared_for_s,
         )
         claimed = await self._claims.claim(offer.shard, offer.version, takeover)
         if isinstance(claimed, Failed):
@@ -304,13 +309,26 @@
                 view.record.address, view.record.port
             )
         reply = await self._seal(shard_number, view.record)
+        is_lost = previous is PreviousOwnerState.LOST
         if reply is None:
-            return TakeoverState(previous, (), RECOVERY_WINDOW_S)
+            other_may_count = is_lost or bool(view.record.standby_address)
+            return TakeoverState(
+                previous,
+                (),
+                RECOVERY_WINDOW_S,
+                usage_incomplete_for_s=None,
+                usage_shared_for_s=USAGE_SHARED_S if other_may_count else 0.0,
+            )
         if not reply.held:
             return TakeoverState(
-                PreviousOwnerState.ENDED, (), RECOVERY_WINDOW_S
+                PreviousOwnerState.ENDED,
+                (),
+                RECOVERY_WINDOW_S,
+                usage_incomplete_for_s=None,
+                usage_shared_for_s=USAGE_SHARED_S if is_lost else 0.0,
             )
         accounts = reply.accounts
+        usage_shared_for_s = 0.0
         if not reply.acted:
             remainder_side = await self._claims.remainder_side(
                 shard_number, view.record
@@ -318,11 +336,16 @@
             accounts = tuple(
                 charge_owner_quota(state, remainder_side) for state in accounts
             )
+            if is_lost and remainder_side is Side.OWNER:
+                usage_shared_for_s = USAGE_SHARED_S
         return TakeoverState(
             PreviousOwnerState.ENDED,
             accounts,
             reply.incomplete_for_s,
             view.record.incarnation,
+            usages=reply.usages,
+            usage_incomplete_for_s=reply.usage_incomplete_for_s,
+            usage_shared_for_s=usage_shared_for_s,
         )
 
     def _incarnation_of(self, shard_number: int, version: int) -> str:
@@ -408,7 +431,12 @@
             What the next owner needs to know.
         """
         exact = TakeoverState(
-            PreviousOwnerState.ENDED, shard.states(None), shard.incomplete_for_s
+            PreviousOwnerState.ENDED,
+            shard.states(None),
+            shard.incomplete_for_s,
+            usages=shard.usage.levels(shard.now),
+            usage_incomplete_for_s=shard.usage.incomplete_for_s(shard.now),
+            usage_shared_for_s=shard.usage_shared_for_s,
         )
         if shard.copier is None and not shard.is_acting:
             return exact
@@ -433,6 +461,9 @@
             shard.view.version,
             takeover.accounts,
             takeover.incomplete_for_s,
+            takeover.usages,
+            takeover.usage_incomplete_for_s or 0.0,
+            takeover.usage_shared_for_s,
         )
         peer = self._hosts.client(target.address, target.port)
         outcome = await peer.call(HAND_OVER, offer, 2 * _CALL_TIMEOUT_S)
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure as Failed
 
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.admissions import Admissions
 from masticdale_ledger.arbiter import Arbiter
 from masticdale_ledger.failover import StandbyFailover
@@ -34,6 +34,7 @@
 from masticdale_ledger.standby import StandbyCopies
 from masticdale_platform import ObjectStore
 from masticdale_routing.assignments import TurnPrompt
+from masticdale_workspaces import UsageCap, UsageClaim
 
 
 class LedgerService:
@@ -74,21 +75,17 @@
         self._shared_watches = shared_watches
 
     async def admit(self, request: AdmitRequest) -> AdmitReply:
-        """Admits a turn of a shard that this host owns or acts for."""
+        """Admits a request of a shard that this host owns or acts for."""
         if request.asker_stops:
             self._live_hosts.remove(request.asker)
         else:
             self._live_hosts.record_request(request.asker)
-        claim = TurnClaim(
-            program_id=request.program_id,
-            request_id=request.request_id,
-            budget_tokens=request.budget_tokens,
-            turn_tokens=request.turn_tokens,
-            prompt=TurnPrompt(request.service_name, request.prefix_key),
-        )
+        claim = _claim(request)
         outcome = await self._admissions.admit(request.shard, claim)
         if isinstance(outcome, Failed):
             return AdmitReply(outcome.failure())
+        if not claim.is_turn:
+            return AdmitReply()
         replica_id = self._owner.assign_replica(request.shard, claim)
         return AdmitReply(replica_id=replica_id)
 
@@ -129,3 +126,20 @@
             self._shared_watches,
             can_relay=self._can_relay(),
         )
+
+
+def _claim(request: AdmitRequest) -> AdmissionClaim:
+    usage = None
+    if request.cap_rate_per_s > 0:
+        cap = UsageCap(request.cap_rate_per_s, request.cap_burst)
+        usage = UsageClaim(request.workspace, cap, request.cap_version)
+    return AdmissionClaim(
+        program_id=request.program_id,
+        request_id=request.request_id,
+        budget_tokens=request.budget_tokens,
+        turn_tokens=request.turn_tokens,
+        prompt=TurnPrompt(request.service_name, request.prefix_key),
+        workspace=request.workspace,
+        usage=usage,
+        is_turn=not request.is_call,
+    )
--- a/libs/ledger/src/masticdale_ledger/standby.py
+++ b/libs/ledger/src/masticdale_ledger/standby.py
@@ -19,12 +19,26 @@
     SealReply,
     SealRequest,
 )
+from masticdale_workspaces import UsageLevel
 
 # Maximum number of accounts in a copy; the least recently changed is evicted
 # first. Must not be less than an owner keeps (``accounts._MAX_ACCOUNTS``).
 _MAX_ACCOUNTS = 20_000
 
 
+# Maximum number of usage levels in a copy. A workspace without one counts as
+# unused, so that this must exceed the workspaces that send at the same time.
+_MAX_USAGES = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReceivedUsage:
+    """A usage level, and when it arrived, in seconds of the boot clock."""
+
+    level: UsageLevel
+    received_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _ShardCopy:
     """The copy of one shard.
@@ -39,6 +53,9 @@
         was_acting: Whether this host was the acting owner: the accounts then
             include the turns that it admitted and those that the owner may
             have admitted meanwhile.
+        usage_by_workspace: The levels of usage caps.
+        usage_complete_from: Time on the boot clock, in seconds, from which a
+            workspace without a level has used nothing.
     """
 
     epoch: int
@@ -47,6 +64,32 @@
     owner_has_store: bool
     was_stop_announced: bool = False
     was_acting: bool = False
+    usage_by_workspace: collections.OrderedDict[str, _ReceivedUsage] = (
+        dataclasses.field(default_factory=collections.OrderedDict)
+    )
+    usage_complete_from: float = 0.0
+
+    def put_usages(
+        self, levels: tuple[UsageLevel, ...], incomplete_for_s: float
+    ) -> None:
+        """Replaces the levels of some workspaces."""
+        now = boot_time_s()
+        self.usage_complete_from = now + incomplete_for_s
+        for level in levels:
+            self.usage_by_workspace[level.workspace] = _ReceivedUsage(
+                level, now
+            )
+            self.usage_by_workspace.move_to_end(level.workspace)
+        while len(self.usage_by_workspace) > _MAX_USAGES:
+            self.usage_by_workspace.popitem(last=False)
+
+    def usages(self) -> tuple[UsageLevel, ...]:
+        """Returns the levels as they are now without further requests."""
+        now = boot_time_s()
+        return tuple(
+            usage.level.after(now - usage.received_at)
+            for usage in self.usage_by_workspace.values()
+        )
 
 
 class StandbyCopies:
@@ -87,6 +130,7 @@
         for account in request.accounts:
             copy.account_by_id[account.program_id] = account
             copy.account_by_id.move_to_end(account.program_id)
+        copy.put_usages(request.usages, request.usage_incomplete_for_s)
         while len(copy.account_by_id) > _MAX_ACCOUNTS:
             copy.account_by_id.popitem(last=False)
         copy.was_stop_announced = self.is_stopping
@@ -118,6 +162,8 @@
         epoch: int,
         accounts: tuple[AccountState, ...],
         incomplete_for_s: float,
+        usages: tuple[UsageLevel, ...] = (),
+        usage_incomplete_for_s: float = 0.0,
     ) -> None:
         """Replaces a sealed copy by the accounts of the acting owner.
 
@@ -130,17 +176,22 @@
             accounts: All accounts, with the turns admitted here.
             incomplete_for_s: For how many more seconds a program without an
                 account may have had turns before.
+            usages: All levels of usage caps.
+            usage_incomplete_for_s: For how many more seconds other levels may
+                be missing.
         """
         held = self._copy_by_shard.get(shard_number)
         if held is not None and held.epoch > epoch:
             return
-        self._copy_by_shard[shard_number] = _ShardCopy(
+        copy = _ShardCopy(
             epoch,
             collections.OrderedDict((a.program_id, a) for a in accounts),
             boot_time_s() + incomplete_for_s,
             owner_has_store=False,
             was_acting=True,
         )
+        copy.put_usages(usages, usage_incomplete_for_s)
+        self._copy_by_shard[shard_number] = copy
 
     def seal(self, request: SealRequest) -> SealReply:
         """Rejects copies up to an epoch from now on; returns its last copy."""
@@ -162,4 +213,8 @@
             accounts=tuple(copy.account_by_id.values()),
             incomplete_for_s=max(0.0, copy.complete_from - boot_time_s()),
             acted=copy.was_acting,
+            usages=copy.usages(),
+            usage_incomplete_for_s=max(
+                0.0, copy.usage_complete_from - boot_time_s()
+            ),
         )
--- a/libs/ledger/tests/hosts_case.py
+++ b/libs/ledger/tests/hosts_case.py
@@ -164,6 +164,7 @@
             self.client,
             links,
             self.live_hosts,
+            world.usage_tolerance,
         )
         self.failover = StandbyFailover(
             identity, self.map, self.owner, lease, self.copies, claims, links
@@ -224,6 +225,7 @@
         self.names = dict(enumerate(names, start=1))
         self.store = MemoryStore()
         self.clock = Clock()
+        self.usage_tolerance = None
         self.partitions = set()
         self.lost_answers = set()
         self.process_by_name = {}
--- a/libs/ledger/tests/test_accounts.py
+++ b/libs/ledger/tests/test_accounts.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from masticdale_gateway import TurnClaim
+from masticdale_gateway import AdmissionClaim
 from masticdale_ledger.accounts import (
     Accounts,
     Admitted,
@@ -19,7 +19,7 @@
 
 
 def claim(request_id, budget, max_turn_tokens):
-    return TurnClaim("program", request_id, budget, max_turn_tokens)
+    return AdmissionClaim("program", request_id, budget, max_turn_tokens)
 
 
 class Ledger:
@@ -184,7 +184,7 @@
         self.accounts = Accounts()
 
     def reserve(self, program_id, now=0.0):
-        turn = TurnClaim(program_id, f"{program_id}-1", 400, 100)
+        turn = AdmissionClaim(program_id, f"{program_id}-1", 400, 100)
         self.accounts.get_or_create(turn, RECORD, True, now)
         self.accounts.reserve(turn)
 
--- a/libs/ledger/tests/test_admissions.py
+++ b/libs/ledger/tests/test_admissions.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure, Metrics
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.admissions import Admissions
 from masticdale_ledger.client import CALL_TIMEOUT_S
@@ -30,7 +30,7 @@
 
 
 def claim(request_id, tokens, program="p"):
-    return TurnClaim(program, request_id, BUDGET, tokens)
+    return AdmissionClaim(program, request_id, BUDGET, tokens)
 
 
 class SilentPeer:
--- a/libs/ledger/tests/test_client.py
+++ b/libs/ledger/tests/test_client.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure, Metrics
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.client import LedgerClient
 from masticdale_ledger.leases import Lease
 from masticdale_ledger.messages import (
@@ -83,7 +83,7 @@
                 lambda address, port: owner,
                 Metrics(),
             )
-            claim = TurnClaim("p", "r", 400, 100)
+            claim = AdmissionClaim("p", "r", 400, 100)
             return await client.admit(claim, loop.time() + deadline_s)
 
         return asyncio.run(play())
@@ -156,7 +156,7 @@
         """Returns the outcome and how long it took, in seconds."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        claim = TurnClaim("p", request, 400, 100)
+        claim = AdmissionClaim("p", request, 400, 100)
         outcome = await self.client.admit(claim, began + 3.0)
         return outcome, loop.time() - began
 
@@ -182,7 +182,7 @@
         """
         await self.admit("1")
         calls = self.owner.calls
-        claim = TurnClaim("p", "1", 400, 100)
+        claim = AdmissionClaim("p", "1", 400, 100)
         self.client.settle(claim, 80, TurnEnd("r"))
         await self.client.flush()
         self.assertEqual(self.owner.calls, calls)
--- a/libs/ledger/tests/test_failover.py
+++ b/libs/ledger/tests/test_failover.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure, Metrics
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.claims import ShardClaims
 from masticdale_ledger.failover import StandbyFailover
 from masticdale_ledger.hosts import Hosts, Identity, LiveHosts
@@ -51,7 +51,7 @@
 
 
 def claim(request_id, program="known"):
-    return TurnClaim(program, request_id, BUDGET, 100)
+    return AdmissionClaim(program, request_id, BUDGET, 100)
 
 
 class Owner(Hosts):
--- a/libs/ledger/tests/test_isolation.py
+++ b/libs/ledger/tests/test_isolation.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure, Metrics
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.account_codec import account_from_state
 from masticdale_ledger.accounts import Accounts, Bound
 from masticdale_ledger.copier import Copier
@@ -119,7 +119,7 @@
         self.lease.renew(self.lease.now())
         self.request_count += 1
         request_id = str(self.request_count)
-        claim = TurnClaim(
+        claim = AdmissionClaim(
             PROGRAM, request_id, self.budget, self.max_turn_tokens
         )
         owner, _ = host
@@ -328,7 +328,7 @@
         A quota of the lost owner would count as spent.
         """
         accounts = Accounts()
-        claim = TurnClaim(PROGRAM, "r", 1000, 100)
+        claim = AdmissionClaim(PROGRAM, "r", 1000, 100)
         account = accounts.get_or_create(claim, "record", True, 0.0)
         account.spent_tokens = 600
         account.bound = Bound(900, 1)
@@ -340,7 +340,7 @@
     def test_where_half_covers_no_turn_the_standby_may_admit_one(self):
         """Guards against programs with room for one turn that have to wait."""
         accounts = Accounts()
-        claim = TurnClaim(PROGRAM, "r", 400, 100)
+        claim = AdmissionClaim(PROGRAM, "r", 400, 100)
         account = accounts.get_or_create(claim, "record", True, 0.0)
         account.spent_tokens = 80
         standby = isolation_quotas([account], is_standby=True)[PROGRAM]
--- a/libs/ledger/tests/test_reconciler.py
+++ b/libs/ledger/tests/test_reconciler.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure, Metrics
-from masticdale_gateway.calls import TurnClaim
+from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.accounts import Accounts
 from masticdale_ledger.hosts import Hosts, Identity, LiveHosts
 from masticdale_ledger.leases import Lease
@@ -109,7 +109,7 @@
             live_hosts=live_hosts,
         )
         await reconciler.hand_over_all()
-        return await owner.admit(0, TurnClaim("p", "r", 1000, 10))
+        return await owner.admit(0, AdmissionClaim("p", "r", 1000, 10))
 
     async def test_after_an_unknown_outcome_no_turn_is_admitted(self):
         """Guards against a budget that is spent at two hosts at once.
--- a/libs/routing/src/masticdale_routing/routes.py
+++ b/libs/routing/src/masticdale_routing/routes.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from masticdale_workspaces import WorkspaceTable
+
 
 class RouteKind(enum.StrEnum):
     """Whether and how requests of a route may be repeated."""
@@ -45,6 +47,7 @@
             have been executed; streams ignore it.
         is_resumable: Whether an interrupted stream may resume, at the same or
             another replica.
+        allows_anonymous: Whether requests without an API key are served.
     """
 
     name: str
@@ -57,6 +60,7 @@
     services: tuple[WeightedService, ...]
     max_attempts: int
     is_resumable: bool
+    allows_anonymous: bool = False
 
     def service_for(self, key: str) -> str:
         """Returns the service for a key; deterministic per key."""
@@ -138,9 +142,11 @@
         table: The routes.
         service_by_name: The services.
         limits: Limits for callers.
+        workspaces: The workspaces; None if callers need no API key.
     """
 
     version: int
     table: RouteTable
     service_by_name: dict[str, Service]
     limits: CallerLimits
+    workspaces: WorkspaceTable | None = None
