Ask up to six hosts to relay a store call, the last that answered first

Cause: two hosts drawn anew for each call were asked to relay it; both are turned away in one of eight draws, and then the host takes the store for lost, refuses records and goes on with quotas until a watch succeeds. Ruled out: a store that is down for all (20 of 60 hosts were turned away). The tests fail on the code before.

--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -32,11 +32,14 @@
 # The delay before a call is retried that failed right after the store had
 # become reachable, in seconds.
 _RECOVERY_RETRY_S = 0.1
-# The most hosts through which one call is tried.
-_MAX_RELAYS = 2
+# The most hosts through which one call is tried. The store may turn many hosts
+# away; a host that knows this says so at once.
+_MAX_RELAYS = 6
 # A host that did not answer a relayed call is not asked for this long, in
 # seconds.
 _SILENT_RELAY_S = 5.0
+# The same for a host that does not reach the store either.
+_STORELESS_RELAY_S = 1.0
 
 # A watch source that did not answer is not asked for this long, in seconds.
 _SILENT_SOURCE_BACKOFF_S = 5.0
@@ -46,7 +49,8 @@
 # watch source whether it can be followed again.
 _SOURCE_CHECK_INTERVAL_S = 0.8
 
-PeerList = Callable[[], list[RpcClient]]
+Peers = list[RpcClient]
+PeerList = Callable[[], Peers]
 Ping = Callable[[], Awaitable[Result[None, Failure]]]
 StoreCall = Callable[[ObjectStore], Awaitable[Result[T, Failure]]]
 
@@ -104,6 +108,7 @@
         self._watch_sources = WatchSources(watch_sources or [])
         self._direct_path = DirectPath()
         self._relay_failed = False
+        self._last_relay: RpcClient | None = None
         self._last_position_by_prefix: dict[str, int] = {}
         self._skipped_until_by_peer: dict[RpcClient, float] = {}
 
@@ -312,18 +317,26 @@
         outcome: Result[T, Failure] = _UNREACHABLE
         now = asyncio.get_running_loop().time()
         peers = [p for p in self._peers() if now >= self._skipped_until(p)]
-        for peer in self._random.sample(peers, min(_MAX_RELAYS, len(peers))):
+        for peer in self._order_relays(peers)[:_MAX_RELAYS]:
             self._metrics.count("store_calls_relayed_total")
             store: Any = PeerStore(peer)
             outcome = await call(store)
-            if not store.has_answered:
-                # A host that is gone would cost each call a timeout.
-                self._skipped_until_by_peer[peer] = now + _SILENT_RELAY_S
             if not _is_unavailable(outcome):
+                self._last_relay = peer
                 break
+            # A host that is gone would cost each call a timeout.
+            skipped_s = (
+                _STORELESS_RELAY_S if store.has_answered else _SILENT_RELAY_S
+            )
+            self._skipped_until_by_peer[peer] = now + skipped_s
         self._relay_failed = _is_unavailable(outcome)
         return outcome
 
+    def _order_relays(self, peers: Peers) -> Peers:
+        """Returns hosts in random order, after the last one that answered."""
+        ordered = self._random.sample(peers, len(peers))
+        return sorted(ordered, key=lambda peer: peer is not self._last_relay)
+
     def _skipped_until(self, peer: RpcClient) -> float:
         return self._skipped_until_by_peer.get(peer, 0.0)
 
--- a/libs/ledger/tests/test_fallback_store.py
+++ b/libs/ledger/tests/test_fallback_store.py
@@ -184,5 +184,46 @@
         return Success(reply)
 
 
+class TurnedAwayTest(unittest.IsolatedAsyncioTestCase):
+    """A store that turns a third of the hosts away.
+
+    Guards against budgets that wait for the store although most hosts reach
+    it: two hosts asked at random are often both turned away.
+    """
+
+    async def asyncSetUp(self):
+        self.reachable = MemoryStore()
+        self.closed = MemoryStore()
+        self.closed.faults.down = True
+        self.direct = MemoryStore()
+        self.direct.faults.down = True
+
+    def create_store(self, closed_count, open_count):
+        self.peers = [StubPeer(self.closed) for _ in range(closed_count)]
+        self.peers += [StubPeer(self.reachable) for _ in range(open_count)]
+        return FallbackStore(self.direct, lambda: self.peers, Metrics())
+
+    async def test_a_host_that_reaches_it_is_found(self):
+        for _ in range(30):
+            store = self.create_store(closed_count=4, open_count=6)
+            await store.list("a/")
+            self.assertFalse(store.is_store_unreachable)
+
+    async def test_the_host_that_answered_is_asked_first(self):
+        store = self.create_store(closed_count=4, open_count=6)
+        for _ in range(20):
+            (await store.list("a/")).unwrap()
+        calls = [peer.calls for peer in self.peers if peer.calls]
+        self.assertEqual(max(calls), 20)
+        self.assertLessEqual(sum(calls), 20 + 4)
+
+    async def test_an_outage_for_all_hosts_costs_few_calls(self):
+        """Guards against hosts that ask each other all through an outage."""
+        store = self.create_store(closed_count=10, open_count=0)
+        for _ in range(50):
+            await store.watch("a/", 0, 0.0)
+        self.assertLessEqual(sum(peer.calls for peer in self.peers), 10)
+
+
 if __name__ == "__main__":
     unittest.main()
