Tell all hosts which replicas have failed; calls that can't be repeated avoid them

Cause: a host learns of a failing replica by its own failures alone (two open its circuit), and a replica that comes back idle attracts the least-utilized choice. Ruled out: the time-out of silent replicas (the reason is 'connection lost'). Change: hosts report a failure to the owners of the ledger's shards, with the settlements; owners pass recent ones on with each admission. A replica that failed costs 0.7 of its slots more in the choice, for 1.5 s where the request may be repeated and 6 s where not, so that repeatable requests try it first and a busy service still uses it.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -139,6 +139,7 @@
             identity.host_address,
             self._peer_clients.client,
             self._metrics,
+            self._fleet.failures,
         )
         self._copies = StandbyCopies()
         claims = ShardClaims(
@@ -184,6 +185,7 @@
             live_hosts,
             shared,
             lambda: self._store.is_directly_reachable,
+            self._fleet.failures,
         )
         self._ledger.admit_locally = service.admit
         self._peer_server = RpcServer(service, peers_bind, LEDGER)
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -105,9 +105,7 @@
             async with asyncio.timeout(timeout_s):
                 chunk = await self._connection.read_chunk()
         except _CONNECTION_ERRORS as error:
-            self._state.circuit.record_failure(
-                asyncio.get_running_loop().time()
-            )
+            self._state.record_failure(asyncio.get_running_loop().time())
             return Failed(_reason(error))
         self._is_complete = chunk is None
         return Success(chunk)
@@ -187,12 +185,12 @@
                 )
             )
         except ConnectFailedError as error:
-            state.circuit.record_failure(loop.time())
+            state.record_failure(loop.time())
             return Failed(
                 self._failure(call, state, Executed.NO, _reason(error))
             )
         except _CONNECTION_ERRORS as error:
-            state.circuit.record_failure(loop.time())
+            state.record_failure(loop.time())
             return Failed(
                 self._failure(call, state, Executed.UNKNOWN, _reason(error))
             )
@@ -253,7 +251,7 @@
         head: ResponseHead,
     ) -> AttemptFailure:
         if not metadata.is_rejected:
-            state.circuit.record_failure(asyncio.get_running_loop().time())
+            state.record_failure(asyncio.get_running_loop().time())
             return self._failure(
                 call,
                 state,
@@ -263,7 +261,7 @@
         if head.status == 421:
             # 421: another replica has taken over this address, and the list
             # of replicas does not show it yet.
-            state.circuit.record_failure(asyncio.get_running_loop().time())
+            state.record_failure(asyncio.get_running_loop().time())
         try:
             async with asyncio.timeout(_REJECTION_BODY_TIMEOUT_S):
                 while await connection.read_chunk() is not None:
--- a/libs/gateway/src/masticdale_gateway/unary.py
+++ b/libs/gateway/src/masticdale_gateway/unary.py
@@ -94,7 +94,13 @@
 
     def _choose(self, call: Call, excluded: set[str]) -> ReplicaState | None:
         now = asyncio.get_running_loop().time()
-        return self._fleet.choose(call.service.name, None, now, excluded)
+        return self._fleet.choose(
+            call.service.name,
+            None,
+            now,
+            excluded,
+            may_be_repeated=call.is_retriable,
+        )
 
     async def _attempt(
         self, call: Call, state: ReplicaState
--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -27,6 +27,7 @@
     VersionedShardRecord,
 )
 from masticdale_routing.assignments import TurnEnd
+from masticdale_routing.failures import ReplicaFailures
 from masticdale_rpc import RpcClient
 
 # Timeout of one call to an owner, in seconds. An owner that does not answer
@@ -98,6 +99,7 @@
         own_address: HostAddress,
         peers: PeerLookup,
         metrics: Metrics,
+        replica_failures: ReplicaFailures | None = None,
     ) -> None:
         """Initializes the client.
 
@@ -107,6 +109,8 @@
             own_address: The address of this host.
             peers: Returns the RPC client of an address and port.
             metrics: Records how long admissions take.
+            replica_failures: Failures of replicas to report to owners, and
+                those that they report.
         """
         self.admit_locally: LocalAdmit | None = None
         self.is_stopping = False
@@ -125,7 +129,9 @@
         self._settlements: collections.deque[Settlement] = collections.deque(
             maxlen=_MAX_PENDING_SETTLEMENTS
         )
-        self._has_settlements = asyncio.Event()
+        self._has_reports = asyncio.Event()
+        self._replica_failures = replica_failures or ReplicaFailures()
+        self._replica_failures.on_news = self._has_reports.set
 
     async def admit(
         self, claim: AdmissionClaim, deadline_at: float
@@ -188,20 +194,21 @@
         )
         if not self._owner.settle(settlement):
             self._settlements.append(settlement)
-            self._has_settlements.set()
+            self._has_reports.set()
 
     async def run(self) -> None:
-        """Sends settlements to their owners periodically, until cancelled."""
+        """Sends settlements and failures to owners, until cancelled."""
         while True:
-            await self._has_settlements.wait()
+            await self._has_reports.wait()
             await asyncio.sleep(_SETTLE_INTERVAL_S)
             await self.flush()
 
     async def flush(self) -> None:
         """Sends the pending settlements; keeps those that can't be sent."""
-        self._has_settlements.clear()
+        self._has_reports.clear()
         pending = list(self._settlements)
         self._settlements.clear()
+        await self._report_failures()
         by_shard: dict[int, list[Settlement]] = collections.defaultdict(list)
         for settlement in pending:
             if not self._owner.settle(settlement):
@@ -211,7 +218,26 @@
                 shard_number, tuple(settlements)
             ):
                 self._settlements.extend(settlements)
-                self._has_settlements.set()
+                self._has_reports.set()
+
+    async def _report_failures(self) -> None:
+        """Tells the owner of each shard which replicas have failed here."""
+        now = asyncio.get_running_loop().time()
+        news = self._replica_failures.take_news(now)
+        if not news:
+            return
+        endpoints = {
+            (view.record.address, view.record.port)
+            for view in self._map.views().values()
+        }
+        calls = [
+            self._peers(*endpoint).call(
+                SETTLE, SettleRequest((), news), CALL_TIMEOUT_S
+            )
+            for endpoint in endpoints - {self._own_endpoint}
+        ]
+        # Lost reports are not repeated: the replica fails again, or recovers.
+        await asyncio.gather(*calls)
 
     async def _admit_once(
         self, shard_number: int, claim: AdmissionClaim
@@ -292,6 +318,9 @@
             reply = outcome.unwrap()
         if reply.failure is not None:
             return Failed(reply.failure)
+        self._replica_failures.merge(
+            reply.replica_failures, asyncio.get_running_loop().time()
+        )
         return Success(Admission(reply.replica_id))
 
     async def _send_settlements(
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -31,9 +31,15 @@
   14: i64 cap_version,       // of the configuration that states the cap
 }
 
+struct FailureReport {
+  1: string replica_id,
+  2: double age_s,           // since it failed a request of any host
+}
+
 struct AdmitReply {
   1: optional WireFailure failure,
   2: string replica_id,      // assigned to the turn; a hint
+  3: list<FailureReport> replica_failures,
 }
 
 struct Settlement {
@@ -48,6 +54,7 @@
 
 struct SettleRequest {
   1: list<Settlement> settlements,
+  2: list<FailureReport> replica_failures,
 }
 
 struct SettleReply {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from masticdale_common import Failure
+from masticdale_routing.failures import FailureReport
 from masticdale_rpc import Contract, Rpc, build_structs
 from masticdale_workspaces import UsageLevel
 
@@ -67,10 +68,12 @@
     Attributes:
         failure: None if the turn is admitted.
         replica_id: The replica assigned to the turn; empty for none.
+        replica_failures: Recent failures of replicas, seen by any host.
     """
 
     failure: Failure | None = None
     replica_id: str = ""
+    replica_failures: tuple[FailureReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,9 +101,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettleRequest:
-    """Reports ended turns."""
+    """Reports ended turns, and replicas that have failed requests."""
 
     settlements: tuple[Settlement, ...]
+    replica_failures: tuple[FailureReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -342,7 +346,14 @@
 STORE = Rpc("store", StoreRequest, StoreReply)
 
 _RPCS = (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, APPOINT, DECIDE, STORE)
-_INNER_TYPES = (HostAddress, Settlement, UsageLevel, AccountState, StoreItem)
+_INNER_TYPES = (
+    FailureReport,
+    HostAddress,
+    Settlement,
+    UsageLevel,
+    AccountState,
+    StoreItem,
+)
 
 LEDGER = Contract(
     lambda: build_structs(_RPCS, _INNER_TYPES), _RPCS, _INNER_TYPES
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -1,5 +1,6 @@
 """Serves the ledger calls of other hosts."""
 
+import time
 from collections.abc import Callable
 
 from returns.result import Failure as Failed
@@ -34,6 +35,7 @@
 from masticdale_ledger.standby import StandbyCopies
 from masticdale_platform import ObjectStore
 from masticdale_routing.assignments import TurnPrompt
+from masticdale_routing.failures import ReplicaFailures
 from masticdale_workspaces import UsageCap, UsageClaim
 
 
@@ -50,6 +52,7 @@
         live_hosts: LiveHosts,
         shared_watches: SharedWatches | None,
         can_relay: Callable[[], bool],
+        replica_failures: ReplicaFailures | None = None,
     ) -> None:
         """Creates the handlers.
 
@@ -62,7 +65,9 @@
             live_hosts: Records which hosts call.
             shared_watches: This host's watches; None if it has none to share.
             can_relay: Returns whether the store answers this host.
+            replica_failures: Failures of replicas to pass on to other hosts.
         """
+        self._replica_failures = replica_failures or ReplicaFailures()
         self._can_relay = can_relay
         self._failover = failover
         self._arbiter = Arbiter()
@@ -84,13 +89,15 @@
         outcome = await self._admissions.admit(request.shard, claim)
         if isinstance(outcome, Failed):
             return AdmitReply(outcome.failure())
-        if not claim.is_turn:
-            return AdmitReply()
-        replica_id = self._owner.assign_replica(request.shard, claim)
-        return AdmitReply(replica_id=replica_id)
+        replica_id = ""
+        if claim.is_turn:
+            replica_id = self._owner.assign_replica(request.shard, claim)
+        failures = self._replica_failures.reports(time.monotonic())
+        return AdmitReply(replica_id=replica_id, replica_failures=failures)
 
     async def settle(self, request: SettleRequest) -> SettleReply:
         """Settles turns; returns the shards that another host owns."""
+        self._replica_failures.merge(request.replica_failures, time.monotonic())
         others = {
             settlement.shard
             for settlement in request.settlements
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from masticdale_common import hashing
+from masticdale_routing.failures import ReplicaFailures
 from masticdale_routing.retries import CircuitBreaker, CircuitBreakerSettings
 
 # Utilization of a key's first replica at which a request may spill over to the
@@ -17,6 +18,13 @@
 _OTHER_DOMAIN_PENALTY = 0.12
 # Utilization added to a replica that is still warming up.
 _COLD_PENALTY = 0.5
+# Utilization added to a replica that has failed recently. Another one is
+# chosen unless it is so busy that requests would have to wait there.
+_FAILED_PENALTY = 0.7
+# How long a replica that has failed is avoided, in seconds. Requests that may
+# be repeated return first: if they fail too, no other request is lost.
+_AVOID_REPEATABLE_S = 1.5
+_AVOID_UNREPEATABLE_S = 6.0
 # Reported load older than this, in seconds, is ignored.
 _LOAD_REPORT_MAX_AGE_S = 0.5
 # The open periods are short compared with a replica's restart, so that a
@@ -77,12 +85,20 @@
         circuit: Its circuit breaker.
     """
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(
+        self, replica: Replica, failures: ReplicaFailures | None = None
+    ) -> None:
         self.replica = replica
+        self._failures = failures or ReplicaFailures()
         self.in_flight = 0
         self.circuit = CircuitBreaker(_CIRCUIT_SETTINGS)
         self._load: ReportedLoad | None = None
 
+    def record_failure(self, now: float) -> None:
+        """Records a request that failed because of the replica."""
+        self.circuit.record_failure(now)
+        self._failures.record(self.replica.id, now)
+
     def record_load(self, load: ReportedLoad) -> None:
         """Records the latest reported load."""
         self._load = load
@@ -117,9 +133,14 @@
 
 
 class Fleet:
-    """The known replicas, indexed by id and by service."""
+    """The known replicas, indexed by id and by service.
+
+    Attributes:
+        failures: Recent failures of replicas, also at other hosts.
+    """
 
     def __init__(self, failure_domain: str, seed: int | None = None) -> None:
+        self.failures = ReplicaFailures()
         self._failure_domain = failure_domain
         self._random = random.Random(seed)
         self._state_by_id: dict[str, ReplicaState] = {}
@@ -148,7 +169,7 @@
         if state is not None and state.replica.service != replica.service:
             self.remove(replica.id)
         if state is None or _is_restarted(state.replica, replica):
-            state = ReplicaState(replica)
+            state = ReplicaState(replica, self.failures)
         state.replica = replica
         self._state_by_id[replica.id] = state
         self._state_by_id_by_service[replica.service][replica.id] = state
@@ -193,6 +214,8 @@
         now: float,
         excluded: Iterable[str] = (),
         assigned_id: str = "",
+        *,
+        may_be_repeated: bool = True,
     ) -> ReplicaState | None:
         """Chooses a replica for a request.
 
@@ -206,6 +229,8 @@
             assigned_id: Id of the replica that a shard owner has assigned;
                 empty for none. It is chosen unless it is skipped or its
                 circuit is open.
+            may_be_repeated: Whether a request that fails at the replica may be
+                sent again; others avoid failing replicas for longer.
 
         Returns:
             The chosen replica, or None if the service has no eligible one.
@@ -217,7 +242,12 @@
             if state.replica.id == assigned_id:
                 return state
         if key is None:
-            return self._choose_least_utilized(healthy, now)
+            avoided_s = (
+                _AVOID_REPEATABLE_S
+                if may_be_repeated
+                else _AVOID_UNREPEATABLE_S
+            )
+            return self._choose_least_utilized(healthy, avoided_s, now)
         return self._choose_by_key(healthy, key, now)
 
     def _choose_by_key(
@@ -234,13 +264,16 @@
         return first
 
     def _choose_least_utilized(
-        self, states: list[ReplicaState], now: float
+        self, states: list[ReplicaState], avoided_s: float, now: float
     ) -> ReplicaState:
         def cost(state: ReplicaState) -> float:
-            is_local = state.replica.failure_domain == self._failure_domain
-            return state.utilization(now) + (
-                0.0 if is_local else _OTHER_DOMAIN_PENALTY
-            )
+            replica = state.replica
+            penalty = 0.0
+            if replica.failure_domain != self._failure_domain:
+                penalty += _OTHER_DOMAIN_PENALTY
+            if self.failures.has_failed(replica.id, avoided_s, now):
+                penalty += _FAILED_PENALTY
+            return state.utilization(now) + penalty
 
         order = self._random.sample(states, len(states))
         return min(order, key=cost)
