Owners move turns away from replicas that fail repeatedly at any host

A replica that hangs or fails kept its place in the owners' costs: each failed turn counted as one more of 16 in flight for two seconds.

--- a/libs/routing/src/masticdale_routing/assignments.py
+++ b/libs/routing/src/masticdale_routing/assignments.py
@@ -28,6 +28,11 @@
 # Cost of turns that wait for a slot, for as many as a replica has slots. More
 # than the mean wait, since programs are late by their longest waits.
 _WAITING_COST = 2.0
+# Cost of a replica that fails repeatedly: that of a turn which has to be sent
+# again elsewhere.
+_FAILING_COST = 1.0
+# Time in which two failures make a replica count as failing, in seconds.
+_FAILING_PERIOD_S = 3.0
 # A turn that failed at a replica counts as in flight there for this long, in
 # seconds. Otherwise a replica that fails quickly would look idle and attract
 # all new programs.
@@ -135,10 +140,12 @@
     Attributes:
         owned_share: Share of the shards, and so of each replica's slots.
         paces: Paces of the service's replicas.
+        is_failing: Returns whether a replica, by its id, fails repeatedly.
     """
 
     owned_share: float
     paces: _ComparedPaces
+    is_failing: Callable[[str], bool]
 
     def cost(
         self, state: ReplicaState, turns: int, expected_turns: int
@@ -148,6 +155,8 @@
         slowness = self.paces.slowness_by_id.get(replica.id, 1.0)
         slots = max(1, replica.slots) * self.owned_share
         cost = _cost(slowness, turns, expected_turns, slots)
+        if self.is_failing(replica.id):
+            cost += _FAILING_COST
         return cost + state.warmup_penalty
 
 
@@ -217,7 +226,10 @@
             return known.replica_id
         paces = self._compared_paces(prompt.service, now)
         replica_id = self._choose(
-            turn.program_id, prompt, _Shares(owned_share, paces), now
+            turn.program_id,
+            prompt,
+            _Shares(owned_share, paces, self._failing_at(now)),
+            now,
         )
         if not replica_id:
             return ""
@@ -255,6 +267,12 @@
             if turn.shard == shard:
                 self._discard(self._assignment_by_turn.pop(turn))
 
+    def _failing_at(self, now: float) -> Callable[[str], bool]:
+        failures = self._fleet.failures
+        return lambda replica_id: failures.fails_repeatedly(
+            replica_id, _FAILING_PERIOD_S, now
+        )
+
     def _choose(
         self, program_id: str, prompt: TurnPrompt, shares: "_Shares", now: float
     ) -> str:
--- a/libs/routing/tests/test_assignments.py
+++ b/libs/routing/tests/test_assignments.py
@@ -9,6 +9,7 @@
     TurnKey,
     TurnPrompt,
 )
+from masticdale_routing.failures import FailureReport
 from masticdale_routing.fleet import Fleet, Replica
 
 SHARDS = 4
@@ -135,6 +136,20 @@
         self.assignments.release(turn("p", "1"), TurnEnd("", (first,)), 0.0)
         self.assertNotEqual(self.assign("p", "2"), first)
 
+    def test_programs_leave_a_replica_that_fails_at_other_hosts(self):
+        """Guards against an owner that sends turns to a sick replica.
+
+        Each host tells its failures to the owners of all shards.
+        """
+        self.add_replicas(4)
+        first = self.assign("p", "1")
+        self.assignments.release(turn("p", "1"), TurnEnd(first), 0.0)
+        for failed_at in (0.1, 0.4):
+            self.fleet.failures.merge([FailureReport(first, 0.0)], failed_at)
+        self.assertNotEqual(self.assign("p", "2", 0.5), first)
+        new = {self.assign(f"n{number}", now=0.5) for number in range(3)}
+        self.assertNotIn(first, new)
+
     def test_a_resumed_turn_moves_its_program(self):
         """The replica that completed a turn has the program's prefix."""
         self.add_replicas(4)
--- a/libs/routing/tests/test_failures.py
+++ b/libs/routing/tests/test_failures.py
@@ -92,6 +92,15 @@
         self.assertEqual(len(failures.take_news(1.0)), 1)
         self.assertEqual(failures.take_news(1.0), ())
 
+    def test_a_single_failure_does_not_make_a_replica_sick(self):
+        failures = ReplicaFailures()
+        failures.record("r0", 0.0)
+        failures.merge([FailureReport("r0", 0.95)], 1.0)
+        self.assertFalse(failures.fails_repeatedly("r0", 3.0, 1.0))
+        failures.merge([FailureReport("r0", 0.0)], 1.0)
+        self.assertTrue(failures.fails_repeatedly("r0", 3.0, 1.0))
+        self.assertFalse(failures.fails_repeatedly("r0", 3.0, 3.5))
+
     def test_an_older_report_changes_nothing(self):
         failures = ReplicaFailures()
         failures.record("r0", 10.0)
