--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -77,6 +77,8 @@
 _CLOSE_IDLE_INTERVAL_S = 5.0
 _PURGE_INTERVAL_S = 60.0
 _POLL_INTERVAL_S = 0.05
+# Workspaces in the state dump.
+_MAX_DUMPED_USAGES = 100
 
 
 class EntryHost:
@@ -391,9 +393,29 @@
         self._dump.register(
             "owned", lambda: [str(n) for n in self._owner.owned()]
         )
+        self._dump.register("usage", self._dump_usage)
         self._dump.register("lease_age_s", lambda: self._lease.age_s)
         self._dump.register("busy", lambda: self._relay.active_requests)
 
+    def _dump_usage(self) -> dict[str, dict[str, object]]:
+        """Returns the levels of the workspaces with least left."""
+        levels = [
+            (number, level)
+            for number, shard in self._owner.owned().items()
+            for level in shard.usage.levels(shard.now)
+        ]
+        levels.sort(key=lambda item: item[1].level / max(1, item[1].burst))
+        return {
+            level.workspace: {
+                "shard": number,
+                "left": round(level.level, 1),
+                "burst": level.burst,
+                "rate_per_s": level.rate_per_s,
+                "version": level.version,
+            }
+            for number, level in levels[:_MAX_DUMPED_USAGES]
+        }
+
 
 def _required(address: Address | None) -> Address:
     if address is None:
--- a/libs/ledger/src/masticdale_ledger/owner.py
+++ b/libs/ledger/src/masticdale_ledger/owner.py
@@ -315,6 +315,7 @@
         if claim.usage is None:
             return True
         is_covered = shard.usage.take(claim.usage, shard.now)
+        self._metrics.count("usage_counted_total")
         workspace = claim.usage.workspace
         if shard.copier is None:
             return True
--- a/tools/load/src/masticdale_load/traces.py
+++ b/tools/load/src/masticdale_load/traces.py
@@ -141,6 +141,53 @@
     return [(at, why, n) for (at, why), n in sorted(counts.items())]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceCounts:
+    """Requests of one workspace.
+
+    Attributes:
+        workspace: Name of the workspace; empty for requests without one.
+        requests: Number of requests.
+        answered: Those that a replica answered.
+        over_cap: Those refused because of the usage cap.
+        over_budget: Those refused because a program's budget was spent.
+    """
+
+    workspace: str
+    requests: int
+    answered: int
+    over_cap: int
+    over_budget: int
+
+    @property
+    def served_share(self) -> float:
+        """Share of the requests within cap and budgets that were answered."""
+        within = self.requests - self.over_cap - self.over_budget
+        return self.answered / within if within else 1.0
+
+
+def count_by_workspace(lines: Iterable[LogLine]) -> list[WorkspaceCounts]:
+    """Counts requests by workspace, the worst served first."""
+    outcomes_by_workspace: dict[str, collections.Counter[str]] = (
+        collections.defaultdict(collections.Counter)
+    )
+    for line in lines:
+        if line.kind == "request":
+            workspace = str(line.fields.get("workspace", ""))
+            outcomes_by_workspace[workspace][str(line.fields["outcome"])] += 1
+    counts = [
+        WorkspaceCounts(
+            workspace,
+            outcomes.total(),
+            outcomes["answered"],
+            outcomes["limit_reached"],
+            outcomes["budget_exceeded"],
+        )
+        for workspace, outcomes in outcomes_by_workspace.items()
+    ]
+    return sorted(counts, key=lambda c: (c.served_share, c.workspace))
+
+
 def _load(logs: tuple[str, ...]) -> list[LogLine]:
     found: list[LogLine] = []
     for name in logs:
@@ -175,6 +222,19 @@
         for at, why, number in count_refusals(_load(logs), window):
             print(f"{at:8.1f} {number:6d}  {why}")
 
+    def workspaces(self, *logs: str) -> None:
+        """Counts requests by workspace, the worst served first.
+
+        Args:
+            logs: Paths of the log files of all hosts.
+        """
+        print("served  requests  over cap  workspace")
+        for counts in count_by_workspace(_load(logs)):
+            print(
+                f"{counts.served_share:6.3f}{counts.requests:10d}"
+                f"{counts.over_cap:10d}  {counts.workspace or '-'}"
+            )
+
 
 def main() -> None:
     """Runs the command line."""
--- a/tools/load/tests/test_traces.py
+++ b/tools/load/tests/test_traces.py
@@ -3,7 +3,13 @@
 import json
 import unittest
 
-from masticdale_load.traces import count_refusals, read_lines, trace
+from masticdale_load.traces import (
+    WorkspaceCounts,
+    count_by_workspace,
+    count_refusals,
+    read_lines,
+    trace,
+)
 
 
 def line(at, host, kind, **fields):
@@ -78,6 +84,25 @@
             [(10.0, "ledger_unavailable: shard #: record", 1)],
         )
 
+    def test_workspaces_are_counted_the_worst_served_first(self):
+        texts = [
+            line(1.0, "a", "request", workspace=name, outcome=outcome)
+            for name, outcome in (
+                ("beta", "answered"),
+                ("alpha", "answered"),
+                ("alpha", "limit_reached"),
+                ("alpha", "budget_exceeded"),
+                ("alpha", "upstream_failed"),
+            )
+        ]
+        self.assertEqual(
+            count_by_workspace(read_lines(texts)),
+            [
+                WorkspaceCounts("alpha", 4, 1, 1, 1),
+                WorkspaceCounts("beta", 1, 1, 0, 0),
+            ],
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
