Soak: a workspace that floods its cap; checks of keys and caps with a broken build each

Every request of the soak carries a key now; three workers send several times the cap of a second workspace (8 a second, burst 8) through all hosts. 'usage-caps' counts what replicas ran in each window of 5 s against (rate x window + burst) x 1.1 + 20, 'keys' that each replica got the right workspace and no key. The build that grants each request and the one that forwards keys break them; the probes after a run leave the flooding workspace out, which may still be over its cap.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -16,6 +16,7 @@
     read_replica,
 )
 from masticdale_common import (
+    JsonValue,
     Metrics,
     StateDump,
     Subscription,
@@ -397,7 +398,7 @@
         self._dump.register("lease_age_s", lambda: self._lease.age_s)
         self._dump.register("busy", lambda: self._relay.active_requests)
 
-    def _dump_usage(self) -> dict[str, dict[str, object]]:
+    def _dump_usage(self) -> JsonValue:
         """Returns the levels of the workspaces with least left."""
         levels = [
             (number, level)
--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -1,12 +1,21 @@
 """Checks of guarantees against the observations of a run."""
 
+import bisect
 import collections
 import dataclasses
 from collections.abc import Callable, Iterator
 
 import httpx
 
-from masticdale_soak.environment import EVENTS, TOKENS_PER_EVENT, Drain
+from masticdale_soak.environment import (
+    CAP_BURST,
+    CAP_RATE_PER_S,
+    CAPPED_WORKSPACE,
+    EVENTS,
+    TOKENS_PER_EVENT,
+    WORKSPACE,
+    Drain,
+)
 from masticdale_soak.faults import ExecutedStep
 from masticdale_soak.load_generator import (
     BUDGET_TOKENS,
@@ -16,7 +25,13 @@
     RequestKind,
 )
 from masticdale_soak.plans import Fault, Target
-from masticdale_soak.processes import GRACE_S, Incarnation
+from masticdale_soak.processes import (
+    CAP_EXCESS_REQUESTS,
+    CAP_EXCESS_SHARE,
+    CAP_WINDOW_S,
+    GRACE_S,
+    Incarnation,
+)
 
 # Statuses that guarantee that the request was not and will not be executed.
 _NOT_RUN_STATUSES = frozenset({402, 408, 421, 429, 503})
@@ -46,11 +61,15 @@
         request_id: The request.
         replica_id: The replica.
         started_at: Monotonic time when the request had arrived.
+        workspace: The workspace that the replica was told; empty for none.
+        has_key: Whether the replica got the caller's API key.
     """
 
     request_id: str
     replica_id: str
     started_at: float
+    workspace: str = ""
+    has_key: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -382,6 +401,33 @@
             )
 
 
+def _keys(observations: Observations) -> Findings:
+    """A replica gets the name of the caller's workspace, and no key."""
+    kind_by_request = {a.request_id: a.kind for a in observations.attempts}
+    for run in observations.runs:
+        kind = kind_by_request.get(run.request_id)
+        is_capped = kind is RequestKind.CAPPED
+        expected = CAPPED_WORKSPACE if is_capped else WORKSPACE
+        if run.workspace != expected or run.has_key:
+            yield run.request_id, str(run)
+
+
+def _usage_caps(observations: Observations) -> Findings:
+    """A workspace stays within its cap in each window, over all hosts."""
+    allowed = CAP_RATE_PER_S * CAP_WINDOW_S + CAP_BURST
+    allowed += CAP_EXCESS_SHARE * allowed + CAP_EXCESS_REQUESTS
+    run_at_by_request: dict[str, float] = {}
+    for run in observations.runs:
+        if run.workspace == CAPPED_WORKSPACE:
+            run_at_by_request.setdefault(run.request_id, run.started_at)
+    times = sorted(run_at_by_request.values())
+    for index, began_at in enumerate(times):
+        count = bisect.bisect_right(times, began_at + CAP_WINDOW_S) - index
+        if count > allowed:
+            yield CAPPED_WORKSPACE, f"{count} requests, allowed {allowed}"
+            return
+
+
 CHECK_BY_NAME: dict[str, Callable[[Observations], Findings]] = {
     "at-most-once": _at_most_once,
     "true-refusals": _true_refusals,
@@ -395,6 +441,8 @@
     "starts": _starts,
     "orderly-stops": _orderly_stops,
     "stops-break-nothing": _stops_break_nothing,
+    "keys": _keys,
+    "usage-caps": _usage_caps,
     "answers-in-time": _answers_in_time,
     "told-when-to-return": _told_when_to_return,
     "recovery": _recovery,
--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -23,6 +23,13 @@
 ORDER_PATH = "/orders/"
 EVENTS = 4
 TOKENS_PER_EVENT = 10
+# Two workspaces; the second sends more than its cap allows.
+WORKSPACE = "alpha"
+WORKSPACE_KEY = "soak-key-of-alpha"
+CAPPED_WORKSPACE = "capped"
+CAPPED_KEY = "soak-key-of-capped"
+CAP_RATE_PER_S = 8
+CAP_BURST = 8
 # The platform gives each host this many seeds. Seeds watch the store on behalf
 # of the other hosts.
 _SEEDS = 3
@@ -235,4 +242,13 @@
             "header_timeout_ms": 1000,
             "idle_timeout_ms": 10_000,
         },
+        "tenants": [
+            {"name": WORKSPACE, "api_keys": [WORKSPACE_KEY]},
+            {
+                "name": CAPPED_WORKSPACE,
+                "api_keys": [CAPPED_KEY],
+                "rate_per_s": CAP_RATE_PER_S,
+                "burst": CAP_BURST,
+            },
+        ],
     }
--- a/tools/soak/src/masticdale_soak/load_generator.py
+++ b/tools/soak/src/masticdale_soak/load_generator.py
@@ -9,10 +9,12 @@
 import httpx
 
 from masticdale_soak.environment import (
+    CAPPED_KEY,
     HOST_HEADER,
     LOOKUP_PATH,
     ORDER_PATH,
     STREAM_PATH,
+    WORKSPACE_KEY,
     Environment,
     version_path,
 )
@@ -32,6 +34,8 @@
 _PROGRAM_WORKERS = 6
 _ORDER_WORKERS = 3
 _LOOKUP_WORKERS = 3
+# Together they send several times what the cap allows.
+_CAPPED_WORKERS = 3
 _PAUSE_S = 0.05
 _MAX_ATTEMPTS = 4
 _MAX_TURNS = 24
@@ -47,6 +51,7 @@
     TURN = "turn"
     ORDER = "order"
     LOOKUP = "lookup"
+    CAPPED = "capped"
     VERSION = "version"
 
 
@@ -135,6 +140,7 @@
                     self._send_repeatedly(RequestKind.LOOKUP, n)
                     for n in range(_LOOKUP_WORKERS)
                 ),
+                *(self._flood(n) for n in range(_CAPPED_WORKERS)),
                 *(
                     self._poll_versions(host)
                     for host in self._environment.hosts
@@ -231,6 +237,19 @@
             host = self._find_host(last) if last.is_served else None
             await asyncio.sleep(_PAUSE_S)
 
+    async def _flood(self, number: int) -> None:
+        """Sends requests of the capped workspace, whatever is answered."""
+        count = 0
+        while self._is_running:
+            count += 1
+            hosts = self._ready_hosts or self._environment.hosts
+            await self.send(
+                self._random.choice(hosts),
+                RequestKind.CAPPED,
+                f"capped{number}-{count}",
+            )
+            await asyncio.sleep(_PAUSE_S)
+
     async def _send_until_served(
         self,
         kind: RequestKind,
@@ -299,7 +318,10 @@
         "Host": HOST_HEADER,
         "Request-Id": attempt.request_id,
         "Deadline-Ms": str(int(1000 * DEADLINE_S)),
+        "Api-Key": WORKSPACE_KEY,
     }
+    if attempt.kind is RequestKind.CAPPED:
+        return LOOKUP_PATH + "x", fields | {"Api-Key": CAPPED_KEY}
     if attempt.kind is RequestKind.ORDER:
         return ORDER_PATH + "x", fields
     if attempt.kind is RequestKind.LOOKUP:
--- a/tools/soak/src/masticdale_soak/processes.py
+++ b/tools/soak/src/masticdale_soak/processes.py
@@ -19,6 +19,11 @@
 from masticdale_soak.fault_stack import FaultStack
 from masticdale_soak.proxies import LinkState, Proxy
 
+# The excess over usage caps that the operator tolerates in a window of time.
+CAP_WINDOW_S = 5.0
+CAP_EXCESS_SHARE = 0.1
+CAP_EXCESS_REQUESTS = 20
+
 # Seconds between SIGTERM and SIGKILL on the platform.
 GRACE_S = 6.0
 _START_TIMEOUT_S = 20.0
@@ -140,6 +145,9 @@
             "peers_advertised": f"127.0.0.1:{self.peer_proxy.port}",
             "metrics_port": _METRICS_PORT,
             "seeds": [f"127.0.0.1:{s.peer_proxy.port}" for s in seeds],
+            "usage_window_s": CAP_WINDOW_S,
+            "usage_excess_share": CAP_EXCESS_SHARE,
+            "usage_excess_requests": CAP_EXCESS_REQUESTS,
         }
         self._settings_path.write_text(json.dumps(settings, indent=2))
 
--- a/tools/soak/src/masticdale_soak/runs.py
+++ b/tools/soak/src/masticdale_soak/runs.py
@@ -113,6 +113,9 @@
     attempts = []
     for host in environment.hosts:
         for kind in RequestKind:
+            if kind is RequestKind.CAPPED:
+                # Its workspace may still be over its cap.
+                continue
             attempt = await load_generator.send(
                 host,
                 kind,
@@ -135,6 +138,8 @@
             request.header_by_name.get("request-id", ""),
             replica.fake.id,
             request.arrived_at,
+            request.header_by_name.get("tenant-id", ""),
+            "api-key" in request.header_by_name,
         )
         for replica in environment.replicas
         for request in replica.fake.executed_requests
--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -10,7 +10,7 @@
 
 from returns.result import Success
 
-from masticdale_adapter import PlatformHeaderCodec
+from masticdale_adapter import PlatformHeaderCodec, headers
 from masticdale_common import Executed, Failure
 from masticdale_entry.entry import EntryHost
 from masticdale_entry.main import main
@@ -22,6 +22,7 @@
 from masticdale_ledger import LedgerClient
 from masticdale_ledger.accounts import Account, BudgetExceeded
 from masticdale_routing.fleet import Fleet
+from masticdale_workspaces import UsageCounter
 
 
 def report_all_failures_as_not_run():
@@ -144,6 +145,14 @@
     Watcher.run = run
 
 
+def forward_keys():
+    headers._RESERVED -= {b"api-key"}
+
+
+def grant_each_request():
+    UsageCounter.wait_s = lambda self, claim, demand, now: 0.0
+
+
 def start_only_once():
     settings = pathlib.Path(sys.argv[-1])
     if settings.with_suffix(".log").stat().st_size:
@@ -167,6 +176,8 @@
         omit_retry_after,
         stop_watching_after_failure,
         start_only_once,
+        forward_keys,
+        grant_each_request,
     )
 }
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -80,6 +80,8 @@
         "abort_requests_on_stop",
         steps(Fault.STOP_IN_TURN),
     ),
+    ("keys", "forward_keys", ()),
+    ("usage-caps", "grant_each_request", ()),
     ("answers-in-time", "delay_responses", ()),
     (
         "told-when-to-return",
