--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -26,9 +26,6 @@
 # can be reused.
 _REJECTION_BODY_TIMEOUT_S = 0.1
 
-# Reason of an attempt at a replica that sends nothing within a time limit.
-TIMED_OUT = "timed out"
-
 _CONNECTION_ERRORS = (ConnectionLostError, MalformedResponseError, TimeoutError)
 
 
@@ -311,7 +308,7 @@
 
 def _reason(error: BaseException) -> str:
     if isinstance(error, TimeoutError):
-        return TIMED_OUT
+        return "timed out"
     if isinstance(error, ConnectFailedError):
         return f"connection failed: {error}"
     if isinstance(error, MalformedResponseError):
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -15,7 +15,6 @@
     OversizedEventError,
 )
 from masticdale_gateway.exchanges import (
-    TIMED_OUT,
     AttemptFailure,
     AttemptOptions,
     Exchange,
@@ -116,14 +115,12 @@
 
         If the last attempt may have been executed, the same replica is used
         again while it is eligible, since its cache holds the prompt. A replica
-        that rejects the request, can't be reached or sends no event in time is
-        excluded: waiting there once more would use up the caller's time. The
-        number of attempts is limited by ``RelaySettings.max_total_attempts``;
+        that rejects the request or can't be reached is excluded. The number of
+        attempts is limited by ``RelaySettings.max_total_attempts``;
         ``Route.max_attempts`` does not apply to streams.
         """
         ids = {s.replica.id for s in self._fleet.eligible(call.service.name)}
-        is_silent = last.reason == TIMED_OUT and call.events == 0
-        is_interrupted = last.ran is not Executed.NO and not is_silent
+        is_interrupted = last.ran is not Executed.NO
         if is_interrupted and state.replica.id in ids:
             return state
         excluded.add(state.replica.id)
