Name the first standby of a shard once hosts have sent requests

Cause: at the first start only the three seeds and the other owners are known, so that four owners, four standbys and four arbiters lie on a handful of hosts. Change: a shard without accounts gets its standby 0.2 s after the first request, when most hosts with callers are known; arbiters are chosen again with it. Ruled out: moving a standby later, which charges each program with the quota of the old one.

--- a/libs/ledger/src/masticdale_ledger/claims.py
+++ b/libs/ledger/src/masticdale_ledger/claims.py
@@ -128,6 +128,7 @@
         live_hosts: LiveHosts,
         usage_tolerance: UsageTolerance | None = None,
     ) -> None:
+        self._live_hosts = live_hosts
         self._usage_tolerance = usage_tolerance or UsageTolerance()
         self._identity = identity
         self._store = store
@@ -316,7 +317,12 @@
     def _new_record(
         self, epoch: int, previous: PreviousOwnerState
     ) -> ShardRecord:
-        standby = self.peer_selector.choose_standby() or ("", 0)
+        standby = ("", 0)
+        # The first owners know only the seeds, and one of these would be the
+        # standby of several shards. None is needed while there are no accounts.
+        is_first = previous is PreviousOwnerState.NONE
+        if not is_first or self._live_hosts.live():
+            standby = self.peer_selector.choose_standby() or standby
         arbiter = self.peer_selector.choose_arbiter(standby) or ("", 0)
         return ShardRecord(
             owner=self._identity.host,
--- a/libs/ledger/src/masticdale_ledger/hosts.py
+++ b/libs/ledger/src/masticdale_ledger/hosts.py
@@ -42,6 +42,9 @@
     # How long after its last request a host counts as alive, in seconds. A
     # host with callers sends several requests per second.
     _LIVENESS_TIMEOUT_S = 3.0
+    # Time from the first request until most hosts with callers have sent one,
+    # in seconds.
+    _DISCOVERY_S = 0.2
 
     def __init__(self, own_address: HostAddress) -> None:
         """Initializes an empty set of hosts.
@@ -51,11 +54,23 @@
         """
         self._own_address = own_address
         self._seen_at_by_host: dict[HostAddress, float] = {}
+        self._first_request_at: float | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether most hosts with callers have had the time to send one."""
+        first_at = self._first_request_at
+        if first_at is None:
+            return False
+        return time.monotonic() - first_at >= self._DISCOVERY_S
 
     def record_request(self, host: HostAddress) -> None:
         """Records that a host has just sent a request."""
+        now = time.monotonic()
+        if self._first_request_at is None:
+            self._first_request_at = now
         if host != self._own_address:
-            self._seen_at_by_host[host] = time.monotonic()
+            self._seen_at_by_host[host] = now
 
     def remove(self, host: HostAddress) -> None:
         """Removes a host that is stopping."""
--- a/libs/ledger/src/masticdale_ledger/reconciler.py
+++ b/libs/ledger/src/masticdale_ledger/reconciler.py
@@ -403,6 +403,7 @@
             return True
         return (
             shard.copier is None
+            and self._live_hosts.is_complete
             and self._claims.peer_selector.choose_standby() is not None
         )
 
