--- a/libs/ledger/src/masticdale_ledger/copier.py
+++ b/libs/ledger/src/masticdale_ledger/copier.py
@@ -82,7 +82,8 @@
                 this is copied too.
         """
         return (
-            bool(self._changed_ids)
+            not self._standby_has_snapshot
+            or bool(self._changed_ids)
             or bool(self._changed_workspaces)
             or self.standby_may_admit_unknown == owner_has_store
         )
@@ -111,7 +112,7 @@
             has_pending = self.has_pending(
                 owner_has_store=header.owner_has_store
             )
-            if self._standby_has_snapshot and not has_pending:
+            if not has_pending:
                 return Success(None)
             changed = list(self._changed_ids)
             workspaces = list(self._changed_workspaces)
--- a/libs/ledger/tests/test_first_standby.py
+++ b/libs/ledger/tests/test_first_standby.py
@@ -37,7 +37,8 @@
         await self.owner.reconciler.reconcile()
         standby = self.world.names[self.record().standby_port]
         self.assertEqual(standby, "c")
-        await self.world.turn("c", "p")
+        # Guards against a standby without a copy until the next turn.
+        await self.owner.owner.replicate_changes()
         await self.world.refresh_maps()
         self.world.kill("a")
         await self.world.turn("d", "p")
