Choose an arbiter among known hosts where only the standby has sent requests

Cause, from the log of two failing runs: no arbiter_asked before shard_alone. The record named no arbiter, because only the later standby had sent a request when it was written; the remainder of the quotas, one turn, is then the dead standby's. Ruled out: a settlement that came late (the turns were settled 1 s before). The test of the choice fails before.

--- a/libs/ledger/src/masticdale_ledger/peer_selector.py
+++ b/libs/ledger/src/masticdale_ledger/peer_selector.py
@@ -58,13 +58,17 @@
     ) -> tuple[str, int] | None:
         """Returns a host, preferably in a third failure domain; None for none.
 
+        A host that has sent no request is chosen if there is no other. If it is
+        dead, the epoch has no decision, as without an arbiter.
+
         Args:
             standby: The address of the standby, which is not chosen.
         """
         domain_by_address = self._domain_by_address()
-        others = [
-            a for a in self._live_addresses(domain_by_address) if a != standby
-        ]
+        others = self._without_failed(set(domain_by_address) - {standby})
+        if not others:
+            candidates = set(self._hosts.candidates()) - {standby}
+            others = self._without_failed(candidates)
         if not others:
             return None
         used_domains = {
--- a/libs/ledger/tests/test_peer_selector.py
+++ b/libs/ledger/tests/test_peer_selector.py
@@ -17,9 +17,14 @@
 OWN = Identity("own", "own-1", "127.0.0.1", 1, "a")
 
 
-class NoCandidates(Hosts):
+class Candidates(Hosts):
+    """Hosts of which nothing is known but their address."""
+
+    def __init__(self, *ports):
+        self._ports = ports
+
     def candidates(self):
-        return []
+        return [("127.0.0.1", port) for port in self._ports]
 
 
 def record(port, standby_port, arbiter_port):
@@ -44,7 +49,7 @@
         self.shard_map = ShardMap()
         self.live_hosts = LiveHosts(OWN.host_address)
         self.selector = PeerSelector(
-            OWN, self.shard_map, Lease(), NoCandidates(), self.live_hosts
+            OWN, self.shard_map, Lease(), Candidates(), self.live_hosts
         )
 
     def add_hosts(self, domain_by_port):
@@ -80,6 +85,21 @@
         for _ in range(30):
             self.assertIn(self.selector.choose_standby()[1], (2, 3))
 
+    def test_a_known_host_arbitrates_where_only_the_standby_has_called(self):
+        """Guards against an owner that can't go on without its standby.
+
+        Only the host that becomes the standby has sent a request. Without an
+        arbiter, the standby alone may have the turn that half of what is left
+        of a budget does not hold, also after it is lost.
+        """
+        self.selector = PeerSelector(
+            OWN, self.shard_map, Lease(), Candidates(2, 3), self.live_hosts
+        )
+        self.add_hosts({2: "b"})
+        standby = self.selector.choose_standby()
+        self.assertEqual(standby[1], 2)
+        self.assertEqual(self.selector.choose_arbiter(standby)[1], 3)
+
     def test_owner_standby_and_arbiter_are_in_three_failure_domains(self):
         domain_by_port = {2: "a", 3: "b", 4: "b", 5: "c", 6: "c"}
         self.add_hosts(domain_by_port)
