--- a/scripts/regression.py
+++ b/scripts/regression.py
@@ -41,10 +41,13 @@
 
 
 REGRESSION_SITES = (
+    RegressionSite("sites/tengri-permits", 3),
+    RegressionSite("sites/halvorsen-lens", 3),
     RegressionSite("further/cedarline-hq", 3),
     RegressionSite("further-grown/cedarline-hq-grown", 2),
     RegressionSite("grown/tengri-permits-grown", 2),
     RegressionSite("grown/halvorsen-lens-grown", 2),
+    RegressionSite("shifted/tengri-permits-now-grown", 3),
     RegressionSite("large/tengri-permits-large", 2),
 )
 
