Requests that outlast their own deadline accuse no replica

Such a time-out still counts for the host's own circuit breaker as before, and is not told to others. The test fails before.

--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -105,7 +105,9 @@
             async with asyncio.timeout(timeout_s):
                 chunk = await self._connection.read_chunk()
         except _CONNECTION_ERRORS as error:
-            self._state.record_failure(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            is_fault = not isinstance(error, TimeoutError)
+            self._state.record_failure(now, is_replica_fault=is_fault)
             return Failed(_reason(error))
         self._is_complete = chunk is None
         return Success(chunk)
@@ -190,7 +192,12 @@
                 self._failure(call, state, Executed.NO, _reason(error))
             )
         except _CONNECTION_ERRORS as error:
-            state.record_failure(loop.time())
+            is_own_timeout = (
+                isinstance(error, TimeoutError) and call.remaining_s <= 0
+            )
+            state.record_failure(
+                loop.time(), is_replica_fault=not is_own_timeout
+            )
             return Failed(
                 self._failure(call, state, Executed.UNKNOWN, _reason(error))
             )
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -7,6 +7,7 @@
 from masticdale_common import Metrics
 from masticdale_gateway.codec import ResponseMetadata
 from masticdale_gateway.exchanges import AttemptOptions, Sender
+from masticdale_routing.failures import ReplicaFailures
 from masticdale_routing.fleet import Replica, ReplicaState
 
 REPLICA = Replica("r", "model", "127.0.0.1", 1, "a", 8, is_draining=False)
@@ -97,6 +98,23 @@
         await asyncio.wait({probe})
         self.assertTrue(self.is_allowed())
 
+    async def test_a_request_that_outlasts_its_deadline_accuses_no_replica(
+        self,
+    ):
+        """Guards against long requests that make all replicas look sick.
+
+        Calls that must not be repeated then go to the failing ones as well.
+        """
+        failures = ReplicaFailures()
+        state = ReplicaState(REPLICA, failures)
+        for remaining_s, is_accused in ((0.0, False), (3.0, True)):
+            call = create_call()
+            call.remaining_s = remaining_s
+            options = AttemptOptions(response_timeout_s=0.01, max_idle_s=1.0)
+            await self.sender(is_rejected=False).send(call, state, options)
+            now = asyncio.get_running_loop().time()
+            self.assertIs(failures.has_failed("r", 1.0, now), is_accused)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -95,10 +95,20 @@
         self.circuit = CircuitBreaker(_CIRCUIT_SETTINGS)
         self._load: ReportedLoad | None = None
 
-    def record_failure(self, now: float) -> None:
-        """Records a request that failed because of the replica."""
+    def record_failure(
+        self, now: float, *, is_replica_fault: bool = True
+    ) -> None:
+        """Records a request that failed at the replica.
+
+        Args:
+            now: Event loop time in seconds.
+            is_replica_fault: Whether other hosts should learn of it. A request
+                that takes longer than its own deadline says nothing about the
+                replica; if it counted, all replicas would look alike soon.
+        """
         self.circuit.record_failure(now)
-        self._failures.record(self.replica.id, now)
+        if is_replica_fault:
+            self._failures.record(self.replica.id, now)
 
     def record_load(self, load: ReportedLoad) -> None:
         """Records the latest reported load."""
