--- a/libs/workspaces/src/masticdale_workspaces/usage.py
+++ b/libs/workspaces/src/masticdale_workspaces/usage.py
@@ -235,6 +235,9 @@
     ) -> float | None:
         """Returns the seconds until a request fits its cap; counts nothing.
 
+        A request that begins a program and is refused takes the next place, so
+        that the following one is told to wait longer.
+
         Returns:
             0 if it fits now; None if this counter may grant nothing more.
         """
