Leave a full replica at the earlier margin only for an idle one

In a burst replicas of many slots have free ones while programs fill their owner's share; each move reads a prompt anew.

--- a/libs/routing/src/masticdale_routing/assignments.py
+++ b/libs/routing/src/masticdale_routing/assignments.py
@@ -25,8 +25,8 @@
 # reading, about a third of a turn, and a step by which paces differ by load
 # alone: otherwise programs move to and fro under load, and reading adds to it.
 _MOVE_MARGIN = 0.75
-# The same where the program's own replica is full and the other one is not.
-_FREE_SLOT_MARGIN = 0.25
+# The same where the program's own replica is full and the other one idle.
+_IDLE_MARGIN = 0.25
 # Cost of using all slots of a replica: turns that run together slow each other.
 _SHARING_COST = 0.25
 # Cost of turns that wait for a slot, for as many as a replica has slots. More
@@ -292,27 +292,22 @@
             turns = self._turns_by_replica_id[own_id]
             own_cost = shares.cost(own, turns, turns)
             is_own_full = turns >= shares.slots(own)
-            margin = _FREE_SLOT_MARGIN if is_own_full else _MOVE_MARGIN
+            margin = _IDLE_MARGIN if is_own_full else _MOVE_MARGIN
             # No replica costs less than the fastest one without turns.
             if own_cost - shares.paces.least_slowness < margin:
                 return own_id
         least, least_ids = self._find_least(prompt.service, shares, now)
         margin = _MOVE_MARGIN
-        if is_own_full and self._has_free_slot(least_ids, shares):
-            margin = _FREE_SLOT_MARGIN
+        if is_own_full and self._are_idle(least_ids):
+            margin = _IDLE_MARGIN
         if own_cost - least < margin:
             return own_id
         # Among equals, replicas that cache the shared part of the prompt.
         weigh = self._weigher(prompt.prefix_key or program_id)
         return max(least_ids, key=weigh, default="")
 
-    def _has_free_slot(self, replica_ids: list[str], shares: "_Shares") -> bool:
-        """Returns whether a turn would not wait at replicas of equal cost."""
-        if not replica_ids:
-            return False
-        state = self._fleet.find(replica_ids[0])
-        turns = self._turns_by_replica_id.get(replica_ids[0], 0)
-        return state is not None and turns + 1 <= shares.slots(state)
+    def _are_idle(self, replica_ids: list[str]) -> bool:
+        return not any(self._turns_by_replica_id.get(i) for i in replica_ids)
 
     def _find_least(
         self, service: str, shares: "_Shares", now: float
