Share the shrinking of plans between both models; forget replicas that are gone

Found on reading the change: test_caps_in_any_order had a copy of try_plans' shrink, which is now one function beside World. ReplicaFailures forgot old failures only where reports are made, at owners of shards; any other host kept the id of each replica that had ever failed. They are dropped when a new id comes. What is older than eight seconds is read nowhere, so that no choice changes; a test fails without it.

--- a/libs/ledger/tests/hosts_case.py
+++ b/libs/ledger/tests/hosts_case.py
@@ -497,3 +497,23 @@
             if world.overspent():
                 break
     return world
+
+
+def shrink(steps, fails):
+    """Removes events from a plan as long as it still fails.
+
+    Args:
+        steps: The events.
+        fails: Returns whether a plan of these events fails.
+    """
+    size = len(steps) // 2
+    while size:
+        start = 0
+        while start < len(steps):
+            shrunk = steps[:start] + steps[start + size :]
+            if fails(shrunk):
+                steps = shrunk
+            else:
+                start += size
+        size //= 2
+    return steps
--- a/libs/ledger/tests/test_caps_in_any_order.py
+++ b/libs/ledger/tests/test_caps_in_any_order.py
@@ -4,6 +4,7 @@
 import asyncio
 import bisect
 import collections
+import functools
 import random
 import unittest
 
@@ -11,6 +12,7 @@
     SHARD,
     WEIGHT_BY_KIND,
     World,
+    shrink,
     simulated,
 )
 
@@ -145,19 +147,8 @@
     return world
 
 
-def shrink(seed, steps):
-    """Removes events from a plan as long as it still exceeds a cap."""
-    size = len(steps) // 2
-    while size:
-        start = 0
-        while start < len(steps):
-            shrunk = steps[:start] + steps[start + size :]
-            if asyncio.run(play(seed, shrunk)).exceeded():
-                steps = shrunk
-            else:
-                start += size
-        size //= 2
-    return steps
+def exceeds(seed, steps):
+    return bool(asyncio.run(play(seed, steps)).exceeded())
 
 
 class CapsInAnyOrderTest(unittest.TestCase):
@@ -191,7 +182,9 @@
         failed_count += 1
         print(f"seed {seed}: {world.exceeded()}")
         if args.show:
-            world = asyncio.run(play(seed, shrink(seed, steps)))
+            world = asyncio.run(
+                play(seed, shrink(steps, functools.partial(exceeds, seed)))
+            )
             for event in world.trace:
                 print(event)
             for message_type, fields in world.log_lines:
--- a/libs/ledger/tests/try_plans.py
+++ b/libs/ledger/tests/try_plans.py
@@ -9,8 +9,9 @@
 
 import argparse
 import asyncio
+import functools
 
-from hosts_case import MAX_TURN_TOKENS, World, random_steps, run_plan
+from hosts_case import MAX_TURN_TOKENS, World, random_steps, run_plan, shrink
 
 _EVENTS_PER_PLAN = 250
 
@@ -24,24 +25,11 @@
     return asyncio.run(run_plan(budget, steps)).overspent()
 
 
-def shrink(budget, steps):
-    """Removes events from a plan as long as it still overspends."""
-    size = len(steps) // 2
-    while size:
-        start = 0
-        while start < len(steps):
-            shrunk = steps[:start] + steps[start + size :]
-            if overspent(budget, shrunk):
-                steps = shrunk
-            else:
-                start += size
-        size //= 2
-    return steps
-
-
 def show(budget, steps):
     """Shrinks a plan and prints its events and log lines."""
-    world: World = asyncio.run(run_plan(budget, shrink(budget, steps)))
+    world: World = asyncio.run(
+        run_plan(budget, shrink(steps, functools.partial(overspent, budget)))
+    )
     for event in world.trace:
         print(event)
     for message_type, fields in world.log_lines:
--- a/libs/routing/src/masticdale_routing/failures.py
+++ b/libs/routing/src/masticdale_routing/failures.py
@@ -98,6 +98,8 @@
     def _put(self, replica_id: str, failed_at: float) -> None:
         known_at = self._failed_at_by_id.get(replica_id)
         if known_at is None:
+            # Replicas get a new id with each start.
+            self._forget_old(failed_at)
             self._failed_at_by_id[replica_id] = failed_at
         elif failed_at - known_at > _SAME_FAILURE_S:
             self._failed_before_at_by_id[replica_id] = known_at
--- a/libs/routing/tests/test_failures.py
+++ b/libs/routing/tests/test_failures.py
@@ -101,6 +101,13 @@
         self.assertTrue(failures.fails_repeatedly("r0", 3.0, 1.0))
         self.assertFalse(failures.fails_repeatedly("r0", 3.0, 3.5))
 
+    def test_replicas_that_are_gone_are_forgotten(self):
+        """Guards against a host that keeps the id of each past replica."""
+        failures = ReplicaFailures()
+        for number in range(1_000):
+            failures.record(f"r{number}", float(number))
+        self.assertLess(len(failures._failed_at_by_id), 20)
+
     def test_an_older_report_changes_nothing(self):
         failures = ReplicaFailures()
         failures.record("r0", 10.0)
