Log what a planned stop does with each connection of a caller

Callers saw, once, two whole requests without answer or refusal in a rolling restart; no log was kept, and none of the lines of a stop could have told the candidate causes apart: `stopped` counted the requests being served, not those read in part, read whole but not taken up by their task, or answered but not yet sent, and named none.

Connections now have a state. `stopping`, `listener_closed` and `stopped` count connections by it; `unanswered` names each request that a stop cuts off, with the state it was in; `listening` says when a new process takes callers. No change of behaviour: what is closed, and when, stays as it was.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -302,6 +302,7 @@
         self._servers.append(
             await listen(self._relay, str(callers.ip), callers.port, _BACKLOG)
         )
+        logs.write("listening", address=str(callers))
 
     def _readiness(self) -> tuple[int, bytes]:
         return (200 if self.is_ready else 503), b""
@@ -334,7 +335,7 @@
         self._relay.is_stopping = True
         self._ledger.is_stopping = True
         self._copies.is_stopping = True
-        logs.write("stopping", busy=self._relay.active_requests)
+        logs.write("stopping", connections=self._relay.count_by_state())
         await self._reconciler.hand_over_all()
         while time.monotonic() < started_at + _BALANCER_DRAIN_S:
             await asyncio.sleep(_POLL_INTERVAL_S)
@@ -343,6 +344,7 @@
         # has been read meanwhile is still answered.
         for server in self._servers:
             server.close()
+        logs.write("listener_closed", connections=self._relay.count_by_state())
         self._relay.close_idle()
         await self._wait_idle(drain_deadline + _SHUTDOWN_RESERVE_S / 2)
         self._relay.close_idle()
@@ -353,9 +355,10 @@
         for task in self._tasks:
             task.cancel()
         await self._peer_server.close(0.0)
+        self._relay.log_unanswered()
         logs.write(
             "stopped",
-            busy=self._relay.active_requests,
+            connections=self._relay.count_by_state(),
             took_s=round(time.monotonic() - started_at, 3),
         )
 
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -45,6 +46,25 @@
     idle_timeout_s: float = 60.0
 
 
+class ConnectionState(enum.StrEnum):
+    """How far a connection is with the request that it received last.
+
+    Attributes:
+        IDLE: Nothing is unanswered.
+        READING: Part of a request was read.
+        QUEUED: A request was read whole, and its task has not taken it up.
+        SERVING: A response is awaited or being written.
+        FLUSHING: The response is written, and the network has not taken all of
+            it.
+    """
+
+    IDLE = "idle"
+    READING = "reading"
+    QUEUED = "queued"
+    SERVING = "serving"
+    FLUSHING = "flushing"
+
+
 class _RejectedError(Exception):
     def __init__(self, failure: Failure) -> None:
         super().__init__(str(failure))
@@ -56,6 +76,10 @@
 
     The task that serves it is cancelled when the caller disconnects, so that
     replicas do not keep working on abandoned requests.
+
+    Attributes:
+        limits: Limits on the next request.
+        request: The request that is being served; None between two requests.
     """
 
     def __init__(
@@ -63,7 +87,7 @@
     ) -> None:
         super().__init__()
         self.limits = ReadLimits()
-        self.is_busy = False
+        self.request: Request | None = None
         self._serve = serve
         self._task: asyncio.Task[None] | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -73,6 +97,28 @@
         self._message_began_at: float | None = None
         self._reset_message()
 
+    @property
+    def state(self) -> ConnectionState:
+        """How far the connection is with its current request."""
+        if self.request is not None:
+            return ConnectionState.SERVING
+        if self.has_pending_writes:
+            return ConnectionState.FLUSHING
+        if self.transport.is_closing():
+            return ConnectionState.IDLE
+        if self._requests or self._failure is not None:
+            return ConnectionState.QUEUED
+        if self._message_began_at is not None:
+            return ConnectionState.READING
+        return ConnectionState.IDLE
+
+    @property
+    def headers(self) -> Headers:
+        """Headers of the current request, as far as they were read."""
+        if self.request is not None:
+            return self.request.headers
+        return self._requests[0].headers if self._requests else self._headers
+
     def connection_made(self, transport: Any) -> None:
         """See ``asyncio.Protocol``."""
         super().connection_made(transport)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -1,6 +1,7 @@
 """Serves callers: routes requests, admits turns, forwards to replicas."""
 
 import asyncio
+import collections
 import dataclasses
 import json
 import time
@@ -12,6 +13,7 @@
 from masticdale_common import ErrorKind, Failure, Metrics, logs
 from masticdale_gateway.callers import (
     CallerConnection,
+    ConnectionState,
     ReadLimits,
     ResponseWriter,
     close_gracefully,
@@ -95,11 +97,24 @@
         """Number of open connections of callers."""
         return len(self._connections)
 
+    def count_by_state(self) -> dict[str, int]:
+        """Returns the number of callers' connections in each state."""
+        return dict(collections.Counter(c.state for c in self._connections))
+
     def close_idle(self) -> None:
         """Closes the connections that serve no request."""
         for connection in list(self._connections):
-            if not connection.is_busy:
-                connection.close()
+            if connection.state is ConnectionState.SERVING:
+                continue
+            if connection.state is not ConnectionState.IDLE:
+                self._log_unanswered(connection)
+            connection.close()
+
+    def log_unanswered(self) -> None:
+        """Logs the connections that the end of the process cuts off."""
+        for connection in self._connections:
+            if connection.state is not ConnectionState.IDLE:
+                self._log_unanswered(connection)
 
     def abort(self) -> None:
         """Drops every connection immediately."""
@@ -128,13 +143,13 @@
             writer = ResponseWriter(connection, keeps_alive=False)
             self._send_error(writer, "", arrived)
             return False
-        connection.is_busy = True
+        connection.request = arrived
         self.active_requests += 1
         try:
             return await self._respond(connection, arrived)
         finally:
             self.active_requests -= 1
-            connection.is_busy = False
+            connection.request = None
 
     async def _respond(
         self, connection: CallerConnection, request: Request
@@ -177,6 +192,15 @@
         )
         return writer.is_finished and writer.keeps_alive
 
+    def _log_unanswered(self, connection: CallerConnection) -> None:
+        metadata = self._dependencies.codec.parse_request(connection.headers)
+        logs.write_bounded(
+            "unanswered",
+            request_id=metadata.request_id,
+            program_id=metadata.program_id,
+            state=connection.state,
+        )
+
     def _route(
         self, request: Request, metadata: RequestMetadata
     ) -> Result[Call, Failure]:
--- a/tools/load/src/masticdale_load/traces.py
+++ b/tools/load/src/masticdale_load/traces.py
@@ -17,7 +17,9 @@
 # Log lines that report a state change of a host; see docs/OPERATIONS.md.
 _STATE_CHANGES = (
     "started",
+    "listening",
     "stopping",
+    "listener_closed",
     "stopped",
     "configuration_in_force",
     "replica_gone",
