Write the counts of connections at a stop to the log

The lines stopping, listener_closed and stopped of were replaced by eliot's failure line wherever a connection was open: its encoder refuses keys of a subclass of str, and the states are a StrEnum.

--- a/apps/masticdale_entry/tests/test_stopping.py
+++ b/apps/masticdale_entry/tests/test_stopping.py
@@ -7,6 +7,8 @@
 import httpx
 from case import HOST, IDEMPOTENT, EntryCase, event_ids, send_raw
 
+from masticdale_common import logs
+
 
 class StoppingTest(EntryCase):
     async def test_a_stop_cuts_nothing_off(self):
@@ -78,6 +80,24 @@
             await self.host.task
         await slow
 
+    async def test_the_counts_of_connections_can_be_logged(self):
+        """Guards against lines of a stop that the log refuses to encode.
+
+        The encoder takes no subclass of ``str`` as a key.
+        """
+        await self.send(IDEMPOTENT, "r")
+        with mock.patch.object(logs, "write") as write:
+            self.host.stop_event.set()
+            await self.host.task
+        counts = [
+            call.kwargs["connections"]
+            for call in write.call_args_list
+            if "connections" in call.kwargs
+        ]
+        self.assertIn({"idle": 1}, counts)
+        for count in counts:
+            self.assertLessEqual({type(state) for state in count}, {str})
+
     async def test_metrics_and_state_are_served(self):
         await self.send(IDEMPOTENT, "r1")
         metrics = await self.host.fetch(self.host.ports[3], "/metrics")
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -99,7 +99,9 @@
 
     def count_by_state(self) -> dict[str, int]:
         """Returns the number of callers' connections in each state."""
-        return dict(collections.Counter(c.state for c in self._connections))
+        return dict(
+            collections.Counter(c.state.value for c in self._connections)
+        )
 
     def close_idle(self) -> None:
         """Closes the connections that serve no request."""
