Test: a connection accepted as the listener closes loses its request

Cause: from the accept by the event loop to the first step of the task that serves it, a connection is in no set of the relay; if a stop closes the listener in between, neither close_idle sees it, nobody waits for it, its request is read and passed on while the stop goes on, and the end of the process cuts it off.

--- a/apps/masticdale_entry/tests/test_stopping.py
+++ b/apps/masticdale_entry/tests/test_stopping.py
@@ -1,13 +1,21 @@
 """Tests of graceful shutdown."""
 
 import asyncio
+import socket
 import unittest
 from unittest import mock
 
 import httpx
-from case import HOST, IDEMPOTENT, EntryCase, event_ids, send_raw
+from case import (
+    HOST,
+    IDEMPOTENT,
+    EntryCase,
+    event_ids,
+    send_raw,
+)
 
 from masticdale_common import logs
+from masticdale_entry import entry as entry_module
 
 
 class StoppingTest(EntryCase):
@@ -64,6 +72,70 @@
         else:
             self.assertIsInstance(late.exception(), httpx.ConnectError)
 
+    async def test_connections_accepted_as_the_listener_closes_lose_nothing(
+        self,
+    ):
+        """Guards against requests of connections that no close has seen.
+
+        The event loop takes some steps from the accept to the task that serves
+        a connection. Each number of steps before the listener closes is tried.
+        """
+        await self.host.close()
+        for steps in range(8):
+            with self.subTest(steps=steps):
+                self.host = await self.add_host(f"host-{steps + 2}")
+                try:
+                    await self._stop_beside_a_new_connection(steps)
+                finally:
+                    await self.host.close()
+
+    async def _stop_beside_a_new_connection(self, steps):
+        self.set_unary_replicas(processing_s=0.1)
+        # Leaves an open connection to each replica, on which a request is
+        # passed on at once.
+        await asyncio.gather(
+            *(self.send(IDEMPOTENT, f"w{n}") for n in range(4))
+        )
+        request_id = f"crossing-{steps}"
+        request = (
+            f"POST {IDEMPOTENT}x HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Request-Id: {request_id}\r\nContent-Length: 4\r\n\r\nbody"
+        ).encode()
+        callers = []
+
+        async def wait_idle(deadline):
+            if not callers:
+                address = ("127.0.0.1", self.host.callers_port)
+                callers.append(socket.create_connection(address))
+                callers[0].sendall(request)
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+            await original(deadline)
+
+        original = self.host.entry._wait_idle
+        with (
+            mock.patch.object(entry_module, "_BALANCER_DRAIN_S", 0.1),
+            mock.patch.object(self.host.entry, "_wait_idle", wait_idle),
+        ):
+            self.host.stop_event.set()
+            await self.host.task
+        # At this moment the process ends.
+        callers[0].setblocking(False)
+        try:
+            received = callers[0].recv(65536)
+        except (BlockingIOError, ConnectionResetError):
+            received = b""
+        callers[0].close()
+        await self.host.entry.abort()
+        await asyncio.sleep(0.05)
+        seen = [
+            r
+            for r in self.requests_seen(self.unary_replicas)
+            if r.header_by_name.get("request-id") == request_id
+        ]
+        if seen:
+            self.assertIn(b" 200 ", received)
+
     async def test_a_stop_ends_within_its_grace(self):
         self.set_unary_replicas(processing_s=60.0)
         slow = asyncio.create_task(
