Count a request as unanswered from its first byte until its response is flushed

Callers saw a closed connection in place of an answer at a planned stop.

Cause: the stop asked `active_requests` and `is_busy`, which a connection's task sets once it has taken a request up, and `_connections`, which the task joined with its first step. A request read in part, read whole but not yet taken up, or answered but not yet sent counted as none; close_idle closed its connection, or the process ended.

The state of a connection now follows from what was read and written, and it is registered when it opens, before anything can be read. A stop waits for every connection that is not idle and closes only idle ones.

The tests are changed only where they named `active_requests` and the constructor.

--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -408,9 +408,7 @@
         """Guards against an end of the process with bytes not yet sent."""
         caller = self.call(encode_call("r"), receive_buffer_bytes=4096)
         await self.wait_received(self.unary_replicas)
-        while not self.host.entry._relay.connections or (
-            self.host.entry._relay.active_requests
-        ):
+        while not self.host.entry._relay.count_by_state().get("flushing"):
             await asyncio.sleep(0.01)
         reading = asyncio.create_task(caller.read())
         await self.stop()
