--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -184,7 +184,10 @@
         await self.wait_received(self.unary_replicas)
         started_at = time.monotonic()
         self.host.stop_event.set()
-        late = started_at + 0.8 * (GRACE_S - entry._SHUTDOWN_RESERVE_S)
+        reserve_s = (
+            entry._FINAL_RESPONSES_S + entry._SETTLEMENTS_S + entry._EXIT_S
+        )
+        late = started_at + 0.8 * (GRACE_S - reserve_s)
         await asyncio.sleep(late - time.monotonic())
         try:
             caller = self.call(encode_call("late", NON_IDEMPOTENT))
