Accept no connection in the second half of the grace period

Cause: the listener stayed open until the host was idle, and a host that other stopping hosts' callers come to, or that has one long stream, is not idle before the grace ends.

The listener is closed after half of the grace at the latest. A caller that is refused a connection has sent nothing and goes to another host; what is accepted has the other half. Weighed: closing it after the 2.6 s in which the balancer still sends callers, always; a failure domain whose hosts all stop would then refuse callers for longer, without need.

The new test failed before (ConnectionRefusedError not raised).

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -78,6 +78,9 @@
 # Time from SIGTERM until the balancer sends no more connections: it probes
 # readiness every second and removes a host after two failures.
 _BALANCER_DRAIN_S = 2.6
+# The part of the grace period after which no new connections are accepted, so
+# that their requests can be answered before it ends.
+_ACCEPT_SHARE = 0.5
 # Time from the last accepted connection until idle ones are closed: some times
 # the way between a caller and this host.
 _LAST_REQUESTS_S = 0.1
@@ -353,7 +356,9 @@
         hand_over = asyncio.create_task(self._reconciler.hand_over_all())
         while time.monotonic() < started_at + _BALANCER_DRAIN_S:
             await asyncio.sleep(_POLL_INTERVAL_S)
-        await self._wait_idle(give_up_at)
+        await self._wait_idle(
+            started_at + self._settings.grace_s * _ACCEPT_SHARE
+        )
         # From here on callers are refused a connection and go elsewhere; what
         # has been read meanwhile is still answered.
         for server in self._servers:
--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -197,6 +197,20 @@
         await caller.read()
         self.assertIn(caller.statuses, [[s] for s in NOT_RUN + MAY_HAVE_RUN])
 
+    async def test_no_connection_is_accepted_late_in_the_grace(self):
+        """Guards against requests that come too late to be answered.
+
+        One long request keeps the host from being idle, and a failure domain
+        whose hosts all stop still sends callers to it.
+        """
+        self.set_unary_replicas(processing_s=ENDLESS_S)
+        self.call(encode_call("long", NON_IDEMPOTENT))
+        await self.wait_received(self.unary_replicas)
+        self.host.stop_event.set()
+        await asyncio.sleep(0.6 * GRACE_S)
+        with self.assertRaises(ConnectionRefusedError):
+            self.call(encode_call("late", NON_IDEMPOTENT))
+
     async def test_a_request_that_waits_for_the_ledger_is_refused(self):
         """Guards against a closed connection where nothing has run."""
         is_asked = asyncio.Event()
