Serve the request behind a stream whose head did not announce the close

Callers that send the next request before a stream has ended saw the connection closed after the stream, in a planned stop, without an answer to it.

Cause: the head of the stream, sent before the stop, kept the connection alive; at the end of the stream the relay closed it all the same, with a request read.

What the head has promised holds. test_a_request_behind_a_stream_is_answered failed before (one response), passes now.

--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -205,7 +205,10 @@
                     took_ms=round(1000 * (time.monotonic() - began), 1),
                 )
                 raise
-        writer.keeps_alive = writer.keeps_alive and not self.is_stopping
+        # A head that was sent before the stop has promised to serve what the
+        # caller sends next.
+        if not writer.status:
+            writer.keeps_alive = writer.keeps_alive and not self.is_stopping
         if isinstance(outcome, Failure):
             self._send_error(writer, metadata.request_id, outcome)
         elif outcome is not None:
