Give slow readers of a test time enough on a busy machine

FlushTest asks whether the end of a stop waits for 16 MiB to be taken by a reader with a window of 4 KB. They have a grace of 20 s now, the check is the same: the whole response, and before the mend they fail as before, since the stop did not wait.

--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -108,6 +108,8 @@
 class OrderCase(EntryCase):
     """Hosts with a short grace whose process ends when ``run`` returns."""
 
+    grace_s = GRACE_S
+
     async def asyncSetUp(self):
         patch = mock.patch.object(entry, "_BALANCER_DRAIN_S", 0.0)
         patch.start()
@@ -117,7 +119,7 @@
     async def add_host(self, name, seeds=(), peers_port=None):
         host = await super().add_host(name, seeds, peers_port)
         host.entry._settings = host.settings.model_copy(
-            update={"grace_s": GRACE_S}
+            update={"grace_s": self.grace_s}
         )
         return host
 
@@ -134,7 +136,7 @@
 
     async def end(self, host=None):
         host = host or self.host
-        await asyncio.wait({host.task}, timeout=GRACE_S + 0.5)
+        await asyncio.wait({host.task}, timeout=self.grace_s + 0.5)
         # The end of the process, or SIGKILL, closes all connections and
         # discards what they have not sent.
         host.entry._relay.abort()
@@ -411,6 +413,13 @@
 
 
 class FlushTest(OrderCase):
+    """Responses that wait for a slow reader, which a busy machine slows more.
+
+    The stop ends as soon as they are sent.
+    """
+
+    grace_s = 20.0
+
     async def start_stand_ins(self):
         await super().start_stand_ins()
         for replica in self.unary_replicas:
@@ -427,7 +436,7 @@
         await self.wait_received(self.unary_replicas)
         while not self.host.entry._relay.count_by_state().get("flushing"):
             await asyncio.sleep(0.01)
-        reading = asyncio.create_task(caller.read())
+        reading = asyncio.create_task(caller.read(seconds=self.grace_s))
         await self.stop()
         await reading
         body = caller.received.partition(b"\r\n\r\n")[2]
@@ -444,7 +453,7 @@
             await self.wait_received(self.unary_replicas)
             await asyncio.sleep(0.4)
             self.assertFalse(self.host.task.done())
-            await caller.read()
+            await caller.read(seconds=self.grace_s)
         body = caller.received.partition(b"\r\n\r\n")[2]
         self.assertEqual(len(body), len(LARGE_BODY))
 
