RPC server: answer calls that were received when it closes

What callers saw: another host's call was read whole by a closing server and its connection was aborted before the call began: "sent" without a reply, for a call that never ran.

Cause: a connection that has received a request begins the call in its next step of the event loop. close() looked only at calls in flight, so it aborted the connection in between: at once where nothing was in flight (with any grace period, also 0), or as the last call ended.

Evidence: ClosingTest drives the server's protocol without sockets. Before, three cases printed "AssertionError: None != SubmitReply(result='x', failure=None)"; libs/peers/tests, 53 tests, pass now.

Why it holds: close() yields one step before each look, and a step that was due before it always runs first. A call whose handler does not wait is now answered even with a grace period of 0.

--- a/libs/peers/tests/hosts.py
+++ b/libs/peers/tests/hosts.py
@@ -86,6 +86,70 @@
         await timers.close()
 
 
+class SlowTransport(asyncio.Transport):
+    """A server's connection whose peer takes data only when told to.
+
+    Attributes:
+        on_connection: Serves the connection.
+        sent: Bytes that the peer has received.
+    """
+
+    def __init__(self, on_connection):
+        super().__init__()
+        self.on_connection = on_connection
+        self.sent = bytearray()
+        self._unsent = bytearray()
+        self._is_fast = False
+        self._is_closing = False
+        self._reader = asyncio.StreamReader()
+        self._protocol = asyncio.StreamReaderProtocol(
+            self._reader, on_connection
+        )
+        self._protocol.connection_made(self)
+
+    def receive(self, data):
+        """Delivers bytes from the peer."""
+        self._protocol.data_received(data)
+
+    def flush(self):
+        """The peer takes everything now and from now on."""
+        self._is_fast = True
+        self.sent += self._unsent
+        self._unsent.clear()
+        if self._is_closing:
+            self._lose()
+
+    def write(self, data):
+        if self._is_closing:
+            return
+        (self.sent if self._is_fast else self._unsent).extend(data)
+
+    def is_closing(self):
+        return self._is_closing
+
+    def close(self):
+        if self._is_closing:
+            return
+        self._is_closing = True
+        if not self._unsent:
+            self._lose()
+
+    def abort(self):
+        self._unsent.clear()
+        self.close()
+
+    def _lose(self):
+        asyncio.get_running_loop().call_soon(
+            self._protocol.connection_lost, None
+        )
+
+
+async def settle():
+    """Lets every task run until it waits for something."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
 class TcpProxy:
     """Proxy that can drop the traffic of its open connections."""
 
--- a/libs/peers/tests/test_server.py
+++ b/libs/peers/tests/test_server.py
@@ -4,6 +4,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 import hosts
 import trustme
@@ -18,8 +19,11 @@
     TlsSettings,
     serve,
 )
+from masticdale_peers.messages import PEER, SUBMIT
+from masticdale_rpc.connection import Connection
 
 SUBMISSION = Submission("x", "w", 1000, "host-a")
+GRACE_S = 5.0
 
 
 class BindTest(unittest.IsolatedAsyncioTestCase):
@@ -56,6 +60,77 @@
             await closing
 
 
+class ClosingTest(unittest.IsolatedAsyncioTestCase):
+    """Calls that the server has read whole when it closes."""
+
+    async def asyncSetUp(self):
+        await self.open_connection()
+
+    async def open_connection(self):
+        """Creates a server and a connection of a peer to it."""
+        self.handler = hosts.EchoHandler()
+        with mock.patch("asyncio.start_server") as start_server:
+            start_server.return_value = mock.Mock(spec=asyncio.Server)
+            self.server = await serve(self.handler, hosts.free_address(), None)
+        self.transport = hosts.SlowTransport(start_server.call_args.args[0])
+        await hosts.settle()
+
+    async def test_call_received_in_the_moment_of_the_close_is_answered(self):
+        """A request was read, but its connection aborted before it ran."""
+        for grace_s in (GRACE_S, 0.0):
+            with self.subTest(grace_s=grace_s):
+                await self.open_connection()
+                self.transport.flush()
+                closing = asyncio.create_task(self.server.close(grace_s))
+                self.transport.receive(submit_frame())
+                await closing
+                reply = await read_reply(self.transport)
+                self.assertEqual(reply, SubmitReply("x"))
+
+    async def test_call_received_as_the_last_one_ends_is_answered(self):
+        """A request was read while the server waited for another call."""
+        self.transport.flush()
+        other = hosts.SlowTransport(self.transport.on_connection)
+        self.handler.hold.clear()
+        self.transport.receive(submit_frame())
+        await hosts.settle()
+        closing = asyncio.create_task(self.server.close(GRACE_S))
+        await hosts.settle()
+        self.handler.hold.set()
+        # The held call ends in the next step, the close in the one after it.
+        await asyncio.sleep(0)
+        other.flush()
+        other.receive(submit_frame())
+        await closing
+        self.assertEqual(await read_reply(self.transport), SubmitReply("x"))
+        self.assertEqual(await read_reply(other), SubmitReply("x"))
+
+
+def submit_frame():
+    """Returns the bytes of a call of ``submit``."""
+    writer = mock.Mock(spec=asyncio.StreamWriter)
+    connection = Connection(PEER, mock.Mock(), writer)
+    # The request is written before the first suspension.
+    exchange = connection.exchange(SUBMIT, SUBMISSION)
+    writer.drain.side_effect = asyncio.CancelledError
+    try:
+        exchange.send(None)
+    except asyncio.CancelledError:
+        pass
+    return writer.write.call_args.args[0]
+
+
+async def read_reply(transport):
+    """Returns the reply that a peer has received; None without any byte."""
+    if not transport.sent:
+        return None
+    reader = asyncio.StreamReader()
+    reader.feed_data(bytes(transport.sent))
+    reader.feed_eof()
+    writer = mock.Mock(spec=asyncio.StreamWriter)
+    return await Connection(PEER, reader, writer).exchange(SUBMIT, SUBMISSION)
+
+
 class TlsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
--- a/libs/rpc/src/masticdale_rpc/server.py
+++ b/libs/rpc/src/masticdale_rpc/server.py
@@ -1,6 +1,7 @@
 """RPC server for a contract."""
 
 import asyncio
+import contextlib
 import errno
 from typing import Any
 
@@ -73,10 +74,15 @@
         """
         if self._server is not None:
             self._server.close()
-        try:
+        # A connection begins a call that it has received in its next step.
+        # Until then the call is not in flight, and would be discarded unread.
+        await asyncio.sleep(0)
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(grace_s):
-                await self._idle.wait()
-        except TimeoutError:
+                while self._calls_in_flight:
+                    await self._idle.wait()
+                    await asyncio.sleep(0)
+        if self._calls_in_flight:
             logs.write("peer_calls_cut_off", count=self._calls_in_flight)
         tasks = list(self._writer_by_task)
         for task in tasks:
