RPC server: send replies to their end when it closes

What callers saw: a call of another host ran, and its reply broke off: the caller was told "sent" without an outcome.

Cause: up to 64 KB of a reply stay in the transport where the peer takes them slowly, and the call counts as ended; close() then aborted the connection, which discards them.

Evidence: ClosingTest.test_reply_that_the_peer_takes_slowly_is_sent_to_its_end printed "AssertionError: None != SubmitReply(result='x', failure=None)" before.

Why it holds: close() closes each connection, which sends its buffer first, and waits for that within the grace period; what is left then is aborted. A connection that closed by itself is not aborted again: asyncio raises there, and the test has a transport that does too.

--- a/libs/peers/tests/hosts.py
+++ b/libs/peers/tests/hosts.py
@@ -101,6 +101,7 @@
         self._unsent = bytearray()
         self._is_fast = False
         self._is_closing = False
+        self._is_lost = False
         self._reader = asyncio.StreamReader()
         self._protocol = asyncio.StreamReaderProtocol(
             self._reader, on_connection
@@ -127,6 +128,9 @@
     def is_closing(self):
         return self._is_closing
 
+    def get_write_buffer_size(self):
+        return len(self._unsent)
+
     def close(self):
         if self._is_closing:
             return
@@ -135,10 +139,16 @@
             self._lose()
 
     def abort(self):
+        # As a socket's transport that has closed by itself.
+        assert not self._is_lost
         self._unsent.clear()
-        self.close()
+        if not self._is_closing:
+            self.close()
+        else:
+            self._lose()
 
     def _lose(self):
+        self._is_lost = True
         asyncio.get_running_loop().call_soon(
             self._protocol.connection_lost, None
         )
--- a/libs/peers/tests/test_server.py
+++ b/libs/peers/tests/test_server.py
@@ -75,6 +75,20 @@
         self.transport = hosts.SlowTransport(start_server.call_args.args[0])
         await hosts.settle()
 
+    async def test_reply_that_the_peer_takes_slowly_is_sent_to_its_end(self):
+        """A call ran, but the unsent rest of its reply was discarded."""
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        self.transport.receive(submit_frame())
+        await hosts.settle()
+        closing = asyncio.create_task(self.server.close(GRACE_S))
+        await hosts.settle()
+        self.transport.flush()
+        await closing
+        self.assertEqual(await read_reply(self.transport), SubmitReply("x"))
+        self.assertEqual(errors, [])
+
     async def test_call_received_in_the_moment_of_the_close_is_answered(self):
         """A request was read, but its connection aborted before it ran."""
         for grace_s in (GRACE_S, 0.0):
@@ -105,6 +119,14 @@
         self.assertEqual(await read_reply(self.transport), SubmitReply("x"))
         self.assertEqual(await read_reply(other), SubmitReply("x"))
 
+    async def test_peer_that_takes_nothing_does_not_hold_up_the_close(self):
+        """A host that stands still delayed the end of another's process."""
+        self.transport.receive(submit_frame())
+        await hosts.settle()
+        async with asyncio.timeout(GRACE_S):
+            await self.server.close(0.05)
+        self.assertTrue(self.transport.is_closing())
+
 
 def submit_frame():
     """Returns the bytes of a call of ``submit``."""
--- a/libs/rpc/src/masticdale_rpc/server.py
+++ b/libs/rpc/src/masticdale_rpc/server.py
@@ -70,20 +70,23 @@
         """Stops listening, drains calls in flight, then closes connections.
 
         Args:
-            grace_s: Seconds to wait for calls in flight.
+            grace_s: Seconds to wait for calls in flight, and until the peers
+                have taken their replies.
         """
+        deadline = asyncio.get_running_loop().time() + grace_s
         if self._server is not None:
             self._server.close()
         # A connection begins a call that it has received in its next step.
         # Until then the call is not in flight, and would be discarded unread.
         await asyncio.sleep(0)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(grace_s):
+            async with asyncio.timeout_at(deadline):
                 while self._calls_in_flight:
                     await self._idle.wait()
                     await asyncio.sleep(0)
         if self._calls_in_flight:
             logs.write("peer_calls_cut_off", count=self._calls_in_flight)
+        await self._flush_connections(deadline)
         tasks = list(self._writer_by_task)
         for task in tasks:
             task.cancel()
@@ -99,6 +102,15 @@
             "calls_failed": self._calls_failed,
         }
 
+    async def _flush_connections(self, deadline: float) -> None:
+        """Closes the connections once the peers have taken their replies."""
+        for writer in self._writer_by_task.values():
+            writer.close()
+        if not self._writer_by_task:
+            return
+        left_s = max(0.0, deadline - asyncio.get_running_loop().time())
+        await asyncio.wait(self._writer_by_task, timeout=left_s)
+
     def _raise_bind_error(self, error: OSError) -> None:
         if error.errno == errno.EADDRINUSE:
             raise_invalid_settings(
@@ -128,14 +140,14 @@
             logs.write("peer_connection_failed", error=repr(error))
         finally:
             del self._writer_by_task[task]
-            writer.transport.abort()
+            _abort(writer)
 
     async def _serve_call(
         self, message: frames.Message, writer: asyncio.StreamWriter
     ) -> None:
         # A call counts as in flight until its reply has been written: when
-        # none is left, ``close`` aborts the connections and discards what
-        # they have not sent.
+        # none is left, ``close`` closes the connections, which still send
+        # what the peers have not taken.
         self._calls_in_flight += 1
         self._idle.clear()
         try:
@@ -185,6 +197,15 @@
         )
 
 
+def _abort(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection at once and discards unsent bytes."""
+    transport = writer.transport
+    # asyncio raises where a closing transport has sent its last bytes.
+    if transport.is_closing() and not transport.get_write_buffer_size():
+        return
+    transport.abort()
+
+
 def _exception_frame(message: frames.Message, kind: int, detail: str) -> bytes:
     return frames.encode(
         message.name,
