RPC server: serve no connection that was accepted as it closed

What callers saw: a call ran on a host whose server had closed, and ended with the process: run, but without a reply.

Cause: the task of a connection that asyncio has just accepted registers itself in its first step; close() did not see it and left it serving.

Evidence: ClosingTest.test_connection_opened_during_the_close_is_not_served found the call executed before ("AssertionError: False is not true").

Why it holds: close() marks the server closed before it looks at the connections for the last time; a task that starts later closes its connection before it reads.

--- a/libs/peers/tests/test_server.py
+++ b/libs/peers/tests/test_server.py
@@ -119,6 +119,21 @@
         self.assertEqual(await read_reply(self.transport), SubmitReply("x"))
         self.assertEqual(await read_reply(other), SubmitReply("x"))
 
+    async def test_connection_opened_during_the_close_is_not_served(self):
+        """A call ran in a closed server, whose process then ended."""
+        self.transport.abort()
+        await hosts.settle()
+        closing = asyncio.create_task(self.server.close(GRACE_S))
+        # The close waits for no connection after its first step.
+        await asyncio.sleep(0)
+        late = hosts.SlowTransport(self.transport.on_connection)
+        await closing
+        await hosts.settle()
+        late.receive(submit_frame())
+        await hosts.settle()
+        self.assertTrue(self.handler.arrived.locked())
+        self.assertTrue(late.is_closing())
+
     async def test_peer_that_takes_nothing_does_not_hold_up_the_close(self):
         """A host that stands still delayed the end of another's process."""
         self.transport.receive(submit_frame())
--- a/libs/rpc/src/masticdale_rpc/server.py
+++ b/libs/rpc/src/masticdale_rpc/server.py
@@ -35,6 +35,7 @@
         self._handler = handler
         self._address = address
         self._server: asyncio.Server | None = None
+        self._is_closed = False
         self._writer_by_task: dict[asyncio.Task[Any], asyncio.StreamWriter] = {}
         self._calls_in_flight = 0
         self._idle = asyncio.Event()
@@ -87,6 +88,7 @@
         if self._calls_in_flight:
             logs.write("peer_calls_cut_off", count=self._calls_in_flight)
         await self._flush_connections(deadline)
+        self._is_closed = True
         tasks = list(self._writer_by_task)
         for task in tasks:
             task.cancel()
@@ -125,6 +127,10 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_closed:
+            # Accepted just before; its calls would be cut off with the process.
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._writer_by_task[task] = writer
