Daemon: a stop also hands over the shards being taken over

What callers saw: a host that stopped while it took a shard over accepted a call there and ended during it. Callers on other hosts lost the call; one that must not be repeated was reported as unknown. Without a call, the shard stayed with the dead host until its lease had ended.

Cause: stop() handed over the shards open at its begin. A takeover under way had passed its checks and opened its shard afterwards, and so did one that an operator forced.

Evidence: test_stopping.TakeoverTest holds the write of the head during the stop. Before: "Lists differ: [1] != []" (a call in flight after the stop), "Tuples differ: (<Shard>,) != ()" (a shard still owned), and a forced takeover that succeeded after the stop.

Why it holds: the stop waits for each shard's lock, so it sees every shard whose takeover began before it; later ones are refused. Calls that waited for the takeover come before the stop in the lock's FIFO order, and are counted when it looks.

--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -232,17 +232,16 @@
             finish_s: Longest wait for the calls of a shard, in seconds.
         """
         self._stopping = True
+        numbers = {*self._shard_by_number, *self._open_lock_by_number}
         await asyncio.gather(
-            *(
-                self._finish_and_hand_off(number, shard, finish_s)
-                for number, shard in list(self._shard_by_number.items())
-            )
+            *(self._stop_shard(number, finish_s) for number in numbers)
         )
 
     async def force_takeover(self, number: int) -> Result[Shard, Failure]:
         """Takes over a shard even from a live owner."""
-        lock = self._open_lock_by_number.setdefault(number, asyncio.Lock())
-        async with lock:
+        async with self._open_lock(number):
+            if self._stopping:
+                return Failed(self._not_owner_failure(number))
             return await self._take_over(number, forced=True)
 
     def dump(self) -> JsonValue:
@@ -256,8 +255,7 @@
         shard = self._shard_by_number.get(number)
         if shard is not None and shard.is_owned:
             return Success(shard)
-        lock = self._open_lock_by_number.setdefault(number, asyncio.Lock())
-        async with lock:
+        async with self._open_lock(number):
             shard = self._shard_by_number.get(number)
             if shard is not None and shard.is_owned:
                 return Success(shard)
@@ -365,6 +363,17 @@
         await shard.close()
         logs.write("shard_handed_over", shard=number)
 
+    async def _stop_shard(self, number: int, finish_s: float) -> None:
+        # A takeover under way still opens its shard, and the calls that wait
+        # for it are accepted there.
+        async with self._open_lock(number):
+            shard = self._shard_by_number.get(number)
+        if shard is not None:
+            await self._finish_and_hand_off(number, shard, finish_s)
+
+    def _open_lock(self, number: int) -> asyncio.Lock:
+        return self._open_lock_by_number.setdefault(number, asyncio.Lock())
+
     async def _finish_and_hand_off(
         self, number: int, shard: Shard, finish_s: float
     ) -> None:
--- /dev/null
+++ b/apps/masticdaled/tests/test_stopping.py
@@ -0,0 +1,139 @@
+"""Tests of a planned stop: no request that was read is cut off."""
+
+import asyncio
+import time
+import unittest
+
+from returns.result import Success
+
+from masticdale_common import ErrorKind, hashing
+from masticdale_config import testing as config_testing
+from masticdale_peers.testing import MemoryNetwork
+from masticdale_platform.testing import MemoryStore
+from masticdale_programs import (
+    Accepted,
+    Caller,
+    CallService,
+    CreateProgram,
+    read_head,
+)
+from masticdale_programs.testing import (
+    UNREPEATABLE,
+    FakeExecutor,
+    sample_kind,
+)
+from masticdaled.testing import create_memory_host
+
+PROGRAM = "p1"
+SHARD = hashing.shard_of(PROGRAM)
+FINISH_S = 5.0
+DEADLINE_S = 10.0
+CREATE = CreateProgram(PROGRAM, sample_kind())
+CALL = CallService(PROGRAM, "main", "c1", UNREPEATABLE, "{}")
+
+
+class StoppingTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = MemoryStore()
+        self.executor = FakeExecutor()
+        self.owned = self.create_host("host-1").owned_shards
+
+    def create_host(self, name):
+        host = create_memory_host(
+            name,
+            (name,),
+            MemoryNetwork(),
+            self.store,
+            config_testing.active_config(),
+            self.executor,
+        )
+        self.addAsyncCleanup(host.close)
+        return host
+
+    async def submit(self, operation):
+        caller = Caller("w", time.monotonic() + DEADLINE_S)
+        return await self.owned.submit(operation, caller)
+
+    def start_submit(self, operation):
+        return asyncio.create_task(self.submit(operation))
+
+    def start_stop(self):
+        return asyncio.create_task(self.owned.stop(FINISH_S))
+
+    async def wait_until(self, condition):
+        async with asyncio.timeout(FINISH_S):
+            while not condition():
+                await asyncio.sleep(0)
+
+    async def head(self):
+        return (await read_head(self.store, SHARD)).unwrap()
+
+
+class TakeoverTest(StoppingTestCase):
+    """Shards whose takeover is under way when the stop begins."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # The program's owner before this host.
+        await self.submit(CREATE)
+        await self.owned.stop(FINISH_S)
+        self.store = HeldStore(self.store)
+        self.owned = self.create_host("host-2").owned_shards
+
+    async def stop_during_takeover(self, operation):
+        submitted = self.start_submit(operation)
+        await self.store.reached.wait()
+        stopping = self.start_stop()
+        await asyncio.sleep(0)
+        self.store.proceed.set()
+        outcome = await submitted
+        await stopping
+        return outcome
+
+    async def test_shard_of_a_takeover_under_way_is_handed_over(self):
+        """Other hosts waited for the lease of a host that had stopped."""
+        await self.stop_during_takeover(CREATE)
+        self.assertEqual(self.owned.owned_shards(), ())
+        self.assertTrue((await self.head()).released)
+
+    async def test_forced_takeover_is_refused_during_the_stop(self):
+        """A shard taken over by an operator was not handed over."""
+        self.store.proceed.set()
+        await self.owned.stop(FINISH_S)
+        taken = await self.owned.force_takeover(SHARD)
+        self.assertIs(taken.failure().kind, ErrorKind.NOT_OWNER)
+
+    async def test_call_accepted_after_such_a_takeover_is_finished(self):
+        """The process ended during a call that must not run twice."""
+        self.executor.faults.delay_s = 0.1
+        outcome = await self.stop_during_takeover(CALL)
+        self.assertEqual(outcome, Success(Accepted("c1", 2)))
+        in_flight = [s.in_flight for s in self.owned.owned_shards()]
+        self.assertEqual(in_flight, [])
+        self.owned = self.create_host("host-3").owned_shards
+        await self.submit(CALL)
+        found = (await self.owned.find_program(PROGRAM)).unwrap()
+        entry = found.program.entry_by_request_id["c1"]
+        self.assertEqual(entry.status.value, "done")
+
+
+class HeldStore:
+    """Holds the first write of a head until ``proceed`` is set."""
+
+    def __init__(self, store):
+        self.reached = asyncio.Event()
+        self.proceed = asyncio.Event()
+        self._store = store
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    async def write(self, key, value, expected_version):
+        if key.endswith("/head"):
+            self.reached.set()
+            await self.proceed.wait()
+        return await self._store.write(key, value, expected_version)
+
+
+if __name__ == "__main__":
+    unittest.main()
