Daemon: a stop ends while the platform does not answer

What callers saw: a host told to stop during an outage of the platform never finished. Its HTTP servers were not told to end, and the kill after the grace period cut off the requests they held, also those for programs of other hosts. A call whose commit was pending could be answered "cancelled", which callers do not repeat, in place of going to the next owner.

Evidence: test_stopping.HandoffTest.

Why it holds: the stop waits 5 s for each handoff, all shards at once, then closes the shard. Its head stays with this host, and others take it over after its lease, as after a crash.

--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -39,6 +39,9 @@
 from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 
 _HANDOFF_GRACE_S = 3.0
+# Longest wait of a stop for the write that hands a shard off, in seconds.
+# Longer than two attempts at the platform.
+_RELEASE_TIMEOUT_S = 5.0
 _MAX_CONCURRENT_OPENS = 8
 _OUTAGE_KINDS = frozenset(
     {ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.WRITE_UNKNOWN}
@@ -380,7 +383,15 @@
         deadline = time.monotonic() + finish_s
         while shard.in_flight and time.monotonic() < deadline:
             await asyncio.sleep(0.02)
-        await self._hand_off(number, shard)
+        # The write is repeated until the platform answers. In an outage, the
+        # stop would wait for it until the process is killed, with all requests
+        # of other hosts' programs.
+        try:
+            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+                await self._hand_off(number, shard)
+        except TimeoutError:
+            logs.write("shard_not_handed_over", shard=number)
+            await shard.close()
 
     async def _close_shard(self, number: int, shard: Shard) -> None:
         self._shard_by_number.pop(number, None)
--- a/apps/masticdaled/tests/test_stopping.py
+++ b/apps/masticdaled/tests/test_stopping.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
 
 from returns.result import Success
 
@@ -15,11 +16,14 @@
     Caller,
     CallService,
     CreateProgram,
+    RequestKey,
+    SendTurn,
     read_head,
 )
 from masticdale_programs.testing import (
     UNREPEATABLE,
     FakeExecutor,
+    read_outcome,
     sample_kind,
 )
 from masticdaled.testing import create_memory_host
@@ -27,8 +31,12 @@
 PROGRAM = "p1"
 SHARD = hashing.shard_of(PROGRAM)
 FINISH_S = 5.0
+SHORT_FINISH_S = 0.1
+STOP_TIMEOUT_S = 15.0
+RELEASE_TIMEOUT = "masticdaled.shards.owners._RELEASE_TIMEOUT_S"
 DEADLINE_S = 10.0
 CREATE = CreateProgram(PROGRAM, sample_kind())
+TURN = SendTurn(PROGRAM, "main", "t1", "hello")
 CALL = CallService(PROGRAM, "main", "c1", UNREPEATABLE, "{}")
 
 
@@ -135,5 +143,37 @@
         return await self._store.write(key, value, expected_version)
 
 
+class HandoffTest(StoppingTestCase):
+    """Shards that the host owns when the stop begins."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.submit(CREATE)
+
+    async def test_call_without_a_commit_may_be_sent_to_the_next_owner(self):
+        """An outage made a stop answer "cancelled", which none may retry."""
+        await self.submit(TURN)
+        await self.wait_until(lambda: self.executor.calls)
+        self.store.faults.down = True
+        key = RequestKey(PROGRAM, TURN.request_id)
+        (shard,) = self.owned.owned_shards()
+        reading = asyncio.create_task(read_outcome(shard, key, "w"))
+        await asyncio.sleep(0)
+        with mock.patch(RELEASE_TIMEOUT, SHORT_FINISH_S):
+            await self.owned.stop(SHORT_FINISH_S)
+        failure = (await reading).failure()
+        self.assertIs(failure.kind, ErrorKind.WRITE_UNKNOWN)
+
+    async def test_stop_ends_while_the_platform_is_down(self):
+        """The process was killed, with requests, as its stop never ended."""
+        self.store.faults.down = True
+        with mock.patch(RELEASE_TIMEOUT, SHORT_FINISH_S):
+            stopping = asyncio.create_task(self.owned.stop(SHORT_FINISH_S))
+            self.addCleanup(stopping.cancel)
+            done, _ = await asyncio.wait([stopping], timeout=STOP_TIMEOUT_S)
+        self.assertTrue(done)
+        self.assertEqual(self.owned.owned_shards(), ())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/programs/src/masticdale_programs/journal.py
+++ b/libs/programs/src/masticdale_programs/journal.py
@@ -250,9 +250,11 @@
         if self._ownership_lost or self._releasing:
             return not_owner(self._shard)
         self._releasing = True
-        outcome = await self._enqueue((), 0, needs_platform=True)
-        await self.close()
-        return outcome
+        try:
+            return await self._enqueue((), 0, needs_platform=True)
+        finally:
+            # Also where the caller stops waiting: the head may say released.
+            await self.close()
 
     async def close(self) -> None:
         """Stops writing.
