Programs: hand a shard off only after refused calls are voided

What callers saw: an unrepeatable call was refused as not run, because its intent waited too long for the platform. Its host then handed the shard off (a planned stop, or a move to another host), and the retry was answered "The call was sent; its outcome is unknown", although it never ran.

Cause: the record that voids such an intent follows it, but Shard.in_flight, on which handoffs wait, did not count it. The handoff let the intent be written and refused the record after it.

Why it holds: the request is among voiding_intents before its call ends and until the voiding record is committed or refused, so there is no moment at which in_flight is 0 in between. A stop still waits for finish_s at most.

--- a/apps/masticdaled/tests/test_stopping.py
+++ b/apps/masticdaled/tests/test_stopping.py
@@ -18,6 +18,7 @@
     CreateProgram,
     RequestKey,
     SendTurn,
+    ShardSettings,
     read_head,
 )
 from masticdale_programs.testing import (
@@ -32,6 +33,7 @@
 SHARD = hashing.shard_of(PROGRAM)
 FINISH_S = 5.0
 SHORT_FINISH_S = 0.1
+COMMIT_WAIT_S = 0.1
 STOP_TIMEOUT_S = 15.0
 RELEASE_TIMEOUT = "masticdaled.shards.owners._RELEASE_TIMEOUT_S"
 DEADLINE_S = 10.0
@@ -54,6 +56,7 @@
             self.store,
             config_testing.active_config(),
             self.executor,
+            ShardSettings(commit_wait_s=COMMIT_WAIT_S),
         )
         self.addAsyncCleanup(host.close)
         return host
@@ -150,6 +153,24 @@
         await super().asyncSetUp()
         await self.submit(CREATE)
 
+    async def test_refused_call_is_voided_before_the_handoff(self):
+        """A call refused as not run was reported as unknown on its retry."""
+        self.store.faults.delay_s = 2 * COMMIT_WAIT_S
+        await self.submit(CALL)
+        (shard,) = self.owned.owned_shards()
+        key = RequestKey(PROGRAM, CALL.request_id)
+        refused = (await read_outcome(shard, key, "w")).failure()
+        self.assertIs(refused.kind, ErrorKind.PLATFORM_UNAVAILABLE)
+        await self.owned.stop(FINISH_S)
+        self.store.faults.delay_s = 0.0
+        self.owned = self.create_host("host-2").owned_shards
+        await self.submit(CALL)
+        (shard,) = self.owned.owned_shards()
+        outcome = await read_outcome(shard, key, "w")
+        status = outcome.map(lambda call: call.status.value)
+        self.assertEqual(status, Success("done"))
+        self.assertEqual(sum(self.executor.execution_count_by_key.values()), 1)
+
     async def test_call_without_a_commit_may_be_sent_to_the_next_owner(self):
         """An outage made a stop answer "cancelled", which none may retry."""
         await self.submit(TURN)
--- a/libs/programs/src/masticdale_programs/shards.py
+++ b/libs/programs/src/masticdale_programs/shards.py
@@ -98,8 +98,12 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of calls without a final outcome."""
-        return len(self._calls)
+        """Number of calls without a final outcome in the journal.
+
+        It includes calls that were refused as not run while their intent is
+        not voided yet: the next owner would report them as unknown.
+        """
+        return len(self._calls) + len(self.voiding_intents)
 
     def attach(self, opened: journal.Journal) -> None:
         """Sets the journal and resolves intents without an outcome."""
