Daemon: accept no call on a shard that is being handed off

What callers saw: a call was accepted and ran at a host that was handing its program's shard off, was cut off there, and ran again at the next owner: model work, or a repeatable service call, done twice.

Cause: a submission that waited for the check of the ownership (up to 3 s on a slow platform) did not look again whether a stop or a move had begun the handoff meanwhile.

Evidence: test_stopping.HandoffTest. test_call_is_not_accepted_by_a_shard_being_handed_off found the call at the engine before ("Lists differ: [ModelCall(...)] != []"). apps/masticdaled/tests: 52 tests pass.

Why it holds: nothing is awaited between the second look and the start of the call, and a handoff removes the shard in the step in which it finds no call in flight. The caller's host is told NOT_OWNER and asks the next owner.

--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -141,7 +141,8 @@
             return Failed(found.failure())
         shard = found.unwrap()
         ownership = await self._ownership.check(shard)
-        if ownership is Ownership.LOST:
+        is_handed_off = self._shard_by_number.get(number) is not shard
+        if ownership is Ownership.LOST or is_handed_off:
             return Failed(self._not_owner_failure(number))
         outcome = await shard.submit(operation, caller)
         if ownership is Ownership.UNKNOWN and _is_not_found(outcome):
--- a/apps/masticdaled/tests/test_stopping.py
+++ b/apps/masticdaled/tests/test_stopping.py
@@ -27,6 +27,7 @@
     read_outcome,
     sample_kind,
 )
+from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 from masticdaled.testing import create_memory_host
 
 PROGRAM = "p1"
@@ -153,6 +154,26 @@
         await super().asyncSetUp()
         await self.submit(CREATE)
 
+    async def test_call_is_not_accepted_by_a_shard_being_handed_off(self):
+        """A call ran at a host that had given its program away."""
+        checked = asyncio.Event()
+
+        async def check(_):
+            await checked.wait()
+            return Ownership.OWNED
+
+        with mock.patch.object(OwnershipChecks, "check", side_effect=check):
+            submitted = self.start_submit(TURN)
+            await asyncio.sleep(0)
+            self.store.faults.delay_s = SHORT_FINISH_S
+            stopping = self.start_stop()
+            await self.wait_until(lambda: not self.owned.owned_shards())
+            checked.set()
+            outcome = await submitted
+        await stopping
+        self.assertEqual(self.executor.calls, [])
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
+
     async def test_refused_call_is_voided_before_the_handoff(self):
         """A call refused as not run was reported as unknown on its retry."""
         self.store.faults.delay_s = 2 * COMMIT_WAIT_S
