Daemon: answers can be read until the process ends

What callers saw: a call ended during a planned stop, and the answer of a caller that was between two reads was out of reach where no other host could take the program over (a single host, or all hosts stopping): the request hung until its deadline and was then told that the owner does not answer.

Cause: reads were refused as soon as the shard was handed off. Each event of a stream is a read of its own, so a caller that takes its events slowly is between two reads for long.

Evidence: test_stopping.HandoffTest.test_answer_can_be_read_after_the_handoff ended with PEER_UNAVAILABLE at its deadline (UnwrapFailedError) before.

Why it holds: a stopped shard stays readable. All its calls have an outcome, which no next owner changes; a call that the stop cut off says WRITE_UNKNOWN, and forwarders submit it to the next owner as before. An answer that failed without a record is no longer run again by the next owner, only because its reader came late.

--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -117,6 +117,7 @@
         self._writer = writer
         self._metrics = metrics
         self._shard_by_number: dict[int, Shard] = {}
+        self._stopped_shard_by_number: dict[int, Shard] = {}
         self._open_lock_by_number: dict[int, asyncio.Lock] = {}
         self._misplaced_since: dict[int, float] = {}
         self._stopping = False
@@ -162,6 +163,10 @@
         number = hashing.shard_of(key.program_id)
         shard = self._shard_by_number.get(number)
         if shard is None or not shard.is_owned:
+            # Outcomes do not change after the handoff. The next owner has
+            # only those in the journal, and may not exist yet.
+            shard = self._stopped_shard_by_number.get(number)
+        if shard is None:
             return Failed(self._not_owner_failure(number))
         return await shard.read(key, workspace, attempt, offset, wait_s)
 
@@ -384,6 +389,7 @@
         deadline = time.monotonic() + finish_s
         while shard.in_flight and time.monotonic() < deadline:
             await asyncio.sleep(0.02)
+        self._stopped_shard_by_number[number] = shard
         # The write is repeated until the platform answers. In an outage, the
         # stop would wait for it until the process is killed, with all requests
         # of other hosts' programs.
--- a/apps/masticdaled/tests/test_stopping.py
+++ b/apps/masticdaled/tests/test_stopping.py
@@ -27,6 +27,7 @@
     read_outcome,
     sample_kind,
 )
+from masticdaled.callers.forwarding import OperationRequest
 from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 from masticdaled.testing import create_memory_host
 
@@ -37,7 +38,7 @@
 COMMIT_WAIT_S = 0.1
 STOP_TIMEOUT_S = 15.0
 RELEASE_TIMEOUT = "masticdaled.shards.owners._RELEASE_TIMEOUT_S"
-DEADLINE_S = 10.0
+DEADLINE_S = 3.0
 CREATE = CreateProgram(PROGRAM, sample_kind())
 TURN = SendTurn(PROGRAM, "main", "t1", "hello")
 CALL = CallService(PROGRAM, "main", "c1", UNREPEATABLE, "{}")
@@ -47,7 +48,8 @@
     async def asyncSetUp(self):
         self.store = MemoryStore()
         self.executor = FakeExecutor()
-        self.owned = self.create_host("host-1").owned_shards
+        self.host = self.create_host("host-1")
+        self.owned = self.host.owned_shards
 
     def create_host(self, name):
         host = create_memory_host(
@@ -174,6 +176,17 @@
         self.assertEqual(self.executor.calls, [])
         self.assertIs(outcome.failure().kind, ErrorKind.NOT_OWNER)
 
+    async def test_answer_can_be_read_after_the_handoff(self):
+        """With no next owner, an answer was lost between two reads."""
+        self.executor.faults.delay_s = SHORT_FINISH_S
+        request = OperationRequest(TURN, "w", time.monotonic() + DEADLINE_S)
+        await self.host.forwarder.submit(request)
+        await self.owned.stop(FINISH_S)
+        parts = [p async for p in self.host.forwarder.stream_answer(request)]
+        outcome = parts[-1].outcome.unwrap()
+        self.assertEqual(outcome.request_id, TURN.request_id)
+        self.assertEqual(len(self.executor.calls), 1)
+
     async def test_refused_call_is_voided_before_the_handoff(self):
         """A call refused as not run was reported as unknown on its retry."""
         self.store.faults.delay_s = 2 * COMMIT_WAIT_S
