Daemon: answer requests that no other host can take over at a stop

What callers saw: on a stopping host without a live successor (a single host, or all hosts stopping), a request that was read after the handoff got nothing: it was retried until its deadline, 120 s by default, and held up the stop until the process was killed or its task cancelled (a bare 500).

Cause: the host refused its own requests as NOT_OWNER, which forwarders repeat until the deadline, also where no other host is left.

Evidence: test_stopping.LastHostTest: with a deadline of 3 s the answer came at 2.6 s or later ("1452.44 not less than 1451.31"); now at once.

Why it holds: a host says STOPPING in place of NOT_OWNER only where it is stopping and sees no other host that could own the shard. Its own forwarder then answers PEER_UNAVAILABLE, "ran: unknown", since an earlier attempt of the same id may have run; forwarders on other hosts retry as before.

--- a/apps/masticdaled/src/masticdaled/callers/forwarding.py
+++ b/apps/masticdaled/src/masticdaled/callers/forwarding.py
@@ -29,6 +29,7 @@
 _READ_WAIT_MS = 1000
 _RETRYABLE_KINDS = FAILOVER_KINDS | {
     ErrorKind.CONFLICT,
+    ErrorKind.STOPPING,
     ErrorKind.WRITE_UNKNOWN,
 }
 
@@ -97,12 +98,18 @@
         shard = hashing.shard_of(request.operation.program_id)
         delay_s = _INITIAL_RETRY_DELAY_S
         while True:
-            outcome = await self._submit_once(request, shard)
+            host = self._owner_of(shard)
+            outcome = await self._submit_once(request, shard, host)
             if isinstance(outcome, Success):
                 return outcome
             failure = outcome.failure()
             if failure.kind not in _RETRYABLE_KINDS:
                 return outcome
+            is_stopping = failure.kind is ErrorKind.STOPPING
+            if is_stopping and host == self._cluster.host:
+                # This process ends before another host takes the program
+                # over, and the caller would get no answer.
+                return Failed(_owner_unavailable(failure))
             if time.monotonic() + delay_s > request.deadline:
                 return Failed(_owner_unavailable(failure))
             if failure.host:
@@ -154,9 +161,8 @@
             return
 
     async def _submit_once(
-        self, request: OperationRequest, shard: int
+        self, request: OperationRequest, shard: int, host: str
     ) -> Result[OperationResult, Failure]:
-        host = self._owner_of(shard)
         remaining_ms = int((request.deadline - time.monotonic()) * 1000)
         submission = Submission(
             encode_operation(request.operation),
@@ -227,7 +233,7 @@
 
 
 def _owner_unavailable(failure: Failure) -> Failure:
-    """Returns the failure for a caller whose deadline passed during retries.
+    """Returns the failure for a caller whose request is not retried further.
 
     A failed owner may have accepted the call, so the failure must not say
     that the call did not run.
--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -346,8 +346,11 @@
 
     def _not_owner_failure(self, number: int) -> Failure:
         host = self._cluster.owner_of_shard(number)
-        hint = "" if host == self._cluster.host else host
-        return Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=hint)
+        if host != self._cluster.host:
+            return Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=host)
+        # Every other host is stopping too, or none is known.
+        kind = ErrorKind.STOPPING if self._stopping else ErrorKind.NOT_OWNER
+        return Failure(kind, f"shard {number}")
 
     def _is_handing_off(self, number: int) -> bool:
         if self._stopping:
