Daemon: honour a finish_s below one second

What callers saw: with stop.finish_s below 1 s every request in progress at the end of a stop got a bare "500 Internal Server Error" at once.

Cause: uvicorn's limit takes whole seconds, and int(0.9) is 0.

Evidence: test_http_servers.FinishTest, an answer after 0.4 s with finish_s 0.9: before "b'200 OK' not found in b'HTTP/1.1 500 Internal Server Error"; "Task cancelled, timeout graceful shutdown exceeded" in the log.

Why it holds: the limit is rounded up. The server moved to a module of its own, unchanged otherwise, so that it can be tested without a daemon.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -1,12 +1,9 @@
 """Assembles, starts and stops the components of the daemon."""
 
 import asyncio
-import contextlib
 import gc
-from collections.abc import Iterator
 
 import litestar
-import uvicorn
 from returns.result import Success
 
 from masticdale_common import (
@@ -41,6 +38,7 @@
 from masticdaled.execution.tool_pauses import PrefixOffloader
 from masticdaled.following import ConfigFollower
 from masticdaled.handler import DaemonPeerHandler, PeerServices
+from masticdaled.http_servers import HttpServer, create_http_server
 from masticdaled.operators.access import create_access
 from masticdaled.operators.context import DaemonOperatorContext
 from masticdaled.operators.listener import create_operator_app
@@ -62,7 +60,6 @@
 _QUARANTINE_PERIOD_S = 1.0
 _ORPHANS_PERIOD_S = 5.0
 _STARTUP_POLL_S = 0.05
-_KEEP_ALIVE_S = 120
 
 
 class Daemon:
@@ -135,7 +132,7 @@
         self._leaving = False
         self._started = False
         self._peer_server: RpcServer | None = None
-        self._http_servers: list[_HttpServer] = []
+        self._http_servers: list[HttpServer] = []
         self._http_tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -312,39 +309,13 @@
     async def _serve_http(
         self, address: Address, app: litestar.Litestar
     ) -> None:
-        config = uvicorn.Config(
-            app,
-            host=str(address.ip),
-            port=address.port,
-            log_level="warning",
-            access_log=False,
-            lifespan="off",
-            proxy_headers=False,
-            # Longer than load balancers and clients keep idle connections. If
-            # the server closed one first, a request being sent would fail.
-            timeout_keep_alive=_KEEP_ALIVE_S,
-            timeout_graceful_shutdown=int(self.settings.stop.finish_s),
-        )
-        server = _HttpServer(config)
+        server = create_http_server(app, address, self.settings.stop.finish_s)
         self._http_servers.append(server)
         self._http_tasks.append(asyncio.create_task(server.serve()))
         while not server.started:
             await asyncio.sleep(_STARTUP_POLL_S)
 
 
-class _HttpServer(uvicorn.Server):
-    """An HTTP server that installs no signal handlers.
-
-    uvicorn's handler of SIGTERM would stop the server before the load balancer
-    sees that this host is not ready.
-    """
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no signal handlers."""
-        yield
-
-
 def create_daemon(settings: DaemonSettings) -> Daemon:
     """Creates a daemon without starting it.
 
--- /dev/null
+++ b/apps/masticdaled/src/masticdaled/http_servers.py
@@ -0,0 +1,53 @@
+"""HTTP servers of callers and operators, stopped by the daemon."""
+
+import contextlib
+import math
+from collections.abc import Iterator
+
+import litestar
+import uvicorn
+
+from masticdale_peers import Address
+
+_KEEP_ALIVE_S = 120
+
+
+class HttpServer(uvicorn.Server):
+    """An HTTP server that installs no signal handlers.
+
+    uvicorn's handler of SIGTERM would stop the server before the load balancer
+    sees that this host is not ready.
+    """
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
+        yield
+
+
+def create_http_server(
+    app: litestar.Litestar, address: Address, finish_s: float
+) -> HttpServer:
+    """Creates a server; ``serve`` runs it until ``should_exit`` is set.
+
+    Args:
+        app: The application.
+        address: Address to listen on.
+        finish_s: Longest wait of a stop for requests, in seconds.
+    """
+    return HttpServer(
+        uvicorn.Config(
+            app,
+            host=str(address.ip),
+            port=address.port,
+            log_level="warning",
+            access_log=False,
+            lifespan="off",
+            proxy_headers=False,
+            # Longer than load balancers and clients keep idle connections. If
+            # the server closed one first, a request being sent would fail.
+            timeout_keep_alive=_KEEP_ALIVE_S,
+            # uvicorn takes whole seconds; 0 would cut off every request.
+            timeout_graceful_shutdown=math.ceil(finish_s),
+        )
+    )
