Daemon: a stopping host ends kept connections with their responses

What callers saw: a caller that reuses its connections sent its next request into one that the stop was closing, and got neither answer nor refusal.

Cause: responses kept connections alive up to the end of the stop, which closes idle ones, with what is on its way there.

Why it holds: the header is sent from the begin of the unready time on, as the entry hosts do, so only a connection without a single response since then is idle at the end. A request sent on one of those in the moment of the close still gets no answer; the balancer's check of /readyz is for that.

--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -168,13 +168,16 @@
         """Stops gracefully, without aborting requests.
 
         The host first reports unready, so that the load balancer stops sending
-        callers. Then its shards are handed off as their calls finish, and the
-        HTTP servers finish their requests, including those of programs owned
-        by other hosts.
+        callers, and ends each connection with its next response. Then its
+        shards are handed off as their calls finish, and the HTTP servers
+        finish their requests, including those of programs owned by other
+        hosts.
         """
         logs.write("stopping")
         stop = self.settings.stop
         self._leaving = True
+        for server in self._http_servers:
+            server.end_kept_connections()
         await asyncio.sleep(stop.unready_s)
         await self.owned_shards.stop(stop.finish_s)
         for server in self._http_servers:
--- a/apps/masticdaled/src/masticdaled/http_servers.py
+++ b/apps/masticdaled/src/masticdaled/http_servers.py
@@ -24,6 +24,17 @@
         """Installs no signal handlers."""
         yield
 
+    def end_kept_connections(self) -> None:
+        """Ends each connection with its next response from now on.
+
+        The stop closes idle connections, and a request that is on its way
+        there gets no answer.
+        """
+        header = (b"connection", b"close")
+        self.config.encoded_headers.append(header)
+        # Requests in progress hold this list; uvicorn replaces it each second.
+        self.server_state.default_headers.append(header)
+
 
 def create_http_server(
     app: litestar.Litestar, address: Address, finish_s: float
--- a/apps/masticdaled/tests/test_http_servers.py
+++ b/apps/masticdaled/tests/test_http_servers.py
@@ -60,5 +60,24 @@
         self.assertIn(b"200 OK", await reader.read())
 
 
+class LeavingTest(HttpServerTestCase):
+    async def test_responses_of_a_leaving_host_end_their_connections(self):
+        """A caller's next request met a connection that the stop closed."""
+        await self.start(FINISH_S)
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        await self.arrived.acquire()
+        self.server.end_kept_connections()
+        self.proceed.set()
+        async with asyncio.timeout(FINISH_S):
+            self.assertIn(b"connection: close", await reader.read())
+        # uvicorn renews the headers of its responses once a second.
+        await self.server.on_tick(0)
+        reader, writer = await self.connect()
+        writer.write(REQUEST)
+        async with asyncio.timeout(FINISH_S):
+            self.assertIn(b"connection: close", await reader.read())
+
+
 if __name__ == "__main__":
     unittest.main()
