Daemon: a starting host takes no program before its configuration

What callers saw (by reading, not on real processes): calls through other hosts refused as "No replica can serve the call now" while the host to which their program or its replica's queue had moved was starting.

Cause: a host serves its peers, and counts as live, before it has loaded the configuration; until then it knows no upstream. The window is that of the first heartbeats and of the load: short, but up to seconds where a peer or the platform is slow.

Evidence: test_starting: a host without a configuration took a shard over ("Tuples differ: (<Shard>,) != ()") and refused a ticket with NO_UPSTREAM.

Why it holds: it answers NOT_OWNER, which forwarders and ticket clients repeat until their deadline. Without any configuration, also on the platform, there are neither callers' keys nor programs.

--- a/apps/masticdaled/src/masticdaled/replicas/homes.py
+++ b/apps/masticdaled/src/masticdaled/replicas/homes.py
@@ -265,6 +265,9 @@
         if home is not None:
             return home
         engine = self._in_force.current.upstreams.by_name.get(replica)
+        if not self._in_force.number:
+            # A starting host does not know yet what is declared.
+            return Failure(ErrorKind.NOT_OWNER, replica)
         if not isinstance(engine, RenderedEngine):
             return Failure(ErrorKind.NO_UPSTREAM, replica)
         return self._open_home(engine)
--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -319,6 +319,9 @@
         """
         if self._stopping:
             return self._not_owner_failure(number)
+        if not self._in_force.number:
+            # A starting host knows no upstream yet and would refuse the calls.
+            return self._not_owner_failure(number)
         if self._cluster.owner_of_shard(number) != self._cluster.host:
             return self._not_owner_failure(number)
         read = await read_head(self._store, number)
