Daemon: a stop waits for the moves of shards that are under way

What callers saw: programs of a shard that was moving as its host stopped were out of reach until the lease of the stopped host had ended.

Cause: a move removes the shard from the map before it writes the head.

Evidence: test_stopping.MoveTest, both orders with the write held: the stop had ended while the head was not released (AssertionError, the stop among the done tasks).

Why it holds: the stop waits for the move in place of a second handoff, within the limit of a handoff.

--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -39,6 +39,7 @@
 from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 
 _HANDOFF_GRACE_S = 3.0
+_FINISH_POLL_S = 0.02
 # Longest wait of a stop for the write that hands a shard off, in seconds.
 # Longer than two attempts at the platform.
 _RELEASE_TIMEOUT_S = 5.0
@@ -120,6 +121,7 @@
         self._stopped_shard_by_number: dict[int, Shard] = {}
         self._open_lock_by_number: dict[int, asyncio.Lock] = {}
         self._misplaced_since: dict[int, float] = {}
+        self._handed_off_by_number: dict[int, asyncio.Event] = {}
         self._stopping = False
         self._created_at = time.monotonic()
         self._ownership = OwnershipChecks()
@@ -241,7 +243,11 @@
             finish_s: Longest wait for the calls of a shard, in seconds.
         """
         self._stopping = True
-        numbers = {*self._shard_by_number, *self._open_lock_by_number}
+        numbers = {
+            *self._shard_by_number,
+            *self._open_lock_by_number,
+            *self._handed_off_by_number,
+        }
         await asyncio.gather(
             *(self._stop_shard(number, finish_s) for number in numbers)
         )
@@ -374,8 +380,12 @@
     async def _hand_off(self, number: int, shard: Shard) -> None:
         self._shard_by_number.pop(number, None)
         self._misplaced_since.pop(number, None)
-        await shard.hand_off()
-        await shard.close()
+        handed_off = self._handed_off_by_number[number] = asyncio.Event()
+        try:
+            await shard.hand_off()
+            await shard.close()
+        finally:
+            handed_off.set()
         logs.write("shard_handed_over", shard=number)
 
     async def _stop_shard(self, number: int, finish_s: float) -> None:
@@ -384,27 +394,38 @@
         async with self._open_lock(number):
             shard = self._shard_by_number.get(number)
         if shard is not None:
-            await self._finish_and_hand_off(number, shard, finish_s)
-
-    def _open_lock(self, number: int) -> asyncio.Lock:
-        return self._open_lock_by_number.setdefault(number, asyncio.Lock())
-
-    async def _finish_and_hand_off(
-        self, number: int, shard: Shard, finish_s: float
-    ) -> None:
-        deadline = time.monotonic() + finish_s
-        while shard.in_flight and time.monotonic() < deadline:
-            await asyncio.sleep(0.02)
-        self._stopped_shard_by_number[number] = shard
+            await self._finish_calls(shard, finish_s)
+            self._stopped_shard_by_number[number] = shard
         # The write is repeated until the platform answers. In an outage, the
         # stop would wait for it until the process is killed, with all requests
         # of other hosts' programs.
         try:
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                await self._hand_off(number, shard)
+                await self._hand_off_once(number, shard)
         except TimeoutError:
             logs.write("shard_not_handed_over", shard=number)
-            await shard.close()
+            if shard is not None:
+                await shard.close()
+
+    async def _finish_calls(self, shard: Shard, finish_s: float) -> None:
+        deadline = time.monotonic() + finish_s
+        while shard.in_flight and time.monotonic() < deadline:
+            await asyncio.sleep(_FINISH_POLL_S)
+
+    async def _hand_off_once(self, number: int, shard: Shard | None) -> None:
+        """Hands a shard off, or waits for the move that does so already.
+
+        The end of the process, or a second handoff, would cut off its write.
+        """
+        if shard is not None and self._shard_by_number.get(number) is shard:
+            await self._hand_off(number, shard)
+            return
+        moved = self._handed_off_by_number.get(number)
+        if moved is not None:
+            await moved.wait()
+
+    def _open_lock(self, number: int) -> asyncio.Lock:
+        return self._open_lock_by_number.setdefault(number, asyncio.Lock())
 
     async def _close_shard(self, number: int, shard: Shard) -> None:
         self._shard_by_number.pop(number, None)
--- a/apps/masticdaled/tests/test_stopping.py
+++ b/apps/masticdaled/tests/test_stopping.py
@@ -28,6 +28,7 @@
     sample_kind,
 )
 from masticdaled.callers.forwarding import OperationRequest
+from masticdaled.cluster import Cluster
 from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 from masticdaled.testing import create_memory_host
 
@@ -37,6 +38,7 @@
 SHORT_FINISH_S = 0.1
 COMMIT_WAIT_S = 0.1
 STOP_TIMEOUT_S = 15.0
+FINISH_POLL = "masticdaled.shards.owners._FINISH_POLL_S"
 RELEASE_TIMEOUT = "masticdaled.shards.owners._RELEASE_TIMEOUT_S"
 DEADLINE_S = 3.0
 CREATE = CreateProgram(PROGRAM, sample_kind())
@@ -138,6 +140,7 @@
         self.reached = asyncio.Event()
         self.proceed = asyncio.Event()
         self._store = store
+        self._write = store.write
 
     def __getattr__(self, name):
         return getattr(self._store, name)
@@ -146,7 +149,7 @@
         if key.endswith("/head"):
             self.reached.set()
             await self.proceed.wait()
-        return await self._store.write(key, value, expected_version)
+        return await self._write(key, value, expected_version)
 
 
 class HandoffTest(StoppingTestCase):
@@ -230,6 +233,53 @@
         self.assertEqual(self.owned.owned_shards(), ())
 
 
+class MoveTest(StoppingTestCase):
+    """A shard that moves to another host as this one begins to stop."""
+
+    async def test_stop_waits_for_a_move_under_way(self):
+        """The move was cut off, and callers waited for the host's lease."""
+        await self.submit(CREATE)
+        held = HeldStore(self.store)
+        with (
+            mock.patch.object(Cluster, "owner_of_shard", return_value="host-2"),
+            mock.patch.object(self.store, "write", held.write),
+        ):
+            moving = asyncio.create_task(self.owned.tick())
+            await held.reached.wait()
+            stopping = self.start_stop()
+            done, _ = await asyncio.wait([stopping], timeout=SHORT_FINISH_S)
+            self.assertEqual(done, set())
+            held.proceed.set()
+            await stopping
+        self.assertTrue((await self.head()).released)
+        await moving
+
+    async def test_stop_does_not_hand_a_shard_off_a_second_time(self):
+        """The second handoff cut off the write of the first."""
+        await self.submit(CREATE)
+        self.executor.faults.delay_s = SHORT_FINISH_S
+        await self.submit(TURN)
+        (shard,) = self.owned.owned_shards()
+        with (
+            mock.patch.object(Cluster, "owner_of_shard", return_value="host-2"),
+            mock.patch(FINISH_POLL, 2 * SHORT_FINISH_S),
+        ):
+            stopping = self.start_stop()
+            await self.wait_until(lambda: not shard.in_flight)
+            held = HeldStore(self.store)
+            with mock.patch.object(self.store, "write", held.write):
+                moving = asyncio.create_task(self.owned.tick())
+                await held.reached.wait()
+                done, _ = await asyncio.wait(
+                    [stopping], timeout=4 * SHORT_FINISH_S
+                )
+                self.assertEqual(done, set())
+                held.proceed.set()
+                await stopping
+        self.assertTrue((await self.head()).released)
+        await moving
+
+
 class LastHostTest(StoppingTestCase):
     """A stop while no other host can take the programs over."""
 
