Daemon: do not call a key unknown before the configuration is loaded

What callers saw: a starting host whose load of the configuration failed (no platform, not all peers) refused valid keys as "The key is missing or unknown", which callers take as final. /readyz says 503 then, so only callers that come past the balancer met it.

Cause: without a configuration no key is known.

Evidence: test_callers.StartingTest: "401 != 503" before.

--- a/apps/masticdaled/src/masticdaled/callers/listener.py
+++ b/apps/masticdaled/src/masticdaled/callers/listener.py
@@ -253,8 +253,11 @@
 def _authenticate(request: AnyRequest) -> RenderedWorkspace:
     header = request.headers.get("authorization", "")
     key = header.removeprefix(_BEARER)
-    config = _context(request).in_force.current
-    workspace = config.workspace_by_caller_digest.get(caller_key_digest(key))
+    in_force = _context(request).in_force
+    if not in_force.number:
+        raise _RequestFailedError(Failure(ErrorKind.NOT_CONFIGURED))
+    workspace_by_digest = in_force.current.workspace_by_caller_digest
+    workspace = workspace_by_digest.get(caller_key_digest(key))
     if workspace is None or not header.startswith(_BEARER):
         raise _RequestFailedError(Failure(ErrorKind.UNAUTHENTICATED))
     return workspace
--- a/apps/masticdaled/tests/test_callers.py
+++ b/apps/masticdaled/tests/test_callers.py
@@ -5,6 +5,7 @@
 
 from litestar.testing import AsyncTestClient
 
+from masticdale_config import ActiveConfig
 from masticdale_config import testing as config_testing
 from masticdale_peers.testing import MemoryNetwork
 from masticdale_platform.testing import MemoryStore
@@ -133,5 +134,25 @@
         self.assertEqual(answer.json()["kind"], "request_id_reused")
 
 
+class StartingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_key_is_not_refused_without_a_configuration(self):
+        """A starting host told callers that their valid key was unknown."""
+        host = create_memory_host(
+            "host-1",
+            ("host-1",),
+            MemoryNetwork(),
+            MemoryStore(),
+            ActiveConfig(),
+            FakeExecutor(),
+        )
+        self.addAsyncCleanup(host.close)
+        app = create_callers_app(host.callers_context)
+        async with AsyncTestClient(app) as client:
+            answer = await client.post(PROGRAMS, json=BEGIN, headers=KEY)
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.json()["kind"], "not_configured")
+        self.assertEqual(answer.json()["ran"], "no")
+
+
 if __name__ == "__main__":
     unittest.main()
