--- a/apps/masticdaled/src/masticdaled/shards/owners.py
+++ b/apps/masticdaled/src/masticdaled/shards/owners.py
@@ -39,6 +39,10 @@
 from masticdaled.shards.ownership_checks import Ownership, OwnershipChecks
 
 _HANDOFF_GRACE_S = 3.0
+_FINISH_POLL_S = 0.02
+# Longest wait of a stop for the write that hands a shard off, in seconds.
+# Longer than two attempts at the platform.
+_RELEASE_TIMEOUT_S = 5.0
 _MAX_CONCURRENT_OPENS = 8
 _OUTAGE_KINDS = frozenset(
     {ErrorKind.PLATFORM_UNAVAILABLE, ErrorKind.WRITE_UNKNOWN}
@@ -114,8 +118,10 @@
         self._writer = writer
         self._metrics = metrics
         self._shard_by_number: dict[int, Shard] = {}
+        self._stopped_shard_by_number: dict[int, Shard] = {}
         self._open_lock_by_number: dict[int, asyncio.Lock] = {}
         self._misplaced_since: dict[int, float] = {}
+        self._handed_off_by_number: dict[int, asyncio.Event] = {}
         self._stopping = False
         self._created_at = time.monotonic()
         self._ownership = OwnershipChecks()
@@ -138,7 +144,8 @@
             return Failed(found.failure())
         shard = found.unwrap()
         ownership = await self._ownership.check(shard)
-        if ownership is Ownership.LOST:
+        is_handed_off = self._shard_by_number.get(number) is not shard
+        if ownership is Ownership.LOST or is_handed_off:
             return Failed(self._not_owner_failure(number))
         outcome = await shard.submit(operation, caller)
         if ownership is Ownership.UNKNOWN and _is_not_found(outcome):
@@ -158,6 +165,10 @@
         number = hashing.shard_of(key.program_id)
         shard = self._shard_by_number.get(number)
         if shard is None or not shard.is_owned:
+            # Outcomes do not change after the handoff. The next owner has
+            # only those in the journal, and may not exist yet.
+            shard = self._stopped_shard_by_number.get(number)
+        if shard is None:
             return Failed(self._not_owner_failure(number))
         return await shard.read(key, workspace, attempt, offset, wait_s)
 
@@ -232,17 +243,20 @@
             finish_s: Longest wait for the calls of a shard, in seconds.
         """
         self._stopping = True
+        numbers = {
+            *self._shard_by_number,
+            *self._open_lock_by_number,
+            *self._handed_off_by_number,
+        }
         await asyncio.gather(
-            *(
-                self._finish_and_hand_off(number, shard, finish_s)
-                for number, shard in list(self._shard_by_number.items())
-            )
+            *(self._stop_shard(number, finish_s) for number in numbers)
         )
 
     async def force_takeover(self, number: int) -> Result[Shard, Failure]:
         """Takes over a shard even from a live owner."""
-        lock = self._open_lock_by_number.setdefault(number, asyncio.Lock())
-        async with lock:
+        async with self._open_lock(number):
+            if self._stopping:
+                return Failed(self._not_owner_failure(number))
             return await self._take_over(number, forced=True)
 
     def dump(self) -> JsonValue:
@@ -256,8 +270,7 @@
         shard = self._shard_by_number.get(number)
         if shard is not None and shard.is_owned:
             return Success(shard)
-        lock = self._open_lock_by_number.setdefault(number, asyncio.Lock())
-        async with lock:
+        async with self._open_lock(number):
             shard = self._shard_by_number.get(number)
             if shard is not None and shard.is_owned:
                 return Success(shard)
@@ -312,6 +325,9 @@
         """
         if self._stopping:
             return self._not_owner_failure(number)
+        if not self._in_force.number:
+            # A starting host knows no upstream yet and would refuse the calls.
+            return self._not_owner_failure(number)
         if self._cluster.owner_of_shard(number) != self._cluster.host:
             return self._not_owner_failure(number)
         read = await read_head(self._store, number)
@@ -339,8 +355,11 @@
 
     def _not_owner_failure(self, number: int) -> Failure:
         host = self._cluster.owner_of_shard(number)
-        hint = "" if host == self._cluster.host else host
-        return Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=hint)
+        if host != self._cluster.host:
+            return Failure(ErrorKind.NOT_OWNER, f"shard {number}", host=host)
+        # Every other host is stopping too, or none is known.
+        kind = ErrorKind.STOPPING if self._stopping else ErrorKind.NOT_OWNER
+        return Failure(kind, f"shard {number}")
 
     def _is_handing_off(self, number: int) -> bool:
         if self._stopping:
@@ -361,17 +380,52 @@
     async def _hand_off(self, number: int, shard: Shard) -> None:
         self._shard_by_number.pop(number, None)
         self._misplaced_since.pop(number, None)
-        await shard.hand_off()
-        await shard.close()
+        handed_off = self._handed_off_by_number[number] = asyncio.Event()
+        try:
+            await shard.hand_off()
+            await shard.close()
+        finally:
+            handed_off.set()
         logs.write("shard_handed_over", shard=number)
 
-    async def _finish_and_hand_off(
-        self, number: int, shard: Shard, finish_s: float
-    ) -> None:
+    async def _stop_shard(self, number: int, finish_s: float) -> None:
+        # A takeover under way still opens its shard, and the calls that wait
+        # for it are accepted there.
+        async with self._open_lock(number):
+            shard = self._shard_by_number.get(number)
+        if shard is not None:
+            await self._finish_calls(shard, finish_s)
+            self._stopped_shard_by_number[number] = shard
+        # The write is repeated until the platform answers. In an outage, the
+        # stop would wait for it until the process is killed, with all requests
+        # of other hosts' programs.
+        try:
+            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+                await self._hand_off_once(number, shard)
+        except TimeoutError:
+            logs.write("shard_not_handed_over", shard=number)
+            if shard is not None:
+                await shard.close()
+
+    async def _finish_calls(self, shard: Shard, finish_s: float) -> None:
         deadline = time.monotonic() + finish_s
         while shard.in_flight and time.monotonic() < deadline:
-            await asyncio.sleep(0.02)
-        await self._hand_off(number, shard)
+            await asyncio.sleep(_FINISH_POLL_S)
+
+    async def _hand_off_once(self, number: int, shard: Shard | None) -> None:
+        """Hands a shard off, or waits for the move that does so already.
+
+        The end of the process, or a second handoff, would cut off its write.
+        """
+        if shard is not None and self._shard_by_number.get(number) is shard:
+            await self._hand_off(number, shard)
+            return
+        moved = self._handed_off_by_number.get(number)
+        if moved is not None:
+            await moved.wait()
+
+    def _open_lock(self, number: int) -> asyncio.Lock:
+        return self._open_lock_by_number.setdefault(number, asyncio.Lock())
 
     async def _close_shard(self, number: int, shard: Shard) -> None:
         self._shard_by_number.pop(number, None)
