--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -363,8 +363,8 @@
         )
 
     async def _wait_idle(self, deadline: float) -> None:
-        """Waits until no request is in progress, or until a monotonic time."""
-        while self._relay.active_requests and time.monotonic() < deadline:
+        """Waits until no caller is owed a response, or a monotonic time."""
+        while not self._relay.is_idle and time.monotonic() < deadline:
             await asyncio.sleep(_POLL_INTERVAL_S)
 
     def _register_dumps(self) -> None:
@@ -399,7 +399,7 @@
         )
         self._dump.register("usage", self._dump_usage)
         self._dump.register("lease_age_s", lambda: self._lease.age_s)
-        self._dump.register("busy", lambda: self._relay.active_requests)
+        self._dump.register("connections", self._relay.count_by_state)
 
     def _dump_usage(self) -> JsonValue:
         """Returns the levels of the workspaces with least left."""
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -83,12 +83,21 @@
     """
 
     def __init__(
-        self, serve: Callable[["CallerConnection"], Awaitable[None]]
+        self,
+        serve: Callable[["CallerConnection"], Awaitable[None]],
+        open_connections: set["CallerConnection"],
     ) -> None:
+        """Initializes the protocol of a connection that is about to open.
+
+        Args:
+            serve: Serves the connection until it is closed.
+            open_connections: Holds this one while it is open.
+        """
         super().__init__()
         self.limits = ReadLimits()
         self.request: Request | None = None
         self._serve = serve
+        self._open_connections = open_connections
         self._task: asyncio.Task[None] | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._requests: collections.deque[Request] = collections.deque()
@@ -122,11 +131,13 @@
     def connection_made(self, transport: Any) -> None:
         """See ``asyncio.Protocol``."""
         super().connection_made(transport)
+        self._open_connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See ``asyncio.Protocol``."""
         super().connection_lost(exc)
+        self._open_connections.discard(self)
         if self._task is not None:
             self._task.cancel()
 
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -66,13 +66,11 @@
     """Serves the connections of callers.
 
     Attributes:
-        active_requests: Number of requests being served.
         is_stopping: Whether responses ask the caller to open a new connection.
         pool: Connections to replicas.
     """
 
     def __init__(self, dependencies: RelayDependencies) -> None:
-        self.active_requests = 0
         self.is_stopping = False
         self.pool = ConnectionPool(dependencies.metrics)
         self._dependencies = dependencies
@@ -90,7 +88,7 @@
 
     def create_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
-        return CallerConnection(self.serve)
+        return CallerConnection(self.serve, self._connections)
 
     @property
     def connections(self) -> int:
@@ -101,14 +99,20 @@
         """Returns the number of callers' connections in each state."""
         return dict(collections.Counter(c.state for c in self._connections))
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no caller is owed a response."""
+        return all(c.state is ConnectionState.IDLE for c in self._connections)
+
     def close_idle(self) -> None:
-        """Closes the connections that serve no request."""
+        """Closes the connections on which no caller is owed a response.
+
+        A request that was read, even in part, is owed one: its caller can't
+        tell whether it was executed.
+        """
         for connection in list(self._connections):
-            if connection.state is ConnectionState.SERVING:
-                continue
-            if connection.state is not ConnectionState.IDLE:
-                self._log_unanswered(connection)
-            connection.close()
+            if connection.state is ConnectionState.IDLE:
+                connection.close()
 
     def log_unanswered(self) -> None:
         """Logs the connections that the end of the process cuts off."""
@@ -124,15 +128,12 @@
 
     async def serve(self, connection: CallerConnection) -> None:
         """Serves the requests of one connection in sequence."""
-        self._connections.add(connection)
         try:
             while await self._serve_next(connection):
                 pass
             await close_gracefully(connection)
         except ConnectionLostError:
             connection.abort()
-        finally:
-            self._connections.discard(connection)
 
     async def _serve_next(self, connection: CallerConnection) -> bool:
         connection.limits = self._read_limits()
@@ -144,11 +145,9 @@
             self._send_error(writer, "", arrived)
             return False
         connection.request = arrived
-        self.active_requests += 1
         try:
             return await self._respond(connection, arrived)
         finally:
-            self.active_requests -= 1
             connection.request = None
 
     async def _respond(
--- a/libs/gateway/tests/test_callers.py
+++ b/libs/gateway/tests/test_callers.py
@@ -11,7 +11,7 @@
 
 class ConnectionStateTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.connection = CallerConnection(self._serve)
+        self.connection = CallerConnection(self._serve, set())
         self.transport = mock.Mock(spec=asyncio.Transport)
         self.transport.is_closing.return_value = False
         self.transport.get_write_buffer_size.return_value = 0
