--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -73,8 +73,11 @@
 # Time from SIGTERM until the balancer sends no more connections: it probes
 # readiness every second and removes a host after two failures.
 _BALANCER_DRAIN_S = 2.6
-# The part of the grace period that is reserved for closing down.
-_SHUTDOWN_RESERVE_S = 0.7
+# The parts of the grace period that are reserved for closing down: to give
+# callers whose requests are unfinished their final responses, and then to send
+# the last settlements.
+_FINAL_RESPONSES_S = 0.35
+_SETTLEMENTS_S = 0.35
 _CLOSE_IDLE_INTERVAL_S = 5.0
 _PURGE_INTERVAL_S = 60.0
 _POLL_INTERVAL_S = 0.05
@@ -328,9 +331,8 @@
 
     async def _stop(self) -> None:
         started_at = time.monotonic()
-        drain_deadline = (
-            started_at + self._settings.grace_s - _SHUTDOWN_RESERVE_S
-        )
+        settle_at = started_at + self._settings.grace_s - _SETTLEMENTS_S
+        give_up_at = settle_at - _FINAL_RESPONSES_S
         self._is_stopping = True
         self._relay.is_stopping = True
         self._ledger.is_stopping = True
@@ -339,17 +341,21 @@
         await self._reconciler.hand_over_all()
         while time.monotonic() < started_at + _BALANCER_DRAIN_S:
             await asyncio.sleep(_POLL_INTERVAL_S)
-        await self._wait_idle(drain_deadline)
+        await self._wait_idle(give_up_at)
         # From here on callers are refused a connection and go elsewhere; what
         # has been read meanwhile is still answered.
         for server in self._servers:
             server.close()
         logs.write("listener_closed", connections=self._relay.count_by_state())
         self._relay.close_idle()
-        await self._wait_idle(drain_deadline + _SHUTDOWN_RESERVE_S / 2)
+        await self._wait_idle(give_up_at)
+        if not self._relay.is_idle:
+            logs.write("giving_up", connections=self._relay.count_by_state())
+            self._relay.give_up()
+            await self._wait_idle(settle_at)
         self._relay.close_idle()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_SHUTDOWN_RESERVE_S / 2):
+            async with asyncio.timeout(_SETTLEMENTS_S):
                 await self._ledger.flush()
         await self._timers.close()
         for task in self._tasks:
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -157,17 +157,17 @@
             self._parser.feed_data(data)
             self._check_head_size()
         except httptools.HttpParserCallbackError as error:
-            self._reject(_cause(error))
+            self.reject(_cause(error))
         except httptools.HttpParserUpgrade:
-            self._reject(
+            self.reject(
                 Failure(
                     ErrorKind.BAD_REQUEST, "protocol upgrades are not supported"
                 )
             )
         except httptools.HttpParserError as error:
-            self._reject(Failure(ErrorKind.BAD_REQUEST, str(error)))
+            self.reject(Failure(ErrorKind.BAD_REQUEST, str(error)))
         except _RejectedError as error:
-            self._reject(error.failure)
+            self.reject(error.failure)
 
     async def next_request(self) -> Request | Failure | None:
         """Waits for the next request.
@@ -198,6 +198,11 @@
             self.transport.resume_reading()
         return request
 
+    def reject(self, failure: Failure) -> None:
+        """Ends the request that is being read with a failure."""
+        self._failure = failure
+        self._arrived.set()
+
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._message_began_at = asyncio.get_running_loop().time()
@@ -294,10 +299,6 @@
         ):
             raise _RejectedError(Failure(ErrorKind.HEADERS_TOO_LARGE))
 
-    def _reject(self, failure: Failure) -> None:
-        self._failure = failure
-        self._arrived.set()
-
     def _read_deadline(self) -> float:
         if self._message_began_at is not None:
             return self._message_began_at + self.limits.request_timeout_s
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -75,6 +75,8 @@
         self.pool = ConnectionPool(dependencies.metrics)
         self._dependencies = dependencies
         self._connections: set[CallerConnection] = set()
+        self._limit_by_connection: dict[CallerConnection, asyncio.Timeout] = {}
+        self._has_given_up = False
         sender = Sender(self.pool, dependencies.codec, dependencies.metrics)
         self._unary = UnaryRelay(
             dependencies.fleet, sender, dependencies.settings
@@ -114,6 +116,23 @@
             if connection.state is ConnectionState.IDLE:
                 connection.close()
 
+    def give_up(self) -> None:
+        """Gives every unanswered request its final response now.
+
+        The process ends soon. A closed connection would not tell the caller
+        whether the request was executed: a request that no replica was given
+        is rejected as not executed, any other gets a response that says its
+        outcome is unknown. A stream that has begun is broken off, so that its
+        caller resumes it elsewhere.
+        """
+        self._has_given_up = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._limit_by_connection.values():
+            limit.reschedule(now)
+        for connection in self._connections:
+            if connection.state is ConnectionState.READING:
+                connection.reject(Failure(ErrorKind.STOPPING))
+
     def log_unanswered(self) -> None:
         """Logs the connections that the end of the process cuts off."""
         for connection in self._connections:
@@ -142,7 +161,10 @@
             return False
         if isinstance(arrived, Failure):
             writer = ResponseWriter(connection, keeps_alive=False)
-            self._send_error(writer, "", arrived)
+            metadata = self._dependencies.codec.parse_request(
+                connection.headers
+            )
+            self._send_error(writer, metadata.request_id, arrived)
             return False
         connection.request = arrived
         try:
@@ -165,7 +187,7 @@
         else:
             call = routed.unwrap()
             try:
-                outcome = await self._run(call, writer)
+                outcome = await self._run_until_stop(connection, call, writer)
             except asyncio.CancelledError:
                 logs.write_bounded(
                     "caller_left",
@@ -253,6 +275,23 @@
             return Failed(Failure(ErrorKind.KEY_UNVERIFIED, detail))
         return Failed(Failure(failure.kind, detail))
 
+    async def _run_until_stop(
+        self, connection: CallerConnection, call: Call, writer: ResponseWriter
+    ) -> BufferedResponse | Failure | None:
+        if self._has_given_up:
+            return Failure(ErrorKind.STOPPING)
+        limit = asyncio.timeout(None)
+        self._limit_by_connection[connection] = limit
+        try:
+            async with limit:
+                return await self._run(call, writer)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return _unfinished(call, writer)
+        finally:
+            del self._limit_by_connection[connection]
+
     async def _run(
         self, call: Call, writer: ResponseWriter
     ) -> BufferedResponse | Failure | None:
@@ -346,6 +385,20 @@
         )
 
 
+def _unfinished(call: Call, writer: ResponseWriter) -> Failure | None:
+    """Ends a call that a planned stop gives up.
+
+    Returns:
+        The failure to send; None if the response had begun.
+    """
+    if writer.status:
+        writer.abort()
+        return None
+    if call.replica_ids:
+        return Failure(ErrorKind.OUTCOME_UNKNOWN, "the host is stopping")
+    return Failure(ErrorKind.STOPPING)
+
+
 def _admission_claim(call: Call) -> AdmissionClaim | None:
     """Returns what a call needs of the ledger; None for nothing."""
     metadata = call.metadata
