--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -338,7 +338,9 @@
         self._ledger.is_stopping = True
         self._copies.is_stopping = True
         logs.write("stopping", connections=self._relay.count_by_state())
-        await self._reconciler.hand_over_all()
+        # Beside the requests: hosts that do not respond delay it for seconds,
+        # and callers must have their responses before the process is killed.
+        hand_over = asyncio.create_task(self._reconciler.hand_over_all())
         while time.monotonic() < started_at + _BALANCER_DRAIN_S:
             await asyncio.sleep(_POLL_INTERVAL_S)
         await self._wait_idle(give_up_at)
@@ -354,6 +356,7 @@
             self._relay.give_up()
             await self._wait_idle(settle_at)
         self._relay.close_idle()
+        await self._finish_hand_over(hand_over, settle_at)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_SETTLEMENTS_S):
                 await self._ledger.flush()
@@ -368,6 +371,17 @@
             took_s=round(time.monotonic() - started_at, 3),
         )
 
+    async def _finish_hand_over(
+        self, hand_over: asyncio.Task[None], deadline: float
+    ) -> None:
+        remaining_s = max(0.0, deadline - time.monotonic())
+        _, pending = await asyncio.wait({hand_over}, timeout=remaining_s)
+        if pending:
+            hand_over.cancel()
+            logs.write("hand_over_cut_off", shards=self.owned_shards)
+            return
+        hand_over.result()
+
     async def _wait_idle(self, deadline: float) -> None:
         """Waits until no caller is owed a response, or a monotonic time."""
         while not self._relay.is_idle and time.monotonic() < deadline:
