--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -73,6 +73,9 @@
 # Time from SIGTERM until the balancer sends no more connections: it probes
 # readiness every second and removes a host after two failures.
 _BALANCER_DRAIN_S = 2.6
+# The part of the grace period after which no new connections are accepted. A
+# request that comes later could not be answered before the process is killed.
+_ACCEPT_SHARE = 0.5
 # The parts of the grace period that are reserved for closing down: to give
 # callers whose requests are unfinished their final responses, and then to send
 # the last settlements.
@@ -343,7 +346,9 @@
         hand_over = asyncio.create_task(self._reconciler.hand_over_all())
         while time.monotonic() < started_at + _BALANCER_DRAIN_S:
             await asyncio.sleep(_POLL_INTERVAL_S)
-        await self._wait_idle(give_up_at)
+        await self._wait_idle(
+            started_at + self._settings.grace_s * _ACCEPT_SHARE
+        )
         # From here on callers are refused a connection and go elsewhere; what
         # has been read meanwhile is still answered.
         for server in self._servers:
