--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -29,7 +29,12 @@
 from masticdale_entry.status import StatusServer, dump_page, metrics_page
 from masticdale_entry.watched_state import ActiveConfiguration, ReplicaList
 from masticdale_entry.watching import Watcher, WatchTarget
-from masticdale_gateway import Relay, RelayDependencies, listen
+from masticdale_gateway import (
+    Relay,
+    RelayDependencies,
+    close_listener,
+    listen,
+)
 from masticdale_ledger import (
     LEASE_CHECK_INTERVAL_S,
     LEDGER,
@@ -73,6 +78,9 @@
 # Time from SIGTERM until the balancer sends no more connections: it probes
 # readiness every second and removes a host after two failures.
 _BALANCER_DRAIN_S = 2.6
+# Time from the last accepted connection until idle ones are closed: some times
+# the way between a caller and this host.
+_LAST_REQUESTS_S = 0.1
 # The part of the grace period after which no new connections are accepted. A
 # request that comes later could not be answered before the process is killed.
 _ACCEPT_SHARE = 0.5
@@ -352,8 +360,10 @@
         # From here on callers are refused a connection and go elsewhere; what
         # has been read meanwhile is still answered.
         for server in self._servers:
-            server.close()
+            await close_listener(server)
         logs.write("listener_closed", connections=self._relay.count_by_state())
+        # Callers that have just connected are about to send their request.
+        await asyncio.sleep(_LAST_REQUESTS_S)
         self._relay.close_idle()
         await self._wait_idle(give_up_at)
         if not self._relay.is_idle:
@@ -385,7 +395,9 @@
             hand_over.cancel()
             logs.write("hand_over_cut_off", shards=self.owned_shards)
             return
-        hand_over.result()
+        error = hand_over.exception()
+        if error is not None:
+            logs.write("hand_over_failed", error=repr(error))
 
     async def _wait_idle(self, deadline: float) -> None:
         """Waits until no caller is owed a response, or a monotonic time."""
--- a/libs/gateway/src/masticdale_gateway/__init__.py
+++ b/libs/gateway/src/masticdale_gateway/__init__.py
@@ -13,7 +13,12 @@
     ResponseMetadata,
 )
 from masticdale_gateway.messages import Header, Headers, Request, ResponseHead
-from masticdale_gateway.relay import Relay, RelayDependencies, listen
+from masticdale_gateway.relay import (
+    Relay,
+    RelayDependencies,
+    close_listener,
+    listen,
+)
 
 __all__ = [
     "Admission",
@@ -30,5 +35,6 @@
     "RequestMetadata",
     "ResponseHead",
     "ResponseMetadata",
+    "close_listener",
     "listen",
 ]
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -182,6 +182,8 @@
                 async with asyncio.timeout_at(self._read_deadline()):
                     await self._arrived.wait()
             except TimeoutError:
+                if self._requests or self._failure is not None:
+                    break
                 if self._message_began_at is None:
                     return None
                 if asyncio.get_running_loop().time() >= self._read_deadline():
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -36,6 +36,10 @@
 from masticdale_routing.routes import Configuration, Route, Service
 from masticdale_workspaces import UsageClaim, Workspace
 
+# Turns of the event loop from the arrival of a connection in the accept queue
+# until it is open and registered.
+_ACCEPT_LOOP_TURNS = 4
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayDependencies:
@@ -199,7 +203,10 @@
                     took_ms=round(1000 * (time.monotonic() - began), 1),
                 )
                 raise
-        writer.keeps_alive = writer.keeps_alive and not self.is_stopping
+        # A head that was sent before the stop has promised to serve what the
+        # caller sends next.
+        if not writer.status:
+            writer.keeps_alive = writer.keeps_alive and not self.is_stopping
         if isinstance(outcome, Failure):
             self._send_error(writer, metadata.request_id, outcome)
         elif outcome is not None:
@@ -444,3 +451,24 @@
     return await loop.create_server(
         relay.create_connection, host, port, backlog=backlog
     )
+
+
+async def close_listener(server: asyncio.Server) -> None:
+    """Closes a listener after it has accepted the connections in its queue.
+
+    Closing it right away would reset them, and their callers may already have
+    sent a request.
+    """
+    loop = asyncio.get_running_loop()
+    await _run_pending_callbacks()
+    # Each accepted socket becomes a connection in a task of its own, which
+    # fails once the server is closed.
+    for listening in server.sockets:
+        loop.remove_reader(listening.fileno())
+    await _run_pending_callbacks()
+    server.close()
+
+
+async def _run_pending_callbacks() -> None:
+    for _ in range(_ACCEPT_LOOP_TURNS):
+        await asyncio.sleep(0)
