--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -184,7 +184,8 @@
         await self.wait_received(self.unary_replicas)
         started_at = time.monotonic()
         self.host.stop_event.set()
-        late = started_at + 0.8 * (GRACE_S - entry._SHUTDOWN_RESERVE_S)
+        reserve_s = entry._FINAL_RESPONSES_S + entry._SETTLEMENTS_S
+        late = started_at + 0.8 * (GRACE_S - reserve_s)
         await asyncio.sleep(late - time.monotonic())
         try:
             caller = self.call(encode_call("late", NON_IDEMPOTENT))
@@ -408,9 +409,7 @@
         """Guards against an end of the process with bytes not yet sent."""
         caller = self.call(encode_call("r"), receive_buffer_bytes=4096)
         await self.wait_received(self.unary_replicas)
-        while not self.host.entry._relay.connections or (
-            self.host.entry._relay.active_requests
-        ):
+        while not self.host.entry._relay.count_by_state().get("flushing"):
             await asyncio.sleep(0.01)
         reading = asyncio.create_task(caller.read())
         await self.stop()
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -154,10 +154,19 @@
         try:
             while await self._serve_next(connection):
                 pass
-            await close_gracefully(connection)
+            await self._close(connection)
         except ConnectionLostError:
             connection.abort()
 
+    async def _close(self, connection: CallerConnection) -> None:
+        if not self.is_stopping:
+            await close_gracefully(connection)
+            return
+        # The end of the process is the only limit on a slow reader: a caller
+        # whose response is cut off must repeat a request that has run.
+        connection.close()
+        await connection.lost.wait()
+
     async def _serve_next(self, connection: CallerConnection) -> bool:
         connection.limits = self._read_limits()
         arrived = await connection.next_request()
--- a/libs/gateway/tests/test_closing_connections.py
+++ b/libs/gateway/tests/test_closing_connections.py
@@ -163,7 +163,7 @@
         self.assertIn(b"HTTP/1.1 404", transport.written)
 
     async def test_a_request_just_before_the_idle_timeout_is_returned(self):
-        connection = CallerConnection(lambda _: asyncio.sleep(60.0))
+        connection = CallerConnection(lambda _: asyncio.sleep(60.0), set())
         connection.limits = ReadLimits(idle_timeout_s=IDLE_TIMEOUT_S)
         transport = Transport(connection)
         connection.connection_made(transport)
