--- /dev/null
+++ b/apps/masticdale_entry/tests/test_final_responses.py
@@ -0,0 +1,39 @@
+"""Tests of the responses of a host that has given up its requests."""
+
+import asyncio
+import unittest
+
+from case import NON_IDEMPOTENT
+from test_stopping_orders import OrderCase, encode_call
+
+
+class FinalResponseTest(OrderCase):
+    async def test_a_request_read_afterwards_is_not_passed_on(self):
+        """Guards against executing a request of which nobody waits."""
+        self.host.entry._relay.give_up()
+        caller = self.call(encode_call("late", NON_IDEMPOTENT))
+        await caller.read(until=b"\r\n\r\n")
+        self.assertEqual(caller.statuses, [503])
+        self.assertEqual(self.requests_seen(self.unary_replicas), [])
+
+    async def test_a_refusal_names_the_request_that_was_read_in_part(self):
+        """Guards against a response that a caller can't tell apart."""
+        head = encode_call("part", NON_IDEMPOTENT)
+        caller = self.call(head.replace(b"Length: 0", b"Length: 9"))
+        relay = self.host.entry._relay
+        await self.wait_reading(relay)
+        relay.give_up()
+        await caller.read(until=b"\r\n\r\n")
+        self.assertEqual(caller.statuses, [503])
+        self.assertIn(b"request-id: part\r\n", caller.received.lower())
+
+    async def wait_reading(self, relay):
+        for _ in range(200):
+            if relay.count_by_state().get("reading"):
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("no request is being read")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/gateway/tests/test_giving_up.py
+++ b/libs/gateway/tests/test_giving_up.py
@@ -84,5 +84,42 @@
         self.assertIn(b"HTTP/1.1 503", self.transport.written)
 
 
+class IdleTest(unittest.IsolatedAsyncioTestCase):
+    """A relay is not idle while it owes a response, in any state."""
+
+    async def asyncSetUp(self):
+        self.relay = create_relay()
+        self.connection = self.relay.create_connection()
+        self.transport = SlowTransport(self.connection)
+        self.connection.connection_made(self.transport)
+        self.addAsyncCleanup(close, self.transport)
+
+    async def test_a_request_read_before_the_first_step_of_its_task(self):
+        """Guards against a stop that does not see a new connection."""
+        relay = create_relay()
+        connection = relay.create_connection()
+        transport = SlowTransport(connection)
+        connection.connection_made(transport)
+        self.addAsyncCleanup(close, transport)
+        connection.data_received(REQUEST)
+        self.assertFalse(relay.is_idle)
+
+    async def test_a_request_read_in_part(self):
+        """Guards against a stop that ends between two parts of a request."""
+        await run_steps()
+        self.connection.data_received(REQUEST[:-2])
+        await run_steps()
+        self.assertFalse(self.relay.is_idle)
+
+    async def test_a_response_that_is_not_sent_whole(self):
+        """Guards against a stop that ends before a slow reader has read."""
+        await run_steps()
+        self.connection.data_received(REQUEST)
+        await run_steps()
+        self.assertTrue(self.relay.is_idle)
+        self.transport.pending_bytes = 1
+        self.assertFalse(self.relay.is_idle)
+
+
 if __name__ == "__main__":
     unittest.main()
