Refuse a request that is half read, or begins, as the host gives up

Callers saw a connection closed without the 503 that says that their request was not executed.

Cause, found in review: giving up refused the request of a connection in the state READING only. One whose earlier response, or 100 Continue, was still being sent counts as FLUSHING, though part of a next request was read; and a request that began after that moment was never refused.

Every connection is told; what is being read then, or is begun later, is refused.

--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -102,6 +102,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._requests: collections.deque[Request] = collections.deque()
         self._failure: Failure | None = None
+        self._failure_of_unread: Failure | None = None
         self._arrived = asyncio.Event()
         self._message_began_at: float | None = None
         self._reset_message()
@@ -117,9 +118,14 @@
             return ConnectionState.IDLE
         if self._requests or self._failure is not None:
             return ConnectionState.QUEUED
-        if self._message_began_at is not None:
-            return ConnectionState.READING
-        return ConnectionState.IDLE
+        return (
+            ConnectionState.READING if self.is_reading else ConnectionState.IDLE
+        )
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request was read in part, whatever else is unfinished."""
+        return self._message_began_at is not None
 
     @property
     def headers(self) -> Headers:
@@ -157,17 +163,17 @@
             self._parser.feed_data(data)
             self._check_head_size()
         except httptools.HttpParserCallbackError as error:
-            self.reject(_cause(error))
+            self._reject(_cause(error))
         except httptools.HttpParserUpgrade:
-            self.reject(
+            self._reject(
                 Failure(
                     ErrorKind.BAD_REQUEST, "protocol upgrades are not supported"
                 )
             )
         except httptools.HttpParserError as error:
-            self.reject(Failure(ErrorKind.BAD_REQUEST, str(error)))
+            self._reject(Failure(ErrorKind.BAD_REQUEST, str(error)))
         except _RejectedError as error:
-            self.reject(error.failure)
+            self._reject(error.failure)
 
     async def next_request(self) -> Request | Failure | None:
         """Waits for the next request.
@@ -200,15 +206,21 @@
             self.transport.resume_reading()
         return request
 
-    def reject(self, failure: Failure) -> None:
-        """Ends the request that is being read with a failure."""
-        self._failure = failure
-        self._arrived.set()
+    def reject_unread(self, failure: Failure) -> None:
+        """Ends the request that is being read, or the next one, with a failure.
+
+        A request that was read whole is not affected.
+        """
+        self._failure_of_unread = failure
+        if self._message_began_at is not None:
+            self._reject(failure)
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._message_began_at = asyncio.get_running_loop().time()
         self._arrived.set()
+        if self._failure_of_unread is not None:
+            self._reject(self._failure_of_unread)
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser."""
@@ -301,6 +313,10 @@
         ):
             raise _RejectedError(Failure(ErrorKind.HEADERS_TOO_LARGE))
 
+    def _reject(self, failure: Failure) -> None:
+        self._failure = failure
+        self._arrived.set()
+
     def _read_deadline(self) -> float:
         if self._message_began_at is not None:
             return self._message_began_at + self.limits.request_timeout_s
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -136,8 +136,7 @@
         for limit in self._limit_by_connection.values():
             limit.reschedule(now)
         for connection in self._connections:
-            if connection.state is ConnectionState.READING:
-                connection.reject(Failure(ErrorKind.STOPPING))
+            connection.reject_unread(Failure(ErrorKind.STOPPING))
 
     def log_unanswered(self) -> None:
         """Logs the connections that the end of the process cuts off."""
