Accept what the kernel has queued in the step that closes the listener

Callers saw a reset after they had connected and sent a request, in the few turns of the event loop in which a stop closes its listener.

Cause, found in review: the listener stopped accepting, and its socket was closed four turns later, so that the connections of the accepted sockets could be made; the kernel went on to queue callers meanwhile, and closing the socket reset them.

The queue is now emptied in the same step in which the listener is closed, and these sockets are handed to the event loop afterwards. ClosingListenerTest failed for calls in turns 4 to 8 of 16, none now; the test is changed only where it calls close_listener, which needs the relay.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -106,7 +106,8 @@
         self._timers = TimerService()
         self._dump = StateDump()
         self._tasks: list[asyncio.Task[None]] = []
-        self._servers: list[asyncio.Server] = []
+        self._status_servers: list[asyncio.Server] = []
+        self._listener: asyncio.Server | None = None
         self._is_stopping = False
         incarnation = f"{time.time_ns():x}-{uuid.uuid4().hex[:8]}"
         peers_bind = _required(settings.peers)
@@ -252,8 +253,10 @@
             task.cancel()
         self._relay.abort()
         await self._peer_server.close(0.0)
-        for server in self._servers:
+        for server in self._status_servers:
             server.close()
+        if self._listener is not None:
+            self._listener.close()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then shuts down gracefully."""
@@ -299,7 +302,7 @@
         readiness = _required(settings.readiness)
         callers = _required(settings.callers)
         page_by_path = {READINESS_PATH: self._readiness}
-        self._servers.append(
+        self._status_servers.append(
             await StatusServer(page_by_path).listen(
                 str(readiness.ip), readiness.port
             )
@@ -309,13 +312,13 @@
                 "/metrics": metrics_page(self._metrics),
                 "/state": dump_page(self._dump),
             }
-            self._servers.append(
+            self._status_servers.append(
                 await StatusServer(page_by_path).listen(
                     str(callers.ip), settings.metrics_port
                 )
             )
-        self._servers.append(
-            await listen(self._relay, str(callers.ip), callers.port, _BACKLOG)
+        self._listener = await listen(
+            self._relay, str(callers.ip), callers.port, _BACKLOG
         )
         logs.write("listening", address=str(callers))
 
@@ -361,8 +364,10 @@
         )
         # From here on callers are refused a connection and go elsewhere; what
         # has been read meanwhile is still answered.
-        for server in self._servers:
-            await close_listener(server)
+        for server in self._status_servers:
+            server.close()
+        if self._listener is not None:
+            await close_listener(self._relay, self._listener)
         logs.write("listener_closed", connections=self._relay.count_by_state())
         # Callers that have just connected are about to send their request.
         await asyncio.sleep(_LAST_REQUESTS_S)
--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -567,7 +567,7 @@
         host = RunningHost("starting", self.store.port)
         self.hosts.append(host)
         host.start()
-        while not host.entry._servers or len(host.entry._servers) < 3:
+        while host.entry._listener is None:
             await asyncio.sleep(0)
         caller = self.call(encode_call("r"), host)
         await caller.read(until=b"\r\n\r\n")
@@ -582,7 +582,7 @@
         host = RunningHost("starting", self.store.port, [free_port()])
         self.hosts.append(host)
         host.start()
-        while not host.entry._servers or len(host.entry._servers) < 3:
+        while host.entry._listener is None:
             await asyncio.sleep(0)
         host.stop_event.set()
         caller = self.call(encode_call("r"), host)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -4,8 +4,9 @@
 import collections
 import dataclasses
 import json
+import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -36,8 +37,8 @@
 from masticdale_routing.routes import Configuration, Route, Service
 from masticdale_workspaces import UsageClaim, Workspace
 
-# Turns of the event loop from the arrival of a connection in the accept queue
-# until it is open and registered.
+# Turns of the event loop from the accept of a connection until it is open and
+# registered.
 _ACCEPT_LOOP_TURNS = 4
 
 
@@ -463,20 +464,37 @@
     )
 
 
-async def close_listener(server: asyncio.Server) -> None:
-    """Closes a listener after it has accepted the connections in its queue.
+async def close_listener(relay: Relay, server: asyncio.Server) -> None:
+    """Closes a listener and serves the connections in its accept queue.
 
     Closing it right away would reset them, and their callers may already have
     sent a request.
+
+    Args:
+        relay: The relay that serves them.
+        server: The listener.
     """
     loop = asyncio.get_running_loop()
-    await _run_pending_callbacks()
-    # Each accepted socket becomes a connection in a task of its own, which
-    # fails once the server is closed.
     for listening in server.sockets:
         loop.remove_reader(listening.fileno())
+    # Each socket that the event loop has accepted becomes a connection in a
+    # task of its own, which fails once the server is closed.
     await _run_pending_callbacks()
+    accepted = [
+        s for listening in server.sockets for s in _accept_all(listening)
+    ]
     server.close()
+    for connection in accepted:
+        await loop.connect_accepted_socket(relay.create_connection, connection)
+
+
+def _accept_all(listening: socket.socket) -> Iterator[socket.socket]:
+    with listening.dup() as queue:
+        while True:
+            try:
+                yield queue.accept()[0]
+            except OSError:
+                return
 
 
 async def _run_pending_callbacks() -> None:
--- a/libs/gateway/tests/test_closing_listener.py
+++ b/libs/gateway/tests/test_closing_listener.py
@@ -35,7 +35,7 @@
         relay = create_relay()
         server = await listen(relay, "127.0.0.1", 0, BACKLOG)
         address = server.sockets[0].getsockname()
-        closing = asyncio.create_task(close_listener(server))
+        closing = asyncio.create_task(close_listener(relay, server))
         for _ in range(steps):
             await asyncio.sleep(0)
         with socket.socket() as caller:
