Wait for settlements under way at a planned stop

Operators saw a program's budget count the whole reservation of a turn that had ended, after a host had stopped: its program was told 402 too early.

Cause, found in review: `flush` takes the list of pending settlements. If the task that sends them was in the middle of it, the flush of the stop found nothing, returned at once, and the stop cancelled the task with its call.

One flush at a time; a second one waits for the first. test_settlements_being_sent_survive_a_stop failed before ([] != ['r']).

--- a/libs/ledger/src/masticdale_ledger/client.py
+++ b/libs/ledger/src/masticdale_ledger/client.py
@@ -132,6 +132,7 @@
             maxlen=_MAX_PENDING_SETTLEMENTS
         )
         self._has_reports = asyncio.Event()
+        self._flush_lock = asyncio.Lock()
         self._replica_failures = replica_failures or ReplicaFailures()
         self._replica_failures.on_news = self._has_reports.set
 
@@ -206,7 +207,14 @@
             await self.flush()
 
     async def flush(self) -> None:
-        """Sends the pending settlements; keeps those that can't be sent."""
+        """Sends the pending settlements; keeps those that can't be sent.
+
+        Returns once those that another call is sending have been sent too.
+        """
+        async with self._flush_lock:
+            await self._flush()
+
+    async def _flush(self) -> None:
         self._has_reports.clear()
         pending = list(self._settlements)
         self._settlements.clear()
