End a planned stop within its grace where each of its steps is slow

Operators saw SIGKILL in place of the end of a stop, without its last log lines; callers had their final responses by then.

Cause, found in review: the wait for final responses ended up to one poll after its time, and the limit of the settlements counted from there, not to the end.

Both limits are moments of the stop now. test_a_stop_with_slow_steps_ends_within_its_grace failed before (2.014 to 2.056 s of 2.0 s).

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -380,7 +380,7 @@
         self._relay.close_idle()
         await self._finish_hand_over(hand_over, settle_at)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_SETTLEMENTS_S):
+            async with asyncio.timeout(max(0.0, exit_at - time.monotonic())):
                 await self._ledger.flush()
         await self._timers.close()
         for task in self._tasks:
@@ -408,8 +408,11 @@
 
     async def _wait_idle(self, deadline: float) -> None:
         """Waits until no caller is owed a response, or a monotonic time."""
-        while not self._relay.is_idle and time.monotonic() < deadline:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+        while not self._relay.is_idle:
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                return
+            await asyncio.sleep(min(_POLL_INTERVAL_S, remaining_s))
 
     def _register_dumps(self) -> None:
         self._dump.register(
