Hand over a shard whose claim is written as the stop begins

Callers of programs of such a shard waited, or were refused as not run, until other hosts found its owner lost.

The claim hands the shard over when it finds the stop begun. test_a_claim_being_written_as_the_stop_begins_is_handed_over failed before.

--- a/libs/ledger/src/masticdale_ledger/reconciler.py
+++ b/libs/ledger/src/masticdale_ledger/reconciler.py
@@ -170,6 +170,7 @@
         claimed = await self._claims.claim(offer.shard, offer.version, takeover)
         if isinstance(claimed, Failed):
             return HandOverReply(claimed.failure())
+        await self._hand_over_late_claim(offer.shard)
         return HandOverReply()
 
     async def _prepare_for_offer(self, offer: HandOver) -> Failure | None:
@@ -198,6 +199,13 @@
         for shard in self._owner.owned().values():
             await self._hand_over(shard)
 
+    async def _hand_over_late_claim(self, shard_number: int) -> None:
+        """Hands over a shard whose claim was under way as the stop began."""
+        shard = self._owner.owned().get(shard_number)
+        if not self.is_stopping or shard is None or shard.is_handing_over:
+            return
+        await self._hand_over(shard)
+
     async def _drop_superseded(self) -> None:
         """Drops shards that other hosts have claimed.
 
@@ -268,6 +276,7 @@
             await self._claim_vacant(shard_number, previous)
         finally:
             self._claiming_shards.discard(shard_number)
+        await self._hand_over_late_claim(shard_number)
 
     async def _claim_vacant(
         self, shard_number: int, previous: PreviousOwnerState
