SIGHUP while a process ends leaves its exit code

Operators saw nothing yet; found while the first moments of a process were looked at. A process that had stopped gracefully, its last line `stopped` written, exited by signal 1 (-1) in place of 0 if SIGHUP came between the end of the event loop and the exit, at times with a traceback of a closed descriptor on standard error.

Cause: the handler belonged to the event loop, which gives it up when it is closed, and the default ends the process.

Mended: the handler is set with signal.signal and hands the check over to the loop; the last step of the coroutine ignores the signal, without a moment of the default between. Taking the loop's handler off first would have left one. The interpreter leaves an ignored signal ignored until the exit.

A second SIGTERM in that moment still ends the process by the signal: the platform sends one, and nothing is lost by then.

--- a/apps/masticdale_entry/src/masticdale_entry/main.py
+++ b/apps/masticdale_entry/src/masticdale_entry/main.py
@@ -5,12 +5,14 @@
 import pathlib
 import signal
 import sys
+import types
 
 from returns.result import Failure as Failed
 
 from masticdale_common import logs
 from masticdale_common import settings as settings_files
 from masticdale_entry.settings import Role, Settings
+from masticdale_entry.starting import ignore_hang_up
 
 _EXIT_INVALID_SETTINGS = 2
 
@@ -52,8 +54,15 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, check_settings, path, settings)
+    _check_settings_on_hang_up(loop, path, settings)
     logs.write("started", role=settings.role, store=str(settings.store))
+    try:
+        await _serve(settings, stop)
+    finally:
+        ignore_hang_up()
+
+
+async def _serve(settings: Settings, stop: asyncio.Event) -> None:
     if settings.role is Role.ENTRY:
         from masticdale_entry.entry import EntryHost
 
@@ -66,6 +75,23 @@
         await StorageHost(settings).run(stop)
 
 
+def _check_settings_on_hang_up(
+    loop: asyncio.AbstractEventLoop, path: str, settings: Settings
+) -> None:
+    """Checks the settings file at each SIGHUP.
+
+    The event loop's own handlers give way to the default when it is closed,
+    and SIGHUP would then end a process that has stopped gracefully by the
+    signal, as if it had failed. This one is replaced without a gap.
+    """
+
+    def check(number: int, frame: types.FrameType | None) -> None:
+        del number, frame
+        loop.call_soon_threadsafe(check_settings, path, settings)
+
+    signal.signal(signal.SIGHUP, check)
+
+
 def _enable_gc() -> None:
     """Enables garbage collection, excluding the objects loaded so far.
 
--- a/apps/masticdale_entry/src/masticdale_entry/starting.py
+++ b/apps/masticdale_entry/src/masticdale_entry/starting.py
@@ -4,11 +4,11 @@
 
 
 def ignore_hang_up() -> None:
-    """Ignores SIGHUP until its handler is installed.
+    """Ignores SIGHUP, before its handler is installed and after its use.
 
     SIGHUP makes a running process check its settings file, but by default it
     terminates the process. One that is still importing modules would end
-    without a log line.
+    without a log line, and one that has stopped with the wrong exit code.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
