SIGHUP stops masticdaled gracefully, as SIGTERM does

Callers see: a masticdaled that gets SIGHUP (a terminal that closes, a supervisor's reload) ends at once by the signal, and every request and stream in flight is cut off.

Cause: handlers were set for SIGTERM and SIGINT only; the default of SIGHUP ends a process. Seen in a started daemon, store refusing and store silent: exit -1, no line `stopping`. The daemon has no settings that it could read again, so that the signal is one more request to stop.

Ruled out beside it: SIGTERM 0.1 to 6 s after the start, nine times each, both stores, load 13 to 18: by the signal (-15) before the handler is set, which is before the daemon is created, so that nothing is accepted or written; else 0 within 0.4 to 5.1 s, `started` and `stopped` written, also where the signal came in the middle of the start.

--- a/apps/masticdaled/src/masticdaled/main.py
+++ b/apps/masticdaled/src/masticdaled/main.py
@@ -12,12 +12,15 @@
 from masticdaled.daemon import create_daemon
 from masticdaled.settings import DaemonSettings
 
+# SIGHUP among them: by default a lost terminal would cut off every request.
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 class Commands:
     """Runs and checks the daemon of one entry host."""
 
     def run(self, file: str) -> None:
-        """Runs the daemon until SIGTERM or SIGINT, then stops gracefully.
+        """Runs the daemon until a stop signal, then stops gracefully.
 
         Args:
             file: The JSON settings file.
@@ -42,7 +45,7 @@
 async def _run(loaded: DaemonSettings) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, stopped.set)
     daemon = create_daemon(loaded)
     await daemon.start()
