--- a/deploy/start.py
+++ b/deploy/start.py
@@ -5,7 +5,7 @@
 build.
 """
 
-# Part of the interpreter; ``signal`` would load a dozen modules from files.
+# Part of the interpreter; ``signal`` would load a dozen modules more.
 import _signal
 
 # Before anything is loaded: until here SIGHUP ends the process without a log
