--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -118,14 +118,9 @@
             return ConnectionState.IDLE
         if self._requests or self._failure is not None:
             return ConnectionState.QUEUED
-        return (
-            ConnectionState.READING if self.is_reading else ConnectionState.IDLE
-        )
-
-    @property
-    def is_reading(self) -> bool:
-        """Whether a request was read in part, whatever else is unfinished."""
-        return self._message_began_at is not None
+        if self._message_began_at is not None:
+            return ConnectionState.READING
+        return ConnectionState.IDLE
 
     @property
     def headers(self) -> Headers:
