Read what the kernel holds before an idle connection is closed

Callers with a kept connection saw a reset, at a planned stop, after they had sent their next request.

Cause, found in review: what arrives between the poll of the event loop and the close of idle connections in the same turn was discarded with the socket. The users' pages allow such a crossing where the request is not passed on; a caller that must not repeat its request is better off with an answer.

A connection with unread bytes is not closed; the stop closes idle ones again until none is open, or until its time is over. What is still on the network then crosses the close as before. test_a_request_that_the_kernel_holds_is_answered failed before (reset).

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -371,13 +371,11 @@
         logs.write("listener_closed", connections=self._relay.count_by_state())
         # Callers that have just connected are about to send their request.
         await asyncio.sleep(_LAST_REQUESTS_S)
-        self._relay.close_idle()
-        await self._wait_idle(give_up_at)
+        await self._wait_closed(give_up_at)
         if not self._relay.is_idle:
             logs.write("giving_up", connections=self._relay.count_by_state())
             self._relay.give_up()
-            await self._wait_idle(settle_at)
-        self._relay.close_idle()
+            await self._wait_closed(settle_at)
         await self._finish_hand_over(hand_over, settle_at)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(max(0.0, exit_at - time.monotonic())):
@@ -414,6 +412,17 @@
                 return
             await asyncio.sleep(min(_POLL_INTERVAL_S, remaining_s))
 
+    async def _wait_closed(self, deadline: float) -> None:
+        """Closes idle connections until none is open, or a monotonic time."""
+        while True:
+            self._relay.close_idle()
+            if self._relay.is_idle and not self._relay.connections:
+                return
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                return
+            await asyncio.sleep(min(_POLL_INTERVAL_S, remaining_s))
+
     def _register_dumps(self) -> None:
         self._dump.register(
             "configuration",
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -4,6 +4,8 @@
 import collections
 import dataclasses
 import enum
+import socket
+from asyncio.trsock import TransportSocket
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -122,6 +124,20 @@
             return ConnectionState.READING
         return ConnectionState.IDLE
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the kernel holds bytes that were not read yet."""
+        connected: TransportSocket | None = self.transport.get_extra_info(
+            "socket"
+        )
+        if connected is None or self.transport.is_closing():
+            return False
+        with connected.dup() as duplicate:
+            try:
+                return bool(duplicate.recv(1, socket.MSG_PEEK))
+            except OSError:
+                return False
+
     @property
     def headers(self) -> Headers:
         """Headers of the current request, as far as they were read."""
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -116,12 +116,16 @@
     def close_idle(self) -> None:
         """Closes the connections on which no caller is owed a response.
 
-        A request that was read, even in part, is owed one: its caller can't
+        A request that has arrived, even in part, is owed one: its caller can't
         tell whether it was executed.
         """
         for connection in list(self._connections):
-            if connection.state is ConnectionState.IDLE:
-                connection.close()
+            if connection.state is not ConnectionState.IDLE:
+                continue
+            # A busy event loop reads late, and closing now would reset it.
+            if connection.has_unread_bytes:
+                continue
+            connection.close()
 
     def give_up(self) -> None:
         """Gives every unanswered request its final response now.
