Keep the slow reader of a test from blocking the host it tests

Cause, in the test: received += data copies all bytes for each 4 KB, and sock_recv does not yield while there is data, so that one step of the event loop took 1.4 s of the grace of 2.0 s, and the host could not send.

Change: a bytearray, and a reader that begins only after a stop that does not wait for it would have ended. The assertions are unchanged.

--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -68,7 +68,7 @@
             )
         self._socket.settimeout(1.0)
         self._socket.connect(("127.0.0.1", port))
-        self.received = b""
+        self.received = bytearray()
 
     def send(self, data):
         self._socket.settimeout(1.0)
@@ -436,9 +436,11 @@
         await self.wait_received(self.unary_replicas)
         while not self.host.entry._relay.count_by_state().get("flushing"):
             await asyncio.sleep(0.01)
-        reading = asyncio.create_task(caller.read(seconds=self.grace_s))
-        await self.stop()
-        await reading
+        stopping = asyncio.create_task(self.stop())
+        # Longer than a stop takes that does not wait for the reader.
+        await asyncio.sleep(GRACE_S / 4)
+        await caller.read(seconds=self.grace_s)
+        await stopping
         body = caller.received.partition(b"\r\n\r\n")[2]
         self.assertEqual(len(body), len(LARGE_BODY))
 
