Test a request that is read as the last connections are accepted

This test calls 0.1 s before the end of the accept share and passes; with Relay.give_up reduced to nothing for requests at replicas it fails ([] in place of 502).

--- a/apps/masticdale_entry/tests/test_final_responses.py
+++ b/apps/masticdale_entry/tests/test_final_responses.py
@@ -4,7 +4,15 @@
 import unittest
 
 from case import NON_IDEMPOTENT
-from test_stopping_orders import OrderCase, encode_call
+from test_stopping_orders import (
+    ENDLESS_S,
+    GRACE_S,
+    MAY_HAVE_RUN,
+    OrderCase,
+    encode_call,
+)
+
+from masticdale_entry import entry
 
 
 class FinalResponseTest(OrderCase):
@@ -27,6 +35,22 @@
         self.assertEqual(caller.statuses, [503])
         self.assertIn(b"request-id: part\r\n", caller.received.lower())
 
+    async def test_a_request_read_as_the_last_connections_are_accepted(self):
+        """Guards against silence for callers who come late in the drain.
+
+        One long request keeps the listener open as long as a stop allows.
+        """
+        self.set_unary_replicas(processing_s=ENDLESS_S)
+        self.call(encode_call("long", NON_IDEMPOTENT))
+        await self.wait_received(self.unary_replicas)
+        stopping = asyncio.create_task(self.stop())
+        await asyncio.sleep(0.9 * GRACE_S * entry._ACCEPT_SHARE)
+        caller = self.call(encode_call("late", NON_IDEMPOTENT))
+        await self.wait_received(self.unary_replicas, count=2)
+        await stopping
+        await caller.read()
+        self.assertIn(caller.statuses, [[s] for s in MAY_HAVE_RUN])
+
     async def wait_reading(self, relay):
         for _ in range(200):
             if relay.count_by_state().get("reading"):
