--- a/apps/masticdale_entry/tests/test_final_responses.py
+++ b/apps/masticdale_entry/tests/test_final_responses.py
@@ -44,7 +44,7 @@
         self.call(encode_call("long", NON_IDEMPOTENT))
         await self.wait_received(self.unary_replicas)
         stopping = asyncio.create_task(self.stop())
-        await asyncio.sleep(0.9 * GRACE_S * entry._ACCEPT_SHARE)
+        await asyncio.sleep(0.6 * GRACE_S * entry._ACCEPT_SHARE)
         caller = self.call(encode_call("late", NON_IDEMPOTENT))
         await self.wait_received(self.unary_replicas, count=2)
         await stopping
