--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -3,7 +3,6 @@
 import bisect
 import collections
 import dataclasses
-import signal
 from collections.abc import Callable, Iterator
 
 import httpx
@@ -52,9 +51,6 @@
 _FAULT_MARGIN_S = 1.0
 # Seconds after a stop request by which the process must have exited.
 _EXIT_LIMIT_S = GRACE_S + 0.5
-# Processor time of a process, in seconds, after which its interpreter has run
-# the first line.
-_FIRST_LINE_CPU_S = 0.03
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -343,34 +339,6 @@
                 )
 
 
-def _exits(observations: Observations) -> Findings:
-    """No process ends by itself, except by SIGHUP before its first line.
-
-    No program can ignore a signal before its interpreter runs it. The host is
-    back after a restart, which the checks of starts and of the recovery see.
-    """
-    for host, incarnations in observations.incarnations_by_host.items():
-        for incarnation in incarnations:
-            if incarnation.is_end_requested or incarnation.ended_at is None:
-                continue
-            if _is_hung_up_before_first_line(incarnation):
-                continue
-            yield (
-                host,
-                f"process {incarnation.number}:"
-                f" exit {incarnation.exit_code},"
-                f" processor time at SIGHUP: {incarnation.hang_up_cpu_s}",
-            )
-
-
-def _is_hung_up_before_first_line(incarnation: Incarnation) -> bool:
-    return (
-        incarnation.exit_code == -signal.SIGHUP
-        and incarnation.hang_up_cpu_s is not None
-        and incarnation.hang_up_cpu_s <= _FIRST_LINE_CPU_S
-    )
-
-
 def _stops_break_nothing(observations: Observations) -> Findings:
     """A stop aborts no request that a replica executes."""
     runs = observations.runs_by_request()
@@ -471,7 +439,6 @@
     "configuration-in-time": _configuration_in_time,
     "drained-replicas": _drained_replicas,
     "starts": _starts,
-    "exits": _exits,
     "orderly-stops": _orderly_stops,
     "stops-break-nothing": _stops_break_nothing,
     "keys": _keys,
--- a/tools/soak/src/masticdale_soak/processes.py
+++ b/tools/soak/src/masticdale_soak/processes.py
@@ -27,8 +27,6 @@
 # Seconds between SIGTERM and SIGKILL on the platform.
 GRACE_S = 6.0
 _START_TIMEOUT_S = 20.0
-# The platform starts a process again that has ended, after a short delay.
-_RESTART_DELAY_S = 0.5
 _POLL_INTERVAL_S = 0.05
 _READINESS_TIMEOUT_S = 1.0
 _CALLERS_PORT = 8001
@@ -62,9 +60,6 @@
         ended_at: Monotonic time when the exit was observed; None before.
         exit_code: Exit code; negative for a signal.
         start_timed_out: Whether it was not ready in time after its start.
-        is_end_requested: Whether it was killed or asked to stop.
-        hang_up_cpu_s: Processor time that it had used when the last SIGHUP was
-            sent; None if none was sent.
     """
 
     number: int
@@ -73,15 +68,11 @@
     ended_at: float | None = None
     exit_code: int | None = None
     start_timed_out: bool = False
-    is_end_requested: bool = False
-    hang_up_cpu_s: float | None = None
 
 
 class HostProcess:
     """An entry host with its proxies, settings and processes.
 
-    A process that ends by itself is started again, as the platform does.
-
     Attributes:
         name: Name of the host.
         store_proxy: Proxy from the host to the platform's store.
@@ -107,8 +98,6 @@
         self._directory = directory
         self._command = command or _deployed_command()
         self._process: subprocess.Popen[bytes] | None = None
-        self._is_wanted = False
-        self._restart_task: asyncio.Task[None] | None = None
         self._log: IO[bytes] | None = None
         self._address = allocate_loopback_address()
         # Without verification, since loading certificates blocks the event loop
@@ -135,8 +124,6 @@
     async def close(self) -> None:
         """Kills the process and stops the proxies."""
         await self.kill()
-        if self._restart_task is not None:
-            self._restart_task.cancel()
         await self._readiness_client.aclose()
         await self.store_proxy.stop()
         await self.peer_proxy.stop()
@@ -180,10 +167,6 @@
         self.incarnations.append(
             Incarnation(len(self.incarnations) + 1, time.monotonic())
         )
-        self._is_wanted = True
-        self._restart_task = asyncio.create_task(
-            self._restart_after_exit(self._process)
-        )
 
     async def wait_ready(self) -> None:
         """Waits until the host is ready or the start timeout expires."""
@@ -205,13 +188,11 @@
 
     async def kill(self) -> None:
         """Kills the process and waits for its exit."""
-        self._request_end()
         self.send(signal.SIGKILL)
         await self.wait_exited()
 
     async def stop(self) -> None:
         """Sends SIGTERM, and SIGKILL after the grace period."""
-        self._request_end()
         if not self.is_running:
             return
         incarnation = self.incarnations[-1]
@@ -232,32 +213,13 @@
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if one is running."""
-        if self._process is None or not self.is_running:
-            return
-        if number is signal.SIGHUP:
-            self.incarnations[-1].hang_up_cpu_s = _cpu_s(self._process.pid)
-        self._process.send_signal(number)
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
 
     @property
     def _settings_path(self) -> pathlib.Path:
         return self._directory / f"{self.name}.json"
 
-    async def _restart_after_exit(
-        self, process: subprocess.Popen[bytes]
-    ) -> None:
-        while process.poll() is None:
-            await asyncio.sleep(_POLL_INTERVAL_S)
-        if process is self._process:
-            self._record_exit()
-        await asyncio.sleep(_RESTART_DELAY_S)
-        if self._is_wanted and process is self._process:
-            self.start()
-
-    def _request_end(self) -> None:
-        self._is_wanted = False
-        if self.is_running:
-            self.incarnations[-1].is_end_requested = True
-
     def _record_exit(self) -> None:
         if self._process is None or not self.incarnations:
             return
@@ -277,9 +239,3 @@
         "MASTICDALE_BOOT": str(settings_path),
         "PYTHONPATH": sysconfig.get_path("purelib"),
     }
-
-
-def _cpu_s(pid: int) -> float:
-    """Returns the processor time of a process's first thread."""
-    fields = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
-    return int(fields[0]) / 1e9
--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -5,17 +5,13 @@
 
 import asyncio
 import dataclasses
-import os
 import pathlib
-import signal
 import sys
-import threading
 
 from returns.result import Success
 
 from masticdale_adapter import PlatformHeaderCodec, headers
 from masticdale_common import Executed, Failure
-from masticdale_entry import main as main_module
 from masticdale_entry.entry import EntryHost
 from masticdale_entry.main import main
 from masticdale_entry.watched_state import ActiveConfiguration
@@ -163,19 +159,6 @@
         sys.exit(1)
 
 
-def exit_unasked():
-    timer = threading.Timer(2.0, os._exit, [1])
-    timer.daemon = True
-    timer.start()
-
-
-def end_by_hang_up():
-    def restore_default(loop, path, settings):
-        signal.signal(signal.SIGHUP, signal.SIG_DFL)
-
-    main_module._check_settings_on_hang_up = restore_default
-
-
 PATCH_BY_NAME = {
     each.__name__: each
     for each in (
@@ -193,8 +176,6 @@
         omit_retry_after,
         stop_watching_after_failure,
         start_only_once,
-        exit_unasked,
-        end_by_hang_up,
         forward_keys,
         grant_each_request,
     )
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import pathlib
-import signal
 import sys
 import tempfile
 import unittest
@@ -15,20 +14,16 @@
 from masticdale_soak import (
     CHECK_BY_NAME,
     Fault,
-    Observations,
     Plan,
     Step,
     make_plan,
     run_plan,
 )
-from masticdale_soak.checks import check as check_observations
-from masticdale_soak.processes import HostProcess, Incarnation
 
 BROKEN_HOST = pathlib.Path(__file__).with_name("broken_host.py")
 # Each build runs two entry hosts.
 MAX_PARALLEL_BUILDS = 3
 SECONDS = 6.0
-EXIT_TIMEOUT_S = 20.0
 # A long program exceeds its budget after thirteen turns, which takes more than
 # the usual duration on a busy machine.
 SECONDS_BY_BUILD = {"skip_budget_checks": 24.0}
@@ -79,8 +74,6 @@
         steps(Fault.REPLICA_DRAINS, duration_s=5),
     ),
     ("starts", "start_only_once", steps(Fault.KILL, duration_s=0.2)),
-    ("exits", "exit_unasked", ()),
-    ("exits", "end_by_hang_up", steps(Fault.HANG_UP, start_s=3.0)),
     ("orderly-stops", "hang_on_stop", steps(Fault.STOP)),
     (
         "stops-break-nothing",
@@ -138,74 +131,6 @@
                 self.assertIn(check, found, report)
 
 
-class ExitsTest(unittest.TestCase):
-    def violations(self, **fields):
-        incarnation = Incarnation(1, started_at=0.0, ended_at=1.0, **fields)
-        observations = Observations(
-            attempts=[],
-            runs=[],
-            incarnations_by_host={"a": [incarnation]},
-            executed_steps=[],
-            drains=[],
-            recovery_attempts=[],
-        )
-        return [v.check for v in check_observations(observations)]
-
-    def test_only_a_hang_up_before_the_first_line_may_end_a_process(self):
-        """Guards against an exception that covers other exits."""
-        hung_up = -signal.SIGHUP
-        self.assertEqual(
-            self.violations(exit_code=hung_up, hang_up_cpu_s=0.01), []
-        )
-        for fields in (
-            {"exit_code": hung_up, "hang_up_cpu_s": 0.1},
-            {"exit_code": hung_up},
-            {"exit_code": 1, "hang_up_cpu_s": 0.01},
-            {"exit_code": 0},
-            {"exit_code": -signal.SIGKILL},
-        ):
-            with self.subTest(**fields):
-                self.assertEqual(self.violations(**fields), ["exits"])
-
-    def test_a_requested_end_is_no_exit_by_itself(self):
-        fields = {"exit_code": -signal.SIGKILL, "is_end_requested": True}
-        self.assertEqual(self.violations(**fields), [])
-
-
-class RestartTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against a host that stays down, or comes back while it is down.
-
-    The platform starts a process again that has ended by itself.
-    """
-
-    async def asyncSetUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.host = HostProcess(
-            "a", pathlib.Path(folder.name), (sys.executable, "-c", "")
-        )
-        self.addAsyncCleanup(self.host.close)
-        self.host.start()
-
-    async def wait_for_exit(self):
-        async with asyncio.timeout(EXIT_TIMEOUT_S):
-            while self.host.incarnations[-1].ended_at is None:
-                await asyncio.sleep(0.01)
-
-    async def test_a_process_that_ends_by_itself_is_started_again(self):
-        async with asyncio.timeout(EXIT_TIMEOUT_S):
-            while len(self.host.incarnations) < 3:
-                await asyncio.sleep(0.01)
-        self.assertEqual(self.host.incarnations[0].exit_code, 0)
-        self.assertFalse(self.host.incarnations[0].is_end_requested)
-
-    async def test_a_host_that_is_killed_stays_down(self):
-        await self.wait_for_exit()
-        await self.host.kill()
-        await asyncio.sleep(1.0)
-        self.assertEqual(len(self.host.incarnations), 1)
-
-
 class PlanTest(unittest.TestCase):
     def test_equal_seeds_give_equal_plans(self):
         self.assertEqual(make_plan(5, 20, 4), make_plan(5, 20, 4))
