--- a/apps/masticdaled/tests/test_http_servers.py
+++ b/apps/masticdaled/tests/test_http_servers.py
@@ -1,12 +1,12 @@
 """Tests of the HTTP servers at a planned stop."""
 
 import asyncio
-import socket
 import unittest
 
 import litestar
 
 from masticdale_peers import Address
+from masticdale_standins.testing import free_port
 from masticdaled.http_servers import create_http_server
 
 FINISH_S = 5.0
@@ -26,9 +26,7 @@
             await self.proceed.wait()
             return "whole"
 
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.port = probe.getsockname()[1]
+        self.port = free_port()
         app = litestar.Litestar([answer], logging_config=None)
         address = Address(ip="127.0.0.1", port=self.port)
         self.server = create_http_server(app, address, finish_s)
