--- a/libs/gateway/src/masticdale_gateway/__init__.py
+++ b/libs/gateway/src/masticdale_gateway/__init__.py
@@ -12,13 +12,9 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from masticdale_gateway.listeners import close_listener, listen
 from masticdale_gateway.messages import Header, Headers, Request, ResponseHead
-from masticdale_gateway.relay import (
-    Relay,
-    RelayDependencies,
-    close_listener,
-    listen,
-)
+from masticdale_gateway.relay import Relay, RelayDependencies
 
 __all__ = [
     "Admission",
