Share the waits of a planned stop; drop what nothing reads

Found on a last read of the change; behaviour stays. `_wait_idle` and `_wait_closed` had the same loop, which is `_poll` now. Since shards are handed over beside the requests, nothing is awaited before the wait for the balancer, so that its loop was a sleep. StatusServer kept a set of connections that nothing read. Two test cases had one set-up twice.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import time
 import uuid
+from collections.abc import Callable
 
 from masticdale_adapter import (
     CONFIGURATION_KEY,
@@ -357,8 +358,7 @@
         # Beside the requests: hosts that do not respond delay it for seconds,
         # and callers must have their responses before the process is killed.
         hand_over = asyncio.create_task(self._reconciler.hand_over_all())
-        while time.monotonic() < started_at + _BALANCER_DRAIN_S:
-            await asyncio.sleep(_POLL_INTERVAL_S)
+        await asyncio.sleep(_BALANCER_DRAIN_S)
         await self._wait_idle(
             started_at + self._settings.grace_s * _ACCEPT_SHARE
         )
@@ -406,22 +406,16 @@
 
     async def _wait_idle(self, deadline: float) -> None:
         """Waits until no caller is owed a response, or a monotonic time."""
-        while not self._relay.is_idle:
-            remaining_s = deadline - time.monotonic()
-            if remaining_s <= 0:
-                return
-            await asyncio.sleep(min(_POLL_INTERVAL_S, remaining_s))
+        await _poll(lambda: self._relay.is_idle, deadline)
 
     async def _wait_closed(self, deadline: float) -> None:
         """Closes idle connections until none is open, or a monotonic time."""
-        while True:
+
+        def is_closed() -> bool:
             self._relay.close_idle()
-            if self._relay.is_idle and not self._relay.connections:
-                return
-            remaining_s = deadline - time.monotonic()
-            if remaining_s <= 0:
-                return
-            await asyncio.sleep(min(_POLL_INTERVAL_S, remaining_s))
+            return self._relay.is_idle and not self._relay.connections
+
+        await _poll(is_closed, deadline)
 
     def _register_dumps(self) -> None:
         self._dump.register(
@@ -477,6 +471,15 @@
         }
 
 
+async def _poll(is_done: Callable[[], bool], deadline: float) -> None:
+    """Waits until a condition holds, or a monotonic time."""
+    while not is_done():
+        remaining_s = deadline - time.monotonic()
+        if remaining_s <= 0:
+            return
+        await asyncio.sleep(min(_POLL_INTERVAL_S, remaining_s))
+
+
 def _required(address: Address | None) -> Address:
     if address is None:
         raise ValueError(
--- a/apps/masticdale_entry/src/masticdale_entry/status.py
+++ b/apps/masticdale_entry/src/masticdale_entry/status.py
@@ -21,13 +21,12 @@
 
     def __init__(self, page_by_path: dict[str, Page]) -> None:
         self._page_by_path = page_by_path
-        self._connections: set[CallerConnection] = set()
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
         """Starts to accept connections."""
         loop = asyncio.get_running_loop()
         return await loop.create_server(
-            lambda: CallerConnection(self._serve, self._connections),
+            lambda: CallerConnection(self._serve, set()),
             host,
             port,
         )
--- a/libs/gateway/tests/test_giving_up.py
+++ b/libs/gateway/tests/test_giving_up.py
@@ -22,13 +22,20 @@
         return self.pending_bytes
 
 
-class GivingUpTest(unittest.IsolatedAsyncioTestCase):
+class ConnectionCase(unittest.IsolatedAsyncioTestCase):
+    """A relay with an open connection of a caller."""
+
     async def asyncSetUp(self):
         self.relay = create_relay()
         self.connection = self.relay.create_connection()
         self.transport = SlowTransport(self.connection)
         self.connection.connection_made(self.transport)
         self.addAsyncCleanup(close, self.transport)
+
+
+class GivingUpTest(ConnectionCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
         await run_steps()
 
     async def test_a_request_read_in_part_is_refused(self):
@@ -84,16 +91,9 @@
         self.assertIn(b"HTTP/1.1 503", self.transport.written)
 
 
-class IdleTest(unittest.IsolatedAsyncioTestCase):
+class IdleTest(ConnectionCase):
     """A relay is not idle while it owes a response, in any state."""
 
-    async def asyncSetUp(self):
-        self.relay = create_relay()
-        self.connection = self.relay.create_connection()
-        self.transport = SlowTransport(self.connection)
-        self.connection.connection_made(self.transport)
-        self.addAsyncCleanup(close, self.transport)
-
     async def test_a_request_read_before_the_first_step_of_its_task(self):
         """Guards against a stop that does not see a new connection."""
         relay = create_relay()
