--- a/apps/masticdaled/tests/test_starting.py
+++ b/apps/masticdaled/tests/test_starting.py
@@ -3,9 +3,10 @@
 import time
 import unittest
 
+from test_homes import ticket_request
+
 from masticdale_common import ErrorKind
 from masticdale_config import ActiveConfig
-from masticdale_peers import PrefixNote, TicketRequest
 from masticdale_peers.testing import MemoryNetwork
 from masticdale_platform.testing import MemoryStore
 from masticdale_programs import Caller, CreateProgram
@@ -13,22 +14,6 @@
 from masticdaled.testing import create_memory_host
 
 DEADLINE_S = 3.0
-TICKET = TicketRequest(
-    ticket_id="t1",
-    replica="permit-1",
-    origin="host-2",
-    workspace="w",
-    priority=0,
-    attained_s=0.0,
-    waited_ms=0,
-    deadline_ms=10_000,
-    prompt_tokens=10,
-    uncached_tokens=10,
-    max_tokens=10,
-    program_id="p",
-    content_digest="d",
-    prefix=PrefixNote("main"),
-)
 
 
 class StartingTest(unittest.IsolatedAsyncioTestCase):
@@ -58,7 +43,7 @@
 
     async def test_ticket_waits_for_the_configuration(self):
         """A call was refused by the home of its replica as not declared."""
-        reply = self.host.homes.enqueue(TICKET)
+        reply = self.host.homes.enqueue(ticket_request(1))
         self.assertIs(reply.failure.kind, ErrorKind.NOT_OWNER)
 
 
