Log a digest of the content of each failed request

What on-call lacked: requests that end their replicas come again under other request and program ids and at other hosts, and no line told that they are the same. `send_failed` (unless nothing was sent) and the `request` line of a failure now name `content`, a digest of workspace, method, host, target and body. The digest is taken only then: 17 KB of prompt are not hashed for requests that succeed.

Ruled out: the program id (each round of the incident has another) and the address of the caller (the rounds come through different failure domains).

--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import hashlib
 from typing import Protocol
 
 from returns.result import Result
@@ -13,6 +14,10 @@
 from masticdale_routing.routes import Route, RouteKind, Service
 from masticdale_workspaces import UsageClaim, Workspace
 
+# Length of a content digest. Callers choose the content, so that a collision
+# must be hard to find.
+_DIGEST_BYTES = 16
+
 
 @dataclasses.dataclass(slots=True)
 class Call:
@@ -49,6 +54,25 @@
     event_interval_s: float = 0.0
     workspace: Workspace | None = None
     version: int = 0
+    _content_digest: str = dataclasses.field(default="", init=False, repr=False)
+
+    @property
+    def content_digest(self) -> str:
+        """Identifies what is asked, whatever request, program or host asks it.
+
+        Equal for requests of one workspace with the same method, host, target
+        and body.
+        """
+        if not self._content_digest:
+            request = self.request
+            self._content_digest = _digest(
+                self.workspace_name.encode(),
+                request.method,
+                request.host.encode(),
+                request.target,
+                request.body,
+            )
+        return self._content_digest
 
     @property
     def workspace_name(self) -> str:
@@ -90,6 +114,15 @@
         return metadata.program_id or metadata.prefix_key or metadata.request_id
 
 
+def _digest(*parts: bytes) -> str:
+    state = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in parts:
+        # The length keeps ("ab", "c") apart from ("a", "bc").
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return state.hexdigest()
+
+
 _NO_PROMPT = TurnPrompt(service="")
 
 
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -309,6 +309,7 @@
             service=state.replica.service,
             ran=ran.value,
             reason=reason,
+            content="" if ran is Executed.NO else call.content_digest,
         )
         return AttemptFailure(state.replica.id, ran, reason, retry_after_s)
 
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -397,6 +397,7 @@
             outcome=kind,
             detail=failure.detail if failure else "",
             replicas=call.replica_ids if call else [],
+            content=call.content_digest if call and failure else "",
             events=call.events if call else 0,
             took_ms=round(took_s * 1000, 1),
         )
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -61,6 +61,7 @@
         replica_ids=[],
         assigned_replica_id="",
         workspace_name="",
+        content_digest="c",
     )
 
 
