--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -62,6 +62,8 @@
         event_interval_s: Interval between two events, in seconds.
         processing_s: Processing time before the response, in seconds.
         events_before_cut: Number of events before a truncated stream ends.
+        fatal_target: A request whose target contains this ends the replica
+            after ``processing_s``; empty for none.
     """
 
     fault: ReplicaFault = ReplicaFault.NONE
@@ -70,6 +72,7 @@
     event_interval_s: float = 0.0
     processing_s: float = 0.0
     events_before_cut: int = 2
+    fatal_target: str = ""
 
 
 class FakeReplica:
@@ -83,6 +86,7 @@
         executed_requests: Received requests that it began to execute.
         abandoned: Number of requests whose client disconnected before the
             response was complete.
+        has_ended: Whether a request has ended it.
     """
 
     def __init__(self, service: str, is_stream: bool) -> None:
@@ -92,6 +96,8 @@
         self.received_requests: list[RawRequest] = []
         self.executed_requests: list[RawRequest] = []
         self.abandoned = 0
+        self.has_ended = False
+        self._ending: asyncio.Task[None] | None = None
         self._is_stream = is_stream
         self._server = RawServer(self._handle)
 
@@ -163,6 +169,11 @@
             connection.close()
             return
         self.executed_requests.append(request)
+        if behaviour.fatal_target and behaviour.fatal_target in request.target:
+            await asyncio.sleep(behaviour.processing_s)
+            self.has_ended = True
+            self._ending = asyncio.create_task(self.stop())
+            await asyncio.sleep(3600)
         if fault is ReplicaFault.UNRESPONSIVE:
             await asyncio.sleep(3600)
         elif fault is ReplicaFault.RESET:
