Hold back requests that end the replicas that run them, at all hosts

What callers saw: one request that crashes the replicas that run it took its whole service away each time that it came. Every other call was refused for some 3 s, and programs failed.

Cause: entry hosts know replicas that fail, but not the requests under which they fail. A request is known by its id, which each of a caller's attempts has anew, so that every attempt at every host began with two fresh replicas. The class: a request is judged by its identity and not by its content.

A connection that is lost while its replica runs a request is not taken for a crash: the host asks for another connection, and only a refusal (or 421, where the address was taken again) proves the end. Planned exits do not count. Each host keeps, for each content, the replicas (by start) that ended under it; that set only grows and travels as one object a host in the platform's store, which all hosts watch, so that the order of messages, repeats, restarts and lost hosts do no harm. A run that ends whole clears what had been blamed before it. From the third replica on the content is refused at once, 503 and not run, with the time of its next trial: one run among all hosts, claimed by a conditional write, 5 s after the last loss, then after 60 s, 600 s and an hour.

Why it holds: a trial needs a claim, so that at most three runs follow the third loss in eleven minutes, whatever hosts die or join. A content that is harmless is run whole by its first trial and cleared at all hosts.

The content ends three replicas in all, also where a host is killed and started again and one joins. Twelve harmless requests in flight as all replicas end three times are served again within 12 s and leave no suspect; resets, broken responses and planned exits blame nothing.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -25,12 +25,19 @@
     hashing,
     logs,
 )
+from masticdale_entry.crash_reports import (
+    EXPIRY_INTERVAL_S,
+    REPORT_PREFIX,
+    CrashReports,
+)
+from masticdale_entry.crash_trials import StoredTrials
 from masticdale_entry.peers import PeerClients
 from masticdale_entry.settings import Settings
 from masticdale_entry.status import StatusServer, dump_page, metrics_page
 from masticdale_entry.watched_state import ActiveConfiguration, ReplicaList
 from masticdale_entry.watching import Watcher, WatchTarget
 from masticdale_gateway import (
+    CrashDependencies,
     Relay,
     RelayDependencies,
     close_listener,
@@ -60,6 +67,7 @@
 )
 from masticdale_platform import WatchBatch
 from masticdale_routing.assignments import TurnAssignments
+from masticdale_routing.crashes import CrashEvidence, Suspicion
 from masticdale_routing.fleet import Fleet
 from masticdale_rpc import Address, RpcServer
 
@@ -94,6 +102,9 @@
 _CLOSE_IDLE_INTERVAL_S = 5.0
 _PURGE_INTERVAL_S = 60.0
 _POLL_INTERVAL_S = 0.05
+# Interval at which a watch source deletes crash reports of hosts that are gone
+# and old trials.
+_DELETE_ABANDONED_INTERVAL_S = 600.0
 # Workspaces in the state dump.
 _MAX_DUMPED_USAGES = 100
 
@@ -139,6 +150,15 @@
             self._direct_store.ping,
         )
         self._fleet = Fleet(settings.failure_domain)
+        self._crash_evidence = CrashEvidence()
+        self._crash_reports = CrashReports(
+            self._store,
+            self._crash_evidence,
+            settings.host,
+            self._store.wait_before_retry,
+        )
+        self._crash_trials = StoredTrials(self._store)
+        self._is_watch_source = shared is not None
         self._configuration = ActiveConfiguration(
             CONFIGURATION_KEY, read_configuration
         )
@@ -219,6 +239,9 @@
                 is_configuration_fresh=lambda: (
                     not self._store.is_store_unreachable
                 ),
+                crashes=CrashDependencies(
+                    self._crash_evidence, self._crash_trials
+                ),
             )
         )
         self._register_dumps()
@@ -243,6 +266,11 @@
         """The ids of all known replicas."""
         return sorted(r.id for r in self._fleet.replicas())
 
+    @property
+    def crash_suspects(self) -> dict[str, Suspicion]:
+        """The contents under which replicas have ended, by their digest."""
+        return self._crash_evidence.suspicions()
+
     def shard_of(self, program_id: str) -> int:
         """Returns the ledger shard of a program."""
         return hashing.shard_of(program_id, LEDGER_SHARD_COUNT)
@@ -280,7 +308,13 @@
         self._start_watch(
             WatchTarget(SHARD_PREFIX, _WATCH_TIMEOUT_S, self._apply_shards)
         )
+        self._start_watch(
+            WatchTarget(
+                REPORT_PREFIX, _WATCH_TIMEOUT_S, self._crash_reports.apply
+            )
+        )
         self._tasks.append(asyncio.create_task(self._ledger.run()))
+        self._tasks.append(asyncio.create_task(self._crash_reports.run()))
         for name, period_s, callback in (
             ("shards", RECONCILE_INTERVAL_S, self._reconciler.reconcile),
             ("lease", LEASE_CHECK_INTERVAL_S, self._reconciler.renew_lease),
@@ -292,6 +326,16 @@
                 _PURGE_INTERVAL_S,
                 self._owner.evict_idle_programs,
             ),
+            (
+                "crash-reports",
+                EXPIRY_INTERVAL_S,
+                self._crash_reports.expire,
+            ),
+            (
+                "abandoned-reports",
+                _DELETE_ABANDONED_INTERVAL_S,
+                self._delete_abandoned_reports,
+            ),
         ):
             self._timers.subscribe(Subscription(name, period_s, callback))
         await stop.wait()
@@ -345,6 +389,12 @@
         self._relay.pool.close_idle()
         self._peer_clients.close_idle()
 
+    async def _delete_abandoned_reports(self) -> None:
+        if not self._is_watch_source:
+            return
+        await self._crash_reports.delete_abandoned()
+        await self._crash_trials.delete_abandoned()
+
     async def _stop(self) -> None:
         started_at = time.monotonic()
         exit_at = started_at + self._settings.grace_s - _EXIT_S
@@ -450,6 +500,19 @@
         self._dump.register("usage", self._dump_usage)
         self._dump.register("lease_age_s", lambda: self._lease.age_s)
         self._dump.register("connections", self._relay.count_by_state)
+        self._dump.register("crash_suspects", self._dump_crash_suspects)
+
+    def _dump_crash_suspects(self) -> JsonValue:
+        """Returns the contents under which replicas have ended."""
+        now = asyncio.get_running_loop().time()
+        return {
+            content: {
+                "strikes": suspicion.strikes,
+                "held": suspicion.is_held,
+                "heard_s_ago": round(now - suspicion.heard_at, 1),
+            }
+            for content, suspicion in self.crash_suspects.items()
+        }
 
     def _dump_usage(self) -> JsonValue:
         """Returns the levels of the workspaces with least left."""
--- a/apps/masticdale_entry/tests/test_crashing_requests.py
+++ b/apps/masticdale_entry/tests/test_crashing_requests.py
@@ -1,18 +1,34 @@
 """Tests of requests that end each replica that runs them."""
 
 import asyncio
+import contextlib
 
-from case import HOST, IDEMPOTENT, STREAMING, EntryCase, turn_headers
+import httpx
+from case import (
+    HOST,
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    STREAMING,
+    EntryCase,
+    turn_headers,
+)
 
-from masticdale_standins.replicas import FakeReplica
+from masticdale_standins.replicas import FakeReplica, ReplicaFault
 
 FATAL = "fatal"
 # As the users' rules state them: the time after a loss in which hosts need not
 # know of it, and the most sends of such a request after that.
 CONTACT_S = 3.0
 MAX_LATER_SENDS = 3
+# Time after which a caller repeats what has failed, through another host.
+REPEAT_DELAY_S = 0.2
+# Most time for a refusal that waits for nothing.
+AT_ONCE_S = 0.5
 # Time until each host has heard of new replicas.
 LIST_DELAY_S = 0.8
+# Time within which harmless requests are served again after a loss of all
+# replicas.
+HARMLESS_AGAIN_S = 12.0
 
 
 class CrashingRequestCase(EntryCase):
@@ -20,26 +36,25 @@
 
     async def asyncSetUp(self):
         await self.start_stand_ins()
-        self.hosts_by_turn = [
-            await self.add_host(f"host-{n}") for n in range(3)
-        ]
+        for n in range(3):
+            await self.add_host(f"host-{n}")
         self.ended = []
         for replica in (*self.unary_replicas, *self.engines):
             self.set_fatal(replica)
         for _ in range(2):
-            await self.add_unary_replica()
-            await self.add_engine()
+            self.unary_replicas.append(await self.start_replica("desk", False))
+            self.engines.append(await self.start_replica("engine", True))
         await asyncio.sleep(LIST_DELAY_S)
 
+    async def asyncTearDown(self):
+        for replica in self.ended:
+            await replica.stop()
+        await super().asyncTearDown()
+
     def set_fatal(self, replica):
         replica.behaviour.fatal_target = FATAL
         replica.behaviour.processing_s = 0.02
-
-    async def add_unary_replica(self):
-        self.unary_replicas.append(await self.start_replica("desk", False))
-
-    async def add_engine(self):
-        self.engines.append(await self.start_replica("engine", True))
+        replica.behaviour.events_before_cut = 0
 
     async def start_replica(self, service, is_stream):
         replica = FakeReplica(service, is_stream)
@@ -48,22 +63,27 @@
         self.store.put("servers", replica.id, replica.entry())
         return replica
 
+    async def replace(self, replicas, replica):
+        """Starts a replica under a new id for one that has ended."""
+        replicas.remove(replica)
+        self.ended.append(replica)
+        self.store.remove("servers", replica.id)
+        is_stream = replicas is self.engines
+        replicas.append(await self.start_replica(replica.service, is_stream))
+
     async def replace_ended(self):
-        """Starts a replica under a new id for each one that has ended."""
         for replicas in (self.unary_replicas, self.engines):
             for replica in list(replicas):
-                if not replica.has_ended:
-                    continue
-                replicas.remove(replica)
-                self.ended.append(replica)
-                self.store.remove("servers", replica.id)
-                replicas.append(
-                    await self.start_replica(
-                        replica.service, replicas is self.engines
-                    )
-                )
+                if replica.has_ended:
+                    await self.replace(replicas, replica)
         await asyncio.sleep(LIST_DELAY_S)
 
+    async def end_all(self, replicas):
+        """Ends all replicas of a service for a cause of their own."""
+        for replica in replicas:
+            replica.has_ended = True
+            await replica.stop()
+
     def fatal_sends(self):
         replicas = (*self.ended, *self.unary_replicas, *self.engines)
         return [
@@ -73,6 +93,9 @@
             if FATAL in request.target
         ]
 
+    def suspects(self, host):
+        return host.entry.crash_suspects
+
     async def ask(self, target, request_id, host, **headers):
         fields = {"Host": HOST, "Request-Id": request_id}
         fields |= {"Deadline-Ms": "2500"} | headers
@@ -86,12 +109,32 @@
         """
         for number in range(rounds):
             for attempt in range(2):
-                host = self.hosts_by_turn[(number + attempt) % 3]
+                host = self.hosts[(number + attempt) % 3]
                 request_id = f"q{number}-{attempt}"
                 response = await self.ask(target, request_id, host, **headers)
                 self.assertGreaterEqual(response.status_code, 500)
+                await asyncio.sleep(REPEAT_DELAY_S)
             await self.replace_ended()
 
+    async def assert_stops_ending_replicas(self, target, **headers):
+        await self.ask_in_rounds(target, 3, **headers)
+        self.assertGreaterEqual(len(self.fatal_sends()), 3)
+        await asyncio.sleep(CONTACT_S)
+        before = len(self.fatal_sends())
+        await self.ask_in_rounds(target, 3, **headers)
+        later = len(self.fatal_sends()) - before
+        self.assertLessEqual(later, MAX_LATER_SENDS)
+
+    async def assert_is_refused(self, target, host, **headers):
+        """Asserts a refusal that is at once, true, and names a time."""
+        before = len(self.fatal_sends())
+        began = asyncio.get_running_loop().time()
+        response = await self.ask(target, "refused", host, **headers)
+        self.assertLess(asyncio.get_running_loop().time() - began, AT_ONCE_S)
+        self.assertEqual(response.status_code, 503)
+        self.assertGreater(float(response.headers["retry-after"]), 0.0)
+        self.assertEqual(len(self.fatal_sends()), before)
+
 
 class CrashingCallTest(CrashingRequestCase):
     async def test_a_repeated_request_stops_ending_replicas(self):
@@ -105,18 +148,159 @@
         later = len(self.fatal_sends()) - before
         self.assertLessEqual(later, MAX_LATER_SENDS)
 
+    async def test_what_must_not_run_twice_stops_ending_replicas(self):
+        """Guards against a count per host: each sends such a request once."""
+        await self.assert_stops_ending_replicas(NON_IDEMPOTENT + FATAL)
+
+    async def test_it_ends_three_replicas_and_is_refused_everywhere(self):
+        """Guards against one loss of replicas for each host.
+
+        Also after one of them was killed and started again, and at a host that
+        joins.
+        """
+        target = IDEMPOTENT + FATAL
+        await self.ask_in_rounds(target, 2)
+        self.assertEqual(len(self.fatal_sends()), 3)
+        for host in self.hosts:
+            await self.assert_is_refused(target, host)
+        await self.hosts[0].kill()
+        self.hosts[0].start()
+        await self.hosts[0].wait_ready()
+        await self.add_host("host-3")
+        await asyncio.sleep(LIST_DELAY_S)
+        for host in self.hosts:
+            await self.assert_is_refused(target, host)
+
+    async def test_other_content_is_served_meanwhile(self):
+        """Guards against refusing requests that differ by one byte."""
+        await self.ask_in_rounds(IDEMPOTENT + FATAL, 2)
+        for host in self.hosts:
+            for target in (IDEMPOTENT + FATAL[:-1], NON_IDEMPOTENT + "x"):
+                response = await self.ask(target, "good", host)
+                self.assertEqual(response.status_code, 200)
+
 
 class CrashingTurnTest(CrashingRequestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.wait_shards_owned()
+        self.headers = turn_headers("", program="p")
+        del self.headers["Request-Id"]
+
     async def test_a_repeated_turn_stops_ending_replicas(self):
         """Guards against losing all engines again with each repetition."""
-        await self.wait_shards_owned()
         target = STREAMING + FATAL
-        headers = turn_headers("", program="p")
-        del headers["Request-Id"]
-        await self.ask_in_rounds(target, 1, **headers)
+        await self.ask_in_rounds(target, 1, **self.headers)
         self.assertGreaterEqual(len(self.fatal_sends()), 3)
         await asyncio.sleep(CONTACT_S)
         before = len(self.fatal_sends())
-        await self.ask_in_rounds(target, 3, **headers)
+        await self.ask_in_rounds(target, 3, **self.headers)
         later = len(self.fatal_sends()) - before
         self.assertLessEqual(later, MAX_LATER_SENDS)
+
+    async def test_a_turn_that_ends_engines_after_some_events_stops(self):
+        """Guards against resuming a stream that ends each of its replicas."""
+        self.set_engines(events_before_cut=1, events=100)
+        target = STREAMING + FATAL
+        for host in self.hosts:
+            with contextlib.suppress(httpx.RemoteProtocolError):
+                await self.ask(target, "q", host, **self.headers)
+            await self.replace_ended()
+            self.set_engines(events_before_cut=1, events=100)
+        self.assertEqual(len(self.fatal_sends()), 3)
+        for host in self.hosts:
+            await self.assert_is_refused(target, host, **self.headers)
+
+
+class HarmlessRequestTest(CrashingRequestCase):
+    async def test_requests_in_flight_at_three_losses_are_served_again(self):
+        """Guards against holding back requests that only happened to run.
+
+        All replicas end three times, for a cause of their own.
+        """
+        targets = [f"{IDEMPOTENT}good{n}" for n in range(12)]
+        for number in range(3):
+            self.set_unary_replicas(processing_s=0.3)
+            tasks = [
+                asyncio.create_task(
+                    self.ask(target, f"q{number}", self.hosts[n % 3])
+                )
+                for n, target in enumerate(targets)
+            ]
+            await asyncio.sleep(0.15)
+            await self.end_all(self.unary_replicas)
+            await asyncio.gather(*tasks)
+            await self.replace_ended()
+        waiting = set(targets)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + HARMLESS_AGAIN_S
+        while waiting and loop.time() < until:
+            for target in list(waiting):
+                response = await self.ask(target, "again", self.hosts[0])
+                if response.status_code == 200:
+                    waiting.discard(target)
+            await asyncio.sleep(0.2)
+        self.assertEqual(waiting, set())
+        await asyncio.sleep(LIST_DELAY_S)
+        for host in self.hosts:
+            self.assertEqual(self.suspects(host), {})
+
+    async def test_resets_and_broken_responses_blame_nothing(self):
+        """Guards against taking a lost connection for a crash."""
+        for fault in (
+            ReplicaFault.RESET,
+            ReplicaFault.TRUNCATED,
+            ReplicaFault.MALFORMED,
+        ):
+            self.set_unary_replicas(fault=fault, faulty_requests=1_000)
+            for number, host in enumerate(self.hosts * 2):
+                await self.ask(IDEMPOTENT + "x", f"{fault.name}-{number}", host)
+        for host in self.hosts:
+            self.assertEqual(self.suspects(host), {})
+
+    async def test_a_planned_exit_blames_nothing(self):
+        """Guards against taking the end of a drained replica for a crash."""
+        self.set_unary_replicas(processing_s=1.5)
+        tasks = [
+            asyncio.create_task(
+                self.ask(f"{NON_IDEMPOTENT}{n}", f"q{n}", self.hosts[n % 3])
+            )
+            for n in range(9)
+        ]
+        await asyncio.sleep(0.2)
+        for replica in self.unary_replicas:
+            self.store.put(
+                "servers", replica.id, replica.entry(state="draining")
+            )
+        await asyncio.sleep(LIST_DELAY_S)
+        await self.end_all(self.unary_replicas)
+        await asyncio.gather(*tasks)
+        for host in self.hosts:
+            self.assertEqual(self.suspects(host), {})
+
+
+class ReusedAddressTest(CrashingRequestCase):
+    async def test_a_replica_replaced_at_once_has_ended_all_the_same(self):
+        """Guards against overlooking a crash whose address is taken again.
+
+        The address accepts connections, and declines what is meant for the
+        replica before.
+        """
+        replica = self.unary_replicas[0]
+        await self.end_all(self.unary_replicas[1:])
+        others = self.unary_replicas[1:]
+        successor = FakeReplica("desk", is_stream=False)
+
+        async def take_address():
+            while not replica.has_ended:
+                await asyncio.sleep(0)
+            await successor.start_at(replica.port)
+
+        taking = asyncio.create_task(take_address())
+        await self.ask(IDEMPOTENT + FATAL, "q1", self.hosts[0])
+        await taking
+        self.assertFalse(any(r.executed_requests for r in others))
+        await self.ask(IDEMPOTENT + "good", "q2", self.hosts[0])
+        (suspect,) = self.suspects(self.hosts[0]).values()
+        self.assertEqual(suspect.strikes, 1)
+        await successor.stop()
--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -26,6 +26,7 @@
     TIMED_OUT = "timed_out"
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
+    CRASH_SUSPECT = "crash_suspect"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_FAILED = "upstream_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -132,6 +133,12 @@
         None,
         "The request crashed its replicas; it is given up.",
     ),
+    ErrorKind.CRASH_SUSPECT: ErrorResponse(
+        503,
+        Executed.NO,
+        5000,
+        "The request is held back: replicas that ran it have crashed.",
+    ),
     ErrorKind.NO_UPSTREAM: ErrorResponse(
         503, Executed.NO, 2000, "No replica can serve the call now."
     ),
--- a/libs/gateway/src/masticdale_gateway/__init__.py
+++ b/libs/gateway/src/masticdale_gateway/__init__.py
@@ -12,6 +12,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from masticdale_gateway.crashes import CrashDependencies, TrialClaims
 from masticdale_gateway.listeners import close_listener, listen
 from masticdale_gateway.messages import Header, Headers, Request, ResponseHead
 from masticdale_gateway.relay import Relay, RelayDependencies
@@ -20,6 +21,7 @@
     "Admission",
     "AdmissionClaim",
     "BudgetLedger",
+    "CrashDependencies",
     "ForwardingMetadata",
     "Header",
     "HeaderCodec",
@@ -31,6 +33,7 @@
     "RequestMetadata",
     "ResponseHead",
     "ResponseMetadata",
+    "TrialClaims",
     "close_listener",
     "listen",
 ]
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -39,6 +39,9 @@
             if unknown.
         workspace: The workspace of the caller; None for an anonymous request.
         version: Version of the configuration by which it was routed.
+        possible_runs: Number of attempts that a replica may have executed.
+        is_trial: Whether its content is held back, and this is the one run
+            that may show whether it still ends replicas.
     """
 
     request: Request
@@ -54,6 +57,8 @@
     event_interval_s: float = 0.0
     workspace: Workspace | None = None
     version: int = 0
+    possible_runs: int = 0
+    is_trial: bool = False
     _content_digest: str = dataclasses.field(default="", init=False, repr=False)
 
     @property
--- /dev/null
+++ b/libs/gateway/src/masticdale_gateway/crashes.py
@@ -0,0 +1,217 @@
+"""Holds back requests that crash the replicas that run them."""
+
+import asyncio
+import dataclasses
+from collections.abc import Coroutine
+from typing import Protocol
+
+from masticdale_common import ErrorKind, Failure, Metrics, logs
+from masticdale_gateway.calls import Call
+from masticdale_gateway.pools import ConnectionPool
+from masticdale_routing.crashes import CrashEvidence, LostRuns, Suspicion
+from masticdale_routing.fleet import ReplicaState
+
+
+class TrialClaims(Protocol):
+    """Grants single runs of held contents, one among all hosts."""
+
+    async def claim(self, content: str) -> float:
+        """Claims a trial.
+
+        Returns:
+            0 if this host may run the content once; else the time in seconds
+            after which to claim again.
+        """
+        ...
+
+    async def withdraw(self, content: str) -> None:
+        """Gives back a trial in which the content was not run."""
+        ...
+
+    async def end(self, content: str) -> None:
+        """Forgets the trials of a content that was run whole."""
+        ...
+
+
+class NoTrials:
+    """``TrialClaims`` of a host that shares no evidence with others."""
+
+    # Time after which a caller may ask again, in seconds.
+    _RETRY_S = 60.0
+
+    async def claim(self, content: str) -> float:
+        """See ``TrialClaims.claim``."""
+        del content
+        return self._RETRY_S
+
+    async def withdraw(self, content: str) -> None:
+        """See ``TrialClaims.withdraw``."""
+        del content
+
+    async def end(self, content: str) -> None:
+        """See ``TrialClaims.end``."""
+        del content
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashDependencies:
+    """The collaborators of a ``CrashGuard``.
+
+    Attributes:
+        evidence: What all hosts know of contents that end replicas.
+        trials: Grants single runs of held contents.
+    """
+
+    evidence: CrashEvidence = dataclasses.field(default_factory=CrashEvidence)
+    trials: TrialClaims = dataclasses.field(default_factory=NoTrials)
+
+
+class CrashGuard:
+    """Finds out which requests end replicas, and holds these back."""
+
+    def __init__(
+        self,
+        dependencies: CrashDependencies,
+        pool: ConnectionPool,
+        metrics: Metrics,
+    ) -> None:
+        self._evidence = dependencies.evidence
+        self._trials = dependencies.trials
+        self._pool = pool
+        self._metrics = metrics
+        self._lost = LostRuns()
+        self._next_claim_at_by_content: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def admit(self, call: Call) -> Failure | None:
+        """Refuses a call whose content keeps ending replicas.
+
+        Returns:
+            The failure, with the time after which the call may be run; None
+            if it may be sent to replicas.
+        """
+        if not self._evidence.has_suspects:
+            return None
+        suspicion = self._evidence.suspicion(call.content_digest)
+        if suspicion is None or not suspicion.is_held:
+            return None
+        wait_s = await self._claim_trial(call, suspicion)
+        if not wait_s:
+            call.is_trial = True
+            return None
+        logs.write_bounded(
+            "suspect_refused",
+            request_id=call.metadata.request_id,
+            content=call.content_digest,
+            strikes=suspicion.strikes,
+            heard_s_ago=round(_now() - suspicion.heard_at, 3),
+            wait_s=round(wait_s, 1),
+        )
+        return Failure(
+            ErrorKind.CRASH_SUSPECT,
+            f"{suspicion.strikes} replicas ended while they ran it",
+            retry_after_ms=int(1000 * wait_s),
+        )
+
+    def may_repeat(self, call: Call) -> bool:
+        """Returns whether a call that may have run may be sent again."""
+        if not self._evidence.has_suspects:
+            return True
+        suspicion = self._evidence.suspicion(call.content_digest)
+        return suspicion is None or not suspicion.is_held
+
+    async def record_loss(self, call: Call, state: ReplicaState) -> None:
+        """Records a connection that was lost while its replica ran a call.
+
+        Returns once the replica has refused another connection or taken it, so
+        that the call is sent on to the next one only if it may be. A replica
+        that takes it may have been started again at once: then a later answer
+        at its address tells that it has ended.
+        """
+        if state.is_leaving:
+            return
+        incarnation = state.replica.incarnation
+        self._lost.add(incarnation, call.content_digest, _now())
+        if await self._pool.refuses(state.replica):
+            self.record_end(state)
+
+    def record_end(self, state: ReplicaState) -> None:
+        """Records that a replica has ended: its address is no longer its own.
+
+        The runs that were lost there shortly before were under way as it
+        ended.
+        """
+        incarnation = state.replica.incarnation
+        for content in self._lost.take(incarnation, _now()):
+            suspicion = self._evidence.record_crash(
+                content, incarnation, _now()
+            )
+            if suspicion is None:
+                continue
+            self._metrics.count("crash_strikes_total")
+            logs.write_bounded(
+                "crash_suspect",
+                content=content,
+                replica=state.replica.id,
+                service=state.replica.service,
+                strikes=suspicion.strikes,
+                held=suspicion.is_held,
+            )
+
+    def record_success(self, call: Call) -> None:
+        """Records that a replica has run a call whole."""
+        if not self._evidence.has_suspects:
+            return
+        content = call.content_digest
+        before = self._evidence.record_success(content, _now())
+        if before is None:
+            return
+        logs.write_bounded(
+            "suspect_cleared",
+            request_id=call.metadata.request_id,
+            content=content,
+            strikes=before.strikes,
+        )
+        if before.is_held:
+            self._spawn(self._trials.end(content))
+
+    def finish(self, call: Call) -> None:
+        """Ends a call; a trial that did not run leaves the next one free."""
+        if call.is_trial and not call.possible_runs:
+            self._spawn(self._trials.withdraw(call.content_digest))
+
+    async def _claim_trial(self, call: Call, suspicion: Suspicion) -> float:
+        content = call.content_digest
+        now = _now()
+        wait_s = max(
+            suspicion.held_for_s(now),
+            self._next_claim_at_by_content.get(content, 0.0) - now,
+        )
+        if wait_s > 0:
+            return wait_s
+        wait_s = await self._trials.claim(content)
+        logs.write_bounded(
+            "suspect_trial",
+            request_id=call.metadata.request_id,
+            content=content,
+            strikes=suspicion.strikes,
+            granted=not wait_s,
+            wait_s=round(wait_s, 1),
+        )
+        self._forget_released()
+        self._next_claim_at_by_content[content] = _now() + wait_s
+        return wait_s
+
+    def _forget_released(self) -> None:
+        suspicions = self._evidence.suspicions()
+        for content in self._next_claim_at_by_content.keys() - suspicions:
+            del self._next_claim_at_by_content[content]
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -13,6 +13,7 @@
     HeaderCodec,
     ResponseMetadata,
 )
+from masticdale_gateway.crashes import CrashGuard
 from masticdale_gateway.messages import ResponseHead, encode_request
 from masticdale_gateway.pools import ConnectFailedError, ConnectionPool
 from masticdale_gateway.transports import ConnectionLostError
@@ -74,6 +75,7 @@
     def __init__(
         self,
         sender: "Sender",
+        call: Call,
         state: ReplicaState,
         connection: UpstreamConnection,
         head: ResponseHead,
@@ -82,6 +84,7 @@
         self.head = head
         self.metadata = metadata
         self._sender = sender
+        self._call = call
         self._state = state
         self._connection = connection
         self._is_complete = False
@@ -108,6 +111,8 @@
             now = asyncio.get_running_loop().time()
             is_fault = not isinstance(error, TimeoutError)
             self._state.record_failure(now, is_replica_fault=is_fault)
+            if isinstance(error, ConnectionLostError):
+                await self._sender.crashes.record_loss(self._call, self._state)
             return Failed(_reason(error))
         self._is_complete = chunk is None
         return Success(chunk)
@@ -136,6 +141,7 @@
         """
         if self._is_complete:
             self._state.circuit.record_success()
+            self._sender.crashes.record_success(self._call)
             self._sender.pool.release(self._state.replica, self._connection)
         else:
             self._state.circuit.release()
@@ -148,12 +154,18 @@
 
     Attributes:
         pool: The connections to replicas.
+        crashes: Learns which requests end replicas.
     """
 
     def __init__(
-        self, pool: ConnectionPool, codec: HeaderCodec, metrics: Metrics
+        self,
+        pool: ConnectionPool,
+        codec: HeaderCodec,
+        metrics: Metrics,
+        crashes: CrashGuard,
     ) -> None:
         self.pool = pool
+        self.crashes = crashes
         self._codec = codec
         self._metrics = metrics
 
@@ -179,7 +191,9 @@
             metadata = self._codec.parse_response(head)
             self._record_load(state, metadata)
             if metadata.is_usable:
-                exchange = Exchange(self, state, connection, head, metadata)
+                exchange = Exchange(
+                    self, call, state, connection, head, metadata
+                )
                 return Success(exchange)
             return Failed(
                 await self._handle_unusable_response(
@@ -188,6 +202,8 @@
             )
         except ConnectFailedError as error:
             state.record_failure(loop.time())
+            if error.is_refused:
+                self.crashes.record_end(state)
             return Failed(
                 self._failure(call, state, Executed.NO, _reason(error))
             )
@@ -198,6 +214,8 @@
             state.record_failure(
                 loop.time(), is_replica_fault=not is_own_timeout
             )
+            if isinstance(error, ConnectionLostError):
+                await self.crashes.record_loss(call, state)
             return Failed(
                 self._failure(call, state, Executed.UNKNOWN, _reason(error))
             )
@@ -239,6 +257,7 @@
             attempt=len(call.replica_ids),
             last_event_id=options.last_event_id,
         )
+        call.possible_runs += 1
         connection.send(
             encode_request(
                 request.method, request.target, fields, request.body
@@ -269,6 +288,8 @@
             # 421: another replica has taken over this address, and the list
             # of replicas does not show it yet.
             state.record_failure(asyncio.get_running_loop().time())
+            self.crashes.record_end(state)
+        call.possible_runs -= 1
         try:
             async with asyncio.timeout(_REJECTION_BODY_TIMEOUT_S):
                 while await connection.read_chunk() is not None:
--- a/libs/gateway/src/masticdale_gateway/pools.py
+++ b/libs/gateway/src/masticdale_gateway/pools.py
@@ -10,6 +10,9 @@
 # Shorter than the kernel's first SYN retransmission (1 s): a replica whose
 # accept queue is full drops the SYN, and waiting for the retry takes too long.
 _CONNECT_TIMEOUT_S = 0.4
+# Timeout of a connection that only shows whether a replica still listens. A
+# request waits for it, and a replica that has ended refuses at once.
+_PROBE_TIMEOUT_S = 0.1
 # A connection is not reused this close to its keep-alive timeout: the request
 # could cross with the replica's close.
 _KEEP_ALIVE_MARGIN_S = 1.0
@@ -20,7 +23,15 @@
 
 
 class ConnectFailedError(Exception):
-    """The connection could not be opened, so nothing was sent."""
+    """The connection could not be opened, so nothing was sent.
+
+    Attributes:
+        is_refused: Whether nothing listens at the address.
+    """
+
+    def __init__(self, cause: Exception) -> None:
+        super().__init__(repr(cause))
+        self.is_refused = isinstance(cause, ConnectionRefusedError)
 
 
 class ConnectionPool:
@@ -58,6 +69,19 @@
             return idle.pop()
         return await self._connect(replica)
 
+    async def refuses(self, replica: Replica) -> bool:
+        """Returns whether nothing listens at a replica's address.
+
+        A connection that it takes is kept for the next request.
+        """
+        try:
+            connection = await self._connect(replica, _PROBE_TIMEOUT_S)
+        except ConnectFailedError as error:
+            return error.is_refused
+        connection.idle_since = asyncio.get_running_loop().time()
+        self.release(replica, connection)
+        return False
+
     def release(self, replica: Replica, connection: UpstreamConnection) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
         if not connection.is_reusable:
@@ -81,16 +105,18 @@
                 connection.close()
         self._idle_by_key.clear()
 
-    async def _connect(self, replica: Replica) -> UpstreamConnection:
+    async def _connect(
+        self, replica: Replica, timeout_s: float = _CONNECT_TIMEOUT_S
+    ) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         self._metrics.count("upstream_connections_total")
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     UpstreamConnection, replica.address, replica.port
                 )
         except (OSError, TimeoutError) as error:
-            raise ConnectFailedError(repr(error)) from error
+            raise ConnectFailedError(error) from error
         return connection
 
 
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -25,6 +25,7 @@
     RelaySettings,
 )
 from masticdale_gateway.codec import HeaderCodec, RequestMetadata
+from masticdale_gateway.crashes import CrashDependencies, CrashGuard
 from masticdale_gateway.exchanges import Sender
 from masticdale_gateway.messages import Request
 from masticdale_gateway.pools import ConnectionPool
@@ -51,6 +52,7 @@
         is_configuration_fresh: Returns whether changes of the configuration
             reach this host.
         settings: Limits of the data path.
+        crashes: What is known of requests that end replicas.
     """
 
     configuration: Callable[[], Configuration | None]
@@ -60,6 +62,9 @@
     metrics: Metrics
     is_configuration_fresh: Callable[[], bool] = lambda: True
     settings: RelaySettings = dataclasses.field(default_factory=RelaySettings)
+    crashes: CrashDependencies = dataclasses.field(
+        default_factory=CrashDependencies
+    )
 
 
 class Relay:
@@ -77,7 +82,12 @@
         self._connections: set[CallerConnection] = set()
         self._limit_by_connection: dict[CallerConnection, asyncio.Timeout] = {}
         self._has_given_up = False
-        sender = Sender(self.pool, dependencies.codec, dependencies.metrics)
+        self._crashes = CrashGuard(
+            dependencies.crashes, self.pool, dependencies.metrics
+        )
+        sender = Sender(
+            self.pool, dependencies.codec, dependencies.metrics, self._crashes
+        )
         self._unary = UnaryRelay(
             dependencies.fleet, sender, dependencies.settings
         )
@@ -311,6 +321,17 @@
 
     async def _run(
         self, call: Call, writer: ResponseWriter
+    ) -> BufferedResponse | Failure | None:
+        held = await self._crashes.admit(call)
+        if held is not None:
+            return held
+        try:
+            return await self._run_admitted(call, writer)
+        finally:
+            self._crashes.finish(call)
+
+    async def _run_admitted(
+        self, call: Call, writer: ResponseWriter
     ) -> BufferedResponse | Failure | None:
         claim = _admission_claim(call)
         if claim is None:
--- a/libs/gateway/src/masticdale_gateway/unary.py
+++ b/libs/gateway/src/masticdale_gateway/unary.py
@@ -85,6 +85,7 @@
             if (
                 not call.is_retriable
                 or possible_executions >= call.route.max_attempts
+                or not self._sender.crashes.may_repeat(call)
             ):
                 break
         if possible_executions == 0:
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -6,6 +6,7 @@
 
 from masticdale_common import Metrics
 from masticdale_gateway.codec import ResponseMetadata
+from masticdale_gateway.crashes import CrashDependencies, CrashGuard
 from masticdale_gateway.exchanges import AttemptOptions, Sender
 from masticdale_routing.failures import ReplicaFailures
 from masticdale_routing.fleet import Replica, ReplicaState
@@ -62,6 +63,7 @@
         assigned_replica_id="",
         workspace_name="",
         content_digest="c",
+        possible_runs=0,
     )
 
 
@@ -76,7 +78,8 @@
 
     def sender(self, is_rejected):
         pool = Pool(Connection(is_rejected))
-        return Sender(pool, Codec(), Metrics())
+        crashes = CrashGuard(CrashDependencies(), pool, Metrics())
+        return Sender(pool, Codec(), Metrics(), crashes)
 
     def is_allowed(self):
         return self.state.circuit.allows(asyncio.get_running_loop().time())
--- /dev/null
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -0,0 +1,306 @@
+"""Evidence on requests that crash replicas, merged from all hosts.
+
+A request may crash each replica that begins to run it, and its caller repeats
+it under a new id, at any host. Hosts therefore report under which contents a
+replica ended. Everything that was in flight there is suspected. A content that
+is then run whole is cleared; one that keeps ending replicas is held back.
+
+A report only grows, and replicas are named by their incarnation. Reports may
+thus arrive late, twice or in any order, and each ended replica counts once,
+however many hosts had sent the content to it.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable
+
+# Ended replicas from which on a content is held back. Content that is in flight
+# by chance is seldom hit as often before it is run whole once.
+STRIKES_TO_HOLD = 3
+# Time for which a held content is refused before one more run, a trial, may
+# show whether it still ends replicas, in seconds, by the number of trials
+# before. The first is short, since a loss of all replicas also hits harmless
+# requests.
+_HOLD_S_BY_TRIALS = (5.0, 60.0, 600.0, 3600.0)
+# Time after which a content without new strikes is forgotten, in seconds.
+RETENTION_S = 3600.0
+# Contents that a host reports. Without a bound, a fleet of replicas that keeps
+# crashing for another reason would fill the memory of all hosts.
+_MAX_OWN_REPORTS = 100
+# Replicas named for one content in the report of a host.
+_MAX_REPLICAS = 8
+# Time from the loss of a connection within which a sign that the replica has
+# ended explains the loss, in seconds. Later it may have been replaced as
+# planned.
+_LOSS_WINDOW_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What one host has seen of one content.
+
+    Attributes:
+        content: Digest of the content.
+        ended: Incarnations of replicas that ended while they ran it.
+        cleared: Incarnations for which it is no longer blamed, since it was
+            run whole after they had ended.
+    """
+
+    content: str
+    ended: frozenset[str]
+    cleared: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion:
+    """What is known of a suspected content.
+
+    Attributes:
+        strikes: Number of replicas that ended while they ran it.
+        heard_at: Time of the last strike or of its report, in loop seconds.
+    """
+
+    strikes: int
+    heard_at: float
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the content is refused, but for single runs as a trial."""
+        return self.strikes >= STRIKES_TO_HOLD
+
+    def held_for_s(self, now: float) -> float:
+        """Returns the time until a first trial is due, in seconds."""
+        if not self.is_held:
+            return 0.0
+        return trial_wait_s(0, now - self.heard_at)
+
+
+def trial_wait_s(trials: int, since_s: float) -> float:
+    """Returns the time until a held content may have another trial.
+
+    Args:
+        trials: Number of trials that it has had.
+        since_s: Time since the last one, or else since its last strike, in
+            seconds.
+    """
+    hold_s = _HOLD_S_BY_TRIALS[min(trials, len(_HOLD_S_BY_TRIALS) - 1)]
+    return max(0.0, hold_s - since_s)
+
+
+@dataclasses.dataclass(slots=True)
+class _OwnReport:
+    ended: dict[str, None] = dataclasses.field(default_factory=dict)
+    cleared: set[str] = dataclasses.field(default_factory=set)
+    changed_at: float = 0.0
+
+    def to_report(self, content: str) -> CrashReport:
+        return CrashReport(
+            content, frozenset(self.ended), frozenset(self.cleared)
+        )
+
+
+class CrashEvidence:
+    """The reports of all hosts, and what follows from them.
+
+    Attributes:
+        on_change: Called when this host's own reports change.
+    """
+
+    def __init__(self) -> None:
+        self.on_change: Callable[[], None] | None = None
+        self._own_by_content: dict[str, _OwnReport] = {}
+        self._reports_by_host: dict[str, dict[str, CrashReport]] = {}
+        self._hosts_by_content: dict[str, set[str]] = collections.defaultdict(
+            set
+        )
+        self._suspicion_by_content: dict[str, Suspicion] = {}
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any content is suspected at all."""
+        return bool(self._suspicion_by_content)
+
+    def suspicion(self, content: str) -> Suspicion | None:
+        """Returns what is known of a content; None if it is not suspected."""
+        return self._suspicion_by_content.get(content)
+
+    def suspicions(self) -> dict[str, Suspicion]:
+        """Returns all suspected contents by their digest."""
+        return dict(self._suspicion_by_content)
+
+    def own_reports(self) -> tuple[CrashReport, ...]:
+        """Returns the reports of this host, to be passed on to all others."""
+        return tuple(
+            own.to_report(content)
+            for content, own in self._own_by_content.items()
+        )
+
+    def record_crash(
+        self, content: str, incarnation: str, now: float
+    ) -> Suspicion | None:
+        """Records that a replica ended while it ran a content.
+
+        Args:
+            content: Digest of the content.
+            incarnation: The replica's process.
+            now: Event loop time in seconds.
+
+        Returns:
+            What is then known of the content.
+        """
+        own = self._own(content)
+        if incarnation not in own.ended:
+            own.ended[incarnation] = None
+            own.changed_at = now
+            while len(own.ended) > _MAX_REPLICAS:
+                del own.ended[next(iter(own.ended))]
+            self._update(content, now)
+            self._drop_surplus(now)
+            self._notify()
+        return self.suspicion(content)
+
+    def record_success(self, content: str, now: float) -> Suspicion | None:
+        """Clears a content that a replica has run whole.
+
+        Returns:
+            What was known of it before; None if it was not suspected.
+        """
+        before = self.suspicion(content)
+        if before is None:
+            return None
+        ended, _ = self._merged(content)
+        own = self._own(content)
+        own.cleared |= ended
+        own.changed_at = now
+        self._update(content, now)
+        self._notify()
+        return before
+
+    def apply(
+        self, host: str, reports: Iterable[CrashReport], now: float
+    ) -> None:
+        """Replaces the reports of another host."""
+        before = self._reports_by_host.get(host, {})
+        after = {report.content: report for report in reports}
+        self._reports_by_host[host] = after
+        for content in before.keys() - after.keys():
+            self._hosts_by_content[content].discard(host)
+        for content in after:
+            self._hosts_by_content[content].add(host)
+        for content in before.keys() | after.keys():
+            if before.get(content) != after.get(content):
+                self._update(content, now)
+
+    def add_own(self, reports: Iterable[CrashReport], now: float) -> None:
+        """Adds what this host had reported before it was started again."""
+        for report in reports:
+            own = self._own(report.content)
+            own.ended |= dict.fromkeys(sorted(report.ended))
+            own.cleared |= report.cleared
+            own.changed_at = now
+            self._update(report.content, now)
+
+    def replace_own(self, reports: Iterable[CrashReport], now: float) -> None:
+        """Replaces the reports of this host, as an operator has edited them."""
+        contents = set(self._own_by_content)
+        self._own_by_content.clear()
+        self.add_own(reports, now)
+        for content in contents:
+            self._update(content, now)
+
+    def forget_host(self, host: str, now: float) -> None:
+        """Drops the reports of a host whose reports were removed."""
+        self.apply(host, (), now)
+        del self._reports_by_host[host]
+
+    def hosts(self) -> set[str]:
+        """Returns the other hosts whose reports are known."""
+        return set(self._reports_by_host)
+
+    def expire(self, now: float) -> None:
+        """Drops own reports that have not changed for the retention time."""
+        expired = [
+            content
+            for content, own in self._own_by_content.items()
+            if now - own.changed_at > RETENTION_S
+        ]
+        for content in expired:
+            self._drop_own(content, now)
+        if expired:
+            self._notify()
+
+    def _own(self, content: str) -> _OwnReport:
+        return self._own_by_content.setdefault(content, _OwnReport())
+
+    def _merged(self, content: str) -> tuple[set[str], set[str]]:
+        ended: set[str] = set()
+        cleared: set[str] = set()
+        own = self._own_by_content.get(content)
+        if own is not None:
+            ended.update(own.ended)
+            cleared |= own.cleared
+        for host in self._hosts_by_content.get(content, ()):
+            report = self._reports_by_host[host][content]
+            ended |= report.ended
+            cleared |= report.cleared
+        return ended, cleared
+
+    def _update(self, content: str, now: float) -> None:
+        ended, cleared = self._merged(content)
+        strikes = len(ended - cleared)
+        if not self._hosts_by_content.get(content):
+            self._hosts_by_content.pop(content, None)
+        if not strikes:
+            self._suspicion_by_content.pop(content, None)
+            return
+        before = self._suspicion_by_content.get(content)
+        heard_at = now
+        if before is not None and strikes <= before.strikes:
+            heard_at = before.heard_at
+        self._suspicion_by_content[content] = Suspicion(strikes, heard_at)
+
+    def _drop_surplus(self, now: float) -> None:
+        while len(self._own_by_content) > _MAX_OWN_REPORTS:
+            self._drop_own(min(self._own_by_content, key=self._weight), now)
+
+    def _weight(self, content: str) -> tuple[int, float]:
+        suspicion = self._suspicion_by_content.get(content)
+        strikes = suspicion.strikes if suspicion else 0
+        return strikes, self._own_by_content[content].changed_at
+
+    def _drop_own(self, content: str, now: float) -> None:
+        del self._own_by_content[content]
+        self._update(content, now)
+
+    def _notify(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
+
+class LostRuns:
+    """Runs whose connection was lost, until it is known what became of it.
+
+    A lost connection alone does not show that its replica ended: connections
+    are reset, responses are lost, and faulty replicas break off.
+    """
+
+    def __init__(self) -> None:
+        self._lost_at_by_run: dict[tuple[str, str], float] = {}
+
+    def add(self, incarnation: str, content: str, now: float) -> None:
+        """Records a run whose connection to a replica was lost."""
+        self._forget_old(now)
+        self._lost_at_by_run[incarnation, content] = now
+
+    def take(self, incarnation: str, now: float) -> list[str]:
+        """Removes and returns the contents that a replica was running."""
+        self._forget_old(now)
+        contents = [c for i, c in self._lost_at_by_run if i == incarnation]
+        for content in contents:
+            del self._lost_at_by_run[incarnation, content]
+        return contents
+
+    def _forget_old(self, now: float) -> None:
+        for run, lost_at in list(self._lost_at_by_run.items()):
+            if now - lost_at > _LOSS_WINDOW_S:
+                del self._lost_at_by_run[run]
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -61,6 +61,11 @@
     warmup_remaining_ms: float = 0.0
     started_at_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Identifies one start of the replica; an id may be used again."""
+        return f"{self.id}/{self.started_at_ms}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
@@ -84,6 +89,7 @@
         replica: The latest entry of the platform's list.
         in_flight: Requests of this host in progress at the replica.
         circuit: Its circuit breaker.
+        is_listed: Whether the platform's list still has this process.
     """
 
     def __init__(
@@ -93,8 +99,14 @@
         self._failures = failures or ReplicaFailures()
         self.in_flight = 0
         self.circuit = CircuitBreaker(_CIRCUIT_SETTINGS)
+        self.is_listed = True
         self._load: ReportedLoad | None = None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the platform has announced the end of this process."""
+        return self.replica.is_draining or not self.is_listed
+
     def record_failure(
         self, now: float, *, is_replica_fault: bool = True
     ) -> None:
@@ -180,6 +192,8 @@
         if state is not None and state.replica.service != replica.service:
             self.remove(replica.id)
         if state is None or _is_restarted(state.replica, replica):
+            if state is not None:
+                state.is_listed = False
             state = ReplicaState(replica, self.failures)
         state.replica = replica
         self._state_by_id[replica.id] = state
@@ -189,6 +203,7 @@
         """Removes a replica; an unknown id is ignored."""
         state = self._state_by_id.pop(replica_id, None)
         if state is not None:
+            state.is_listed = False
             del self._state_by_id_by_service[state.replica.service][replica_id]
 
     def find(self, replica_id: str) -> ReplicaState | None:
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -33,6 +33,7 @@
         TRUNCATED: Closes or resets the connection within the body.
         MALFORMED: Sends bytes that are not HTTP.
         SERVER_ERROR: Responds with 500.
+        FATAL: Ends the replica: before a unary response, within a stream.
     """
 
     NONE = enum.auto()
@@ -49,6 +50,7 @@
     TRUNCATED = enum.auto()
     MALFORMED = enum.auto()
     SERVER_ERROR = enum.auto()
+    FATAL = enum.auto()
 
 
 @dataclasses.dataclass(slots=True)
@@ -61,9 +63,10 @@
         events: Number of events of a stream.
         event_interval_s: Interval between two events, in seconds.
         processing_s: Processing time before the response, in seconds.
-        events_before_cut: Number of events before a truncated stream ends.
-        fatal_target: A request whose target contains this ends the replica
-            after ``processing_s``; empty for none.
+        events_before_cut: Number of events before a truncated stream, or its
+            replica, ends.
+        fatal_target: Requests whose target contains this are FATAL; empty for
+            none.
     """
 
     fault: ReplicaFault = ReplicaFault.NONE
@@ -113,7 +116,11 @@
 
     async def start(self) -> None:
         """Starts to listen, on the same port after a restart."""
-        await self._server.start(self._server.port)
+        await self.start_at(self._server.port)
+
+    async def start_at(self, port: int) -> None:
+        """Starts to listen on a port, such as that of a replica before."""
+        await self._server.start(port)
 
     async def stop(self) -> None:
         """Stops listening and drops all connections, as a crash does."""
@@ -156,6 +163,8 @@
         if behaviour.faulty_requests > 0:
             fault = behaviour.fault
             behaviour.faulty_requests -= fault is not ReplicaFault.NONE
+        if behaviour.fatal_target and behaviour.fatal_target in request.target:
+            fault = ReplicaFault.FATAL
         headers = self._headers(request)
         if fault in (
             ReplicaFault.OVERLOADED,
@@ -169,11 +178,6 @@
             connection.close()
             return
         self.executed_requests.append(request)
-        if behaviour.fatal_target and behaviour.fatal_target in request.target:
-            await asyncio.sleep(behaviour.processing_s)
-            self.has_ended = True
-            self._ending = asyncio.create_task(self.stop())
-            await asyncio.sleep(3600)
         if fault is ReplicaFault.UNRESPONSIVE:
             await asyncio.sleep(3600)
         elif fault is ReplicaFault.RESET:
@@ -188,6 +192,11 @@
             await asyncio.sleep(behaviour.processing_s)
             await self._send_unary(connection, headers, fault)
 
+    async def _crash(self) -> None:
+        self.has_ended = True
+        self._ending = asyncio.create_task(self.stop())
+        await asyncio.sleep(3600)
+
     def _headers(self, request: RawRequest) -> dict[str, str]:
         request_id = request.header_by_name.get("request-id", "")
         return {
@@ -202,6 +211,8 @@
         headers: dict[str, str],
         fault: ReplicaFault,
     ) -> None:
+        if fault is ReplicaFault.FATAL:
+            await self._crash()
         body = b"body of " + headers["Request-Id"].encode()
         if fault is ReplicaFault.UNSIGNED:
             del headers["Response-Seal"]
@@ -261,9 +272,10 @@
         )
         begin = int(request.header_by_name.get("last-event-id", "0"))
         for number in range(begin + 1, behaviour.events + 1):
-            if fault is ReplicaFault.TRUNCATED and (
-                number > begin + behaviour.events_before_cut
-            ):
+            is_cut = number > begin + behaviour.events_before_cut
+            if is_cut and fault is ReplicaFault.FATAL:
+                await self._crash()
+            if is_cut and fault is ReplicaFault.TRUNCATED:
                 await connection.write(_chunk(b"id: 99\ndata: ha"))
                 connection.reset()
                 return
