Tell other hosts directly of crashing requests while the store is away

What callers saw: in an outage of the store each host counted for itself, so that a request that ends its replicas ended two more at each host.

Cause: reports travelled through the store alone. Reports only grow, so that a notice that comes late, twice, or beside the store's object says nothing wrong.

Ruled out: sending notices always (each strike would be some hundred messages on a large fleet, and the store is fast enough), and notices on admissions alone (a host of 171 sends a turn in some seconds).

--- a/apps/masticdale_entry/src/masticdale_entry/crash_reports.py
+++ b/apps/masticdale_entry/src/masticdale_entry/crash_reports.py
@@ -32,14 +32,20 @@
 # Delay before contents that were cleared are written, in seconds. Only strikes
 # are urgent: the caller comes back at once.
 _CLEAR_DELAY_S = 1.0
-# Longest pause before reports that could not be written are written again, in
+# Time after which reports that could not be written are written again, in
 # seconds.
-_MAX_RETRY_S = 1.0
+_RETRY_S = 1.0
+# Time that a write may take before other hosts are told directly, in seconds.
+# The caller of a fatal request comes back sooner than a slow store answers.
+_SLOW_WRITE_S = 0.05
 # Age of reports, in seconds, at which another host deletes them. Their host
 # would have dropped them before if it lived.
 _ABANDONED_S = 2 * RETENTION_S
 
 
+NotifyHosts = Callable[[tuple[CrashReport, ...]], Awaitable[None]]
+
+
 class _StoredReport(pydantic.BaseModel):
     """The JSON of a ``CrashReport``."""
 
@@ -68,7 +74,7 @@
         store: ObjectStore,
         evidence: CrashEvidence,
         host: str,
-        pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        notify_hosts: NotifyHosts | None = None,
     ) -> None:
         """Creates the exchange; ``run`` starts to write.
 
@@ -76,20 +82,21 @@
             store: The platform's store.
             evidence: What is known to this host.
             host: Name of this host.
-            pause: Sleeps for a number of seconds after a failed write, or less
-                if a retry may succeed sooner.
+            notify_hosts: Sends reports to all other hosts while the store does
+                not take them.
         """
         self._store = store
         self._evidence = evidence
         self._own_key = REPORT_PREFIX + host
         self._own_version = MUST_NOT_EXIST
-        self._pause = pause
+        self._notify_hosts = notify_hosts
+        self._notified: tuple[CrashReport, ...] = ()
         self._object_by_key: dict[str, StoredObject] = {}
         self._has_changes = asyncio.Event()
-        self._is_writing = False
-        self._clear_timer: asyncio.TimerHandle | None = None
-        evidence.on_strike = self._has_changes.set
-        evidence.on_clear = self._schedule_clear
+        self._has_unwritten = False
+        self._write_timer: asyncio.TimerHandle | None = None
+        evidence.on_strike = self._write_now
+        evidence.on_clear = self._write_later
 
     def apply(self, batch: WatchBatch, after_outage: bool) -> None:
         """Applies a batch of changes."""
@@ -105,26 +112,33 @@
             if key == self._own_key:
                 self._apply_own(stored)
                 continue
-            self._evidence.apply(key, _parse(stored), _now())
+            self._evidence.apply(_host(key), _parse(stored), _now())
 
     async def run(self) -> None:
         """Writes this host's reports when they change, until cancelled."""
         while True:
             await self._has_changes.wait()
             self._has_changes.clear()
-            if self._clear_timer is not None:
-                self._clear_timer.cancel()
-                self._clear_timer = None
-            self._is_writing = True
-            is_written = await self._write()
-            self._is_writing = False
-            if not is_written:
-                self._has_changes.set()
-                await self._pause(_MAX_RETRY_S)
+            self._cancel_timer()
+            write = asyncio.create_task(self._write())
+            await asyncio.wait({write}, timeout=_SLOW_WRITE_S)
+            if not (write.done() and write.result()):
+                await self._notify()
+            if not await write:
+                self._schedule_write(_RETRY_S)
+            elif not self._has_changes.is_set():
+                self._has_unwritten = self._write_timer is not None
 
     async def expire(self) -> None:
         """Drops old reports; call it once per ``EXPIRY_INTERVAL_S``."""
-        self._evidence.expire(_now())
+        now = _now()
+        self._evidence.expire(now)
+        # Of some hosts there are only notices: they were lost, too, before
+        # they could write to the store.
+        stored = {_host(key) for key in self._object_by_key}
+        for host in self._evidence.hosts() - stored:
+            if now - self._evidence.changed_at(host) > RETENTION_S:
+                self._evidence.forget_host(host, now)
 
     async def delete_abandoned(self) -> None:
         """Deletes the reports of hosts that are gone for good."""
@@ -134,13 +148,30 @@
             if reports is None or reports.at_ms < oldest_ms:
                 await self._store.delete(key, stored.version)
 
-    def _schedule_clear(self) -> None:
-        if self._clear_timer is not None:
+    def _write_now(self) -> None:
+        self._has_unwritten = True
+        self._has_changes.set()
+
+    def _write_later(self) -> None:
+        self._has_unwritten = True
+        self._schedule_write(_CLEAR_DELAY_S)
+
+    def _schedule_write(self, delay_s: float) -> None:
+        if self._write_timer is None:
+            loop = asyncio.get_running_loop()
+            self._write_timer = loop.call_later(delay_s, self._has_changes.set)
+
+    def _cancel_timer(self) -> None:
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+            self._write_timer = None
+
+    async def _notify(self) -> None:
+        reports = self._evidence.own_reports()
+        if self._notify_hosts is None or reports == self._notified:
             return
-        loop = asyncio.get_running_loop()
-        self._clear_timer = loop.call_later(
-            _CLEAR_DELAY_S, self._has_changes.set
-        )
+        self._notified = reports
+        await self._notify_hosts(reports)
 
     def _apply_own(self, stored: StoredObject) -> None:
         if stored.version <= self._own_version:
@@ -155,20 +186,12 @@
     def _apply_deletion(self, key: str) -> None:
         self._object_by_key.pop(key, None)
         if key != self._own_key:
-            self._evidence.forget_host(key, _now())
+            self._evidence.forget_host(_host(key), _now())
             return
         if not self._has_unwritten:
             self._own_version = MUST_NOT_EXIST
             self._evidence.replace_own((), _now())
 
-    @property
-    def _has_unwritten(self) -> bool:
-        return (
-            self._is_writing
-            or self._has_changes.is_set()
-            or self._clear_timer is not None
-        )
-
     async def _write(self) -> bool:
         reports = self._evidence.own_reports()
         if not reports:
@@ -219,8 +242,8 @@
         reports=tuple(
             _StoredReport(
                 content=report.content,
-                ended=tuple(sorted(report.ended)),
-                cleared=tuple(sorted(report.cleared)),
+                ended=report.ended,
+                cleared=report.cleared,
             )
             for report in reports
         ),
@@ -229,14 +252,15 @@
     return stored.model_dump_json().encode()
 
 
+def _host(key: str) -> str:
+    return key.removeprefix(REPORT_PREFIX)
+
+
 def _parse(stored: StoredObject) -> list[CrashReport]:
     reports = _parse_reports(stored)
     if reports is None:
         return []
-    return [
-        CrashReport(r.content, frozenset(r.ended), frozenset(r.cleared))
-        for r in reports.reports
-    ]
+    return [CrashReport(r.content, r.ended, r.cleared) for r in reports.reports]
 
 
 def _parse_reports(stored: StoredObject) -> _StoredReports | None:
--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -52,6 +52,7 @@
     RECONCILE_INTERVAL_S,
     REPLICATION_INTERVAL_S,
     SHARD_PREFIX,
+    CrashNotices,
     FallbackStore,
     Identity,
     Lease,
@@ -154,11 +155,14 @@
         )
         self._fleet = Fleet(settings.failure_domain)
         self._crash_evidence = CrashEvidence()
+        crash_notices = CrashNotices(
+            settings.host, self._crash_evidence, self._peer_clients, live_hosts
+        )
         self._crash_reports = CrashReports(
             self._store,
             self._crash_evidence,
             settings.host,
-            self._store.wait_before_retry,
+            crash_notices.send,
         )
         self._crash_trials = StoredTrials(self._store)
         self._is_watch_source = shared is not None
@@ -229,6 +233,7 @@
             shared,
             lambda: self._store.is_directly_reachable,
             self._fleet.failures,
+            crash_notices,
         )
         self._ledger.admit_locally = service.admit
         self._peer_server = RpcServer(service, peers_bind, LEDGER)
--- a/apps/masticdale_entry/tests/test_crashing_requests.py
+++ b/apps/masticdale_entry/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
     turn_headers,
 )
 
+from masticdale_standins.objects import StoreFault
 from masticdale_standins.replicas import FakeReplica, ReplicaFault
 
 FATAL = "fatal"
@@ -180,6 +181,38 @@
                 self.assertEqual(response.status_code, 200)
 
 
+class StoreAwayTest(CrashingRequestCase):
+    async def test_hosts_tell_each_other_while_the_store_is_away(self):
+        """Guards against a count per host in an outage of the store.
+
+        The outage may begin after the first loss or before it.
+        """
+        await self.wait_shards_owned()
+        await self.ask_turns()
+        self.store.faults.fault = StoreFault.BUSY
+        await self.store.reset_connections()
+        await self.wait_store_lost()
+        await self.ask_turns()
+        await self.ask_in_rounds(IDEMPOTENT + FATAL, 2)
+        self.assertEqual(len(self.fatal_sends()), 3)
+        for host in self.hosts:
+            await self.assert_is_refused(IDEMPOTENT + FATAL, host)
+
+    async def ask_turns(self):
+        """Sends turns through all hosts, so that owners know them."""
+        for number in range(9):
+            await self.send_turn(
+                f"t{number}", host=self.hosts[number % 3], program=f"p{number}"
+            )
+
+    async def wait_store_lost(self):
+        for _ in range(200):
+            if all(h.entry.has_lost_store for h in self.hosts):
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError("some host has not noticed the outage after 4 s")
+
+
 class CrashingTurnTest(CrashingRequestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
--- a/libs/ledger/src/masticdale_ledger/__init__.py
+++ b/libs/ledger/src/masticdale_ledger/__init__.py
@@ -5,6 +5,7 @@
 
 from masticdale_ledger.claims import ShardClaims
 from masticdale_ledger.client import LedgerClient
+from masticdale_ledger.crash_notices import CrashNotices
 from masticdale_ledger.failover import StandbyFailover
 from masticdale_ledger.fallback_store import FallbackStore
 from masticdale_ledger.hosts import Hosts, Identity, LiveHosts
@@ -34,6 +35,7 @@
     "RECONCILE_INTERVAL_S",
     "REPLICATION_INTERVAL_S",
     "SHARD_PREFIX",
+    "CrashNotices",
     "FallbackStore",
     "Hosts",
     "Identity",
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -170,6 +170,26 @@
   6: optional WireFailure failure,
 }
 
+struct CrashReport {
+  1: string content,         // digest
+  2: list<string> ended,     // incarnations of replicas that ended running it
+  3: list<string> cleared,   // of them, those it is no longer blamed for
+}
+
+struct CrashNotice {
+  1: string host,
+  2: list<CrashReport> reports,
+}
+
+struct CrashNoticeRequest {
+  1: list<CrashNotice> notices,
+  2: bool forward,           // to the hosts that the called one knows
+}
+
+struct CrashNoticeReply {
+  1: bool is_news,
+}
+
 service Ledger {
   AdmitReply admit(1: AdmitRequest request),
   SettleReply settle(1: SettleRequest request),
@@ -179,4 +199,5 @@
   AppointReply appoint(1: AppointRequest request),
   DecideReply decide(1: DecideRequest request),
   StoreReply store(1: StoreRequest request),
+  CrashNoticeReply notify_crashes(1: CrashNoticeRequest request),
 }
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from masticdale_common import Failure
+from masticdale_routing.crashes import CrashReport
 from masticdale_routing.failures import FailureReport
 from masticdale_rpc import Contract, Rpc, build_structs
 from masticdale_workspaces import UsageLevel
@@ -336,6 +337,34 @@
     failure: Failure | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """Reports of a host that can't write them to the store.
+
+    Attributes:
+        host: Name of the host.
+        reports: Its reports.
+    """
+
+    host: str
+    reports: tuple[CrashReport, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNoticeRequest:
+    """Notices, and whether the called host passes them on."""
+
+    notices: tuple[CrashNotice, ...]
+    forward: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNoticeReply:
+    """Whether the notices said anything new."""
+
+    is_news: bool = False
+
+
 ADMIT = Rpc("admit", AdmitRequest, AdmitReply)
 SETTLE = Rpc("settle", SettleRequest, SettleReply)
 HAND_OVER = Rpc("hand_over", HandOver, HandOverReply)
@@ -344,9 +373,22 @@
 APPOINT = Rpc("appoint", AppointRequest, AppointReply)
 DECIDE = Rpc("decide", DecideRequest, DecideReply)
 STORE = Rpc("store", StoreRequest, StoreReply)
-
-_RPCS = (ADMIT, SETTLE, HAND_OVER, COPY, SEAL, APPOINT, DECIDE, STORE)
+NOTIFY_CRASHES = Rpc("notify_crashes", CrashNoticeRequest, CrashNoticeReply)
+
+_RPCS = (
+    ADMIT,
+    SETTLE,
+    HAND_OVER,
+    COPY,
+    SEAL,
+    APPOINT,
+    DECIDE,
+    STORE,
+    NOTIFY_CRASHES,
+)
 _INNER_TYPES = (
+    CrashReport,
+    CrashNotice,
     FailureReport,
     HostAddress,
     Settlement,
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -8,6 +8,7 @@
 from masticdale_gateway.calls import AdmissionClaim
 from masticdale_ledger.admissions import Admissions
 from masticdale_ledger.arbiter import Arbiter
+from masticdale_ledger.crash_notices import CrashNotices
 from masticdale_ledger.failover import StandbyFailover
 from masticdale_ledger.hosts import LiveHosts
 from masticdale_ledger.messages import (
@@ -17,6 +18,8 @@
     AppointRequest,
     CopyReply,
     CopyRequest,
+    CrashNoticeReply,
+    CrashNoticeRequest,
     DecideReply,
     DecideRequest,
     HandOver,
@@ -53,6 +56,7 @@
         shared_watches: SharedWatches | None,
         can_relay: Callable[[], bool],
         replica_failures: ReplicaFailures | None = None,
+        crash_notices: CrashNotices | None = None,
     ) -> None:
         """Creates the handlers.
 
@@ -66,7 +70,9 @@
             shared_watches: This host's watches; None if it has none to share.
             can_relay: Returns whether the store answers this host.
             replica_failures: Failures of replicas to pass on to other hosts.
+            crash_notices: Receives reports of crashes; None to ignore them.
         """
+        self._crash_notices = crash_notices
         self._replica_failures = replica_failures or ReplicaFailures()
         self._can_relay = can_relay
         self._failover = failover
@@ -125,6 +131,14 @@
         """Decides for the side that asks first."""
         return self._arbiter.decide(request)
 
+    async def notify_crashes(
+        self, request: CrashNoticeRequest
+    ) -> CrashNoticeReply:
+        """Learns which requests have ended replicas at other hosts."""
+        if self._crash_notices is None:
+            return CrashNoticeReply()
+        return self._crash_notices.receive(request)
+
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't reach the store."""
         return await serve_store(
--- a/libs/routing/src/masticdale_routing/crashes.py
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -41,14 +41,14 @@
 
     Attributes:
         content: Digest of the content.
-        ended: Incarnations of replicas that ended while they ran it.
+        ended: Incarnations of replicas that ended while they ran it, sorted.
         cleared: Incarnations for which it is no longer blamed, since it was
-            run whole after they had ended.
+            run whole after they had ended; sorted.
     """
 
     content: str
-    ended: frozenset[str]
-    cleared: frozenset[str] = frozenset()
+    ended: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,7 +95,7 @@
 
     def to_report(self, content: str) -> CrashReport:
         return CrashReport(
-            content, frozenset(self.ended), frozenset(self.cleared)
+            content, tuple(sorted(self.ended)), tuple(sorted(self.cleared))
         )
 
 
@@ -112,6 +112,7 @@
         self.on_clear: Callable[[], None] | None = None
         self._own_by_content: dict[str, _OwnReport] = {}
         self._reports_by_host: dict[str, dict[str, CrashReport]] = {}
+        self._changed_at_by_host: dict[str, float] = {}
         self._hosts_by_content: dict[str, set[str]] = collections.defaultdict(
             set
         )
@@ -185,6 +186,7 @@
         before = self._reports_by_host.get(host, {})
         after = {report.content: report for report in reports}
         self._reports_by_host[host] = after
+        self._changed_at_by_host[host] = now
         for content in before.keys() - after.keys():
             self._hosts_by_content[content].discard(host)
         for content in after:
@@ -193,12 +195,30 @@
             if before.get(content) != after.get(content):
                 self._update(content, now)
 
+    def add(
+        self, host: str, reports: Iterable[CrashReport], now: float
+    ) -> bool:
+        """Adds to the reports of another host, in whatever order they arrive.
+
+        Returns:
+            Whether they say anything new.
+        """
+        known = self._reports_by_host.get(host, {})
+        merged = dict(known)
+        for report in reports:
+            before = known.get(report.content)
+            merged[report.content] = _union(before, report)
+        if merged == known:
+            return False
+        self.apply(host, merged.values(), now)
+        return True
+
     def add_own(self, reports: Iterable[CrashReport], now: float) -> None:
         """Adds what this host had reported before it was started again."""
         for report in reports:
             own = self._own(report.content)
-            own.ended |= dict.fromkeys(sorted(report.ended))
-            own.cleared |= report.cleared
+            own.ended |= dict.fromkeys(report.ended)
+            own.cleared.update(report.cleared)
             own.changed_at = now
             self._update(report.content, now)
 
@@ -214,11 +234,16 @@
         """Drops the reports of a host whose reports were removed."""
         self.apply(host, (), now)
         del self._reports_by_host[host]
+        del self._changed_at_by_host[host]
 
     def hosts(self) -> set[str]:
         """Returns the other hosts whose reports are known."""
         return set(self._reports_by_host)
 
+    def changed_at(self, host: str) -> float:
+        """Returns when the reports of another host last changed."""
+        return self._changed_at_by_host[host]
+
     def expire(self, now: float) -> None:
         """Drops own reports that have not changed for the retention time."""
         expired = [
@@ -243,8 +268,8 @@
             cleared |= own.cleared
         for host in self._hosts_by_content.get(content, ()):
             report = self._reports_by_host[host][content]
-            ended |= report.ended
-            cleared |= report.cleared
+            ended.update(report.ended)
+            cleared.update(report.cleared)
         return ended, cleared
 
     def _update(self, content: str, now: float) -> None:
@@ -275,6 +300,16 @@
         self._update(content, now)
 
 
+def _union(first: CrashReport | None, second: CrashReport) -> CrashReport:
+    if first is None:
+        return second
+    return CrashReport(
+        second.content,
+        tuple(sorted({*first.ended, *second.ended})),
+        tuple(sorted({*first.cleared, *second.cleared})),
+    )
+
+
 def _notify(listener: Callable[[], None] | None) -> None:
     if listener is not None:
         listener()
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -38,15 +38,15 @@
         """Guards against holding content of which copies ran side by side."""
         evidence = CrashEvidence()
         strike(evidence, "x", "a", "a", "a")
-        evidence.apply("h2", [CrashReport("x", frozenset("a"))], 0.0)
+        evidence.apply("h2", [CrashReport("x", tuple("a"))], 0.0)
         self.assertEqual(strikes(evidence, "x"), 1)
 
     def test_strikes_of_all_hosts_add_up(self):
         """Guards against a new start of the count at each host."""
         evidence = CrashEvidence()
         strike(evidence, "bad", "a")
-        evidence.apply("h2", [CrashReport("bad", frozenset("b"))], 1.0)
-        evidence.apply("h3", [CrashReport("bad", frozenset("c"))], 2.0)
+        evidence.apply("h2", [CrashReport("bad", tuple("b"))], 1.0)
+        evidence.apply("h3", [CrashReport("bad", tuple("c"))], 2.0)
         self.assertTrue(evidence.suspicion("bad").is_held)
         self.assertEqual(evidence.suspicion("bad").heard_at, 2.0)
 
@@ -54,11 +54,11 @@
         """Guards against holding content that was in flight by chance."""
         evidence = CrashEvidence()
         strike(evidence, "x", "a")
-        evidence.apply("h2", [CrashReport("x", frozenset("bc"))], 0.0)
+        evidence.apply("h2", [CrashReport("x", tuple("bc"))], 0.0)
         evidence.record_success("x", 1.0)
         self.assertFalse(evidence.has_suspects)
         # The other host repeats what it has seen before.
-        evidence.apply("h2", [CrashReport("x", frozenset("bc"))], 2.0)
+        evidence.apply("h2", [CrashReport("x", tuple("bc"))], 2.0)
         self.assertFalse(evidence.has_suspects)
         strike(evidence, "x", "d", now=3.0)
         self.assertEqual(strikes(evidence, "x"), 1)
@@ -66,7 +66,7 @@
     def test_a_success_of_another_host_clears(self):
         evidence = CrashEvidence()
         strike(evidence, "x", "a", "b", "c")
-        report = CrashReport("x", frozenset(), frozenset("abc"))
+        report = CrashReport("x", (), tuple("abc"))
         evidence.apply("h2", [report], 0.0)
         self.assertIsNone(evidence.suspicion("x"))
 
@@ -77,7 +77,7 @@
         evidence.on_strike = lambda: news.append("strike")
         evidence.on_clear = lambda: news.append("clear")
         evidence.record_success("x", 0.0)
-        evidence.apply("h2", [CrashReport("y", frozenset("a"))], 0.0)
+        evidence.apply("h2", [CrashReport("y", tuple("a"))], 0.0)
         self.assertEqual(news, [])
         strike(evidence, "x", "a", "a")
         self.assertEqual(news, ["strike"])
@@ -91,10 +91,10 @@
         """Guards against a restarted host that overwrites what it knew."""
         evidence = CrashEvidence()
         strike(evidence, "bad", "c")
-        evidence.add_own([CrashReport("bad", frozenset("ab"))], 1.0)
+        evidence.add_own([CrashReport("bad", tuple("ab"))], 1.0)
         self.assertTrue(evidence.suspicion("bad").is_held)
         (report,) = evidence.own_reports()
-        self.assertEqual(report.ended, frozenset("abc"))
+        self.assertEqual(report.ended, ("a", "b", "c"))
 
     def test_an_operator_releases_a_content(self):
         evidence = CrashEvidence()
@@ -103,9 +103,17 @@
         self.assertFalse(evidence.has_suspects)
         self.assertEqual(evidence.own_reports(), ())
 
+    def test_notices_add_up_in_any_order(self):
+        """Guards against an old notice that replaces a newer one."""
+        evidence = CrashEvidence()
+        newer = CrashReport("x", ("a", "b"), ("a",))
+        self.assertTrue(evidence.add("h2", [newer], 0.0))
+        self.assertFalse(evidence.add("h2", [CrashReport("x", ("a",))], 0.0))
+        self.assertEqual(strikes(evidence, "x"), 1)
+
     def test_reports_of_a_removed_host_are_dropped(self):
         evidence = CrashEvidence()
-        evidence.apply("h2", [CrashReport("x", frozenset("ab"))], 0.0)
+        evidence.apply("h2", [CrashReport("x", tuple("ab"))], 0.0)
         evidence.forget_host("h2", 1.0)
         self.assertFalse(evidence.has_suspects)
         evidence.forget_host("h2", 1.0)
