Test that other requests are served beside one that ends its replicas

A content that ends each replica that runs it comes every 0.3 s through three hosts, replicas are back after a second.

--- a/apps/masticdale_entry/tests/test_crashing_requests.py
+++ b/apps/masticdale_entry/tests/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import httpx
 from case import (
@@ -186,6 +187,50 @@
                 self.assertEqual(response.status_code, 200)
 
 
+class OtherRequestsTest(CrashingRequestCase):
+    async def test_other_requests_are_served_beside_it(self):
+        """Guards against a service of which one request takes a half away.
+
+        It comes every 0.3 s, and replicas are back a second after they ended.
+        """
+        stopped = asyncio.Event()
+        helpers = [
+            asyncio.create_task(self.ask_fatal(stopped)),
+            asyncio.create_task(self.replace_after_a_second(stopped)),
+        ]
+        while len(self.fatal_sends()) < 3:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(1.5)
+        statuses = []
+        for number in range(100):
+            response = await self.ask(
+                f"{IDEMPOTENT}good{number}", "good", self.hosts[number % 3]
+            )
+            statuses.append(response.status_code)
+            await asyncio.sleep(0.05)
+        stopped.set()
+        await asyncio.gather(*helpers)
+        self.assertEqual(set(statuses), {200})
+        self.assertLessEqual(len(self.fatal_sends()), 3 + MAX_LATER_SENDS)
+
+    async def ask_fatal(self, stopped):
+        for number in itertools.count():
+            if stopped.is_set():
+                return
+            host = self.hosts[number % 3]
+            await self.ask(IDEMPOTENT + FATAL, f"q{number}", host)
+            await asyncio.sleep(0.3)
+
+    async def replace_after_a_second(self, stopped):
+        while not stopped.is_set():
+            await asyncio.sleep(0.05)
+            ended = [r for r in self.unary_replicas if r.has_ended]
+            if ended:
+                await asyncio.sleep(1.0)
+            for replica in ended:
+                await self.replace(self.unary_replicas, replica)
+
+
 class StoreAwayTest(CrashingRequestCase):
     async def test_hosts_tell_each_other_while_the_store_is_away(self):
         """Guards against a count per host in an outage of the store.
