Drop cleared crash reports at all hosts; tests of reports and trials

Reports of cleared contents stayed for an hour, up to 100 a host, and each change of one sends the host's whole object to all hosts: on a large fleet with replicas that keep ending that is tens of KB for each strike and host. Hosts now drop a cleared report after 5 s, first those that blamed the content, then the one that cleared it. A host is ready only once it has read the reports. An old watch that reports the deletion of this host's object drops no newer strike.

--- a/apps/masticdale_entry/src/masticdale_entry/crash_reports.py
+++ b/apps/masticdale_entry/src/masticdale_entry/crash_reports.py
@@ -22,7 +22,7 @@
 from masticdale_routing.crashes import RETENTION_S, CrashEvidence, CrashReport
 
 REPORT_PREFIX = "crash-reports/"
-EXPIRY_INTERVAL_S = 60.0
+EXPIRY_INTERVAL_S = 5.0
 # Pause after a change of reports in the store, in seconds. A lost replica is
 # reported by each host that used it, and each watch is a billed call.
 WATCH_DEBOUNCE_S = 0.05
@@ -68,7 +68,11 @@
 
 
 class CrashReports:
-    """Writes the reports of this host, and applies those of the others."""
+    """Writes the reports of this host, and applies those of the others.
+
+    Attributes:
+        is_loaded: Whether all reports have been read.
+    """
 
     def __init__(
         self,
@@ -86,6 +90,7 @@
             notify_hosts: Sends reports to all other hosts while the store does
                 not take them.
         """
+        self.is_loaded = False
         self._store = store
         self._evidence = evidence
         self._own_key = REPORT_PREFIX + host
@@ -106,6 +111,10 @@
         deleted = set(batch.deleted_keys)
         if batch.is_snapshot:
             deleted |= self._object_by_key.keys() - changed
+            self.is_loaded = True
+        if batch.position < self._own_version:
+            # It was read before this host's last write.
+            deleted.discard(self._own_key)
         for key in deleted - changed.keys():
             self._apply_deletion(key)
         for key, stored in changed.items():
--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -262,6 +262,7 @@
             and self._configuration.current is not None
             and self._replicas.is_loaded
             and self._shard_map.is_loaded
+            and self._crash_reports.is_loaded
         )
 
     @property
--- a/libs/routing/src/masticdale_routing/crashes.py
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -23,6 +23,9 @@
 # before. The first is short, since a loss of all replicas also hits harmless
 # requests.
 _HOLD_S_BY_TRIALS = (5.0, 60.0, 600.0, 3600.0)
+# Time after which a report that has not changed is compacted, in seconds. Until
+# then those of other hosts on the same replica arrive.
+_COMPACTION_DELAY_S = 5.0
 # Time after which a content without new strikes is forgotten, in seconds.
 RETENTION_S = 3600.0
 # Contents that a host reports. Without a bound, a fleet of replicas that keeps
@@ -282,15 +285,22 @@
         return self._changed_at_by_host[host]
 
     def expire(self, now: float) -> None:
-        """Drops own reports that have not changed for the retention time."""
-        expired = [
-            content
-            for content, own in self._own_by_content.items()
-            if now - own.changed_at > RETENTION_S
-        ]
-        for content in expired:
-            self._drop_own(content, now)
-        if expired:
+        """Drops what this host need not report any more.
+
+        Those are old reports, and cleared ones: first all hosts drop the
+        replicas for which a content is no longer blamed, then the host that
+        cleared it says so no more. Otherwise the reports, which all hosts read
+        at each change, would grow with each replica that ends.
+        """
+        has_changed = False
+        for content, own in list(self._own_by_content.items()):
+            age_s = now - own.changed_at
+            if age_s > RETENTION_S:
+                self._drop_own(content, now)
+                has_changed = True
+            elif age_s > _COMPACTION_DELAY_S:
+                has_changed |= self._compact(content, own, now)
+        if has_changed:
             _notify(self.on_change)
 
     def _own(self, content: str) -> _OwnReport:
@@ -321,6 +331,25 @@
             strikes, heard_at, bool(merged.ended_again - merged.cleared)
         )
 
+    def _compact(self, content: str, own: _OwnReport, now: float) -> bool:
+        blamed_by_others = set().union(
+            *(
+                self._reports_by_host[host][content].ended
+                for host in self._hosts_by_content.get(content, ())
+            )
+        )
+        cleared = self._merged(content).cleared
+        ended = {i: None for i in own.ended if i not in cleared}
+        still_cleared = own.cleared & blamed_by_others
+        if len(ended) == len(own.ended) and still_cleared == own.cleared:
+            return False
+        own.ended = ended
+        own.ended_again.intersection_update(ended)
+        own.cleared = still_cleared
+        if not ended and not still_cleared:
+            self._drop_own(content, now)
+        return True
+
     def _drop_surplus(self, now: float) -> None:
         while len(self._own_by_content) > _MAX_OWN_REPORTS:
             self._drop_own(min(self._own_by_content, key=self._weight), now)
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -167,6 +167,33 @@
         self.assertLessEqual(len(report.ended), 8)
         self.assertTrue(evidence.suspicion("bad").is_held)
 
+    def test_cleared_reports_are_dropped_by_all_hosts(self):
+        """Guards against reports that grow with each replica that ends."""
+        first, second = CrashEvidence(), CrashEvidence()
+
+        def exchange(now):
+            first.apply("h2", second.own_reports(), now)
+            second.apply("h1", first.own_reports(), now)
+
+        strike(first, "x", "a", "b")
+        exchange(0.0)
+        second.record_success("x", 1.0)
+        for now in (2.0, 10.0, 20.0, 30.0):
+            exchange(now)
+            for host in (first, second):
+                host.expire(now)
+            self.assertFalse(first.has_suspects and now > 2.0)
+            self.assertFalse(second.has_suspects)
+        self.assertEqual(first.own_reports(), ())
+        self.assertEqual(second.own_reports(), ())
+
+    def test_suspects_are_kept(self):
+        """Guards against forgetting a fatal content between two rounds."""
+        evidence = CrashEvidence()
+        strike(evidence, "bad", "a", "b", "c")
+        evidence.expire(RETENTION_S - 1.0)
+        self.assertTrue(evidence.suspicion("bad").is_held)
+
     def test_old_reports_are_dropped(self):
         evidence = CrashEvidence()
         strike(evidence, "old", "a", now=0.0)
--- a/tools/load/src/masticdale_load/traces.py
+++ b/tools/load/src/masticdale_load/traces.py
@@ -14,6 +14,9 @@
 
 import fire
 
+_ID_FIELDS = ("request_id", "program_id", "content")
+# Lines that tell what hosts know of a content that ended its replicas.
+_CRASH_LINES = frozenset({"crash_suspect", "suspect_trial", "suspect_cleared"})
 # Log lines that report a state change of a host; see docs/OPERATIONS.md.
 _STATE_CHANGES = (
     "started",
@@ -95,18 +98,25 @@
 
     Args:
         lines: All lines, in any order.
-        wanted: Id of a request or program.
+        wanted: Id of a request or program, or digest of a content.
 
     Returns:
-        The lines with this id and the state changes shortly before each
-        refused request, sorted by time. State changes of other shards are
-        left out.
+        The lines with this id, all that hosts have learned of a content that
+        ended its replicas, and the state changes shortly before each refused
+        request, sorted by time. State changes of other shards are left out.
     """
     own_lines = [
         line
         for line in lines
-        if wanted
-        in (line.fields.get("request_id"), line.fields.get("program_id"))
+        if wanted in (line.fields.get(name) for name in _ID_FIELDS)
+    ]
+    contents = {line.fields.get("content") for line in own_lines} - {None, ""}
+    own_lines += [
+        line
+        for line in lines
+        if line.kind in _CRASH_LINES
+        and line.fields.get("content") in contents
+        and line not in own_lines
     ]
     refused = [
         line
@@ -205,7 +215,7 @@
         """Prints the lines of a request or program and their likely causes.
 
         Args:
-            wanted: Id of the request or program.
+            wanted: Id of the request or program, or digest of a content.
             logs: Paths of the log files of all hosts.
         """
         lines = trace(_load(logs), str(wanted))
--- a/tools/load/tests/test_traces.py
+++ b/tools/load/tests/test_traces.py
@@ -67,6 +67,18 @@
             ["store_lost", "shard_alone", "ledger_unavailable", "request"],
         )
 
+    def test_trace_of_a_crashing_request_includes_its_crashes(self):
+        fatal = [
+            line(1.0, "a", "crash_suspect", content="c", strikes=1),
+            line(2.0, "b", "crash_suspect", content="other", strikes=1),
+            line(3.0, "b", "suspect_refused", request_id="r", content="c"),
+            line(3.0, "b", "request", request_id="r", outcome="crash_suspect"),
+        ]
+        lines = list(read_lines(fatal))
+        kinds = ["crash_suspect", "suspect_refused", "request"]
+        self.assertEqual([f.kind for f in trace(lines, "r")], kinds)
+        self.assertEqual([f.kind for f in trace(lines, "c")], kinds[:2])
+
     def test_trace_of_program_includes_all_its_requests(self):
         found = [x for x in trace(self.lines, "p") if x.kind == "request"]
         self.assertEqual(len(found), 2)
