Blame requests that were given up on while their replica ran them

What callers saw: nothing yet; found by asking where the same cause could still act. A host gives up on a unary request after 0.4 s and on one whose caller left, and closes the connection. Most replicas drop it; one that goes on and ends was not put down to the request, so that a slow fatal request could end replicas without end.

Runs that were given up on are now remembered like lost ones, and their replica is looked at 0.8 s later, once for all of them.

A time to come back is never 0.

--- a/apps/masticdale_entry/tests/test_crashing_requests.py
+++ b/apps/masticdale_entry/tests/test_crashing_requests.py
@@ -178,6 +178,21 @@
         for host in self.hosts:
             await self.assert_is_refused(target, host)
 
+    async def test_replicas_that_end_after_their_caller_left_count(self):
+        """Guards against missing what a host has given up on.
+
+        The host sends the request to the next replica after 0.4 s; the first
+        one goes on with it and ends.
+        """
+        for replica in self.unary_replicas:
+            replica.behaviour.ends_after_s = 0.6
+        await self.ask(IDEMPOTENT + FATAL, "q", self.hosts[0])
+        for number in range(20):
+            await self.ask(f"{IDEMPOTENT}{number}", "good", self.hosts[0])
+            await asyncio.sleep(0.02)
+        suspects = self.suspects(self.hosts[0])
+        self.assertIn(2, [s.strikes for s in suspects.values()])
+
     async def test_other_content_is_served_meanwhile(self):
         """Guards against refusing requests that differ by one byte."""
         await self.ask_in_rounds(IDEMPOTENT + FATAL, 2)
--- a/libs/gateway/src/masticdale_gateway/crashes.py
+++ b/libs/gateway/src/masticdale_gateway/crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Coroutine
 from typing import Protocol
 
@@ -16,6 +17,10 @@
 )
 from masticdale_routing.fleet import ReplicaState
 
+# Time from giving up on a call until its replica is looked at, in seconds; less
+# than lost runs are remembered.
+_CHECK_DELAY_S = 0.8
+
 
 class TrialClaims(Protocol):
     """Grants single runs of held contents, one among all hosts."""
@@ -85,6 +90,7 @@
         self._pool = pool
         self._metrics = metrics
         self._lost = LostRuns()
+        self._checked_incarnations: set[str] = set()
         self._next_claim_at_by_content: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -115,7 +121,7 @@
         return Failure(
             ErrorKind.CRASH_SUSPECT,
             f"{suspicion.strikes} replicas ended while they ran it",
-            retry_after_ms=int(1000 * wait_s),
+            retry_after_ms=math.ceil(1000 * wait_s),
         )
 
     def is_suspected(self, call: Call) -> bool:
@@ -141,12 +147,25 @@
         """
         if state.is_leaving:
             return
-        incarnation = state.replica.incarnation
-        run = LostRun(call.content_digest, call.was_suspected)
-        self._lost.add(incarnation, run, _now())
+        self._add_lost(call, state)
         if await self._pool.refuses(state.replica):
             self.record_end(state)
 
+    def record_abandoned(self, call: Call, state: ReplicaState) -> None:
+        """Records a call that was given up on while its replica ran it.
+
+        Some replicas go on with a request whose connection is closed, and may
+        end under it. This is looked at a little later.
+        """
+        if state.is_leaving:
+            return
+        self._add_lost(call, state)
+        incarnation = state.replica.incarnation
+        if incarnation in self._checked_incarnations:
+            return
+        self._checked_incarnations.add(incarnation)
+        self._spawn(self._check_later(state))
+
     def record_end(self, state: ReplicaState) -> None:
         """Records that a replica has ended: its address is no longer its own.
 
@@ -196,6 +215,16 @@
         if call.is_trial and not call.possible_runs:
             self._spawn(self._trials.withdraw(call.content_digest))
 
+    def _add_lost(self, call: Call, state: ReplicaState) -> None:
+        run = LostRun(call.content_digest, call.was_suspected)
+        self._lost.add(state.replica.incarnation, run, _now())
+
+    async def _check_later(self, state: ReplicaState) -> None:
+        await asyncio.sleep(_CHECK_DELAY_S)
+        self._checked_incarnations.discard(state.replica.incarnation)
+        if await self._pool.refuses(state.replica):
+            self.record_end(state)
+
     async def _claim_trial(self, call: Call, suspicion: Suspicion) -> float:
         content = call.content_digest
         now = _now()
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -88,6 +88,7 @@
         self._state = state
         self._connection = connection
         self._is_complete = False
+        self._is_lost = False
 
     @property
     def replica_id(self) -> str:
@@ -112,6 +113,7 @@
             is_fault = not isinstance(error, TimeoutError)
             self._state.record_failure(now, is_replica_fault=is_fault)
             if isinstance(error, ConnectionLostError):
+                self._is_lost = True
                 await self._sender.crashes.record_loss(self._call, self._state)
             return Failed(_reason(error))
         self._is_complete = chunk is None
@@ -145,6 +147,8 @@
             self._sender.pool.release(self._state.replica, self._connection)
         else:
             self._state.circuit.release()
+            if not self._is_lost:
+                self._sender.crashes.record_abandoned(self._call, self._state)
             self._connection.abort()
         self._state.in_flight -= 1
 
@@ -216,9 +220,15 @@
             )
             if isinstance(error, ConnectionLostError):
                 await self.crashes.record_loss(call, state)
+            else:
+                self.crashes.record_abandoned(call, state)
             return Failed(
                 self._failure(call, state, Executed.UNKNOWN, _reason(error))
             )
+        except asyncio.CancelledError:
+            if connection is not None:
+                self.crashes.record_abandoned(call, state)
+            raise
         finally:
             if exchange is None:
                 state.circuit.release()
--- a/libs/routing/src/masticdale_routing/crashes.py
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -5,9 +5,9 @@
 replica ended. Everything that was in flight there is suspected. A content that
 is then run whole is cleared; one that keeps ending replicas is held back.
 
-A report only grows, and replicas are named by their incarnation. Reports may
-thus arrive late, twice or in any order, and each ended replica counts once,
-however many hosts had sent the content to it.
+Reports are sets of replicas, named by their incarnation, and add up by union.
+They may thus arrive late, twice or in any order, and each ended replica counts
+once, however many hosts had sent the content to it.
 """
 
 import collections
@@ -33,9 +33,8 @@
 _MAX_OWN_REPORTS = 100
 # Replicas named for one content in the report of a host.
 _MAX_REPLICAS = 8
-# Time from the loss of a connection within which a sign that the replica has
-# ended explains the loss, in seconds. Later it may have been replaced as
-# planned.
+# Time from the loss of a run within which a sign that its replica has ended is
+# taken for the cause, in seconds. Later it may have been replaced as planned.
 _LOSS_WINDOW_S = 1.0
 
 
@@ -382,7 +381,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LostRun:
-    """A run whose connection was lost.
+    """A run of which the response was lost or given up.
 
     Attributes:
         content: Digest of the content.
@@ -394,7 +393,7 @@
 
 
 class LostRuns:
-    """Runs whose connection was lost, until it is known what became of it.
+    """Lost runs, until it is known what became of their replicas.
 
     A lost connection alone does not show that its replica ended: connections
     are reset, responses are lost, and faulty replicas break off.
@@ -404,7 +403,7 @@
         self._lost_at_by_run: dict[tuple[str, LostRun], float] = {}
 
     def add(self, incarnation: str, run: LostRun, now: float) -> None:
-        """Records a run whose connection to a replica was lost."""
+        """Records a run that was lost at a replica."""
         self._forget_old(now)
         self._lost_at_by_run[incarnation, run] = now
 
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -67,6 +67,9 @@
             replica, ends.
         fatal_target: Requests whose target contains this are FATAL; empty for
             none.
+        ends_after_s: Time after which a FATAL request ends it, also if its
+            client has left, in seconds; 0 to end after ``processing_s`` if the
+            client is still there.
     """
 
     fault: ReplicaFault = ReplicaFault.NONE
@@ -76,6 +79,7 @@
     processing_s: float = 0.0
     events_before_cut: int = 2
     fatal_target: str = ""
+    ends_after_s: float = 0.0
 
 
 class FakeReplica:
@@ -178,6 +182,9 @@
             connection.close()
             return
         self.executed_requests.append(request)
+        if fault is ReplicaFault.FATAL and behaviour.ends_after_s:
+            self._ending = asyncio.create_task(self._end_later())
+            await asyncio.sleep(3600)
         if fault is ReplicaFault.UNRESPONSIVE:
             await asyncio.sleep(3600)
         elif fault is ReplicaFault.RESET:
@@ -193,10 +200,17 @@
             await self._send_unary(connection, headers, fault)
 
     async def _crash(self) -> None:
-        self.has_ended = True
-        self._ending = asyncio.create_task(self.stop())
+        self._ending = asyncio.create_task(self._end())
         await asyncio.sleep(3600)
 
+    async def _end_later(self) -> None:
+        await asyncio.sleep(self.behaviour.ends_after_s)
+        await self._end()
+
+    async def _end(self) -> None:
+        self.has_ended = True
+        await self.stop()
+
     def _headers(self, request: RawRequest) -> dict[str, str]:
         request_id = request.header_by_name.get("request-id", "")
         return {
