Soak: a replica comes back though its port was taken meanwhile

Cause: it listens on an ephemeral port, which another process may get while it is down.

No code of the product.

--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -93,8 +93,14 @@
         if self._is_up:
             return
         self._is_up = True
-        await self.fake.start()
-        if not self.proxy.is_listening:
+        try:
+            await self.fake.start()
+        except OSError:
+            # Another process has taken the port meanwhile.
+            await self.fake.start_at(0)
+        if self.proxy.is_listening:
+            self.proxy.set_target(self.fake.port)
+        else:
             await self.proxy.start(self.fake.port)
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
--- a/tools/soak/src/masticdale_soak/proxies.py
+++ b/tools/soak/src/masticdale_soak/proxies.py
@@ -68,13 +68,20 @@
     async def start(
         self, target_port: int, target_address: str = "127.0.0.1"
     ) -> None:
-        """Starts to listen on a free port, later on the same one again."""
-        self._target = (target_address, target_port)
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port
-        )
+        """Starts to listen, after a restart on the same port if it is free."""
+        self.set_target(target_port, target_address)
+        try:
+            self._server = await self._listen(self.port)
+        except OSError:
+            self._server = await self._listen(0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def set_target(
+        self, target_port: int, target_address: str = "127.0.0.1"
+    ) -> None:
+        """Forwards new connections to another address."""
+        self._target = (target_address, target_port)
+
     def set_link_state(self, link: LinkState) -> None:
         """Changes the treatment of all connections, open ones included."""
         self.link_state = link
@@ -102,6 +109,9 @@
         for writer in list(self._writers):
             reset_connection(writer)
 
+    async def _listen(self, port: int) -> asyncio.Server:
+        return await asyncio.start_server(self._serve, "127.0.0.1", port)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
