--- a/apps/masticdale_entry/src/masticdale_entry/crash_reports.py
+++ b/apps/masticdale_entry/src/masticdale_entry/crash_reports.py
@@ -29,7 +29,7 @@
 # How long a host waits at a watch source for reports, in seconds. Longer than
 # for the configuration, since a source that falls silent may delay them.
 FOLLOW_WAIT_S = 2.0
-# Delay before changes that are not urgent are written, in seconds. Strikes are
+# Delay before changes that are not urgent are written, in seconds. Crashes are
 # urgent, since the caller of a fatal request comes back at once.
 _CHANGE_DELAY_S = 1.0
 # Time after which reports that could not be written are written again, in
--- a/apps/masticdale_entry/src/masticdale_entry/crash_trials.py
+++ b/apps/masticdale_entry/src/masticdale_entry/crash_trials.py
@@ -23,7 +23,7 @@
 # Claims that this host remembers, to give them back.
 _MAX_CLAIMS = 100
 # Age of trials, in seconds, at which they are deleted. No content is held for
-# as long without a new strike.
+# as long without a new crash.
 _ABANDONED_S = 2 * RETENTION_S
 
 
--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -524,7 +524,7 @@
         now = asyncio.get_running_loop().time()
         return {
             content: {
-                "strikes": suspicion.strikes,
+                "crashes": suspicion.crashes,
                 "held": suspicion.is_held,
                 "heard_s_ago": round(now - suspicion.heard_at, 1),
             }
--- a/apps/masticdale_entry/tests/test_crash_reports.py
+++ b/apps/masticdale_entry/tests/test_crash_reports.py
@@ -26,7 +26,7 @@
             asyncio.create_task(self._watch()),
         ]
 
-    def strike(self, content, *incarnations):
+    def crash(self, content, *incarnations):
         for incarnation in incarnations:
             self.evidence.record_crash(
                 content, incarnation, now(), was_suspected=True
@@ -78,10 +78,10 @@
         objects = (await self.store.list(REPORT_PREFIX)).unwrap()
         return {item.key: json.loads(item.value) for item in objects}
 
-    async def test_a_strike_reaches_other_hosts_at_once(self):
+    async def test_a_crash_reaches_other_hosts_at_once(self):
         first, second = await self.add_host("h1"), await self.add_host("h2")
-        first.strike("bad", "a", "b")
-        second.strike("bad", "c")
+        first.crash("bad", "a", "b")
+        second.crash("bad", "c")
         await settle()
         self.assertTrue(first.is_held("bad"))
         self.assertTrue(second.is_held("bad"))
@@ -90,13 +90,13 @@
     async def test_a_restarted_host_keeps_its_reports(self):
         """Guards against a first write that replaces those of before."""
         first = await self.add_host("h1")
-        first.strike("bad", "a", "b")
+        first.crash("bad", "a", "b")
         await settle()
         first.stop()
         # It writes before it has read anything.
         again = Host(self.store, "h1")
         self.hosts.append(again)
-        again.strike("bad", "c")
+        again.crash("bad", "c")
         await asyncio.sleep(crash_reports._RETRY_S + 0.2)
         self.assertTrue(again.is_held("bad"))
         second = await self.add_host("h2")
@@ -104,8 +104,8 @@
 
     async def test_clears_are_written_later_unless_held(self):
         first, second = await self.add_host("h1"), await self.add_host("h2")
-        first.strike("x", "a")
-        first.strike("bad", "a", "b", "c")
+        first.crash("x", "a")
+        first.crash("bad", "a", "b", "c")
         await settle()
         second.evidence.record_success("x", now())
         await settle()
@@ -116,31 +116,31 @@
 
     async def test_an_operator_releases_by_deleting_the_objects(self):
         first, second = await self.add_host("h1"), await self.add_host("h2")
-        first.strike("bad", "a", "b", "c")
+        first.crash("bad", "a", "b", "c")
         await settle()
         (stored,) = (await self.store.list(REPORT_PREFIX)).unwrap()
         await self.store.delete(stored.key, stored.version)
         await settle()
         self.assertFalse(first.evidence.has_suspects)
         self.assertFalse(second.evidence.has_suspects)
-        first.strike("bad", "d")
+        first.crash("bad", "d")
         await settle()
-        self.assertEqual(second.evidence.suspicion("bad").strikes, 1)
+        self.assertEqual(second.evidence.suspicion("bad").crashes, 1)
 
-    async def test_an_old_deletion_drops_no_new_strike(self):
+    async def test_an_old_deletion_drops_no_new_crash(self):
         """Guards against a watch that reports a deletion after a new write."""
         host = await self.add_host("h1")
-        host.strike("bad", "a", "b", "c")
+        host.crash("bad", "a", "b", "c")
         await settle()
         stale = WatchBatch(0, (), (REPORT_PREFIX + "h1",), is_snapshot=False)
         host.reports.apply(stale, after_outage=False)
         self.assertTrue(host.is_held("bad"))
 
     async def test_hosts_are_told_while_the_store_takes_no_writes(self):
-        """Guards against strikes that wait for the end of an outage."""
+        """Guards against crashes that wait for the end of an outage."""
         host = await self.add_host("h1")
         self.store.faults.drop_writes = 2
-        host.strike("bad", "a")
+        host.crash("bad", "a")
         await settle()
         self.assertEqual(len(host.notices), 1)
         await asyncio.sleep(2 * crash_reports._RETRY_S + 0.3)
@@ -150,7 +150,7 @@
     async def test_hosts_are_told_while_the_store_is_slow(self):
         host = await self.add_host("h1")
         self.store.faults.delay_s = 0.3
-        host.strike("bad", "a")
+        host.crash("bad", "a")
         await asyncio.sleep(0.15)
         self.assertEqual(len(host.notices), 1)
 
@@ -165,7 +165,7 @@
 
     async def test_reports_of_hosts_that_are_gone_are_deleted(self):
         host = await self.add_host("h1")
-        host.strike("bad", "a")
+        host.crash("bad", "a")
         old = b'{"reports": [], "at_ms": 1}'
         await self.store.write(REPORT_PREFIX + "gone", old, 0)
         await settle()
--- a/apps/masticdale_entry/tests/test_crashing_requests.py
+++ b/apps/masticdale_entry/tests/test_crashing_requests.py
@@ -191,7 +191,7 @@
             await self.ask(f"{IDEMPOTENT}{number}", "good", self.hosts[0])
             await asyncio.sleep(0.02)
         suspects = self.suspects(self.hosts[0])
-        self.assertIn(2, [s.strikes for s in suspects.values()])
+        self.assertIn(2, [s.crashes for s in suspects.values()])
 
     async def test_other_content_is_served_meanwhile(self):
         """Guards against refusing requests that differ by one byte."""
@@ -344,7 +344,7 @@
             self.assertEqual(self.suspects(host), {})
 
     async def test_a_popular_request_is_served_after_a_loss_of_all(self):
-        """Guards against a strike for each copy that runs at the same time.
+        """Guards against a crash for each copy that runs at the same time.
 
         Copies are in flight at every replica of the service as all end.
         """
@@ -420,5 +420,5 @@
         self.assertFalse(any(r.executed_requests for r in others))
         await self.ask(IDEMPOTENT + "good", "q2", self.hosts[0])
         (suspect,) = self.suspects(self.hosts[0]).values()
-        self.assertEqual(suspect.strikes, 1)
+        self.assertEqual(suspect.crashes, 1)
         await successor.stop()
--- a/libs/gateway/src/masticdale_gateway/crashes.py
+++ b/libs/gateway/src/masticdale_gateway/crashes.py
@@ -114,13 +114,13 @@
             "suspect_refused",
             request_id=call.metadata.request_id,
             content=call.content_digest,
-            strikes=suspicion.strikes,
+            crashes=suspicion.crashes,
             heard_s_ago=round(_now() - suspicion.heard_at, 3),
             wait_s=round(wait_s, 1),
         )
         return Failure(
             ErrorKind.CRASH_SUSPECT,
-            f"{suspicion.strikes} replicas ended while they ran it",
+            f"{suspicion.crashes} replicas ended while they ran it",
             retry_after_ms=math.ceil(1000 * wait_s),
         )
 
@@ -182,14 +182,14 @@
             )
             if suspicion is None:
                 continue
-            self._metrics.count("crash_strikes_total")
+            self._metrics.count("suspect_crashes_total")
             logs.write_bounded(
                 "crash_suspect",
                 content=run.content,
                 replica=state.replica.id,
                 service=state.replica.service,
                 was_suspected=run.was_suspected,
-                strikes=suspicion.strikes,
+                crashes=suspicion.crashes,
                 held=suspicion.is_held,
             )
 
@@ -205,7 +205,7 @@
             "suspect_cleared",
             request_id=call.metadata.request_id,
             content=content,
-            strikes=before.strikes,
+            crashes=before.crashes,
         )
         if before.is_held:
             self._spawn(self._trials.end(content))
@@ -239,7 +239,7 @@
             "suspect_trial",
             request_id=call.metadata.request_id,
             content=content,
-            strikes=suspicion.strikes,
+            crashes=suspicion.crashes,
             granted=not wait_s,
             wait_s=round(wait_s, 1),
         )
--- a/libs/routing/src/masticdale_routing/crashes.py
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -17,7 +17,7 @@
 # Ended replicas from which on a content is held back, unless all had begun to
 # run it before the first one ended. Content that is in flight by chance is
 # seldom hit as often before it is run whole once.
-STRIKES_TO_HOLD = 3
+CRASHES_TO_HOLD = 3
 # Time for which a held content is refused before one more run, a trial, may
 # show whether it still ends replicas, in seconds, by the number of trials
 # before. The first is short, since a loss of all replicas also hits harmless
@@ -26,7 +26,7 @@
 # Time after which a report that has not changed is compacted, in seconds. Until
 # then those of other hosts on the same replica arrive.
 _COMPACTION_DELAY_S = 5.0
-# Time after which a content without new strikes is forgotten, in seconds.
+# Time after which a content without new crashes is forgotten, in seconds.
 RETENTION_S = 3600.0
 # Contents that a host reports. Without a bound, a fleet of replicas that keeps
 # crashing for another reason would fill the memory of all hosts.
@@ -62,21 +62,21 @@
     """What is known of a suspected content.
 
     Attributes:
-        strikes: Number of replicas that ended while they ran it.
-        heard_at: Time of the last strike or of its report, in loop seconds.
-        has_struck_again: Whether one of them began to run it when it was
+        crashes: Number of replicas that ended while they ran it.
+        heard_at: Time of the last crash or of its report, in loop seconds.
+        has_crashed_again: Whether one of them began to run it when it was
             suspected already. Copies of a popular content may be in flight at
             all replicas of a service when these end for another reason.
     """
 
-    strikes: int
+    crashes: int
     heard_at: float
-    has_struck_again: bool
+    has_crashed_again: bool
 
     @property
     def is_held(self) -> bool:
         """Whether the content is refused, but for single runs as a trial."""
-        return self.has_struck_again and self.strikes >= STRIKES_TO_HOLD
+        return self.has_crashed_again and self.crashes >= CRASHES_TO_HOLD
 
     def held_for_s(self, now: float) -> float:
         """Returns the time until a first trial is due, in seconds."""
@@ -90,7 +90,7 @@
 
     Args:
         trials: Number of trials that it has had.
-        since_s: Time since the last one, or else since its last strike, in
+        since_s: Time since the last one, or else since its last crash, in
             seconds.
     """
     hold_s = _HOLD_S_BY_TRIALS[min(trials, len(_HOLD_S_BY_TRIALS) - 1)]
@@ -316,18 +316,18 @@
 
     def _update(self, content: str, now: float) -> None:
         merged = self._merged(content)
-        strikes = len(merged.ended - merged.cleared)
+        crashes = len(merged.ended - merged.cleared)
         if not self._hosts_by_content.get(content):
             self._hosts_by_content.pop(content, None)
-        if not strikes:
+        if not crashes:
             self._suspicion_by_content.pop(content, None)
             return
         before = self._suspicion_by_content.get(content)
         heard_at = now
-        if before is not None and strikes <= before.strikes:
+        if before is not None and crashes <= before.crashes:
             heard_at = before.heard_at
         self._suspicion_by_content[content] = Suspicion(
-            strikes, heard_at, bool(merged.ended_again - merged.cleared)
+            crashes, heard_at, bool(merged.ended_again - merged.cleared)
         )
 
     def _compact(self, content: str, own: _OwnReport, now: float) -> bool:
@@ -355,8 +355,8 @@
 
     def _weight(self, content: str) -> tuple[int, float]:
         suspicion = self._suspicion_by_content.get(content)
-        strikes = suspicion.strikes if suspicion else 0
-        return strikes, self._own_by_content[content].changed_at
+        crashes = suspicion.crashes if suspicion else 0
+        return crashes, self._own_by_content[content].changed_at
 
     def _drop_own(self, content: str, now: float) -> None:
         del self._own_by_content[content]
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from masticdale_routing.crashes import (
+    CRASHES_TO_HOLD,
     RETENTION_S,
-    STRIKES_TO_HOLD,
     CrashEvidence,
     CrashReport,
     LostRun,
@@ -17,7 +17,7 @@
 )
 
 
-def strike(evidence, content, *incarnations, now=0.0):
+def crash(evidence, content, *incarnations, now=0.0):
     for incarnation in incarnations:
         evidence.record_crash(
             content,
@@ -27,30 +27,30 @@
         )
 
 
-def strikes(evidence, content):
+def crashes(evidence, content):
     suspicion = evidence.suspicion(content)
-    return suspicion.strikes if suspicion else 0
+    return suspicion.crashes if suspicion else 0
 
 
-class StrikeTest(unittest.TestCase):
+class CrashCountTest(unittest.TestCase):
     def test_a_content_is_held_after_its_third_replica(self):
         evidence = CrashEvidence()
-        strike(evidence, "bad", "a", "b")
+        crash(evidence, "bad", "a", "b")
         self.assertFalse(evidence.suspicion("bad").is_held)
-        strike(evidence, "bad", "c")
+        crash(evidence, "bad", "c")
         self.assertTrue(evidence.suspicion("bad").is_held)
 
     def test_a_replica_counts_once(self):
         """Guards against holding content of which copies ran side by side."""
         evidence = CrashEvidence()
-        strike(evidence, "x", "a", "a", "a")
+        crash(evidence, "x", "a", "a", "a")
         evidence.apply("h2", [CrashReport("x", tuple("a"))], 0.0)
-        self.assertEqual(strikes(evidence, "x"), 1)
+        self.assertEqual(crashes(evidence, "x"), 1)
 
-    def test_strikes_of_all_hosts_add_up(self):
+    def test_crashes_of_all_hosts_add_up(self):
         """Guards against a new start of the count at each host."""
         evidence = CrashEvidence()
-        strike(evidence, "bad", "a")
+        crash(evidence, "bad", "a")
         again = CrashReport("bad", ("b",), ended_again=("b",))
         evidence.apply("h2", [again], 1.0)
         evidence.apply("h3", [CrashReport("bad", ("c",))], 2.0)
@@ -65,36 +65,36 @@
         evidence = CrashEvidence()
         for incarnation in "abcd":
             evidence.record_crash("x", incarnation, 0.0, was_suspected=False)
-        self.assertEqual(strikes(evidence, "x"), 4)
+        self.assertEqual(crashes(evidence, "x"), 4)
         self.assertFalse(evidence.suspicion("x").is_held)
-        strike(evidence, "x", "e")
+        crash(evidence, "x", "e")
         self.assertTrue(evidence.suspicion("x").is_held)
 
     def test_a_whole_run_of_held_content_is_urgent_news(self):
         """Guards against other hosts that go on refusing it."""
         news = []
         evidence = CrashEvidence()
-        strike(evidence, "x", "a", "b", "c")
+        crash(evidence, "x", "a", "b", "c")
         evidence.on_urgent_change = lambda: news.append("urgent")
         evidence.record_success("x", 0.0)
         self.assertEqual(news, ["urgent"])
 
-    def test_a_whole_run_clears_the_strikes_of_all_hosts(self):
+    def test_a_whole_run_clears_the_crashes_of_all_hosts(self):
         """Guards against holding content that was in flight by chance."""
         evidence = CrashEvidence()
-        strike(evidence, "x", "a")
+        crash(evidence, "x", "a")
         evidence.apply("h2", [CrashReport("x", tuple("bc"))], 0.0)
         evidence.record_success("x", 1.0)
         self.assertFalse(evidence.has_suspects)
         # The other host repeats what it has seen before.
         evidence.apply("h2", [CrashReport("x", tuple("bc"))], 2.0)
         self.assertFalse(evidence.has_suspects)
-        strike(evidence, "x", "d", now=3.0)
-        self.assertEqual(strikes(evidence, "x"), 1)
+        crash(evidence, "x", "d", now=3.0)
+        self.assertEqual(crashes(evidence, "x"), 1)
 
     def test_a_success_of_another_host_clears(self):
         evidence = CrashEvidence()
-        strike(evidence, "x", "a", "b", "c")
+        crash(evidence, "x", "a", "b", "c")
         report = CrashReport("x", (), cleared=tuple("abc"))
         evidence.apply("h2", [report], 0.0)
         self.assertIsNone(evidence.suspicion("x"))
@@ -108,7 +108,7 @@
         evidence.record_success("x", 0.0)
         evidence.apply("h2", [CrashReport("y", tuple("a"))], 0.0)
         self.assertEqual(news, [])
-        strike(evidence, "x", "a", "a")
+        crash(evidence, "x", "a", "a")
         self.assertEqual(news, ["urgent"])
         evidence.record_success("x", 0.0)
         evidence.record_success("x", 0.0)
@@ -119,7 +119,7 @@
     def test_reports_from_before_a_restart_are_kept(self):
         """Guards against a restarted host that overwrites what it knew."""
         evidence = CrashEvidence()
-        strike(evidence, "bad", "c")
+        crash(evidence, "bad", "c")
         before = CrashReport("bad", ("a", "b"), ended_again=("b",))
         evidence.add_own([before], 1.0)
         self.assertTrue(evidence.suspicion("bad").is_held)
@@ -128,7 +128,7 @@
 
     def test_an_operator_releases_a_content(self):
         evidence = CrashEvidence()
-        strike(evidence, "bad", "a", "b", "c")
+        crash(evidence, "bad", "a", "b", "c")
         evidence.replace_own([], 1.0)
         self.assertFalse(evidence.has_suspects)
         self.assertEqual(evidence.own_reports(), ())
@@ -139,7 +139,7 @@
         newer = CrashReport("x", ("a", "b"), cleared=("a",))
         self.assertTrue(evidence.add("h2", [newer], 0.0))
         self.assertFalse(evidence.add("h2", [CrashReport("x", ("a",))], 0.0))
-        self.assertEqual(strikes(evidence, "x"), 1)
+        self.assertEqual(crashes(evidence, "x"), 1)
 
     def test_reports_of_a_removed_host_are_dropped(self):
         evidence = CrashEvidence()
@@ -153,16 +153,16 @@
     def test_a_flood_of_contents_is_bounded_and_keeps_the_worst(self):
         """Guards against memory that grows with each lost request."""
         evidence = CrashEvidence()
-        strike(evidence, "bad", "a", "b")
+        crash(evidence, "bad", "a", "b")
         for number in range(1_000):
-            strike(evidence, f"x{number}", "a", now=1.0 + number)
+            crash(evidence, f"x{number}", "a", now=1.0 + number)
         self.assertLessEqual(len(evidence.own_reports()), 100)
         self.assertLessEqual(len(evidence.suspicions()), 100)
-        self.assertEqual(strikes(evidence, "bad"), 2)
+        self.assertEqual(crashes(evidence, "bad"), 2)
 
     def test_the_replicas_of_one_content_are_bounded(self):
         evidence = CrashEvidence()
-        strike(evidence, "bad", *(f"i{n}" for n in range(100)))
+        crash(evidence, "bad", *(f"i{n}" for n in range(100)))
         (report,) = evidence.own_reports()
         self.assertLessEqual(len(report.ended), 8)
         self.assertTrue(evidence.suspicion("bad").is_held)
@@ -175,7 +175,7 @@
             first.apply("h2", second.own_reports(), now)
             second.apply("h1", first.own_reports(), now)
 
-        strike(first, "x", "a", "b")
+        crash(first, "x", "a", "b")
         exchange(0.0)
         second.record_success("x", 1.0)
         for now in (2.0, 10.0, 20.0, 30.0):
@@ -190,14 +190,14 @@
     def test_suspects_are_kept(self):
         """Guards against forgetting a fatal content between two rounds."""
         evidence = CrashEvidence()
-        strike(evidence, "bad", "a", "b", "c")
+        crash(evidence, "bad", "a", "b", "c")
         evidence.expire(RETENTION_S - 1.0)
         self.assertTrue(evidence.suspicion("bad").is_held)
 
     def test_old_reports_are_dropped(self):
         evidence = CrashEvidence()
-        strike(evidence, "old", "a", now=0.0)
-        strike(evidence, "new", "a", now=10.0)
+        crash(evidence, "old", "a", now=0.0)
+        crash(evidence, "new", "a", now=10.0)
         evidence.expire(RETENTION_S + 5.0)
         self.assertEqual(set(evidence.suspicions()), {"new"})
 
@@ -206,7 +206,7 @@
     def test_a_held_content_has_a_trial_soon(self):
         """Guards against refusing for long what was in flight by chance."""
         evidence = CrashEvidence()
-        strike(evidence, "x", "a", "b", "c", now=10.0)
+        crash(evidence, "x", "a", "b", "c", now=10.0)
         suspicion = evidence.suspicion("x")
         self.assertGreater(suspicion.held_for_s(10.0), 3.0)
         self.assertEqual(suspicion.held_for_s(16.0), 0.0)
@@ -266,13 +266,13 @@
             elif step == "whole":
                 hosts[index].record_success(content, 0.0)
             else:
-                strike(hosts[index], content, step)
+                crash(hosts[index], content, step)
         for host in hosts:
             hear(host)
         for first, second in itertools.pairwise(hosts):
             self.assertEqual(
-                {c: s.strikes for c, s in first.suspicions().items()},
-                {c: s.strikes for c, s in second.suspicions().items()},
+                {c: s.crashes for c, s in first.suspicions().items()},
+                {c: s.crashes for c, s in second.suspicions().items()},
             )
 
     @settings(derandomize=True, max_examples=200, deadline=None)
@@ -286,11 +286,11 @@
             if suspicion is not None and suspicion.is_held:
                 continue
             ended += 1
-            strike(hosts[index], "bad", f"i{ended}")
+            crash(hosts[index], "bad", f"i{ended}")
             for name, host in enumerate(hosts):
                 if name != index:
                     host.apply(f"h{index}", hosts[index].own_reports(), 0.0)
-        self.assertLessEqual(ended, STRIKES_TO_HOLD)
+        self.assertLessEqual(ended, CRASHES_TO_HOLD)
 
 
 if __name__ == "__main__":
--- a/tools/load/tests/test_traces.py
+++ b/tools/load/tests/test_traces.py
@@ -69,8 +69,8 @@
 
     def test_trace_of_a_crashing_request_includes_its_crashes(self):
         fatal = [
-            line(1.0, "a", "crash_suspect", content="c", strikes=1),
-            line(2.0, "b", "crash_suspect", content="other", strikes=1),
+            line(1.0, "a", "crash_suspect", content="c", crashes=1),
+            line(2.0, "b", "crash_suspect", content="other", crashes=1),
             line(3.0, "b", "suspect_refused", request_id="r", content="c"),
             line(3.0, "b", "request", request_id="r", outcome="crash_suspect"),
         ]
