Look a call's suspicion up in one place

Found on reading the change again; no change of behaviour. Both relays put `is_retriable` beside `may_repeat`, which now answers for both. Return values that nothing read are gone (record_success, CrashNotices._notify).

make lint types imports, and the tests of libs/gateway (26), crashing requests, reports, trials and evidence (54), relaying (23) and workspaces (12) pass, unchanged; record_success lost its return value after these, and only the 54 ran again with it.

--- a/libs/gateway/src/masticdale_gateway/crashes.py
+++ b/libs/gateway/src/masticdale_gateway/crashes.py
@@ -101,9 +101,7 @@
             The failure, with the time after which the call may be run; None
             if it may be sent to replicas.
         """
-        if not self._evidence.has_suspects:
-            return None
-        suspicion = self._evidence.suspicion(call.content_digest)
+        suspicion = self._suspicion(call)
         if suspicion is None or not suspicion.is_held:
             return None
         wait_s = await self._claim_trial(call, suspicion)
@@ -126,15 +124,13 @@
 
     def is_suspected(self, call: Call) -> bool:
         """Returns whether a replica has ended while it ran this content."""
-        if not self._evidence.has_suspects:
-            return False
-        return self._evidence.suspicion(call.content_digest) is not None
+        return self._suspicion(call) is not None
 
     def may_repeat(self, call: Call) -> bool:
         """Returns whether a call that may have run may be sent again."""
-        if not self._evidence.has_suspects:
-            return True
-        suspicion = self._evidence.suspicion(call.content_digest)
+        if not call.is_retriable:
+            return False
+        suspicion = self._suspicion(call)
         return suspicion is None or not suspicion.is_held
 
     async def record_loss(self, call: Call, state: ReplicaState) -> None:
@@ -195,12 +191,11 @@
 
     def record_success(self, call: Call) -> None:
         """Records that a replica has run a call whole."""
-        if not self._evidence.has_suspects:
-            return
-        content = call.content_digest
-        before = self._evidence.record_success(content, _now())
+        before = self._suspicion(call)
         if before is None:
             return
+        content = call.content_digest
+        self._evidence.record_success(content, _now())
         logs.write_bounded(
             "suspect_cleared",
             request_id=call.metadata.request_id,
@@ -215,6 +210,12 @@
         if call.is_trial and not call.possible_runs:
             self._spawn(self._trials.withdraw(call.content_digest))
 
+    def _suspicion(self, call: Call) -> Suspicion | None:
+        # Without suspects no digest is taken of any prompt.
+        if not self._evidence.has_suspects:
+            return None
+        return self._evidence.suspicion(call.content_digest)
+
     def _add_lost(self, call: Call, state: ReplicaState) -> None:
         run = LostRun(call.content_digest, call.was_suspected)
         self._lost.add(state.replica.incarnation, run, _now())
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -90,14 +90,13 @@
             call.failed_replica_ids.append(last.replica_id)
             if attempts >= self._settings.max_total_attempts:
                 break
-            if last.ran is not Executed.NO and not self._may_repeat(call):
+            if last.ran is not Executed.NO and (
+                not self._sender.crashes.may_repeat(call)
+            ):
                 break
             state = self._choose_next(call, state, last, excluded)
         return self._fail(call, stream, last)
 
-    def _may_repeat(self, call: Call) -> bool:
-        return call.is_retriable and self._sender.crashes.may_repeat(call)
-
     def _choose(self, call: Call, excluded: set[str]) -> ReplicaState | None:
         now = asyncio.get_running_loop().time()
         return self._fleet.choose(
--- a/libs/gateway/src/masticdale_gateway/unary.py
+++ b/libs/gateway/src/masticdale_gateway/unary.py
@@ -83,8 +83,7 @@
                 continue
             possible_executions += 1
             if (
-                not call.is_retriable
-                or possible_executions >= call.route.max_attempts
+                possible_executions >= call.route.max_attempts
                 or not self._sender.crashes.may_repeat(call)
             ):
                 break
--- a/libs/ledger/src/masticdale_ledger/crash_notices.py
+++ b/libs/ledger/src/masticdale_ledger/crash_notices.py
@@ -8,8 +8,6 @@
 import asyncio
 import random
 
-from returns.result import Failure as Failed
-
 from masticdale_ledger.hosts import Hosts, LiveHosts
 from masticdale_ledger.messages import (
     NOTIFY_CRASHES,
@@ -105,8 +103,7 @@
         address: tuple[str, int],
         notices: tuple[CrashNotice, ...],
         forward: bool,
-    ) -> bool:
-        outcome = await self._hosts.client(*address).call(
+    ) -> None:
+        await self._hosts.client(*address).call(
             NOTIFY_CRASHES, CrashNoticeRequest(notices, forward), _TIMEOUT_S
         )
-        return not isinstance(outcome, Failed)
--- a/libs/routing/src/masticdale_routing/crashes.py
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -201,21 +201,16 @@
             _notify(self.on_urgent_change)
         return self.suspicion(content)
 
-    def record_success(self, content: str, now: float) -> Suspicion | None:
-        """Clears a content that a replica has run whole.
-
-        Returns:
-            What was known of it before; None if it was not suspected.
-        """
+    def record_success(self, content: str, now: float) -> None:
+        """Clears a content that a replica has run whole, if it is suspected."""
         before = self.suspicion(content)
         if before is None:
-            return None
+            return
         own = self._own(content)
         own.cleared |= self._merged(content).ended
         own.changed_at = now
         self._update(content, now)
         _notify(self.on_urgent_change if before.is_held else self.on_change)
-        return before
 
     def apply(
         self, host: str, reports: Iterable[CrashReport], now: float
