--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -33,6 +33,10 @@
     Incarnation,
 )
 
+# Times that a request is sent to replicas once it has ended three and its hosts
+# have had the time to hear of it.
+_MAX_FATAL_RUNS = 3
+_FATAL_REPLICAS = 3
 # Statuses that guarantee that the request was not and will not be executed.
 _NOT_RUN_STATUSES = frozenset({402, 408, 421, 429, 503})
 # Seconds after which a draining replica gets no new requests: the guaranteed
@@ -428,6 +432,32 @@
             return
 
 
+def _fatal_requests(observations: Observations) -> Findings:
+    """A request that has ended three replicas ends few more."""
+    attempt_by_id = {a.request_id: a for a in observations.attempts}
+    runs = sorted(
+        (
+            run
+            for run in observations.runs
+            if attempt_by_id[run.request_id].kind is RequestKind.FATAL
+        ),
+        key=lambda run: run.started_at,
+    )
+    if len(runs) <= _FATAL_REPLICAS:
+        return
+    known_at = runs[_FATAL_REPLICAS - 1].started_at + _UNDISTURBED_S
+    later = [
+        run
+        for run in runs
+        if run.started_at > known_at
+        and observations.is_undisturbed(
+            attempt_by_id[run.request_id].host, run.started_at, run.started_at
+        )
+    ]
+    if len(later) > _MAX_FATAL_RUNS:
+        yield runs[0].request_id, f"{len(runs)} runs, {len(later)} too late"
+
+
 CHECK_BY_NAME: dict[str, Callable[[Observations], Findings]] = {
     "at-most-once": _at_most_once,
     "true-refusals": _true_refusals,
@@ -443,6 +473,7 @@
     "stops-break-nothing": _stops_break_nothing,
     "keys": _keys,
     "usage-caps": _usage_caps,
+    "fatal-requests": _fatal_requests,
     "answers-in-time": _answers_in_time,
     "told-when-to-return": _told_when_to_return,
     "recovery": _recovery,
--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -1,5 +1,6 @@
 """The entry hosts, replicas and store of one run."""
 
+import asyncio
 import contextlib
 import dataclasses
 import pathlib
@@ -35,6 +36,11 @@
 _SEEDS = 3
 _ENGINES = 3
 _UNARY_REPLICAS = 3
+# Part of the target of requests that end each replica that runs them.
+FATAL_TARGET = "fatal"
+# Seconds after which an ended replica starts again.
+_RESTART_S = 0.5
+_SUPERVISION_INTERVAL_S = 0.02
 _EVENT_INTERVAL_S = 0.03
 _PROCESSING_S = 0.02
 
@@ -80,11 +86,15 @@
         self._sequence = 0
         self._started_ms = 0
         self._state = "ready"
+        self._is_up = False
 
     async def start(self) -> None:
-        """Starts the replica and writes its entry."""
+        """Starts the replica and writes its entry, unless it is up."""
+        if self._is_up:
+            return
+        self._is_up = True
         await self.fake.start()
-        if not self.proxy.port:
+        if not self.proxy.is_listening:
             await self.proxy.start(self.fake.port)
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -92,9 +102,22 @@
 
     async def crash(self) -> None:
         """Stops the replica and resets its connections."""
+        self._is_up = False
         await self.fake.stop()
         self.proxy.reset()
 
+    async def supervise(self) -> None:
+        """Starts the replica again whenever a request has ended it."""
+        while True:
+            await asyncio.sleep(_SUPERVISION_INTERVAL_S)
+            if not self.fake.has_ended:
+                continue
+            self.proxy.refuse()
+            self.fake.has_ended = False
+            self._is_up = False
+            await asyncio.sleep(_RESTART_S)
+            await self.start()
+
     def remove_entry(self) -> None:
         """Removes its entry, as the store does without heartbeats."""
         self._store.remove("servers", self.fake.id)
@@ -152,6 +175,10 @@
         ]
         self.version = 0
         self.drains: list[Drain] = []
+        self._supervisors: list[asyncio.Task[None]] = []
+        if plan.has_fatal_requests:
+            for replica in self.replicas:
+                replica.fake.behaviour.fatal_target = FATAL_TARGET
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -162,6 +189,8 @@
         finally:
             for host in self.hosts:
                 await host.close()
+            for supervisor in self._supervisors:
+                supervisor.cancel()
             for replica in self.replicas:
                 await replica.close()
             await self.store.stop()
@@ -185,6 +214,8 @@
         await self.store.start()
         for replica in self.replicas:
             await replica.start()
+            supervisor = asyncio.create_task(replica.supervise())
+            self._supervisors.append(supervisor)
         self.change_configuration()
         for host in self.hosts:
             await host.start_proxies(self.store.port)
--- a/tools/soak/src/masticdale_soak/load_generator.py
+++ b/tools/soak/src/masticdale_soak/load_generator.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import itertools
 import random
 import time
 
@@ -10,6 +11,7 @@
 
 from masticdale_soak.environment import (
     CAPPED_KEY,
+    FATAL_TARGET,
     HOST_HEADER,
     LOOKUP_PATH,
     ORDER_PATH,
@@ -37,6 +39,9 @@
 # Together they send several times what the cap allows.
 _CAPPED_WORKERS = 3
 _PAUSE_S = 0.05
+# Seconds between two rounds of a fatal request, and between its attempts.
+_FATAL_INTERVAL_S = 0.6
+_FATAL_RETRY_S = 0.1
 _MAX_ATTEMPTS = 4
 _MAX_TURNS = 24
 # Every third program sends turns until its budget is exceeded.
@@ -53,6 +58,7 @@
     LOOKUP = "lookup"
     CAPPED = "capped"
     VERSION = "version"
+    FATAL = "fatal"
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,8 +114,13 @@
         attempts: All requests sent so far.
     """
 
-    def __init__(self, environment: Environment, seed: int) -> None:
+    def __init__(
+        self, environment: Environment, seed: int, *, fatal: bool = False
+    ) -> None:
         self.attempts: list[Attempt] = []
+        self._fatal = fatal
+        # Of its own, so that the rest of the load is the same without.
+        self._fatal_random = random.Random(seed)
         self._environment = environment
         self._random = random.Random(seed)
         self._ready_hosts: list[HostProcess] = list(environment.hosts)
@@ -128,7 +139,9 @@
     async def run(self, seconds: float) -> None:
         """Sends requests for a period and waits for the last responses."""
         self._deadline = time.monotonic() + seconds
-        readiness_task = asyncio.create_task(self._poll_readiness())
+        helpers = [asyncio.create_task(self._poll_readiness())]
+        if self._fatal:
+            helpers.append(asyncio.create_task(self._send_fatal()))
         try:
             await asyncio.gather(
                 *(self._run_programs(n) for n in range(_PROGRAM_WORKERS)),
@@ -147,7 +160,8 @@
                 ),
             )
         finally:
-            readiness_task.cancel()
+            for helper in helpers:
+                helper.cancel()
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -250,6 +264,18 @@
             )
             await asyncio.sleep(_PAUSE_S)
 
+    async def _send_fatal(self) -> None:
+        """Sends one content again and again, through two hosts each time."""
+        for count in itertools.count():
+            for number in range(2):
+                host = self._fatal_random.choice(
+                    self._ready_hosts or self._environment.hosts
+                )
+                request_id = f"fatal{count}-{number}"
+                await self.send(host, RequestKind.FATAL, request_id)
+                await asyncio.sleep(_FATAL_RETRY_S)
+            await asyncio.sleep(_FATAL_INTERVAL_S)
+
     async def _send_until_served(
         self,
         kind: RequestKind,
@@ -326,6 +352,8 @@
         return ORDER_PATH + "x", fields
     if attempt.kind is RequestKind.LOOKUP:
         return LOOKUP_PATH + "x", fields
+    if attempt.kind is RequestKind.FATAL:
+        return LOOKUP_PATH + FATAL_TARGET, fields
     if attempt.kind is RequestKind.VERSION:
         return version_path(attempt.version) + "x", fields
     fields |= {
--- a/tools/soak/src/masticdale_soak/main.py
+++ b/tools/soak/src/masticdale_soak/main.py
@@ -22,6 +22,7 @@
     seconds: float = _SECONDS,
     hosts: int = _HOSTS,
     output: str = "",
+    fatal: bool = False,
 ) -> None:
     """Runs the plan of one seed.
 
@@ -30,8 +31,9 @@
         seconds: Duration of the load in seconds.
         hosts: Number of entry hosts.
         output: File for the JSON report; none if empty.
+        fatal: Whether the load holds requests that end their replicas.
     """
-    report = run_seed(seed, seconds, hosts)
+    report = run_seed(seed, seconds, hosts, fatal)
     print(report.summary())
     _report_and_exit([report], output)
 
@@ -44,6 +46,7 @@
     hosts: int = _HOSTS,
     jobs: int = _JOBS,
     output: str = "",
+    fatal: bool = False,
 ) -> None:
     """Runs consecutive seeds in parallel.
 
@@ -55,6 +58,7 @@
         hosts: Number of entry hosts of each run.
         jobs: Number of parallel runs.
         output: File for the JSON reports, one per line; none if empty.
+        fatal: Whether the load holds requests that end their replicas.
     """
     begin = first or random.SystemRandom().randrange(1, 1_000_000)
     deadline = time.monotonic() + 60 * minutes
@@ -65,7 +69,7 @@
         while waiting or _may_start(number, seeds, deadline):
             while len(waiting) < jobs and _may_start(number, seeds, deadline):
                 waiting.add(
-                    pool.submit(run_seed, begin + number, seconds, hosts)
+                    pool.submit(run_seed, begin + number, seconds, hosts, fatal)
                 )
                 number += 1
             done, waiting = concurrent.futures.wait(
@@ -86,7 +90,9 @@
     lines = pathlib.Path(report).read_text().splitlines()
     reports = [Report.model_validate_json(line) for line in lines]
     failed = [r for r in reports if not r.is_clean]
-    _report_and_exit([run_seed(r.seed, r.seconds, r.hosts) for r in failed], "")
+    _report_and_exit(
+        [run_seed(r.seed, r.seconds, r.hosts, r.fatal) for r in failed], ""
+    )
 
 
 def plan(
--- a/tools/soak/src/masticdale_soak/plans.py
+++ b/tools/soak/src/masticdale_soak/plans.py
@@ -110,21 +110,27 @@
         seconds: Duration of the load in seconds.
         hosts: Number of entry hosts.
         steps: Faults, ordered by start.
+        has_fatal_requests: Whether the load holds requests that end each
+            replica that runs them.
     """
 
     seed: int
     seconds: float
     hosts: int
     steps: tuple[Step, ...]
+    has_fatal_requests: bool = False
 
 
-def make_plan(seed: int, seconds: float, hosts: int) -> Plan:
+def make_plan(
+    seed: int, seconds: float, hosts: int, *, fatal: bool = False
+) -> Plan:
     """Generates a plan; equal arguments give equal plans.
 
     Args:
         seed: Seed of the random choices.
         seconds: Duration of the load in seconds.
         hosts: Number of entry hosts.
+        fatal: Whether the load holds requests that end their replicas.
     """
     rng = random.Random(seed)
     last_s = max(_FAULT_FREE_START_S, seconds - _FAULT_FREE_END_S)
@@ -141,4 +147,4 @@
         )
         steps.append(step)
     ordered = tuple(sorted(steps, key=lambda s: s.start_s))
-    return Plan(seed, seconds, hosts, ordered)
+    return Plan(seed, seconds, hosts, ordered, fatal)
--- a/tools/soak/src/masticdale_soak/proxies.py
+++ b/tools/soak/src/masticdale_soak/proxies.py
@@ -68,20 +68,31 @@
     async def start(
         self, target_port: int, target_address: str = "127.0.0.1"
     ) -> None:
-        """Starts to listen on a free port."""
+        """Starts to listen on a free port, later on the same one again."""
         self._target = (target_address, target_port)
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def set_link_state(self, link: LinkState) -> None:
         """Changes the treatment of all connections, open ones included."""
         self.link_state = link
 
-    async def stop(self) -> None:
+    @property
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
+    def refuse(self) -> None:
         """Stops listening and resets every connection."""
         if self._server is not None:
             self._server.close()
         self.reset()
+
+    async def stop(self) -> None:
+        """Stops listening, resets every connection and ends their tasks."""
+        self.refuse()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tools/soak/src/masticdale_soak/runs.py
+++ b/tools/soak/src/masticdale_soak/runs.py
@@ -33,6 +33,7 @@
         runs: Number of requests that replicas began to execute.
         faults: Injected faults with start and end in seconds.
         violations: Violated guarantees.
+        fatal: Whether the load held requests that end their replicas.
         logs: Directory of the hosts' logs; empty without violations.
     """
 
@@ -44,6 +45,7 @@
     runs: int
     faults: list[str]
     violations: list[dict[str, str]]
+    fatal: bool = False
     logs: str = ""
 
     @property
@@ -78,7 +80,9 @@
         tempfile.mkdtemp(prefix="masticdale-soak-")
     )
     environment = Environment(plan, log_directory, command)
-    load_generator = LoadGenerator(environment, plan.seed)
+    load_generator = LoadGenerator(
+        environment, plan.seed, fatal=plan.has_fatal_requests
+    )
     injector = FaultInjector(environment)
     async with environment.running():
         started_at = time.monotonic()
@@ -100,9 +104,12 @@
     return report, observations
 
 
-def run_seed(seed: int, seconds: float, hosts: int) -> Report:
+def run_seed(
+    seed: int, seconds: float, hosts: int, fatal: bool = False
+) -> Report:
     """Runs the plan of a seed and returns its report."""
-    report, _ = asyncio.run(run_plan(make_plan(seed, seconds, hosts)))
+    plan = make_plan(seed, seconds, hosts, fatal=fatal)
+    report, _ = asyncio.run(run_plan(plan))
     return report
 
 
@@ -113,8 +120,8 @@
     attempts = []
     for host in environment.hosts:
         for kind in RequestKind:
-            if kind is RequestKind.CAPPED:
-                # Its workspace may still be over its cap.
+            # The capped workspace may still be over its cap.
+            if kind in (RequestKind.CAPPED, RequestKind.FATAL):
                 continue
             attempt = await load_generator.send(
                 host,
@@ -174,6 +181,7 @@
         attempts=len(observations.attempts),
         served=sum(a.is_served for a in observations.attempts),
         runs=len(observations.runs),
+        fatal=plan.has_fatal_requests,
         faults=faults,
         violations=[dataclasses.asdict(v) for v in violations],
     )
--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -17,6 +17,7 @@
 from masticdale_entry.watched_state import ActiveConfiguration
 from masticdale_entry.watching import Watcher
 from masticdale_gateway import Admission, Relay
+from masticdale_gateway.crashes import CrashGuard
 from masticdale_gateway.exchanges import AttemptFailure, Sender
 from masticdale_gateway.streaming import _Stream
 from masticdale_ledger import LedgerClient
@@ -153,6 +154,10 @@
     UsageCounter.wait_s = lambda self, claim, demand, now: 0.0
 
 
+def blame_no_request():
+    CrashGuard.record_end = lambda self, state: None
+
+
 def start_only_once():
     settings = pathlib.Path(sys.argv[-1])
     if settings.with_suffix(".log").stat().st_size:
@@ -178,6 +183,7 @@
         start_only_once,
         forward_keys,
         grant_each_request,
+        blame_no_request,
     )
 }
 
