--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -39,6 +39,10 @@
     HISTORY_GONE = "history_gone"
     NOT_CONFIGURED = "not_configured"
     LEDGER_UNAVAILABLE = "ledger_unavailable"
+    TURN_UNKNOWN = "turn_unknown"
+    HISTORY_UNAVAILABLE = "history_unavailable"
+    MISSING_PREVIOUS = "missing_previous"
+    STORE_FULL = "store_full"
     BROKEN_OFF = "broken_off"
     INVALID_SETTINGS = "invalid_settings"
     INTERNAL = "internal"
@@ -184,6 +188,18 @@
         300,
         "The owner of the program's budget does not answer.",
     ),
+    ErrorKind.TURN_UNKNOWN: ErrorResponse(
+        404, Executed.NO, None, "The previous turn does not exist."
+    ),
+    ErrorKind.HISTORY_UNAVAILABLE: ErrorResponse(
+        503, Executed.NO, 300, "The histories of turns can't be reached."
+    ),
+    ErrorKind.MISSING_PREVIOUS: ErrorResponse(
+        503, Executed.NO, 300, "The host does not hold the previous turn."
+    ),
+    ErrorKind.STORE_FULL: ErrorResponse(
+        503, Executed.NO, 1000, "The disk has no room for more turns."
+    ),
     ErrorKind.BROKEN_OFF: ErrorResponse(
         502, Executed.YES, None, "The answer broke off and can't be continued."
     ),
--- a/libs/rpc/src/masticdale_rpc/structs.py
+++ b/libs/rpc/src/masticdale_rpc/structs.py
@@ -17,6 +17,7 @@
 
 _TYPE_BY_HINT = {
     str: TType.STRING,
+    bytes: TType.BINARY,
     int: TType.I64,
     bool: TType.BOOL,
     float: TType.DOUBLE,
