--- a/apps/masticdale_entry/tests/test_crashing_requests.py
+++ b/apps/masticdale_entry/tests/test_crashing_requests.py
@@ -103,10 +103,10 @@
     def suspects(self, host):
         return host.entry.crash_suspects
 
-    async def ask(self, target, request_id, host, **headers):
+    async def ask(self, target, request_id, host, body=b"body", **headers):
         fields = {"Host": HOST, "Request-Id": request_id}
         fields |= {"Deadline-Ms": "2500"} | headers
-        return await host.http.post(target, headers=fields, content=b"body")
+        return await host.http.post(target, headers=fields, content=body)
 
     async def ask_in_rounds(self, target, rounds, **headers):
         """Sends the same content again and again, as its callers do.
@@ -284,6 +284,7 @@
         await self.wait_shards_owned()
         self.headers = turn_headers("", program="p")
         del self.headers["Request-Id"]
+        self.prompt_numbers = itertools.count()
 
     async def test_a_repeated_turn_stops_ending_replicas(self):
         """Guards against losing all engines again with each repetition."""
@@ -296,6 +297,53 @@
         later = len(self.fatal_sends()) - before
         self.assertLessEqual(later, MAX_LATER_SENDS)
 
+    async def test_turns_that_differ_in_their_prompt_stop_ending_engines(self):
+        """Guards against a count that begins anew with each prompt.
+
+        Callers of a fatal target send other prompts each time, so that no
+        content comes again often enough to be held back.
+        """
+        target = STREAMING + FATAL
+        await self.ask_with_new_prompts(target)
+        self.assertGreaterEqual(len(self.fatal_sends()), 3)
+        await asyncio.sleep(CONTACT_S)
+        before = len(self.fatal_sends())
+        for _ in range(3):
+            await self.ask_with_new_prompts(target)
+        later = len(self.fatal_sends()) - before
+        self.assertLessEqual(later, MAX_LATER_SENDS)
+
+    async def ask_with_new_prompts(self, target):
+        for number, host in enumerate(self.hosts):
+            body = b"prompt %d" % next(self.prompt_numbers)
+            response = await self.ask(
+                target, f"q{number}", host, body, **self.headers
+            )
+            self.assertGreaterEqual(response.status_code, 500)
+            await asyncio.sleep(REPEAT_DELAY_S)
+        await self.replace_ended()
+
+    async def test_other_prompts_of_a_target_are_served(self):
+        """Guards against closing a target for which one prompt is fatal."""
+        target = STREAMING + "shared"
+        for replica in self.engines:
+            replica.behaviour.fatal_body = b"fatal"
+        for number in range(4):
+            host = self.hosts[number % 3]
+            await self.ask(target, f"q{number}", host, b"fatal", **self.headers)
+            await self.replace_ended()
+            for replica in self.engines:
+                replica.behaviour.fatal_body = b"fatal"
+        for number in range(6):
+            response = await self.ask(
+                target,
+                f"good{number}",
+                self.hosts[number % 3],
+                b"good %d" % number,
+                **self.headers,
+            )
+            self.assertEqual(response.status_code, 200)
+
     async def test_a_turn_that_ends_engines_after_some_events_stops(self):
         """Guards against resuming a stream that ends each of its replicas."""
         self.set_engines(events_before_cut=1, events=100)
@@ -419,6 +467,7 @@
         await taking
         self.assertFalse(any(r.executed_requests for r in others))
         await self.ask(IDEMPOTENT + "good", "q2", self.hosts[0])
-        (suspect,) = self.suspects(self.hosts[0]).values()
-        self.assertEqual(suspect.crashes, 1)
+        suspects = self.suspects(self.hosts[0]).values()
+        # The content and its target.
+        self.assertEqual([s.crashes for s in suspects], [1, 1])
         await successor.stop()
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -67,6 +67,7 @@
             replica, ends.
         fatal_target: Requests whose target contains this are FATAL; empty for
             none.
+        fatal_body: Requests with this body are FATAL; empty for none.
         ends_after_s: Time after which a FATAL request ends it, also if its
             client has left, in seconds; 0 to end after ``processing_s`` if the
             client is still there.
@@ -79,6 +80,7 @@
     processing_s: float = 0.0
     events_before_cut: int = 2
     fatal_target: str = ""
+    fatal_body: bytes = b""
     ends_after_s: float = 0.0
 
 
@@ -169,6 +171,8 @@
             behaviour.faulty_requests -= fault is not ReplicaFault.NONE
         if behaviour.fatal_target and behaviour.fatal_target in request.target:
             fault = ReplicaFault.FATAL
+        if behaviour.fatal_body and behaviour.fatal_body == request.body:
+            fault = ReplicaFault.FATAL
         headers = self._headers(request)
         if fault in (
             ReplicaFault.OVERLOADED,
