Suspect the target of a request beside its content

Cause: a request was known by a digest of its whole body.

Change: a replica that ends is reported under the content and, for requests with a body, under the target without it. A whole run of any content clears the target, so that one fatal prompt does not close a target that others use. A held target has its first trial at once, since the contents that crashed may be few of many; then 20 s, 60 s, 600 s and an hour. A suspected content runs at the replica that its digest selects: copies of it end one replica and not all of a service, and contents that are suspected for the same crash run apart.

Ruled out: several crashed contents as a condition for holding a target; one more replica ends, and an outage of a service satisfies it as well.

--- a/apps/masticdale_entry/src/masticdale_entry/crash_trials.py
+++ b/apps/masticdale_entry/src/masticdale_entry/crash_trials.py
@@ -14,12 +14,19 @@
 
 from masticdale_common import ErrorKind, Failure, logs
 from masticdale_platform import MUST_NOT_EXIST, ObjectStore, StoredObject
-from masticdale_routing.crashes import RETENTION_S, trial_wait_s
+from masticdale_routing.crashes import (
+    RETENTION_S,
+    is_target_key,
+    trial_wait_s,
+)
 
 TRIAL_PREFIX = "crash-trials/"
 # Time after which a claim that the store did not answer is made again, in
 # seconds.
 _UNAVAILABLE_RETRY_S = 1.0
+# Time in which the trial of a target shows its result, in seconds. Until then
+# other contents of the target, which may be harmless, come back this soon.
+_RESULT_WAIT_S = 1.0
 # Claims that this host remembers, to give them back.
 _MAX_CLAIMS = 100
 # Age of trials, in seconds, at which they are deleted. No content is held for
@@ -66,16 +73,17 @@
         if trials is not None:
             # Clocks of hosts differ.
             since_s = max(0.0, (_now_ms() - trials.at_ms) / 1000)
-            wait_s = trial_wait_s(trials.count, since_s)
+            wait_s = trial_wait_s(content, trials.count, since_s)
             if wait_s:
-                return wait_s
+                is_pending = since_s < _RESULT_WAIT_S and is_target_key(content)
+                return _RESULT_WAIT_S if is_pending else wait_s
         outcome = await self._write(
             key,
             _Trials(count=count + 1, at_ms=_now_ms()),
             stored.version if stored else MUST_NOT_EXIST,
         )
         if isinstance(outcome, Failed):
-            return _wait_after(outcome.failure(), count)
+            return _wait_after(outcome.failure(), content, count)
         self._claim_by_content[content] = _Claim(count + 1, outcome.unwrap())
         while len(self._claim_by_content) > _MAX_CLAIMS:
             del self._claim_by_content[next(iter(self._claim_by_content))]
@@ -128,11 +136,13 @@
             )
 
 
-def _wait_after(failure: Failure, count: int) -> float:
-    if failure.kind is ErrorKind.CONFLICT:
-        # Another host has just claimed it.
-        return trial_wait_s(count + 1, 0.0)
-    return _UNAVAILABLE_RETRY_S
+def _wait_after(failure: Failure, content: str, count: int) -> float:
+    if failure.kind is not ErrorKind.CONFLICT:
+        return _UNAVAILABLE_RETRY_S
+    # Another host has just claimed it.
+    if is_target_key(content):
+        return _RESULT_WAIT_S
+    return trial_wait_s(content, count + 1, 0.0)
 
 
 def _parse(stored: StoredObject) -> _Trials | None:
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -11,6 +11,7 @@
 from masticdale_gateway.codec import RequestMetadata
 from masticdale_gateway.messages import Request
 from masticdale_routing.assignments import TurnEnd, TurnPrompt
+from masticdale_routing.crashes import target_key
 from masticdale_routing.routes import Route, RouteKind, Service
 from masticdale_workspaces import UsageClaim, Workspace
 
@@ -40,10 +41,10 @@
         workspace: The workspace of the caller; None for an anonymous request.
         version: Version of the configuration by which it was routed.
         possible_runs: Number of attempts that a replica may have executed.
-        was_suspected: Whether its content was suspected of ending replicas as
-            the last attempt was sent.
-        is_trial: Whether its content is held back, and this is the one run
-            that may show whether it still ends replicas.
+        suspected_keys: The ``suspicion_keys`` that were suspected of ending
+            replicas as the last attempt was sent.
+        trial_keys: The ``suspicion_keys`` that are held back, and for which
+            this is the one run that may show whether they still end replicas.
     """
 
     request: Request
@@ -60,8 +61,8 @@
     workspace: Workspace | None = None
     version: int = 0
     possible_runs: int = 0
-    was_suspected: bool = False
-    is_trial: bool = False
+    suspected_keys: tuple[str, ...] = ()
+    trial_keys: tuple[str, ...] = ()
     _content_digest: str = dataclasses.field(default="", init=False, repr=False)
 
     @property
@@ -82,6 +83,25 @@
             )
         return self._content_digest
 
+    @property
+    def suspicion_keys(self) -> tuple[str, ...]:
+        """What may be blamed if a replica ends while it runs the call.
+
+        The content, and the target with any content: copies of a fatal turn
+        have the same target, but their prompts differ in the last part.
+        """
+        if not self.request.body:
+            return (self.content_digest,)
+        target = target_key(
+            _digest(
+                self.workspace_name.encode(),
+                self.request.method,
+                self.request.host.encode(),
+                self.request.target,
+            )
+        )
+        return (self.content_digest, target)
+
     @property
     def workspace_name(self) -> str:
         """Name of the caller's workspace; empty for none."""
--- a/libs/gateway/src/masticdale_gateway/crashes.py
+++ b/libs/gateway/src/masticdale_gateway/crashes.py
@@ -101,17 +101,23 @@
             The failure, with the time after which the call may be run; None
             if it may be sent to replicas.
         """
-        suspicion = self._suspicion(call)
-        if suspicion is None or not suspicion.is_held:
-            return None
-        wait_s = await self._claim_trial(call, suspicion)
-        if not wait_s:
-            call.is_trial = True
-            return None
+        for key, suspicion in self._suspicions(call):
+            if not suspicion.is_held:
+                continue
+            wait_s = await self._claim_trial(call, key, suspicion)
+            if wait_s:
+                return self._refuse(call, key, suspicion, wait_s)
+            call.trial_keys += (key,)
+        return None
+
+    def _refuse(
+        self, call: Call, key: str, suspicion: Suspicion, wait_s: float
+    ) -> Failure:
+        self.finish(call)
         logs.write_bounded(
             "suspect_refused",
             request_id=call.metadata.request_id,
-            content=call.content_digest,
+            content=key,
             crashes=suspicion.crashes,
             heard_s_ago=round(_now() - suspicion.heard_at, 3),
             wait_s=round(wait_s, 1),
@@ -122,16 +128,27 @@
             retry_after_ms=math.ceil(1000 * wait_s),
         )
 
-    def is_suspected(self, call: Call) -> bool:
-        """Returns whether a replica has ended while it ran this content."""
-        return self._suspicion(call) is not None
+    def suspected_keys(self, call: Call) -> tuple[str, ...]:
+        """Returns the keys of a call under which a replica has ended."""
+        return tuple(key for key, _ in self._suspicions(call))
+
+    def isolation_key(self, call: Call) -> str:
+        """Returns the key that selects the replica of a suspected content.
+
+        Empty if the content is not suspected. All copies of a content then run
+        at one replica, so that they end one and not all of a service at once,
+        and contents that are suspected for the same crash run apart.
+        """
+        if not self._evidence.has_suspects:
+            return ""
+        content = call.content_digest
+        return content if self._evidence.suspicion(content) else ""
 
     def may_repeat(self, call: Call) -> bool:
         """Returns whether a call that may have run may be sent again."""
         if not call.is_retriable:
             return False
-        suspicion = self._suspicion(call)
-        return suspicion is None or not suspicion.is_held
+        return not any(s.is_held for _, s in self._suspicions(call))
 
     async def record_loss(self, call: Call, state: ReplicaState) -> None:
         """Records a connection that was lost while its replica ran a call.
@@ -191,34 +208,38 @@
 
     def record_success(self, call: Call) -> None:
         """Records that a replica has run a call whole."""
-        before = self._suspicion(call)
-        if before is None:
-            return
-        content = call.content_digest
-        self._evidence.record_success(content, _now())
-        logs.write_bounded(
-            "suspect_cleared",
-            request_id=call.metadata.request_id,
-            content=content,
-            crashes=before.crashes,
-        )
-        if before.is_held:
-            self._spawn(self._trials.end(content))
+        for key, before in self._suspicions(call):
+            self._evidence.record_success(key, _now())
+            logs.write_bounded(
+                "suspect_cleared",
+                request_id=call.metadata.request_id,
+                content=key,
+                crashes=before.crashes,
+            )
+            if before.is_held:
+                self._spawn(self._trials.end(key))
 
     def finish(self, call: Call) -> None:
         """Ends a call; a trial that did not run leaves the next one free."""
-        if call.is_trial and not call.possible_runs:
-            self._spawn(self._trials.withdraw(call.content_digest))
+        if call.possible_runs:
+            return
+        for key in call.trial_keys:
+            self._spawn(self._trials.withdraw(key))
+        call.trial_keys = ()
 
-    def _suspicion(self, call: Call) -> Suspicion | None:
+    def _suspicions(self, call: Call) -> list[tuple[str, Suspicion]]:
         # Without suspects no digest is taken of any prompt.
         if not self._evidence.has_suspects:
-            return None
-        return self._evidence.suspicion(call.content_digest)
+            return []
+        suspicions = (
+            (key, self._evidence.suspicion(key)) for key in call.suspicion_keys
+        )
+        return [(key, s) for key, s in suspicions if s is not None]
 
     def _add_lost(self, call: Call, state: ReplicaState) -> None:
-        run = LostRun(call.content_digest, call.was_suspected)
-        self._lost.add(state.replica.incarnation, run, _now())
+        for key in call.suspicion_keys:
+            run = LostRun(key, key in call.suspected_keys)
+            self._lost.add(state.replica.incarnation, run, _now())
 
     async def _check_later(self, state: ReplicaState) -> None:
         await asyncio.sleep(_CHECK_DELAY_S)
@@ -226,26 +247,27 @@
         if await self._pool.refuses(state.replica):
             self.record_end(state)
 
-    async def _claim_trial(self, call: Call, suspicion: Suspicion) -> float:
-        content = call.content_digest
+    async def _claim_trial(
+        self, call: Call, key: str, suspicion: Suspicion
+    ) -> float:
         now = _now()
         wait_s = max(
-            suspicion.held_for_s(now),
-            self._next_claim_at_by_content.get(content, 0.0) - now,
+            suspicion.held_for_s(key, now),
+            self._next_claim_at_by_content.get(key, 0.0) - now,
         )
         if wait_s > 0:
             return wait_s
-        wait_s = await self._trials.claim(content)
+        wait_s = await self._trials.claim(key)
         logs.write_bounded(
             "suspect_trial",
             request_id=call.metadata.request_id,
-            content=content,
+            content=key,
             crashes=suspicion.crashes,
             granted=not wait_s,
             wait_s=round(wait_s, 1),
         )
         self._forget_released()
-        self._next_claim_at_by_content[content] = _now() + wait_s
+        self._next_claim_at_by_content[key] = _now() + wait_s
         return wait_s
 
     def _forget_released(self) -> None:
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -268,7 +268,7 @@
             last_event_id=options.last_event_id,
         )
         call.possible_runs += 1
-        call.was_suspected = self.crashes.is_suspected(call)
+        call.suspected_keys = self.crashes.suspected_keys(call)
         connection.send(
             encode_request(
                 request.method, request.target, fields, request.body
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -105,6 +105,7 @@
             now,
             excluded,
             call.assigned_replica_id,
+            isolation_key=self._sender.crashes.isolation_key(call),
         )
 
     def _choose_next(
--- a/libs/gateway/src/masticdale_gateway/unary.py
+++ b/libs/gateway/src/masticdale_gateway/unary.py
@@ -101,6 +101,7 @@
             now,
             excluded,
             may_be_repeated=call.is_retriable,
+            isolation_key=self._sender.crashes.isolation_key(call),
         )
 
     async def _attempt(
--- a/libs/routing/src/masticdale_routing/crashes.py
+++ b/libs/routing/src/masticdale_routing/crashes.py
@@ -23,6 +23,10 @@
 # before. The first is short, since a loss of all replicas also hits harmless
 # requests.
 _HOLD_S_BY_TRIALS = (5.0, 60.0, 600.0, 3600.0)
+# The same for a target. The first trial is due at once: the contents that have
+# crashed may be few among many that are asked for under the target.
+_TARGET_HOLD_S_BY_TRIALS = (0.0, 20.0, 60.0, 600.0, 3600.0)
+_TARGET_PREFIX = "target-"
 # Time after which a report that has not changed is compacted, in seconds. Until
 # then those of other hosts on the same replica arrive.
 _COMPACTION_DELAY_S = 5.0
@@ -78,23 +82,42 @@
         """Whether the content is refused, but for single runs as a trial."""
         return self.has_crashed_again and self.crashes >= CRASHES_TO_HOLD
 
-    def held_for_s(self, now: float) -> float:
-        """Returns the time until a first trial is due, in seconds."""
+    def held_for_s(self, key: str, now: float) -> float:
+        """Returns the time until a first trial is due, in seconds.
+
+        Args:
+            key: Digest of the content, or a ``target_key``.
+            now: Event loop time in seconds.
+        """
         if not self.is_held:
             return 0.0
-        return trial_wait_s(0, now - self.heard_at)
+        return trial_wait_s(key, 0, now - self.heard_at)
+
+
+def target_key(digest: str) -> str:
+    """Returns the key under which a target is suspected, whatever content."""
+    return _TARGET_PREFIX + digest
+
+
+def is_target_key(key: str) -> bool:
+    """Returns whether a key is a ``target_key``."""
+    return key.startswith(_TARGET_PREFIX)
 
 
-def trial_wait_s(trials: int, since_s: float) -> float:
-    """Returns the time until a held content may have another trial.
+def trial_wait_s(key: str, trials: int, since_s: float) -> float:
+    """Returns the time until a held content or target may have another trial.
 
     Args:
+        key: Digest of the content, or a ``target_key``.
         trials: Number of trials that it has had.
         since_s: Time since the last one, or else since its last crash, in
             seconds.
     """
-    hold_s = _HOLD_S_BY_TRIALS[min(trials, len(_HOLD_S_BY_TRIALS) - 1)]
-    return max(0.0, hold_s - since_s)
+    hold_s_by_trials: tuple[float, ...] = _HOLD_S_BY_TRIALS
+    if is_target_key(key):
+        hold_s_by_trials = _TARGET_HOLD_S_BY_TRIALS
+    last = len(hold_s_by_trials) - 1
+    return max(0.0, hold_s_by_trials[min(trials, last)] - since_s)
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -242,6 +242,7 @@
         assigned_id: str = "",
         *,
         may_be_repeated: bool = True,
+        isolation_key: str = "",
     ) -> ReplicaState | None:
         """Chooses a replica for a request.
 
@@ -257,6 +258,8 @@
                 circuit is open.
             may_be_repeated: Whether a request that fails at the replica may be
                 sent again; others avoid failing replicas for longer.
+            isolation_key: Key of a request that may end replicas; all requests
+                with the same key go to one replica. Empty for other requests.
 
         Returns:
             The chosen replica, or None if the service has no eligible one.
@@ -264,6 +267,10 @@
         healthy = self.healthy(service, now, excluded)
         if not healthy:
             return None
+        if isolation_key:
+            state_by_id = {s.replica.id: s for s in healthy}
+            ranked = hashing.rendezvous_rank(isolation_key, state_by_id)
+            return state_by_id[ranked[0]]
         for state in healthy:
             if state.replica.id == assigned_id:
                 return state
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -208,11 +208,11 @@
         evidence = CrashEvidence()
         crash(evidence, "x", "a", "b", "c", now=10.0)
         suspicion = evidence.suspicion("x")
-        self.assertGreater(suspicion.held_for_s(10.0), 3.0)
-        self.assertEqual(suspicion.held_for_s(16.0), 0.0)
+        self.assertGreater(suspicion.held_for_s("x", 10.0), 3.0)
+        self.assertEqual(suspicion.held_for_s("x", 16.0), 0.0)
 
     def test_trials_become_rare(self):
-        waits = [trial_wait_s(trials, 0.0) for trials in range(6)]
+        waits = [trial_wait_s("x", trials, 0.0) for trials in range(6)]
         self.assertEqual(waits, sorted(waits))
         self.assertGreaterEqual(waits[3], 3600.0)
 
