--- a/apps/masticdale_entry/src/masticdale_entry/settings.py
+++ b/apps/masticdale_entry/src/masticdale_entry/settings.py
@@ -1,6 +1,7 @@
 """Settings of an entry or storage process; see docs/CONFIGURATION.md."""
 
 import enum
+import pathlib
 from typing import Annotated
 
 import pydantic
@@ -45,6 +46,13 @@
         metrics_port: Port of metrics and state dump on the address of
             ``callers``.
         seeds: Peer addresses of other hosts; may be stale.
+        history: Listening address for histories of turns; storage hosts only.
+        data_dir: Folder on the host's disk; None for a host without one.
+        disk_mb: Size of the disk in MB.
+        first_start: Whether all hosts start for the first time, with empty
+            disks.
+        tolerated_losses: Number of storage hosts that may be lost at once
+            without losing a turn.
         usage_window_s: Length of the window in which requests beyond a usage
             cap are tolerated; None for no tolerance.
         usage_excess_share: Tolerated excess as a share of what a cap allows in
@@ -63,6 +71,11 @@
     peers_advertised: HostPort | None = None
     metrics_port: int | None = pydantic.Field(default=None, ge=1, le=65_535)
     seeds: tuple[HostPort, ...] = ()
+    history: HostPort | None = None
+    data_dir: pathlib.Path | None = None
+    disk_mb: int = pydantic.Field(default=0, ge=0)
+    first_start: bool = False
+    tolerated_losses: int = pydantic.Field(default=0, ge=0)
     usage_window_s: float | None = pydantic.Field(default=None, gt=0)
     usage_excess_share: float | None = pydantic.Field(default=None, ge=0)
     usage_excess_requests: float | None = pydantic.Field(default=None, ge=0)
@@ -83,6 +96,14 @@
             self.usage_excess_requests or 0.0,
         )
 
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _drop_nulls(cls, value: object) -> object:
+        # The template writes null for what a deployment does not state.
+        if not isinstance(value, dict):
+            return value
+        return {name: v for name, v in value.items() if v is not None}
+
     @pydantic.model_validator(mode="after")
     def _check_addresses(self) -> "Settings":
         is_entry = self.role is Role.ENTRY
--- a/apps/masticdale_entry/tests/test_settings.py
+++ b/apps/masticdale_entry/tests/test_settings.py
@@ -24,17 +24,24 @@
     "listen.ready": "10.1.0.38:8141",
     "listen.control": "10.1.0.38:8144",
     "internal_ports.0": 7380,
+    "internal_ports.1": 7395,
+    "ip": "10.1.0.38",
     "seeds": ["10.1.0.38:8144", "10.2.0.40:8144"],
 }
 
 
 def fill_in(template, value_by_placeholder):
     """Renders the template as the platform does."""
-    return re.sub(
+    as_json = re.sub(
         r"\{\{([\w.]+)\|json\}\}",
         lambda match: json.dumps(value_by_placeholder.get(match[1])),
         template,
     )
+    return re.sub(
+        r"\{\{([\w.]+)\}\}",
+        lambda match: str(value_by_placeholder.get(match[1], "")),
+        as_json,
+    )
 
 
 class ChangedSettingsTest(unittest.TestCase):
