Store of turn records on a disk

Change: append-only segments with checksummed frames, an index that holds whole chains, group commit, expiry, compaction, and a test that plays crashes, expiry and compaction in any order. Failing syncs cut the unsynced frames off, and each start syncs all segments, so that frames that are only in the page cache are never counted as copies.

Ruled out: an exclusive lock of the folder; it would keep a restarted process out while the earlier one is frozen.

--- a/libs/history/src/masticdale_history/__init__.py
+++ b/libs/history/src/masticdale_history/__init__.py
@@ -8,14 +8,26 @@
     rank_hosts,
 )
 from masticdale_history.records import Chain, TurnKey, TurnRecord
+from masticdale_history.store import (
+    CLOCK_MARGIN_MS,
+    StoreStats,
+    TurnStore,
+    open_store,
+)
+from masticdale_history.turn_index import TurnEntry
 
 __all__ = [
+    "CLOCK_MARGIN_MS",
     "HISTORY",
     "Chain",
     "Lookup",
     "Member",
+    "StoreStats",
+    "TurnEntry",
     "TurnKey",
     "TurnRecord",
+    "TurnStore",
     "is_absence_certain",
+    "open_store",
     "rank_hosts",
 ]
