--- a/libs/history/src/masticdale_history/__init__.py
+++ b/libs/history/src/masticdale_history/__init__.py
@@ -8,13 +8,8 @@
     rank_hosts,
 )
 from masticdale_history.records import Chain, TurnKey, TurnRecord
-from masticdale_history.store import (
-    CLOCK_MARGIN_MS,
-    StoreStats,
-    TurnStore,
-    open_store,
-)
-from masticdale_history.turn_index import TurnEntry
+from masticdale_history.store import StoreStats, TurnStore, open_store
+from masticdale_history.turn_index import CLOCK_MARGIN_MS, TurnEntry
 
 __all__ = [
     "CLOCK_MARGIN_MS",
--- a/libs/history/src/masticdale_history/disks.py
+++ b/libs/history/src/masticdale_history/disks.py
@@ -120,6 +120,7 @@
     is_damaged = scan.is_damaged or any(
         turn.entry.expires_at_ms > now_ms for turn in orphans
     )
+    index.drop_expired(now_ms)
     was_created = identity is None or is_damaged
     if identity is None or is_damaged:
         identity = _create_identity(folder, now_ms)
--- a/libs/history/src/masticdale_history/store.py
+++ b/libs/history/src/masticdale_history/store.py
@@ -18,13 +18,10 @@
 from masticdale_history.record_cache import RecordCache
 from masticdale_history.records import Chain, TurnKey, TurnRecord
 from masticdale_history.segments import Position, SegmentLog
-from masticdale_history.turn_index import TurnEntry
+from masticdale_history.turn_index import CLOCK_MARGIN_MS, TurnEntry
 
 T = TypeVar("T")
 
-# Clocks of hosts may be apart by twice a step of 2 s; a record is kept this
-# much longer, in milliseconds, so that it is never dropped early.
-CLOCK_MARGIN_MS = 5_000
 # Above this share of the capacity, new records are refused. The rest is room
 # for compaction.
 _REFUSAL_SHARE = 0.85
@@ -242,14 +239,13 @@
         """Drops expired records and frees their space.
 
         A record expires once neither it nor any turn that continues it ended
-        less than its retention and the clock margin ago.
+        less than its retention and ``CLOCK_MARGIN_MS`` ago.
         """
         async with self._expiry_lock:
             if self._is_closed:
                 return
             async with self._index_lock:
-                now_ms = self._wall_ms()
-                for key in self._index.drop_expired(now_ms - CLOCK_MARGIN_MS):
+                for key in self._index.drop_expired(self._wall_ms()):
                     self._cache.discard(key)
             try:
                 await self._reclaim_space()
--- a/libs/history/src/masticdale_history/turn_index.py
+++ b/libs/history/src/masticdale_history/turn_index.py
@@ -8,6 +8,10 @@
 from masticdale_history.records import TurnKey
 from masticdale_history.segments import Position
 
+# Clocks of hosts may be apart by twice a step of 2 s; a record is kept this
+# much longer, in milliseconds, so that it is never dropped early.
+CLOCK_MARGIN_MS = 5_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TurnEntry:
@@ -110,16 +114,20 @@
         return turns
 
     def drop_expired(self, now_ms: int) -> list[TurnKey]:
-        """Drops the records that are kept until now or earlier.
+        """Drops expired records; returns their keys.
+
+        A record expires once neither it nor any turn that continues it ended
+        less than its retention and the clock margin ago.
 
         A turn is kept at least as long as those that continue it, so the
         chains of the remaining records stay whole.
         """
+        limit_ms = now_ms - CLOCK_MARGIN_MS
         dropped = []
         heap = self._expiry_heap
-        while heap and heap[0][0] <= now_ms:
+        while heap and heap[0][0] <= limit_ms:
             turn = heapq.heappop(heap)[2]
-            if turn.kept_until_ms > now_ms:
+            if turn.kept_until_ms > limit_ms:
                 self._push(turn)
                 continue
             position = turn.position
