Client of the storage hosts: list of members, loads and saves of turns

Change: history.thrift as the reference of the messages; MemberDirectory, fed by the watch of history-hosts/; HistoryClient with load, check_room and save. The decisions (order of hosts, copies counted, when an absence is certain) are in a module without I/O. A host that failed or refused records is checked every 0.4 s until it takes some: check_room makes no calls, and hosts are otherwise called at the end of a turn, so that turns would run for seconds after each expiry of the failure.

A certain absence waits 0.25 s for members that have not answered. A CONFLICT fails the save at once: with both contents on disks, a reader could get either.

Ruled out: an entry of the cache for each turn with its own copy of the chain (long chains would displace all others; records are shared instead); cancelling reads that are no longer needed (it closes their connections).

--- a/libs/history/src/masticdale_history/__init__.py
+++ b/libs/history/src/masticdale_history/__init__.py
@@ -1,5 +1,14 @@
 """Histories of turns, kept on the disks of storage hosts."""
 
+from masticdale_history.client import HistoryClient
+from masticdale_history.member_clients import create_member_client
+from masticdale_history.members import (
+    MEMBER_PREFIX,
+    MemberDirectory,
+    encode_member,
+    member_key,
+    parse_member,
+)
 from masticdale_history.messages import HISTORY
 from masticdale_history.placement import (
     Lookup,
@@ -11,11 +20,18 @@
 
 __all__ = [
     "HISTORY",
+    "MEMBER_PREFIX",
     "Chain",
+    "HistoryClient",
     "Lookup",
     "Member",
+    "MemberDirectory",
     "TurnKey",
     "TurnRecord",
+    "create_member_client",
+    "encode_member",
     "is_absence_certain",
+    "member_key",
+    "parse_member",
     "rank_hosts",
 ]
