--- a/libs/history/tests/history_case.py
+++ b/libs/history/tests/history_case.py
@@ -88,6 +88,10 @@
             server, self._server = self._server, None
             await server.close(0.0)
 
+    @property
+    def has_connections(self):
+        return self._server.state()["connections"] > 0
+
     def lose_disk(self):
         self.record_by_key.clear()
         self.faults.is_complete = False
--- a/libs/history/tests/test_loading.py
+++ b/libs/history/tests/test_loading.py
@@ -16,9 +16,16 @@
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure
-from masticdale_history import Chain, Member, MemberDirectory
+from masticdale_history import (
+    Chain,
+    Member,
+    MemberDirectory,
+    encode_member,
+    member_key,
+)
 from masticdale_history.client import HEDGE_DELAY_S
 from masticdale_history.member_calls import CALL_TIMEOUT_S
+from masticdale_platform import StoredObject, WatchBatch
 
 
 def now():
@@ -206,6 +213,31 @@
         self.list_hosts()
         await self.assert_failure(ErrorKind.HISTORY_UNAVAILABLE, "b")
 
+    async def test_nothing_is_certain_with_a_part_of_the_list(self):
+        """Guards against a 404 while members may be missing from the list."""
+        self.directory = MemberDirectory()
+        objects = tuple(
+            StoredObject(member_key(h.member.host), 1, encode_member(h.member))
+            for h in self.host_by_name.values()
+        )
+        self.directory.apply(WatchBatch(1, objects, ()), False)
+        await self.assert_failure(ErrorKind.HISTORY_UNAVAILABLE, "other")
+        self.assertEqual(await self.load("b"), Success(self.chain))
+
+    async def test_clients_of_gone_members_are_dropped(self):
+        """Guards against connections to each host that was ever listed."""
+        client = self.new_client()
+        await self.load("b", client)
+        await self.client.close()
+        gone = self.near()
+        await asyncio.sleep(0.1)
+        self.assertTrue(gone.has_connections)
+        self.list_hosts(
+            *[h for h in self.host_by_name.values() if h is not gone]
+        )
+        await asyncio.sleep(0.1)
+        self.assertFalse(gone.has_connections)
+
     async def test_a_load_ends_at_its_deadline(self):
         """Guards against callers that wait longer than they allow."""
         for host in self.host_by_name.values():
