Ask no storage host for a load whose deadline has passed

Cause: a load past its deadline failed at once but had all members asked.

Change: it fails before any call; a test counts the calls.

--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -281,6 +281,8 @@
     async def _ask_all(self, load: _Load, deadline_at: float) -> Verdict | None:
         """Asks all other members; returns None at the deadline."""
         loop = asyncio.get_running_loop()
+        if loop.time() >= deadline_at:
+            return None
         for member in self._directory.members():
             if not load.search.is_asked(member):
                 self._start_read(load, member)
--- a/libs/history/tests/test_loading.py
+++ b/libs/history/tests/test_loading.py
@@ -247,9 +247,14 @@
             ErrorKind.HISTORY_UNAVAILABLE, "b", time_limit_s=0.2
         )
         self.assertLess(now() - started_at, 0.5)
+
+    async def test_a_load_past_its_deadline_asks_no_host(self):
+        """Guards against calls for callers that no longer wait."""
         await self.assert_failure(
             ErrorKind.HISTORY_UNAVAILABLE, "b", time_limit_s=-1.0
         )
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.asked(), [])
 
     async def test_an_emptying_host_is_asked(self):
         """Guards against a 404 for a turn on a host that is drained."""
