Continue turns from their histories in the data path

Cause: on a route with retain_history a caller sends only the new input of a turn and names the turn that it continues. The replica must get the whole chain, and the response may end only once the turn is durable.

Change: `TurnHistory` is the interface to the histories. A turn is opened before its tokens are reserved (load, size, room); its chain precedes the body that is sent to the replica, at each attempt; forwarded events are collected; the end of the response waits for the save, at most 2 s, after the replica's connection was given back. If the save fails or takes too long, the response is aborted. The claims of a call moved from `relay` to `claims`, so that `relay` does not grow.

Ruled out: changing the body of the caller's request, since it is the record's input and the content by which a fatal request is known; keeping the chain's body in memory during the turn, since each attempt can join it from the records; saving before the replica's connection is released, since replicas would look busy while disks are slow.

--- a/libs/gateway/src/masticdale_gateway/__init__.py
+++ b/libs/gateway/src/masticdale_gateway/__init__.py
@@ -13,6 +13,7 @@
     ResponseMetadata,
 )
 from masticdale_gateway.crashes import CrashDependencies, TrialClaims
+from masticdale_gateway.histories import NoHistory, TurnHistory
 from masticdale_gateway.listeners import close_listener, listen
 from masticdale_gateway.messages import Header, Headers, Request, ResponseHead
 from masticdale_gateway.relay import Relay, RelayDependencies
@@ -26,6 +27,7 @@
     "Header",
     "HeaderCodec",
     "Headers",
+    "NoHistory",
     "Relay",
     "RelayDependencies",
     "RelaySettings",
@@ -34,6 +36,7 @@
     "ResponseHead",
     "ResponseMetadata",
     "TrialClaims",
+    "TurnHistory",
     "close_listener",
     "listen",
 ]
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import hashlib
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from returns.result import Result
 
@@ -15,6 +15,9 @@
 from masticdale_routing.routes import Route, RouteKind, Service
 from masticdale_workspaces import UsageClaim, Workspace
 
+if TYPE_CHECKING:
+    from masticdale_gateway.kept_turns import KeptTurn
+
 # Length of a content digest. Callers choose the content, so that a collision
 # must be hard to find.
 _DIGEST_BYTES = 16
@@ -45,6 +48,7 @@
             replicas as the last attempt was sent.
         trial_keys: The ``suspicion_keys`` that are held back, and for which
             this is the one run that may show whether they still end replicas.
+        kept_turn: The turn to record; None if its history is not kept.
     """
 
     request: Request
@@ -63,6 +67,7 @@
     possible_runs: int = 0
     suspected_keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
+    kept_turn: "KeptTurn | None" = None
     _content_digest: str = dataclasses.field(default="", init=False, repr=False)
 
     @property
@@ -126,6 +131,11 @@
         """Whether the response is an event stream."""
         return self.route.kind is RouteKind.STREAMING
 
+    @property
+    def keeps_history(self) -> bool:
+        """Whether the call is a turn that later ones may continue."""
+        return self.is_stream and self.route.retention_s is not None
+
     @property
     def is_retriable(self) -> bool:
         """Whether the request may be executed more than once."""
--- a/libs/gateway/src/masticdale_gateway/codec.py
+++ b/libs/gateway/src/masticdale_gateway/codec.py
@@ -22,6 +22,9 @@
         turn_tokens: Maximum number of output tokens of this turn.
         last_event_id: Last stream event that the caller has; empty for none.
         key_digests: Digest of each API key field; see ``digest_key``.
+        previous_turn_id: The turn that this one continues, by the id of its
+            request; empty for none.
+        session_id: The session it belongs to; empty for none.
     """
 
     request_id: str
@@ -33,6 +36,8 @@
     turn_tokens: int = 0
     last_event_id: str = ""
     key_digests: tuple[str, ...] = ()
+    previous_turn_id: str = ""
+    session_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/masticdale_gateway/events.py
+++ b/libs/gateway/src/masticdale_gateway/events.py
@@ -4,6 +4,7 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_DATA_FIELD = b"data:"
 _ID_LINE = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 # Bounds the memory of a stream without event boundaries.
@@ -19,13 +20,26 @@
     """One complete event.
 
     Attributes:
-        data: Its bytes, including the blank line that ends it.
+        data: Its bytes as received, including the blank line that ends it.
         id: Its id; empty if it has none.
     """
 
     data: bytes
     id: str
 
+    @property
+    def content(self) -> bytes | None:
+        """Its ``data:`` lines, joined by line feeds; None without any.
+
+        One space after the colon is not part of a line.
+        """
+        values = [
+            line.removeprefix(_DATA_FIELD).removeprefix(b" ")
+            for line in self.data.splitlines()
+            if line.startswith(_DATA_FIELD)
+        ]
+        return b"\n".join(values) if values else None
+
 
 class EventSplitter:
     """Buffers bytes until an event is complete.
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -57,11 +57,13 @@
         max_idle_s: Maximum idle time of a reused connection.
         last_event_id: Event after which a stream resumes; empty to start at
             its beginning.
+        preceding_body: Bytes to send before the body of the caller's request.
     """
 
     response_timeout_s: float
     max_idle_s: float
     last_event_id: str = ""
+    preceding_body: bytes = b""
 
 
 class Exchange:
@@ -269,10 +271,9 @@
         )
         call.possible_runs += 1
         call.suspected_keys = self.crashes.suspected_keys(call)
+        body = options.preceding_body + request.body
         connection.send(
-            encode_request(
-                request.method, request.target, fields, request.body
-            ),
+            encode_request(request.method, request.target, fields, body),
             lambda head: self._codec.matches_request(head, request_id),
         )
         wait_s = min(options.response_timeout_s, call.remaining_s)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -18,24 +18,20 @@
     ResponseWriter,
     close_gracefully,
 )
-from masticdale_gateway.calls import (
-    AdmissionClaim,
-    BudgetLedger,
-    Call,
-    RelaySettings,
-)
+from masticdale_gateway.calls import BudgetLedger, Call, RelaySettings
+from masticdale_gateway.claims import admission_claim
 from masticdale_gateway.codec import HeaderCodec, RequestMetadata
 from masticdale_gateway.crashes import CrashDependencies, CrashGuard
 from masticdale_gateway.exchanges import Sender
+from masticdale_gateway.histories import NoHistory, TurnHistory
 from masticdale_gateway.messages import Request
 from masticdale_gateway.pools import ConnectionPool
 from masticdale_gateway.streaming import StreamRelay
 from masticdale_gateway.transports import ConnectionLostError
 from masticdale_gateway.unary import BufferedResponse, UnaryRelay
-from masticdale_routing.assignments import TurnPrompt
 from masticdale_routing.fleet import Fleet
 from masticdale_routing.routes import Configuration, Route, Service
-from masticdale_workspaces import UsageClaim, Workspace
+from masticdale_workspaces import Workspace
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +49,7 @@
             reach this host.
         settings: Limits of the data path.
         crashes: What is known of requests that end replicas.
+        history: Reads and writes the turns of routes that keep them.
     """
 
     configuration: Callable[[], Configuration | None]
@@ -65,6 +62,7 @@
     crashes: CrashDependencies = dataclasses.field(
         default_factory=CrashDependencies
     )
+    history: TurnHistory = dataclasses.field(default_factory=NoHistory)
 
 
 class Relay:
@@ -326,14 +324,33 @@
         if held is not None:
             return held
         try:
+            failure = await self._open_turn(call)
+            if failure is not None:
+                return failure
             return await self._run_admitted(call, writer)
         finally:
             self._crashes.finish(call)
 
+    async def _open_turn(self, call: Call) -> Failure | None:
+        """Loads the history of a turn before its tokens are reserved."""
+        if not call.keeps_history:
+            return None
+        # Imported here: without such a route it would only take memory.
+        from masticdale_gateway.kept_turns import open_turn
+
+        outcome = await open_turn(
+            call, self._dependencies.history, self._dependencies.metrics
+        )
+        if isinstance(outcome, Failed):
+            failure: Failure = outcome.failure()
+            return failure
+        call.kept_turn = outcome.unwrap()
+        return None
+
     async def _run_admitted(
         self, call: Call, writer: ResponseWriter
     ) -> BufferedResponse | Failure | None:
-        claim = _admission_claim(call)
+        claim = admission_claim(call)
         if claim is None:
             return await self._forward(call, writer)
         try:
@@ -421,6 +438,7 @@
             content=call.content_digest if call and failure else "",
             events=call.events if call else 0,
             took_ms=round(took_s * 1000, 1),
+            **(call.kept_turn.log_fields() if call and call.kept_turn else {}),
         )
 
 
@@ -436,33 +454,3 @@
     if call.replica_ids:
         return Failure(ErrorKind.OUTCOME_UNKNOWN, "the host is stopping")
     return Failure(ErrorKind.STOPPING)
-
-
-def _admission_claim(call: Call) -> AdmissionClaim | None:
-    """Returns what a call needs of the ledger; None for nothing."""
-    metadata = call.metadata
-    is_turn = (
-        call.is_stream
-        and bool(metadata.program_id)
-        and metadata.budget_tokens is not None
-    )
-    usage = _usage_claim(call)
-    if not is_turn and usage is None:
-        return None
-    return AdmissionClaim(
-        program_id=metadata.program_id,
-        request_id=metadata.request_id,
-        budget_tokens=metadata.budget_tokens or 0,
-        turn_tokens=metadata.turn_tokens,
-        prompt=TurnPrompt(call.service.name, metadata.prefix_key),
-        workspace=call.workspace_name,
-        usage=usage,
-        is_turn=is_turn,
-    )
-
-
-def _usage_claim(call: Call) -> UsageClaim | None:
-    workspace = call.workspace
-    if workspace is None or workspace.cap is None:
-        return None
-    return UsageClaim(workspace.name, workspace.cap, call.version)
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -83,7 +83,7 @@
                 result = await self._forward(stream, exchange)
                 if not isinstance(result, _Interrupted):
                     call.completed_replica_id = state.replica.id
-                    return result
+                    return await self._end(stream, result)
                 last = AttemptFailure(
                     state.replica.id, Executed.YES, result.reason
                 )
@@ -135,11 +135,14 @@
             response_timeout_s=self._settings.first_event_timeout_s,
             max_idle_s=_MAX_IDLE_S if not stream.may_have_executed else 0.0,
             last_event_id=stream.last_event_id,
+            preceding_body=(
+                call.kept_turn.preceding_body if call.kept_turn else b""
+            ),
         )
 
     async def _forward(
         self, stream: "_Stream", exchange: Exchange
-    ) -> BufferedResponse | Failure | _Interrupted | None:
+    ) -> BufferedResponse | _Interrupted | None:
         try:
             if exchange.head.status != 200:
                 return await self._forward_response(stream, exchange)
@@ -174,7 +177,6 @@
                 if splitter.has_partial_event:
                     return _Interrupted("stream ended inside an event")
                 stream.start(self._codec, exchange)
-                stream.writer.finish()
                 return None
             try:
                 events = splitter.feed(chunk)
@@ -185,18 +187,34 @@
                 await stream.forward(events)
                 wait_s = self._settings.next_event_timeout_s
 
+    async def _end(
+        self, stream: "_Stream", response: BufferedResponse | None
+    ) -> BufferedResponse | None:
+        """Ends a stream whose events were all forwarded.
+
+        Args:
+            stream: The stream.
+            response: A response that is no stream; returned unchanged.
+        """
+        if response is not None:
+            return response
+        turn = stream.call.kept_turn
+        if turn is not None:
+            saved = await turn.save()
+            if isinstance(saved, Failed):
+                # To the caller the turn must not look complete: no host could
+                # continue it.
+                _break_off(stream, f"not saved: {saved.failure()}")
+                return None
+        stream.writer.finish()
+        return None
+
     def _fail(
         self, call: Call, stream: "_Stream", last: AttemptFailure | None
     ) -> Failure | None:
         reason = last.reason if last else "no replica"
         if stream.has_started:
-            logs.write_bounded(
-                "stream_broken_off",
-                request_id=call.metadata.request_id,
-                events=call.events,
-                reason=reason,
-            )
-            stream.writer.abort()
+            _break_off(stream, reason)
             return None
         if not stream.may_have_executed:
             return no_upstream_failure(call, last, _RETRY_AFTER_S)
@@ -241,6 +259,8 @@
             return
         self._record_pace(len(fresh))
         await self.writer.send_chunk(b"".join(e.data for e in fresh))
+        if self.call.kept_turn is not None:
+            self.call.kept_turn.add_events(fresh)
 
     def _record_pace(self, count: int) -> None:
         call = self.call
@@ -263,5 +283,15 @@
         return True
 
 
+def _break_off(stream: _Stream, reason: str) -> None:
+    logs.write_bounded(
+        "stream_broken_off",
+        request_id=stream.call.metadata.request_id,
+        events=stream.call.events,
+        reason=reason,
+    )
+    stream.writer.abort()
+
+
 def _event_number(event_id: str) -> int:
     return int(event_id) if event_id.isdigit() else 0
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -27,7 +27,7 @@
         UNSIGNED: Omits the seal.
         ENCODED: Declares a content encoding.
         WRONG_REQUEST: Sends the response of another request first.
-        EXTRA_RESPONSE: Sends the response of another request afterwards.
+        EXTRA_RESPONSE: Sends another response afterwards.
         CLOSE_DELIMITED: Ends the body by closing the connection.
         CLOSE_DELIMITED_RESET: Resets the connection after such a body.
         TRUNCATED: Closes or resets the connection within the body.
@@ -61,6 +61,7 @@
         fault: Fault of each request.
         faulty_requests: Number of requests that get the fault.
         events: Number of events of a stream.
+        data_lines: Number of data lines of each event.
         event_interval_s: Interval between two events, in seconds.
         processing_s: Processing time before the response, in seconds.
         events_before_cut: Number of events before a truncated stream, or its
@@ -76,6 +77,7 @@
     fault: ReplicaFault = ReplicaFault.NONE
     faulty_requests: int = 1_000_000
     events: int = 4
+    data_lines: int = 1
     event_interval_s: float = 0.0
     processing_s: float = 0.0
     events_before_cut: int = 2
@@ -146,6 +148,13 @@
             "born": 1_700_000_000_000,
         } | changes
 
+    def event_content(self, request_id: str, number: int) -> str:
+        """Returns the data of an event of the stream for a request."""
+        return "\n".join(
+            f"piece {number}.{line} of {request_id} by {self.id}"
+            for line in range(self.behaviour.data_lines)
+        )
+
     async def _handle(
         self, request: RawRequest, connection: RawConnection
     ) -> None:
@@ -297,10 +306,18 @@
                 await connection.write(_chunk(b"id: 99\ndata: ha"))
                 connection.reset()
                 return
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            content = self.event_content(headers["Request-Id"], number)
+            lines = content.replace("\n", "\ndata: ")
+            event = f"id: {number}\ndata: {lines}\n\n".encode()
             await connection.write(_chunk(event))
             await asyncio.sleep(behaviour.event_interval_s)
-        await connection.write(b"0\r\n\r\n")
+        end = b"0\r\n\r\n"
+        if fault is ReplicaFault.EXTRA_RESPONSE:
+            # With the id of the same request, so that only its place tells it
+            # apart from the response.
+            event = b"id: 1\ndata: of an extra response\n\n"
+            end += encode_response(200, headers, event)
+        await connection.write(end)
 
 
 def _chunk(data: bytes) -> bytes:
