Wire histories into the entry host

Cause: entry hosts need the storage hosts of the store's list, but only where a route keeps histories.

Change: EntryHistories starts the watch of history-hosts/ and the client with the first configuration that has such a route; before that nothing of it is loaded. The save's duration is observed by the client, so that the data path only logs how long the end of a response has waited.

Ruled out: readiness that waits for the list of storage hosts. A host without it refuses turns with 503 and a retry time, and other routes must not wait for it.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -33,6 +33,7 @@
     CrashReports,
 )
 from masticdale_entry.crash_trials import StoredTrials
+from masticdale_entry.histories import EntryHistories
 from masticdale_entry.peers import PeerClients
 from masticdale_entry.settings import Settings
 from masticdale_entry.status import StatusServer, dump_page, metrics_page
@@ -237,6 +238,9 @@
         )
         self._ledger.admit_locally = service.admit
         self._peer_server = RpcServer(service, peers_bind, LEDGER)
+        self._histories = EntryHistories(
+            settings, self._metrics, self._start_watch, _WATCH_TIMEOUT_S
+        )
         self._relay = Relay(
             RelayDependencies(
                 configuration=lambda: self._configuration.current,
@@ -250,6 +254,7 @@
                 crashes=CrashDependencies(
                     self._crash_evidence, self._crash_trials
                 ),
+                history=self._histories,
             )
         )
         self._register_dumps()
@@ -295,6 +300,7 @@
         for task in self._tasks:
             task.cancel()
         self._relay.abort()
+        await self._histories.close()
         await self._peer_server.close(0.0)
         for server in self._status_servers:
             server.close()
@@ -308,7 +314,7 @@
             WatchTarget(
                 CONFIGURATION_PREFIX,
                 _WATCH_TIMEOUT_S,
-                self._configuration.apply,
+                self._apply_configuration,
             )
         )
         self._start_watch(
@@ -391,6 +397,12 @@
         watcher = Watcher(self._store, target, self._store.wait_before_retry)
         self._tasks.append(asyncio.create_task(watcher.run()))
 
+    def _apply_configuration(
+        self, batch: WatchBatch, after_outage: bool
+    ) -> None:
+        self._configuration.apply(batch, after_outage)
+        self._histories.follow(self._configuration.current)
+
     def _apply_shards(self, batch: WatchBatch, after_outage: bool) -> None:
         del after_outage
         is_first = not self._shard_map.is_loaded
@@ -405,6 +417,7 @@
     async def _close_idle(self) -> None:
         self._relay.pool.close_idle()
         self._peer_clients.close_idle()
+        self._histories.close_idle()
 
     async def _delete_abandoned_reports(self) -> None:
         if not self._is_watch_source:
@@ -450,6 +463,7 @@
         await self._timers.close()
         for task in self._tasks:
             task.cancel()
+        await self._histories.close()
         await self._peer_server.close(0.0)
         self._relay.log_unanswered()
         logs.write(
@@ -517,6 +531,7 @@
         self._dump.register("usage", self._dump_usage)
         self._dump.register("lease_age_s", lambda: self._lease.age_s)
         self._dump.register("connections", self._relay.count_by_state)
+        self._dump.register("history_hosts", self._histories.dump)
         self._dump.register("crash_suspects", self._dump_crash_suspects)
 
     def _dump_crash_suspects(self) -> JsonValue:
--- a/libs/gateway/src/masticdale_gateway/kept_turns.py
+++ b/libs/gateway/src/masticdale_gateway/kept_turns.py
@@ -33,14 +33,11 @@
             record, in seconds; None before the end.
     """
 
-    def __init__(
-        self, call: Call, chain: Chain, history: TurnHistory, metrics: Metrics
-    ) -> None:
+    def __init__(self, call: Call, chain: Chain, history: TurnHistory) -> None:
         self.chain = chain
         self.save_wait_s: float | None = None
         self._call = call
         self._history = history
-        self._metrics = metrics
         self._output = TurnOutput()
 
     @property
@@ -83,7 +80,6 @@
         finally:
             # Also if the caller leaves or the process stops meanwhile.
             self.save_wait_s = loop.time() - began_at
-            self._metrics.observe("history_save_seconds", self.save_wait_s)
 
     def _record(self) -> TurnRecord:
         call = self._call
@@ -155,7 +151,7 @@
     if refusal is not None:
         return Failed(refusal)
     metrics.count("history_chain_bytes_total", chain.size_bytes)
-    return Success(KeptTurn(call, chain, history, metrics))
+    return Success(KeptTurn(call, chain, history))
 
 
 async def _load(call: Call, history: TurnHistory) -> Result[Chain, Failure]:
