--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -63,6 +63,8 @@
         assigned_replica_id="",
         workspace_name="",
         content_digest="c",
+        suspicion_keys=("c",),
+        suspected_keys=(),
         possible_runs=0,
     )
 
