--- a/libs/routing/src/masticdale_routing/routes.py
+++ b/libs/routing/src/masticdale_routing/routes.py
@@ -48,6 +48,8 @@
         is_resumable: Whether an interrupted stream may resume, at the same or
             another replica.
         allows_anonymous: Whether requests without an API key are served.
+        retention_s: Time for which turns are kept after their end, in seconds;
+            None if their histories are not kept.
     """
 
     name: str
@@ -61,6 +63,7 @@
     max_attempts: int
     is_resumable: bool
     allows_anonymous: bool = False
+    retention_s: float | None = None
 
     def service_for(self, key: str) -> str:
         """Returns the service for a key; deterministic per key."""
@@ -102,6 +105,19 @@
             )
             by_prefix[route.path_prefix] = route
 
+    @property
+    def longest_retention_s(self) -> float | None:
+        """The longest retention of a route, or None if none keeps histories."""
+        return max(
+            (
+                route.retention_s
+                for by_prefix in self._route_by_prefix_by_host.values()
+                for route in by_prefix.values()
+                if route.retention_s is not None
+            ),
+            default=None,
+        )
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the host's route with the longest matching path prefix."""
         by_prefix = self._route_by_prefix_by_host.get(host)
