--- a/libs/history/src/masticdale_history/passes.py
+++ b/libs/history/src/masticdale_history/passes.py
@@ -238,7 +238,8 @@
             _SEND_TIMEOUT_S,
         )
         if isinstance(outcome, Failed):
-            return outcome.failure()
+            failure: Failure = outcome.failure()
+            return failure
         reply: AppendTurnsReply = outcome.unwrap()
         if reply.failure is None:
             self._sent_bytes += size
