--- a/libs/history/src/masticdale_history/passes.py
+++ b/libs/history/src/masticdale_history/passes.py
@@ -10,7 +10,7 @@
 from returns.result import Result
 
 from masticdale_common import ErrorKind, Failure, Metrics, logs
-from masticdale_history.disks import Entry, TurnDisk
+from masticdale_history.interfaces import Entry, TurnDisk
 from masticdale_history.messages import (
     APPEND_TURNS,
     OFFER_TURNS,
--- a/libs/history/src/masticdale_history/repair.py
+++ b/libs/history/src/masticdale_history/repair.py
@@ -5,7 +5,7 @@
 
 from masticdale_common import hashing
 from masticdale_history.checks import CheckedMember
-from masticdale_history.disks import Entry
+from masticdale_history.interfaces import Entry
 from masticdale_history.placement import Member, rank_hosts
 from masticdale_history.records import TurnKey
 
--- a/libs/history/src/masticdale_history/service.py
+++ b/libs/history/src/masticdale_history/service.py
@@ -6,7 +6,7 @@
 
 from masticdale_common import ErrorKind, Failure, Metrics, logs
 from masticdale_history.completeness import Completeness
-from masticdale_history.disks import TurnDisk
+from masticdale_history.interfaces import TurnDisk
 from masticdale_history.messages import (
     AppendTurnsReply,
     AppendTurnsRequest,
--- a/libs/history/tests/test_repairs.py
+++ b/libs/history/tests/test_repairs.py
@@ -142,7 +142,7 @@
 
 class AnyOrderTest(unittest.TestCase):
     @settings(
-        max_examples=300,
+        max_examples=1500,
         deadline=None,
         suppress_health_check=[HealthCheck.too_slow],
     )
