--- a/libs/history/src/masticdale_history/checks.py
+++ b/libs/history/src/masticdale_history/checks.py
@@ -38,8 +38,9 @@
 class MemberStates:
     """What the other members have answered to checks."""
 
-    def __init__(self, own_host: str) -> None:
+    def __init__(self, own_host: str, own_disk_id: str) -> None:
         self._own_host = own_host
+        self._own_disk_id = own_disk_id
         self._state_by_host: dict[str, _State] = {}
 
     def update(self, members: Iterable[Member], now_s: float) -> None:
@@ -60,6 +61,9 @@
     ) -> bool:
         """Records an answer.
 
+        It is ignored if another member is listed with the disk of the answer:
+        that host has taken over the address of this one.
+
         Returns:
             Whether it is the member's first answer, or its first one with
             another disk.
@@ -67,6 +71,8 @@
         state = self._state_by_host.get(member.host)
         if state is None or not _is_same_address(state.member, member):
             return False
+        if self._is_disk_of_another(member.host, reply.disk_id):
+            return False
         last = state.checked
         is_new = last is None or last.member.disk_id != reply.disk_id
         seen_at_s = now_s if last is None or is_new else last.disk_seen_at_s
@@ -82,6 +88,15 @@
         )
         return is_new
 
+    def _is_disk_of_another(self, host: str, disk_id: str) -> bool:
+        owners = {
+            state.member.host
+            for state in self._state_by_host.values()
+            if state.member.disk_id == disk_id
+        }
+        is_own = disk_id == self._own_disk_id
+        return is_own or bool(owners and host not in owners)
+
     def all(self) -> list[Member]:
         """Returns all other members, by name."""
         states = sorted(self._state_by_host.items())
--- a/libs/history/src/masticdale_history/completeness.py
+++ b/libs/history/src/masticdale_history/completeness.py
@@ -4,9 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from masticdale_history.placement import Member
-
-# Clocks of two hosts may differ by this much, in milliseconds.
-CLOCK_MARGIN_MS = 5_000
+from masticdale_history.turn_index import CLOCK_MARGIN_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/history/src/masticdale_history/repairer.py
+++ b/libs/history/src/masticdale_history/repairer.py
@@ -38,7 +38,9 @@
 
     def __init__(self, dependencies: RepairDependencies) -> None:
         self._context = dependencies
-        self._states = MemberStates(dependencies.own().host)
+        self._states = MemberStates(
+            dependencies.own().host, dependencies.disk.disk_id
+        )
         self._schedule = RepairSchedule()
         self._rate = RateLimit(_REPAIR_BYTES_PER_S)
         self._pass_lock = asyncio.Lock()
