--- a/libs/history/src/masticdale_history/completeness.py
+++ b/libs/history/src/masticdale_history/completeness.py
@@ -94,7 +94,7 @@
         Returns:
             Whether the disk has become complete by this call.
         """
-        if self._is_complete or members is None or retention_s is None:
+        if self._is_complete or members is None:
             return False
         listed = list(members)
         self._is_complete = (
@@ -116,8 +116,10 @@
         )
         return self._may_be_first_start
 
-    def _has_outlived(self, retention_s: float) -> bool:
+    def _has_outlived(self, retention_s: float | None) -> bool:
         """Whether the records of an earlier disk have expired."""
+        if retention_s is None:
+            return False
         lost_until_ms = self._origin.created_at_ms + retention_s * 1000
         return self._wall_ms() >= lost_until_ms + CLOCK_MARGIN_MS
 
--- a/libs/history/src/masticdale_history/passes.py
+++ b/libs/history/src/masticdale_history/passes.py
@@ -9,7 +9,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result
 
-from masticdale_common import ErrorKind, Failure, Metrics, logs
+from masticdale_common import ErrorKind, Failure, MasticdaleError, Metrics, logs
 from masticdale_history.interfaces import Entry, TurnDisk
 from masticdale_history.messages import (
     APPEND_TURNS,
@@ -192,9 +192,12 @@
                 plan.confirm(member.host, record.key)
 
     async def _read(self, tip: Entry) -> Chain | None:
-        return await self._context.disk.read_chain(
-            tip.key.workspace, tip.key.turn_id
-        )
+        try:
+            return await self._context.disk.read_chain(
+                tip.key.workspace, tip.key.turn_id
+            )
+        except MasticdaleError:
+            return None
 
     def _settle_unread(
         self, plan: CopyPlan, member: Member, tip: Entry
--- a/libs/history/src/masticdale_history/service.py
+++ b/libs/history/src/masticdale_history/service.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure as Failed
 
-from masticdale_common import ErrorKind, Failure, Metrics, logs
+from masticdale_common import ErrorKind, Failure, MasticdaleError, Metrics, logs
 from masticdale_history.completeness import Completeness
 from masticdale_history.interfaces import TurnDisk
 from masticdale_history.messages import (
@@ -93,7 +93,12 @@
         # Before the lookup: a record that arrives after it may be the last one
         # that the disk lacked.
         is_complete = self._completeness.is_complete
-        chain = await self._disk.read_chain(request.workspace, request.turn_id)
+        try:
+            chain = await self._disk.read_chain(
+                request.workspace, request.turn_id
+            )
+        except MasticdaleError as error:
+            return ReadChainReply(error.failure)
         if chain is None:
             return ReadChainReply(is_complete=is_complete)
         return ReadChainReply(records=chain.records, is_complete=is_complete)
