--- a/apps/masticdale_entry/src/masticdale_entry/history_hosts.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_hosts.py
@@ -60,6 +60,11 @@
         self._changed = asyncio.Event()
         self._settled = asyncio.Event()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the store lists this host as requested."""
+        return self._settled.is_set()
+
     def apply(self, batch: WatchBatch, after_outage: bool) -> None:
         """Applies a batch of changes of the list."""
         if batch.is_snapshot:
