--- a/libs/history/src/masticdale_history/repair.py
+++ b/libs/history/src/masticdale_history/repair.py
@@ -222,8 +222,9 @@
             return False
         if view.signature != self._last.view.signature:
             return True
-        if self._last.missing or self._last.short:
-            return idle_s >= MISSING_INTERVAL_S
+        was_missing = self._last.missing or self._last.short
+        if was_missing and idle_s >= MISSING_INTERVAL_S:
+            return True
         return is_own_complete and any(
             not c.is_complete and view.covers(c) and not self._has_repaired(c)
             for c in view.others
