--- a/libs/history/tests/test_disk_failures.py
+++ b/libs/history/tests/test_disk_failures.py
@@ -117,6 +117,19 @@
         self.assertIs(await self.append(turn("3")), ErrorKind.INTERNAL)
         self.assertTrue(self.store.has_failed)
 
+    async def test_a_failed_append_ends_those_that_follow_it(self):
+        """Guards against copies that compaction makes after a failed sync."""
+        log = segments.SegmentLog(self.disk.folder)
+        self.addCleanup(log.close)
+        log.scan(lambda *frame: None)
+        self.disk.fail_syncs()
+        with self.assertRaises(OSError):
+            log.append([b"frame"])
+        self.disk.restore_power()
+        with self.assertRaises(OSError):
+            log.append([b"frame"])
+        self.assertEqual(log.total_bytes, 0)
+
     async def test_a_short_write_is_completed(self):
         """Guards against acknowledging a part of a record."""
         write = os.pwrite
