Soak: conversations whose turns are kept, and storage hosts that are lost

The check compares the body that each replica got with what callers had sent and received, and allows no 404 for a turn that was answered whole.

--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -37,6 +37,7 @@
 # have had the time to hear of it.
 _MAX_FATAL_RUNS = 3
 _FATAL_REPLICAS = 3
+_STREAM_KINDS = (RequestKind.TURN, RequestKind.CONVERSATION)
 # Statuses that guarantee that the request was not and will not be executed.
 _NOT_RUN_STATUSES = frozenset({402, 408, 421, 429, 503})
 # Seconds after which a draining replica gets no new requests: the guaranteed
@@ -67,6 +68,7 @@
         started_at: Monotonic time when the request had arrived.
         workspace: The workspace that the replica was told; empty for none.
         has_key: Whether the replica got the caller's API key.
+        body: Body that the replica got.
     """
 
     request_id: str
@@ -74,6 +76,7 @@
     started_at: float
     workspace: str = ""
     has_key: bool = False
+    body: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,7 +179,7 @@
             continue
         if not attempt.seal.endswith(f"-{attempt.request_id}"):
             yield attempt.request_id, f"seal {attempt.seal!r}"
-        if attempt.kind is RequestKind.TURN:
+        if attempt.kind in _STREAM_KINDS:
             numbers = attempt.event_ids()
             if numbers != list(range(1, EVENTS + 1)):
                 yield attempt.request_id, f"events {numbers}"
@@ -188,7 +191,7 @@
     """Events arrive in order without gaps or duplicates, also if cut off."""
     for attempt in observations.attempts:
         if (
-            attempt.kind is not RequestKind.TURN
+            attempt.kind not in _STREAM_KINDS
             or attempt.status != httpx.codes.OK
         ):
             continue
@@ -458,6 +461,34 @@
         yield runs[0].request_id, f"{len(runs)} runs, {len(later)} too late"
 
 
+def _histories(observations: Observations) -> Findings:
+    """A replica gets the whole chain, and no kept turn is unknown.
+
+    A chain is what was sent and received before, byte for byte.
+    """
+    attempt_by_id = {a.request_id: a for a in observations.attempts}
+    for run in observations.runs:
+        attempt = attempt_by_id.get(run.request_id)
+        if attempt is None or attempt.kind is not RequestKind.CONVERSATION:
+            continue
+        expected = _chain(attempt, attempt_by_id) + attempt.content
+        if run.body != expected:
+            yield run.request_id, f"{run.body!r} instead of {expected!r}"
+    for attempt in observations.attempts:
+        is_unknown = attempt.status == httpx.codes.NOT_FOUND
+        if attempt.kind is RequestKind.CONVERSATION and is_unknown:
+            yield attempt.request_id, f"{attempt.previous_id} is unknown"
+
+
+def _chain(attempt: Attempt, attempt_by_id: dict[str, Attempt]) -> bytes:
+    """Returns the inputs and outputs of the turns before a turn."""
+    if not attempt.previous_id:
+        return b""
+    previous = attempt_by_id[attempt.previous_id]
+    before = _chain(previous, attempt_by_id)
+    return before + previous.content + previous.event_content()
+
+
 CHECK_BY_NAME: dict[str, Callable[[Observations], Findings]] = {
     "at-most-once": _at_most_once,
     "true-refusals": _true_refusals,
@@ -474,6 +505,7 @@
     "keys": _keys,
     "usage-caps": _usage_caps,
     "fatal-requests": _fatal_requests,
+    "histories": _histories,
     "answers-in-time": _answers_in_time,
     "told-when-to-return": _told_when_to_return,
     "recovery": _recovery,
--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -9,7 +9,7 @@
 
 from masticdale_soak.fault_stack import FaultStack
 from masticdale_soak.plans import Plan
-from masticdale_soak.processes import HostProcess
+from masticdale_soak.processes import HostProcess, StorageProcess
 from masticdale_soak.proxies import LinkState, Proxy
 from masticdale_standins.objects import FakeObjectStore, StoreFault
 from masticdale_standins.replicas import (
@@ -22,6 +22,10 @@
 STREAM_PATH = "/turns/"
 LOOKUP_PATH = "/lookups/"
 ORDER_PATH = "/orders/"
+CONVERSATION_PATH = "/talks/"
+# Longer than a run, so that no turn expires.
+_RETENTION_S = 600.0
+_STORAGE_HOSTS = 4
 EVENTS = 4
 TOKENS_PER_EVENT = 10
 # Two workspaces; the second sends more than its cap allows.
@@ -158,6 +162,7 @@
         store_delays: Response delays of the store, in seconds.
         replicas: All replicas.
         hosts: All entry hosts.
+        storage_hosts: All storage hosts; none in a run without histories.
         version: Newest version of the configuration.
         drains: Completed drains of replicas.
     """
@@ -179,6 +184,10 @@
             HostProcess(f"host-{n}", directory, command)
             for n in range(1, plan.hosts + 1)
         ]
+        self.storage_hosts = [
+            StorageProcess(f"storage-{n}", directory, command, self._is_listed)
+            for n in range(_STORAGE_HOSTS if plan.has_histories else 0)
+        ]
         self.version = 0
         self.drains: list[Drain] = []
         self._supervisors: list[asyncio.Task[None]] = []
@@ -193,7 +202,7 @@
             await self._start()
             yield
         finally:
-            for host in self.hosts:
+            for host in (*self.hosts, *self.storage_hosts):
                 await host.close()
             for supervisor in self._supervisors:
                 supervisor.cancel()
@@ -212,10 +221,20 @@
             _route(STREAM_PATH, "streaming", "engine", 1, resumable=True),
             _route(LOOKUP_PATH, "idempotent", "desk", 2),
             _route(ORDER_PATH, "non_idempotent", "desk", 1),
+            *self._conversation_routes(),
             _route(version_path(self.version), "idempotent", "desk", 2),
         ]
         self.store.put("config", "main", _configuration(self.version, routes))
 
+    def _conversation_routes(self) -> list[dict[str, object]]:
+        if not self.storage_hosts:
+            return []
+        kept = {"retain_history": True, "retention_s": _RETENTION_S}
+        return [_route(CONVERSATION_PATH, "streaming", "engine", 1, **kept)]
+
+    def _is_listed(self, host: str) -> bool:
+        return host in self.store.names("history-hosts")
+
     async def _start(self) -> None:
         await self.store.start()
         for replica in self.replicas:
@@ -223,12 +242,15 @@
             supervisor = asyncio.create_task(replica.supervise())
             self._supervisors.append(supervisor)
         self.change_configuration()
-        for host in self.hosts:
+        for host in (*self.hosts, *self.storage_hosts):
             await host.start_proxies(self.store.port)
+        for storage in self.storage_hosts:
+            storage.write_settings([])
+            storage.start()
         for host in self.hosts:
             host.write_settings(self.hosts[:_SEEDS])
             host.start()
-        for host in self.hosts:
+        for host in (*self.hosts, *self.storage_hosts):
             await host.wait_ready()
 
     def _set_store_fault(self, fault: StoreFault) -> None:
--- a/tools/soak/src/masticdale_soak/load_generator.py
+++ b/tools/soak/src/masticdale_soak/load_generator.py
@@ -11,6 +11,7 @@
 
 from masticdale_soak.environment import (
     CAPPED_KEY,
+    CONVERSATION_PATH,
     FATAL_TARGET,
     HOST_HEADER,
     LOOKUP_PATH,
@@ -25,6 +26,8 @@
 BUDGET_TOKENS = 400
 # Maximum tokens of a turn, as sent in its headers.
 TURN_TOKENS = 100
+# Large enough for the longest conversation.
+_CONVERSATION_TOKENS = 100_000
 # Deadline of each request, in seconds.
 DEADLINE_S = 2.5
 # Exceeds the deadline, so that late responses are observed.
@@ -59,6 +62,14 @@
     CAPPED = "capped"
     VERSION = "version"
     FATAL = "fatal"
+    CONVERSATION = "conversation"
+
+
+_POSTED_KINDS = (
+    RequestKind.TURN,
+    RequestKind.ORDER,
+    RequestKind.CONVERSATION,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,6 +90,9 @@
         body: Body of the response as far as received.
         error: Reason of a failure; empty for a complete response.
         retry_after_s: Value of Retry-After in seconds; None without one.
+        previous_id: Request id of the turn that a CONVERSATION request
+            continues; empty for the first turn.
+        content: Body of the request.
     """
 
     request_id: str
@@ -94,6 +108,8 @@
     body: bytes = b""
     error: str = ""
     retry_after_s: float | None = None
+    previous_id: str = ""
+    content: bytes = b"{}"
 
     @property
     def is_served(self) -> bool:
@@ -106,6 +122,16 @@
         heads = (event.partition("\n")[0] for event in events)
         return [int(head.removeprefix("id: ")) for head in heads]
 
+    def event_content(self) -> bytes:
+        """Returns the data of each event, each followed by a line feed."""
+        lines = self.body.split(b"\n")
+        prefix = b"data: "
+        return b"".join(
+            line.removeprefix(prefix) + b"\n"
+            for line in lines
+            if line.startswith(prefix)
+        )
+
 
 class LoadGenerator:
     """Sends the requests of a run.
@@ -175,6 +201,8 @@
         request_id: str,
         program_id: str = "",
         version: int = 0,
+        previous_id: str = "",
+        content: bytes = b"{}",
     ) -> Attempt:
         """Sends a request to a host and waits for its complete response."""
         attempt = Attempt(
@@ -184,6 +212,8 @@
             len(host.incarnations),
             program_id,
             version,
+            previous_id=previous_id,
+            content=content,
         )
         self.attempts.append(attempt)
         attempt.started_at = time.monotonic()
@@ -197,12 +227,8 @@
     async def _exchange(self, attempt: Attempt) -> None:
         http = self._http_by_host[attempt.host]
         path, fields = _build_request(attempt)
-        method = (
-            "POST"
-            if attempt.kind in (RequestKind.TURN, RequestKind.ORDER)
-            else "GET"
-        )
-        content = b"{}" if method == "POST" else b""
+        method = "POST" if attempt.kind in _POSTED_KINDS else "GET"
+        content = attempt.content if method == "POST" else b""
         async with http.stream(
             method, path, headers=fields, content=content
         ) as response:
@@ -329,6 +355,11 @@
             h for h in self._environment.hosts if h.name == attempt.host
         )
 
+    @property
+    def ready_hosts(self) -> list[HostProcess]:
+        """The hosts that the last probe found ready, or else all."""
+        return self._ready_hosts or self._environment.hosts
+
     @property
     def _is_running(self) -> bool:
         return time.monotonic() < self._deadline
@@ -362,4 +393,9 @@
         "Token-Budget": str(BUDGET_TOKENS),
         "Token-Usage": f"1000,{TURN_TOKENS}",
     }
-    return STREAM_PATH + "x", fields
+    if attempt.kind is RequestKind.TURN:
+        return STREAM_PATH + "x", fields
+    fields["Token-Budget"] = str(_CONVERSATION_TOKENS)
+    if attempt.previous_id:
+        fields["Previous-Turn"] = attempt.previous_id
+    return CONVERSATION_PATH + "x", fields
--- a/tools/soak/src/masticdale_soak/main.py
+++ b/tools/soak/src/masticdale_soak/main.py
@@ -23,6 +23,7 @@
     hosts: int = _HOSTS,
     output: str = "",
     fatal: bool = False,
+    histories: bool = False,
 ) -> None:
     """Runs the plan of one seed.
 
@@ -32,8 +33,10 @@
         hosts: Number of entry hosts.
         output: File for the JSON report; none if empty.
         fatal: Whether the load holds requests that end their replicas.
+        histories: Whether the load holds conversations, and storage hosts are
+            lost.
     """
-    report = run_seed(seed, seconds, hosts, fatal)
+    report = run_seed(seed, seconds, hosts, fatal, histories)
     print(report.summary())
     _report_and_exit([report], output)
 
@@ -47,6 +50,7 @@
     jobs: int = _JOBS,
     output: str = "",
     fatal: bool = False,
+    histories: bool = False,
 ) -> None:
     """Runs consecutive seeds in parallel.
 
@@ -59,6 +63,8 @@
         jobs: Number of parallel runs.
         output: File for the JSON reports, one per line; none if empty.
         fatal: Whether the load holds requests that end their replicas.
+        histories: Whether the load holds conversations, and storage hosts are
+            lost.
     """
     begin = first or random.SystemRandom().randrange(1, 1_000_000)
     deadline = time.monotonic() + 60 * minutes
@@ -69,7 +75,14 @@
         while waiting or _may_start(number, seeds, deadline):
             while len(waiting) < jobs and _may_start(number, seeds, deadline):
                 waiting.add(
-                    pool.submit(run_seed, begin + number, seconds, hosts, fatal)
+                    pool.submit(
+                        run_seed,
+                        begin + number,
+                        seconds,
+                        hosts,
+                        fatal,
+                        histories,
+                    )
                 )
                 number += 1
             done, waiting = concurrent.futures.wait(
@@ -91,7 +104,11 @@
     reports = [Report.model_validate_json(line) for line in lines]
     failed = [r for r in reports if not r.is_clean]
     _report_and_exit(
-        [run_seed(r.seed, r.seconds, r.hosts, r.fatal) for r in failed], ""
+        [
+            run_seed(r.seed, r.seconds, r.hosts, r.fatal, r.histories)
+            for r in failed
+        ],
+        "",
     )
 
 
--- a/tools/soak/src/masticdale_soak/plans.py
+++ b/tools/soak/src/masticdale_soak/plans.py
@@ -112,6 +112,8 @@
         steps: Faults, ordered by start.
         has_fatal_requests: Whether the load holds requests that end each
             replica that runs them.
+        has_histories: Whether the load holds conversations, whose turns storage
+            hosts keep, and storage hosts are lost.
     """
 
     seed: int
@@ -119,10 +121,16 @@
     hosts: int
     steps: tuple[Step, ...]
     has_fatal_requests: bool = False
+    has_histories: bool = False
 
 
 def make_plan(
-    seed: int, seconds: float, hosts: int, *, fatal: bool = False
+    seed: int,
+    seconds: float,
+    hosts: int,
+    *,
+    fatal: bool = False,
+    histories: bool = False,
 ) -> Plan:
     """Generates a plan; equal arguments give equal plans.
 
@@ -131,6 +139,7 @@
         seconds: Duration of the load in seconds.
         hosts: Number of entry hosts.
         fatal: Whether the load holds requests that end their replicas.
+        histories: Whether the load holds conversations.
     """
     rng = random.Random(seed)
     last_s = max(_FAULT_FREE_START_S, seconds - _FAULT_FREE_END_S)
@@ -147,4 +156,4 @@
         )
         steps.append(step)
     ordered = tuple(sorted(steps, key=lambda s: s.start_s))
-    return Plan(seed, seconds, hosts, ordered, fatal)
+    return Plan(seed, seconds, hosts, ordered, fatal, histories)
--- a/tools/soak/src/masticdale_soak/processes.py
+++ b/tools/soak/src/masticdale_soak/processes.py
@@ -6,11 +6,13 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
 import sysconfig
 import time
+from collections.abc import Callable
 from typing import IO
 
 import httpx
@@ -24,6 +26,9 @@
 CAP_EXCESS_SHARE = 0.1
 CAP_EXCESS_REQUESTS = 20
 
+# Storage hosts that may be lost at once without losing a turn.
+TOLERATED_LOSSES = 1
+
 # Seconds between SIGTERM and SIGKILL on the platform.
 GRACE_S = 6.0
 _START_TIMEOUT_S = 20.0
@@ -33,6 +38,8 @@
 _READINESS_PORT = 8002
 _PEERS_PORT = 8003
 _METRICS_PORT = 8004
+_HISTORY_PORT = 8005
+_DISK_MB = 64
 _START_SCRIPT = pathlib.Path(__file__).parents[4] / "deploy" / "start.py"
 
 # Each host gets its own loopback address, so that no other run or proxy takes
@@ -132,8 +139,12 @@
 
     def write_settings(self, seeds: list["HostProcess"]) -> None:
         """Writes the settings file."""
+        text = json.dumps(self._settings(seeds), indent=2)
+        self._settings_path.write_text(text)
+
+    def _settings(self, seeds: list["HostProcess"]) -> dict[str, object]:
         address = self._address
-        settings = {
+        return {
             "host": self.name,
             "role": "entry",
             "failure_domain": "a",
@@ -148,8 +159,8 @@
             "usage_window_s": CAP_WINDOW_S,
             "usage_excess_share": CAP_EXCESS_SHARE,
             "usage_excess_requests": CAP_EXCESS_REQUESTS,
+            "tolerated_losses": TOLERATED_LOSSES,
         }
-        self._settings_path.write_text(json.dumps(settings, indent=2))
 
     def start(self) -> None:
         """Starts a process unless one is running."""
@@ -229,6 +240,58 @@
             incarnation.exit_code = self._process.returncode
 
 
+class StorageProcess(HostProcess):
+    """A storage host with its disk; it has no proxy for other hosts."""
+
+    def __init__(
+        self,
+        name: str,
+        directory: pathlib.Path,
+        command: tuple[str, ...],
+        is_listed: Callable[[str], bool],
+    ) -> None:
+        """Initializes the host.
+
+        Args:
+            name: Name of the host.
+            directory: Directory for its settings, log and disk.
+            command: Command that starts it; the deployed one if empty.
+            is_listed: Returns whether the store lists a storage host.
+        """
+        super().__init__(name, directory, command)
+        self._disk = directory / f"{name}-disk"
+        self._disk.mkdir(exist_ok=True)
+        self._is_listed = is_listed
+        self._is_first_start = True
+
+    async def wipe(self) -> None:
+        """Kills the process and empties its disk."""
+        await self.kill()
+        shutil.rmtree(self._disk)
+        self._disk.mkdir()
+        self._is_first_start = False
+        self.write_settings([])
+
+    async def is_ready(self) -> bool:
+        """Returns whether the store lists the running host."""
+        return self.is_running and self._is_listed(self.name)
+
+    def _settings(self, seeds: list["HostProcess"]) -> dict[str, object]:
+        del seeds
+        return {
+            "host": self.name,
+            "role": "storage",
+            "failure_domain": "a",
+            "store": f"127.0.0.1:{self.store_proxy.port}",
+            "grace_s": GRACE_S,
+            "history": f"{self._address}:{_HISTORY_PORT}",
+            "data_dir": str(self._disk),
+            "disk_mb": _DISK_MB,
+            "first_start": self._is_first_start,
+            "tolerated_losses": TOLERATED_LOSSES,
+        }
+
+
 def _deployed_command() -> tuple[str, ...]:
     """Returns the command with which deploy/ starts an entry host."""
     return (sys.executable, "-S", str(_START_SCRIPT))
--- a/tools/soak/src/masticdale_soak/runs.py
+++ b/tools/soak/src/masticdale_soak/runs.py
@@ -10,6 +10,7 @@
 import pydantic
 
 from masticdale_soak.checks import Observations, Run, Violation, check
+from masticdale_soak.conversations import ConversationLoad
 from masticdale_soak.environment import Environment
 from masticdale_soak.faults import FaultInjector
 from masticdale_soak.load_generator import Attempt, LoadGenerator, RequestKind
@@ -34,6 +35,7 @@
         faults: Injected faults with start and end in seconds.
         violations: Violated guarantees.
         fatal: Whether the load held requests that end their replicas.
+        histories: Whether the load held conversations.
         logs: Directory of the hosts' logs; empty without violations.
     """
 
@@ -46,6 +48,7 @@
     faults: list[str]
     violations: list[dict[str, str]]
     fatal: bool = False
+    histories: bool = False
     logs: str = ""
 
     @property
@@ -86,9 +89,13 @@
     injector = FaultInjector(environment)
     async with environment.running():
         started_at = time.monotonic()
-        await asyncio.gather(
-            load_generator.run(plan.seconds), injector.run(plan)
-        )
+        work = [load_generator.run(plan.seconds), injector.run(plan)]
+        if plan.has_histories:
+            conversations = ConversationLoad(
+                environment, load_generator, plan.seed
+            )
+            work.append(conversations.run(plan.seconds))
+        await asyncio.gather(*work)
         await asyncio.sleep(_RECOVERY_S)
         probes = await _probe_hosts(environment, load_generator)
         observations = _collect_observations(
@@ -105,10 +112,14 @@
 
 
 def run_seed(
-    seed: int, seconds: float, hosts: int, fatal: bool = False
+    seed: int,
+    seconds: float,
+    hosts: int,
+    fatal: bool = False,
+    histories: bool = False,
 ) -> Report:
     """Runs the plan of a seed and returns its report."""
-    plan = make_plan(seed, seconds, hosts, fatal=fatal)
+    plan = make_plan(seed, seconds, hosts, fatal=fatal, histories=histories)
     report, _ = asyncio.run(run_plan(plan))
     return report
 
@@ -123,6 +134,9 @@
             # The capped workspace may still be over its cap.
             if kind in (RequestKind.CAPPED, RequestKind.FATAL):
                 continue
+            is_conversation = kind is RequestKind.CONVERSATION
+            if is_conversation and not environment.storage_hosts:
+                continue
             attempt = await load_generator.send(
                 host,
                 kind,
@@ -147,6 +161,7 @@
             request.arrived_at,
             request.header_by_name.get("tenant-id", ""),
             "api-key" in request.header_by_name,
+            request.body,
         )
         for replica in environment.replicas
         for request in replica.fake.executed_requests
@@ -182,6 +197,7 @@
         served=sum(a.is_served for a in observations.attempts),
         runs=len(observations.runs),
         fatal=plan.has_fatal_requests,
+        histories=plan.has_histories,
         faults=faults,
         violations=[dataclasses.asdict(v) for v in violations],
     )
--- a/tools/soak/tests/test_soak_seeds.py
+++ b/tools/soak/tests/test_soak_seeds.py
@@ -17,8 +17,8 @@
 )
 
 
-def run_seed(seed, seconds, hosts, *, fatal=False):
-    plan = make_plan(seed, seconds, hosts, fatal=fatal)
+def run_seed(seed, seconds, hosts, **load):
+    plan = make_plan(seed, seconds, hosts, **load)
     report, _ = asyncio.run(run_plan(plan))
     return report
 
@@ -35,6 +35,12 @@
         self.assertEqual(report.violations, [], report)
         self.assertGreater(report.served, 100)
 
+    def test_a_run_with_conversations_violates_no_guarantee(self):
+        """Guards against turns that are lost with a storage host."""
+        report = run_seed(7, 15.0, 3, histories=True)
+        self.assertEqual(report.violations, [], report)
+        self.assertGreater(report.served, 100)
+
     def test_regression_seeds_violate_no_guarantee(self):
         for seed, seconds, hosts in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
