--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -19,6 +19,7 @@
 from masticdale_gateway import Admission, Relay
 from masticdale_gateway.crashes import CrashGuard
 from masticdale_gateway.exchanges import AttemptFailure, Sender
+from masticdale_gateway.kept_turns import KeptTurn
 from masticdale_gateway.streaming import _Stream
 from masticdale_ledger import LedgerClient
 from masticdale_ledger.accounts import Account, BudgetExceeded
@@ -158,6 +159,10 @@
     CrashGuard.record_end = lambda self, state: None
 
 
+def send_bare_inputs():
+    KeptTurn.preceding_body = b""
+
+
 def start_only_once():
     settings = pathlib.Path(sys.argv[-1])
     if settings.with_suffix(".log").stat().st_size:
@@ -184,6 +189,7 @@
         forward_keys,
         grant_each_request,
         blame_no_request,
+        send_bare_inputs,
     )
 }
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -29,6 +29,8 @@
 SECONDS_BY_BUILD = {"skip_budget_checks": 24.0, "blame_no_request": 10.0}
 # Builds that run beside requests that end their replicas.
 FATAL_BUILDS = {"blame_no_request"}
+# Builds that run beside conversations.
+HISTORY_BUILDS = {"send_bare_inputs"}
 # Indexes of replicas: three engines, then three unary replicas.
 UNARY_REPLICAS = (3, 4, 5)
 ENGINES = (0, 1, 2)
@@ -85,6 +87,7 @@
     ("keys", "forward_keys", ()),
     ("usage-caps", "grant_each_request", ()),
     ("fatal-requests", "blame_no_request", ()),
+    ("histories", "send_bare_inputs", ()),
     ("answers-in-time", "delay_responses", ()),
     (
         "told-when-to-return",
@@ -115,6 +118,7 @@
                         2,
                         faults,
                         has_fatal_requests=name in FATAL_BUILDS,
+                        has_histories=name in HISTORY_BUILDS,
                     ),
                     pathlib.Path(directory),
                     (sys.executable, str(BROKEN_HOST), name),
