--- a/libs/history/src/masticdale_history/repair.py
+++ b/libs/history/src/masticdale_history/repair.py
@@ -243,6 +243,8 @@
         self._last = report
         self._ended_at_s = now_s
         if not report.is_whole or not is_own_complete:
+            # An incomplete disk lacks records itself, so that its pass does
+            # not show that the others lack none.
             return
         for checked in report.view.others:
             if report.view.covers(checked):
--- a/libs/history/src/masticdale_history/repairer.py
+++ b/libs/history/src/masticdale_history/repairer.py
@@ -81,9 +81,6 @@
         if self._schedule.is_due(self._view(), is_complete):
             report = await self.run_pass()
             self._schedule.record(report, is_complete, self._context.now())
-        if not is_complete:
-            # Its own records are missing here, and so would be their copies.
-            return
         due = self._schedule.due_finishes(self.reachable(), self._context.now())
         await asyncio.gather(*(self._finish(member) for member in due))
 
--- a/libs/history/tests/simulation.py
+++ b/libs/history/tests/simulation.py
@@ -329,14 +329,14 @@
     def __init__(self, cluster, chain):
         self._cluster = cluster
         self._chain = chain
-        self._record = cluster.new_record(chain)
+        self.record = cluster.new_record(chain)
         self._started_at_s = cluster.seconds
         self.holders = set()
 
     async def send(self, copies, unreachable=()):
         """Sends to the first hosts until as many copies are acknowledged."""
         members = self._cluster.member_by_host.values()
-        for member in rank_hosts(self._record.chain_key, members):
+        for member in rank_hosts(self.record.chain_key, members):
             if len(self.holders) >= copies:
                 return
             host = self._cluster.host_by_name[member.host]
@@ -350,15 +350,15 @@
         duration_s = self._cluster.seconds - self._started_at_s
         if len(self.holders) < self._cluster.copies or duration_s > SAVE_S:
             return None
-        for record in (*self._chain.records, self._record):
+        for record in (*self._chain.records, self.record):
             self._cluster.acknowledged[record.key] = record
-        return self._chain.with_turn(self._record)
+        return self._chain.with_turn(self.record)
 
     async def _append(self, host):
-        records = (self._record,)
+        records = (self.record,)
         reply = await host.service.append_turns(AppendTurnsRequest(records))
         failure = reply.failure
         if failure and failure.kind is ErrorKind.MISSING_PREVIOUS:
-            chain = (*self._chain.records, self._record)
+            chain = (*self._chain.records, self.record)
             reply = await host.service.append_turns(AppendTurnsRequest(chain))
         return reply.failure is None
--- a/libs/history/tests/test_storage_decisions.py
+++ b/libs/history/tests/test_storage_decisions.py
@@ -190,6 +190,26 @@
         self.assertTrue(new.update(members[1:], RETENTION_S))
 
 
+class ScheduleTest(ClusterCase):
+    async def test_copies_that_could_not_be_sent(self):
+        """Guards against turns that keep too few copies."""
+        await self.settle(2)
+        write = Write(self.cluster, Chain())
+        await write.send(1)
+        (holder,) = write.holders
+        others = [h for h in self.cluster.live_hosts() if h.name != holder]
+        for host in others:
+            host.disk.is_full = True
+        # A change that makes the holder run a pass.
+        others[0].is_up = False
+        await self.settle(6)
+        for host in others:
+            host.disk.is_full = False
+        await self.settle(13)
+        found = self.holders(Chain().with_turn(write.record))
+        self.assertEqual(len(found), 3)
+
+
 class RetirementTest(ClusterCase):
     async def test_a_holder_loses_its_disk_during_the_last_pass(self):
         """Guards against a copy that is gone when the host leaves."""
@@ -255,7 +275,7 @@
         await asyncio.sleep(0)
         emptying = asyncio.create_task(hosts[0].begin_retirement())
         await asyncio.sleep(0)
-        late = await service.append_turns(request)
+        late = await asyncio.wait_for(service.append_turns(request), 1.0)
         self.assertEqual(late.failure.kind, ErrorKind.HISTORY_UNAVAILABLE)
         self.assertFalse(emptying.done())
         may_go_on.set()
