--- a/libs/history/tests/test_storage_decisions.py
+++ b/libs/history/tests/test_storage_decisions.py
@@ -8,7 +8,7 @@
 from simulation import RETENTION_S, Cluster, MemoryDisk, Write
 
 from masticdale_common import ErrorKind, Metrics
-from masticdale_history.checks import REACHABLE_S, MemberStates
+from masticdale_history.checks import REACHABLE_S, CheckedMember, MemberStates
 from masticdale_history.completeness import Completeness, DiskOrigin
 from masticdale_history.messages import (
     AppendTurnsRequest,
@@ -19,7 +19,13 @@
 )
 from masticdale_history.placement import Member, rank_hosts
 from masticdale_history.records import Chain
-from masticdale_history.repair import RateLimit, find_tips, order_entries
+from masticdale_history.repair import (
+    SAVE_WINDOW_S,
+    RateLimit,
+    RepairView,
+    find_tips,
+    order_entries,
+)
 from masticdale_history.service import HistoryService
 from masticdale_history.turn_index import CLOCK_MARGIN_MS
 
@@ -64,9 +70,13 @@
         _, hosts = await self.write()
         self.wipe(hosts[0], hosts[1])
         hosts[2].is_up = False
+        await self.settle(4)
+        # A change after which all hosts run one more pass.
+        hosts[3].is_up = False
         await self.settle()
         self.assertFalse(hosts[0].completeness.is_complete)
         hosts[2].start()
+        hosts[3].start()
         await self.settle()
         self.assertTrue(hosts[0].completeness.is_complete)
         self.assertTrue(hosts[1].completeness.is_complete)
@@ -364,6 +374,20 @@
         self.assertEqual(self.states.lost(late_s, RETENTION_S), [])
 
 
+class ViewTest(unittest.TestCase):
+    def test_a_pass_repairs_no_disk_that_it_left_out(self):
+        """Guards against a host that is emptied and lacks the copies."""
+        own, leaving = (Member(f"s{i}", "a", i, "d", f"k{i}") for i in (1, 2))
+        leaving = dataclasses.replace(leaving, is_emptying=True)
+        checked = CheckedMember(leaving, False, 0.0)
+        view = RepairView(own, (checked,), 2, SAVE_WINDOW_S)
+        self.assertFalse(view.covers(checked))
+        alone = dataclasses.replace(view, copies=1)
+        self.assertTrue(alone.covers(checked))
+        early = dataclasses.replace(alone, at_s=SAVE_WINDOW_S - 0.1)
+        self.assertFalse(early.covers(checked))
+
+
 class OrderTest(unittest.TestCase):
     def test_turns_follow_those_that_they_continue(self):
         """Guards against turns that are sent before their chain."""
