--- a/libs/history/src/masticdale_history/repairer.py
+++ b/libs/history/src/masticdale_history/repairer.py
@@ -91,7 +91,7 @@
         """
         async with self._pass_lock:
             view = self._view()
-            # In a thread: 15,000 entries would hold up the event loop for 70 ms.
+            # In a thread: 15,000 entries hold up the event loop for 70 ms.
             entries = await asyncio.to_thread(
                 order_entries, self._context.disk.entries(), view.own.host
             )
