--- a/apps/masticdale_entry/src/masticdale_entry/history_disk.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_disk.py
@@ -30,6 +30,7 @@
         capacity_bytes: Size of the disk.
         is_first_start: Whether all hosts start for the first time.
         tolerated_losses: Number of disks that may be lost at once.
+        metrics_port: Port of metrics and state dump; None for neither.
     """
 
     host: str
@@ -39,6 +40,7 @@
     capacity_bytes: int
     is_first_start: bool
     tolerated_losses: int
+    metrics_port: int | None = None
 
 
 def read_history_settings(settings: Settings) -> HistorySettings | None:
@@ -53,6 +55,7 @@
         capacity_bytes=settings.disk_mb * _BYTES_PER_MB,
         is_first_start=settings.first_start,
         tolerated_losses=settings.tolerated_losses,
+        metrics_port=settings.metrics_port,
     )
 
 
--- a/apps/masticdale_entry/src/masticdale_entry/history_storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_storage.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 
 from masticdale_common import (
+    JsonValue,
     MasticdaleError,
     Metrics,
+    StateDump,
     Subscription,
     TimerService,
     logs,
@@ -16,6 +18,7 @@
     open_history_disk,
 )
 from masticdale_entry.history_hosts import HistoryHosts
+from masticdale_entry.status import StatusServer, dump_page, metrics_page
 from masticdale_entry.watching import Watcher, WatchTarget
 from masticdale_history import (
     HISTORY,
@@ -102,6 +105,7 @@
         self._metrics = metrics
         self._timers = timers
         self._tasks: list[asyncio.Task[None]] = []
+        self._status_server: asyncio.Server | None = None
         self._hosts = HistoryHosts(store, settings.host)
         self.clients = MemberClients(
             lambda member: create_member_client(member, metrics)
@@ -151,6 +155,7 @@
     async def start(self) -> None:
         """Begins to listen and to follow the other hosts."""
         await self._listen()
+        await self._serve_status()
         target = WatchTarget(MEMBER_PREFIX, _WATCH_TIMEOUT_S, self._hosts.apply)
         watcher = Watcher(self._store, target)
         self._tasks.append(asyncio.create_task(watcher.run()))
@@ -198,6 +203,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._server.close(_CLOSE_GRACE_S)
+        if self._status_server is not None:
+            self._status_server.close()
         self.clients.close()
         await self._disk.close()
 
@@ -233,6 +240,49 @@
                 continue
             return
 
+    async def _serve_status(self) -> None:
+        """Serves metrics and the state dump, if the settings name a port."""
+        port = self._settings.metrics_port
+        if port is None:
+            return
+        dump = StateDump()
+        dump.register("disk", self._dump_disk)
+        dump.register("members", self._dump_members)
+        page_by_path = {
+            "/metrics": metrics_page(self._metrics),
+            "/state": dump_page(dump),
+        }
+        try:
+            self._status_server = await StatusServer(page_by_path).listen(
+                str(self._settings.address.ip), port
+            )
+        except OSError as error:
+            logs.write("status_not_served", port=port, reason=repr(error))
+
+    def _dump_disk(self) -> JsonValue:
+        stats = self._disk.stats()
+        return {
+            "disk_id": self._disk.disk_id,
+            "turns": stats.records,
+            "size_bytes": stats.size_bytes,
+            "torn_bytes": stats.torn_bytes,
+            "is_complete": self._completeness.is_complete,
+            "repaired_by": list(self._completeness.finished_hosts),
+            "is_full": self._disk.is_full,
+            "has_failed": self._disk.has_failed,
+            "is_emptying": self._service.is_emptying,
+            "is_listed": self.is_listed,
+        }
+
+    def _dump_members(self) -> JsonValue:
+        return {
+            member.host: {
+                "disk_id": member.disk_id,
+                "is_emptying": member.is_emptying,
+            }
+            for member in self._hosts.directory.members()
+        }
+
     async def _wait_loaded(self) -> None:
         """Waits for the list, and decides completeness by its first state.
 
--- a/apps/masticdale_entry/tests/storage_case.py
+++ b/apps/masticdale_entry/tests/storage_case.py
@@ -58,6 +58,7 @@
     def __init__(self, case, name, domain, is_process=False):
         self.name = name
         self.port = free_port()
+        self.metrics_port = free_port()
         self.folder = case.folder / name
         self.folder.mkdir()
         self.is_process = is_process
@@ -72,6 +73,7 @@
             "disk_mb": 50,
             "first_start": True,
             "tolerated_losses": case.tolerated,
+            "metrics_port": self.metrics_port,
         }
         self.process = None
         self.host = None
--- a/apps/masticdale_entry/tests/test_storage_histories.py
+++ b/apps/masticdale_entry/tests/test_storage_histories.py
@@ -6,6 +6,7 @@
 import sys
 import unittest
 
+import httpx
 from returns.result import Failure as Failed
 from storage_case import StorageCase
 
@@ -252,6 +253,24 @@
         await self.assert_found(chains)
 
 
+class StatusTest(StorageCase):
+    host_count = 3
+
+    async def test_metrics_and_state_are_served(self):
+        """Guards against disks whose state an operator can't see."""
+        await self.save_turns(2, 2)
+        await asyncio.sleep(REACTION_S)
+        for host in self.hosts:
+            url = f"http://127.0.0.1:{host.metrics_port}"
+            async with httpx.AsyncClient(base_url=url) as http:
+                metrics = (await http.get("/metrics")).text
+                state = (await http.get("/state")).json()
+            self.assertIn("history_turns", metrics)
+            self.assertEqual(state["disk"]["turns"], 4)
+            self.assertTrue(state["disk"]["is_complete"])
+            self.assertEqual(len(state["members"]), 3)
+
+
 class WithoutHistoryTest(unittest.TestCase):
     def test_the_modules_are_not_loaded(self):
         """Guards against processes that pay for what they do not use."""
