Count the disk of a new storage host as complete at once

Cause: with first_start unset, a new host waited for the repairs of all others but one. Hosts that were added together waited for each other, so unknown turns got 503 for the retention and its margin, and the retirement of a new host stayed running as long.

Change: a host that the first list lacks has held no record that anybody may rely on, since an entry is deleted only after a completed retirement or twice the retention without an answer. Its disk is complete at once, and first_start is accepted but not used. The host is not new if the first list has its entry in an unreadable form, which MemberDirectory drops, or if its disk holds data. HistoryHosts notes the former before it notifies others.

Ruled out: letting incomplete disks confirm each other's repairs, which would count two lost disks as repaired.

--- a/apps/masticdale_entry/src/masticdale_entry/history_hosts.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_hosts.py
@@ -33,6 +33,8 @@
 
     Attributes:
         directory: The members.
+        was_listed: Whether the first list had an object of this host, even an
+            unreadable one; False until it is loaded.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
             pause: Sleeps for a number of seconds after a failed write.
         """
         self.directory = MemberDirectory()
+        self.was_listed = False
         self._store = store
         self._own_host = own_host
         self._own_key = member_key(own_host)
@@ -73,8 +76,11 @@
             self._version_by_key.pop(key, None)
         for stored in batch.changed:
             self._version_by_key[stored.key] = stored.version
-        self.directory.apply(batch, after_outage)
         self._apply_own(batch)
+        if batch.is_snapshot and not self.directory.is_loaded:
+            self.was_listed = self._stored is not None
+        # Last, since it notifies those that read the state of this object.
+        self.directory.apply(batch, after_outage)
         self._changed.set()
 
     def request(self, member: Member | None) -> None:
--- a/apps/masticdale_entry/src/masticdale_entry/history_storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_storage.py
@@ -313,7 +313,9 @@
     def _update_completeness(self) -> None:
         directory = self._hosts.directory
         members = directory.members() if directory.is_loaded else None
-        if self._completeness.update(members, self._retention_s()):
+        if self._completeness.update(
+            members, self._retention_s(), was_listed=self._hosts.was_listed
+        ):
             logs.write(
                 "history_disk_complete",
                 disk_id=self._disk.disk_id,
--- a/apps/masticdale_entry/src/masticdale_entry/settings.py
+++ b/apps/masticdale_entry/src/masticdale_entry/settings.py
@@ -49,8 +49,8 @@
         history: Listening address for histories of turns; storage hosts only.
         data_dir: Folder on the host's disk; None for a host without one.
         disk_mb: Size of the disk in MB.
-        first_start: Whether all hosts start for the first time, with empty
-            disks.
+        first_start: Accepted and not used: the list of storage hosts shows
+            which of them are new.
         tolerated_losses: Number of storage hosts that may be lost at once
             without losing a turn.
         usage_window_s: Length of the window in which requests beyond a usage
--- a/apps/masticdale_entry/tests/test_storage_histories.py
+++ b/apps/masticdale_entry/tests/test_storage_histories.py
@@ -8,7 +8,7 @@
 
 import httpx
 from returns.result import Failure as Failed
-from storage_case import StorageCase
+from storage_case import DOMAINS, Host, StorageCase
 
 from masticdale_common import ErrorKind, Failure
 from masticdale_history.messages import (
@@ -96,6 +96,58 @@
             await lost.stop()
 
 
+class NewHostsTest(StorageCase):
+    host_count = 3
+
+    def add_hosts(self, *names):
+        added = [
+            Host(self, name, DOMAINS[i % 3]) for i, name in enumerate(names)
+        ]
+        self.hosts += added
+        for host in added:
+            host.values["first_start"] = False
+            host.start()
+        return added
+
+    async def test_three_hosts_added_at_once(self):
+        """Guards against new disks that wait for each other's repairs."""
+        await self.save_turns(2, 2)
+        added = self.add_hosts("n0", "n1", "n2")
+        await self.until(lambda: len(self.store.names("history-hosts")) == 6)
+        for host in added:
+            await self.until_complete(host)
+        self.follow_list()
+        self.assertEqual(
+            (await self.load("no-such-turn")).kind, ErrorKind.TURN_UNKNOWN
+        )
+        self.retire(added[0])
+        await self.until(lambda: self.retirement_state(added[0]) == "completed")
+
+    async def test_a_host_whose_entry_is_unreadable(self):
+        """Guards against a lost disk that counts as that of a new host."""
+        self.store.put("history-hosts", "n0", {"disk_id": ""})
+        (host,) = self.add_hosts("n0")
+        await self.until(
+            lambda: host.host.storage and host.host.storage.is_listed
+        )
+        # A check shows the state before any pass of the others has ended.
+        self.assertFalse((await self.check(host)).is_complete)
+        await self.until_complete(host)
+
+    async def test_a_disk_with_records_without_an_entry(self):
+        """Guards against a disk in doubt that counts as that of a new host."""
+        await self.save_turns(1, 1)
+        host = self.hosts[0]
+        await host.stop()
+        (host.folder / "complete").unlink()
+        self.store.remove("history-hosts", host.name)
+        host.start()
+        await self.until(
+            lambda: host.host.storage and host.host.storage.is_listed
+        )
+        self.assertFalse((await self.check(host)).is_complete)
+
+
 class RetirementTest(StorageCase):
     host_count = 6
 
