Retry marker writes and log tasks of a storage host that fail

Cause: an OSError of a marker write, such as ENOSPC, ended the task of a retirement or a registration, and finished tasks were discarded without a look at their exception. A damaged creation time or encoding in the identity file raised ValueError, which open_history_disk does not catch.

Upkeep tries once a period, so that expiry goes on and frees a full disk. The identity file and frames that are no records give the INTERNAL failure, and the scan closes its files then. Tasks of StorageHost and HistoryStorage log their exception as task_failed, and an opening that failed no longer breaks the end of the process.

Ruled out: restarting a failed task. Its state is unknown, and the retries cover the errors of the disk and of the store.

--- a/apps/masticdale_entry/src/masticdale_entry/history_storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_storage.py
@@ -18,7 +18,9 @@
     open_history_disk,
 )
 from masticdale_entry.history_hosts import HistoryHosts
+from masticdale_entry.marker_writes import MarkerWriter
 from masticdale_entry.status import StatusServer, dump_page, metrics_page
+from masticdale_entry.tasks import log_failure
 from masticdale_entry.watching import Watcher, WatchTarget
 from masticdale_history import (
     HISTORY,
@@ -96,7 +98,7 @@
         """Use ``open_history_storage``."""
         self._settings = settings
         self._disk = disk.turns
-        self._markers = disk.markers
+        self._markers = MarkerWriter(disk.markers)
         self._was_emptied = disk.was_emptied
         self._is_leaving = False
         self._is_marked_complete = disk.origin.is_known_complete
@@ -158,8 +160,13 @@
         await self._serve_status()
         target = WatchTarget(MEMBER_PREFIX, _WATCH_TIMEOUT_S, self._hosts.apply)
         watcher = Watcher(self._store, target)
-        self._tasks.append(asyncio.create_task(watcher.run()))
-        self._tasks.append(asyncio.create_task(self._hosts.run()))
+        for name, work in (
+            ("history-watch", watcher.run()),
+            ("history-list", self._hosts.run()),
+        ):
+            task = asyncio.create_task(work, name=name)
+            task.add_done_callback(log_failure)
+            self._tasks.append(task)
         self._hosts.directory.on_change.append(self._on_members_changed)
         for name, period_s, callback in (
             ("history-upkeep", _UPKEEP_INTERVAL_S, self._keep_up),
@@ -175,7 +182,7 @@
         Called once it is known that the host is not to be removed.
         """
         if self._was_emptied:
-            await asyncio.to_thread(self._markers.clear, EMPTIED)
+            await self._markers.clear(EMPTIED)
             if self._is_leaving:
                 return
             self._was_emptied = False
@@ -218,7 +225,7 @@
         await self._repairer.check_members()
         while not await self._is_emptied():
             await asyncio.sleep(_EMPTYING_PAUSE_S)
-        await asyncio.to_thread(self._markers.set, EMPTIED)
+        await self._markers.set(EMPTIED)
         self._was_emptied = True
 
     async def _is_emptied(self) -> bool:
@@ -292,7 +299,9 @@
         while not self._hosts.directory.is_loaded:
             await asyncio.sleep(_LOAD_POLL_S)
         self._update_completeness()
-        await self._mark_if_complete()
+        if self._completeness.is_complete and not self._is_marked_complete:
+            await self._markers.set(COMPLETE)
+            self._is_marked_complete = True
 
     def _own_member(self) -> Member:
         address = self._settings.address
@@ -338,8 +347,7 @@
         """Lets later processes of this host know that the disk is complete."""
         if self._is_marked_complete or not self._completeness.is_complete:
             return
-        await asyncio.to_thread(self._markers.set, COMPLETE)
-        self._is_marked_complete = True
+        self._is_marked_complete = await self._markers.try_set(COMPLETE)
 
     async def _check_members(self) -> None:
         await self._repairer.check_members()
--- a/apps/masticdale_entry/src/masticdale_entry/storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/storage.py
@@ -19,6 +19,7 @@
 )
 from masticdale_common import Failure, Metrics, TimerService, logs
 from masticdale_entry.settings import Settings
+from masticdale_entry.tasks import log_failure
 from masticdale_entry.watched_state import ActiveConfiguration
 from masticdale_entry.watching import Watcher, WatchTarget
 from masticdale_platform import WatchBatch
@@ -66,10 +67,12 @@
 
     @property
     def storage(self) -> "HistoryStorage | None":
-        """The histories on this host; None if it keeps none or opens them."""
-        if self._opening is None or not self._opening.done():
+        """The histories on this host; None unless they are open."""
+        opening = self._opening
+        if opening is None or not opening.done() or opening.cancelled():
             return None
-        return self._opening.result()
+        # A failure is logged by the task that waits for the histories.
+        return None if opening.exception() else opening.result()
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set."""
@@ -96,8 +99,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         if self._opening is None:
             return
-        if self._opening.done():
-            await self._opening.result().close()
+        storage = self.storage
+        if storage is not None:
+            await storage.close()
             return
         self._opening.cancel()
 
@@ -109,6 +113,7 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
 
     def _apply_configuration(
         self, batch: WatchBatch, after_outage: bool
--- a/libs/history/src/masticdale_history/disks.py
+++ b/libs/history/src/masticdale_history/disks.py
@@ -1,9 +1,11 @@
 """Opening a disk, and the identity of its contents. All calls block."""
 
+import contextlib
 import dataclasses
 import os
 import pathlib
 import secrets
+import struct
 
 from masticdale_common import ErrorKind, Failure, MasticdaleError
 from masticdale_history.codec import decode_head
@@ -57,11 +59,12 @@
         MasticdaleError: INTERNAL if the file is not in this format.
     """
     try:
-        text = (folder / _FILE_NAME).read_text()
+        data = (folder / _FILE_NAME).read_bytes()
     except FileNotFoundError:
         return None
-    match text.split():
-        case [str(version), disk_id, created_at_ms] if version == _FORMAT:
+    with contextlib.suppress(ValueError):
+        version, disk_id, created_at_ms = data.decode().split()
+        if version == _FORMAT:
             return DiskIdentity(disk_id, int(created_at_ms))
     detail = f"{folder / _FILE_NAME} is not in the format {_FORMAT}"
     raise MasticdaleError(Failure(ErrorKind.INTERNAL, detail))
@@ -111,7 +114,7 @@
 
     try:
         scan = log.scan(add)
-    except OSError:
+    except (OSError, MasticdaleError):
         log.close()
         raise
     index = TurnIndex()
@@ -130,7 +133,16 @@
 def _index_payload(
     position: Position, checksum: int, payload: memoryview
 ) -> IndexedTurn:
-    head = decode_head(payload)
+    """Returns the record of a frame.
+
+    Raises:
+        MasticdaleError: INTERNAL if the payload is not in this format.
+    """
+    try:
+        head = decode_head(payload)
+    except (struct.error, UnicodeDecodeError) as error:
+        detail = f"the frame at {position} is not a record: {error!r}"
+        raise MasticdaleError(Failure(ErrorKind.INTERNAL, detail)) from error
     previous_key = None
     if head.previous_id:
         previous_key = TurnKey(head.workspace, head.previous_id)
--- a/libs/history/src/masticdale_history/markers.py
+++ b/libs/history/src/masticdale_history/markers.py
@@ -28,7 +28,7 @@
     def has(self, name: str) -> bool:
         """Returns whether a marker is set."""
         try:
-            return self._path(name).read_text() == self._disk_id
+            return self._path(name).read_bytes() == self._disk_id.encode()
         except FileNotFoundError:
             return False
 
--- a/libs/history/tests/test_disk_failures.py
+++ b/libs/history/tests/test_disk_failures.py
@@ -19,6 +19,7 @@
 
 from masticdale_common import ErrorKind, MasticdaleError
 from masticdale_history import CLOCK_MARGIN_MS, open_store, segments
+from masticdale_history.codec import compute_checksum
 
 
 class PowerLossTest(StoreCase):
@@ -258,6 +259,37 @@
         path.write_text(text)
         self.store = self.open()
 
+    async def test_a_damaged_identity_is_reported(self):
+        """Guards against an exception that ends the opening for good."""
+        await self.store.close()
+        path = self.disk.folder / "disk"
+        data = path.read_bytes()
+        for damaged in (
+            b"masticdale-turns-1 id 12x4\n",
+            b"masticdale-turns-1 id\n",
+            b"\xff" + data[1:],
+            b"",
+        ):
+            path.write_bytes(damaged)
+            with self.assertRaises(MasticdaleError) as raised:
+                self.open()
+            self.assertIs(raised.exception.failure.kind, ErrorKind.INTERNAL)
+        path.write_bytes(data)
+        self.store = self.open()
+
+    async def test_a_frame_that_is_no_record_is_reported(self):
+        """Guards against an exception that ends the opening for good."""
+        await self.store.close()
+        for payload in (b"short", b"\xff" * 60):
+            frame = segments.encode_frame(payload, compute_checksum(payload))
+            path = self.disk.folder / "0000000009.turns"
+            path.write_bytes(frame)
+            with self.assertRaises(MasticdaleError) as raised:
+                self.open()
+            self.assertIs(raised.exception.failure.kind, ErrorKind.INTERNAL)
+        path.unlink()
+        self.store = self.open()
+
     async def test_a_disk_that_fails_at_the_start_is_reported(self):
         """Guards against serving from a disk that can't be synced."""
         await self.store.close()
