Write the new disk id before damaged tails are cut off

Cause: the scan truncated and synced a torn segment other than the newest before the new disk id was written. If the process ended in between, the next start found no damage and kept the id and its complete marker, so the disk claimed the absence of records that it had lost.

Change: the scan cuts only the tail of the newest segment, which holds no synced frames. Tails of others are cut once the new identity is synced. A start that ends between the two finds the damage again and gets another id.

Ruled out: leaving the tails, since each start would then find the damage and give the disk another id.

--- a/libs/history/src/masticdale_history/disks.py
+++ b/libs/history/src/masticdale_history/disks.py
@@ -125,8 +125,15 @@
     )
     index.drop_expired(now_ms)
     was_created = identity is None or is_damaged
-    if identity is None or is_damaged:
-        identity = _create_identity(folder, now_ms)
+    try:
+        if identity is None or is_damaged:
+            identity = _create_identity(folder, now_ms)
+        # After the new identity is synced: a start that ends before would
+        # otherwise leave a disk that has its earlier id and seems whole.
+        log.cut_damaged_tails()
+    except OSError:
+        log.close()
+        raise
     return OpenedDisk(identity, was_created, log, index, scan.torn_bytes)
 
 
--- a/libs/history/src/masticdale_history/segments.py
+++ b/libs/history/src/masticdale_history/segments.py
@@ -92,6 +92,7 @@
         """Initializes the log; call ``scan`` once before anything else."""
         self._folder = folder
         self._segment_by_number: dict[int, _Segment] = {}
+        self._damaged_segments: list[_Segment] = []
         self._current_number: int | None = None
         self._next_number = 1
         self._has_failed = False
@@ -117,8 +118,9 @@
         """Reads all segments, oldest first, and makes them durable.
 
         A process that was killed may have left frames that are whole in the
-        page cache but not on the disk, so every segment is synced here. Torn
-        tails are cut off.
+        page cache but not on the disk, so every segment is synced here. The
+        torn tail of the newest segment is cut off. Those of others, which are
+        damage, stay until ``cut_damaged_tails`` is called.
 
         Args:
             on_frame: Called with position, checksum and payload of each valid
@@ -133,7 +135,6 @@
             if path.stem.isdecimal()
         )
         torn_bytes = 0
-        is_damaged = False
         for number in numbers:
             descriptor = os.open(self._path(number), os.O_RDWR)
             segment = _Segment(descriptor, 0)
@@ -143,15 +144,30 @@
                 on_frame(position, checksum, payload)
                 segment.size_bytes += position.size_bytes
             torn = len(data) - segment.size_bytes
-            if torn:
+            torn_bytes += torn
+            if torn and number == numbers[-1]:
                 os.ftruncate(descriptor, segment.size_bytes)
-                torn_bytes += torn
-                is_damaged = is_damaged or number != numbers[-1]
+            elif torn:
+                self._damaged_segments.append(segment)
             os.fsync(descriptor)
             self._total_bytes += segment.size_bytes
         sync_folder(self._folder)
         self._next_number = numbers[-1] + 1 if numbers else 1
-        return Scan(torn_bytes, is_damaged)
+        return Scan(torn_bytes, bool(self._damaged_segments))
+
+    def cut_damaged_tails(self) -> None:
+        """Cuts off the torn tails that show that synced frames are missing.
+
+        The damage must be recorded durably before: the next scan does not find
+        it any more.
+
+        Raises:
+            OSError: The disk has failed.
+        """
+        for segment in self._damaged_segments:
+            os.ftruncate(segment.descriptor, segment.size_bytes)
+            os.fsync(segment.descriptor)
+        self._damaged_segments.clear()
 
     def append(self, frames: Sequence[bytes]) -> list[Position]:
         """Writes frames to the current segment and syncs them with one sync.
--- a/libs/history/tests/test_disk_failures.py
+++ b/libs/history/tests/test_disk_failures.py
@@ -212,6 +212,50 @@
         self.assertTrue(self.store.was_created)
         self.assertEqual(await self.read("2"), [turn("2")])
 
+    async def test_a_start_that_ends_early_does_not_hide_damage(self):
+        """Guards against a damaged disk that keeps its earlier identity."""
+        for syncs, is_power_lost in itertools.product(range(12), (False, True)):
+            folder = self.enterContext(tempfile.TemporaryDirectory())
+            disk = CrashingDisk(folder)
+            with disk.patched():
+                old_id = await self.damage(disk)
+                disk.cut_power_after(syncs)
+                has_started = False
+                with contextlib.suppress(PowerCutError):
+                    store = open_store(disk.folder, 10**6, lambda: self.now_ms)
+                    await store.close()
+                    has_started = True
+                disk.restore_power()
+                if is_power_lost:
+                    disk.lose_power(random.Random(syncs))
+                store = open_store(disk.folder, 10**6, lambda: self.now_ms)
+                self.assertNotEqual(store.disk_id, old_id)
+                await store.close()
+        # The last start must not have been cut short.
+        self.assertTrue(has_started)
+
+    async def damage(self, disk):
+        """Cuts the oldest of three segments; returns the id of the disk."""
+        store = open_store(disk.folder, 10**6, lambda: self.now_ms)
+        with mock.patch.object(segments, "SEGMENT_BYTES", 1):
+            for name in ("1", "2", "3"):
+                await store.append((turn(name),))
+        await store.close()
+        path = min(disk.folder.glob("*.turns"))
+        path.write_bytes(path.read_bytes()[:-1])
+        return store.disk_id
+
+    async def test_damaged_tails_are_cut_off(self):
+        """Guards against damage that is found again at each start."""
+        await self.store.close()
+        await self.damage(self.disk)
+        self.store = self.open()
+        disk_id = self.store.disk_id
+        self.assertGreater(self.store.stats().torn_bytes, 0)
+        await self.restart()
+        self.assertEqual(self.store.disk_id, disk_id)
+        self.assertEqual(self.store.stats().torn_bytes, 0)
+
     async def test_a_turn_without_its_chain_is_left_out_after_damage(self):
         """Guards against reading a part of a chain as if it were whole."""
         with mock.patch.object(segments, "SEGMENT_BYTES", 1):
