Read the list of storage hosts before a 404

Cause: a load answered TURN_UNKNOWN by the members that the watch had delivered. A storage host that the store lists and this entry host does not know yet may hold the turn; the wrong 404 ends a program.

Change: before TURN_UNKNOWN, the client reads `history-hosts/` from the store (`MemberLists`). If the read fails, is empty, or shows a host, address, port or disk that was not asked, the answer is HISTORY_UNAVAILABLE.

Ruled out: - A read for each load: a caller could set the rate of store calls. - Reusing a read that is older than the load: the host of the turn may have been listed after it. - Applying the read to the directory: its order with the batches of the watch is not known.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -239,7 +239,11 @@
         self._ledger.admit_locally = service.admit
         self._peer_server = RpcServer(service, peers_bind, LEDGER)
         self._histories = EntryHistories(
-            settings, self._metrics, self._start_watch, _WATCH_TIMEOUT_S
+            settings,
+            self._metrics,
+            self._start_watch,
+            _WATCH_TIMEOUT_S,
+            self._store.list,
         )
         self._relay = Relay(
             RelayDependencies(
--- a/apps/masticdale_entry/src/masticdale_entry/histories.py
+++ b/apps/masticdale_entry/src/masticdale_entry/histories.py
@@ -1,6 +1,6 @@
 """The histories of turns at an entry host, once a route keeps any."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from returns.result import Result
@@ -9,6 +9,7 @@
 from masticdale_entry.settings import Settings
 from masticdale_entry.watching import WatchTarget
 from masticdale_gateway import NoHistory, TurnHistory
+from masticdale_platform import StoredObject
 from masticdale_routing.routes import Configuration
 
 # Hosts whose configuration keeps no history do not load these modules.
@@ -40,6 +41,9 @@
         metrics: Metrics,
         start_watch: Callable[[WatchTarget], None],
         watch_timeout_s: float,
+        list_objects: Callable[
+            [str], Awaitable[Result[tuple[StoredObject, ...], Failure]]
+        ],
     ) -> None:
         """Initializes the histories; ``follow`` starts them.
 
@@ -48,12 +52,14 @@
             metrics: Metrics registry.
             start_watch: Starts a watch of the store.
             watch_timeout_s: Maximum duration of one watch, in seconds.
+            list_objects: Reads all objects of a prefix from the store.
         """
         self.history: TurnHistory = NoHistory()
         self._settings = settings
         self._metrics = metrics
         self._start_watch = start_watch
         self._watch_timeout_s = watch_timeout_s
+        self._list_objects = list_objects
         self._directory: MemberDirectory | None = None
         self._client: HistoryClient | None = None
 
@@ -84,6 +90,7 @@
             self._settings.tolerated_losses,
             metrics,
             lambda member: create_member_client(member, metrics),
+            lambda: self._list_objects(MEMBER_PREFIX),
         )
         self._start_watch(
             WatchTarget(
--- a/apps/masticdale_entry/tests/storage_case.py
+++ b/apps/masticdale_entry/tests/storage_case.py
@@ -14,6 +14,7 @@
 
 from case import configuration, route
 from returns.result import Failure as Failed
+from returns.result import Success
 
 from masticdale_common import Metrics
 from masticdale_entry.settings import Settings
@@ -151,11 +152,20 @@
 
     def follow_list(self):
         """Gives the list in the store to the clients."""
+        objects = self.stored_members()
+        self.directory.apply(WatchBatch(1, objects, (), True), False)
+
+    def stored_members(self):
+        """Returns the objects of the storage hosts in the store."""
         objects = []
         for name in self.store.names("history-hosts"):
             spec = json.dumps(self.store.get("history-hosts", name)).encode()
             objects.append(StoredObject(member_key(name), 1, spec))
-        self.directory.apply(WatchBatch(1, tuple(objects), (), True), False)
+        return tuple(objects)
+
+    async def list_members(self):
+        """Reads the list of the storage hosts, as an entry host does."""
+        return Success(self.stored_members())
 
     def member(self, host):
         spec = json.dumps(self.store.get("history-hosts", host.name)).encode()
@@ -170,6 +180,7 @@
             self.tolerated,
             self.metrics,
             lambda member: create_member_client(member, self.metrics),
+            self.list_members,
         )
         try:
             yield client
--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -23,6 +23,7 @@
 )
 from masticdale_history.member_calls import MemberCalls
 from masticdale_history.member_clients import ClientFactory
+from masticdale_history.member_lists import ListMembers, MemberLists
 from masticdale_history.members import MemberDirectory
 from masticdale_history.placement import Member, rank_hosts
 from masticdale_history.records import Chain, TurnKey, TurnRecord
@@ -92,6 +93,7 @@
         tolerated_losses: int,
         metrics: Metrics,
         create_client: ClientFactory,
+        list_members: ListMembers,
         wall_ms: Callable[[], int] = wall_clock_ms,
     ) -> None:
         """Initializes the client.
@@ -104,6 +106,8 @@
                 record is saved on one disk more.
             metrics: Records loads, saves and reachable hosts.
             create_client: Returns a new RPC client of a storage host.
+            list_members: Reads all objects under ``MEMBER_PREFIX`` from the
+                platform's store.
             wall_ms: Returns wall-clock milliseconds.
         """
         self._directory = directory
@@ -113,6 +117,7 @@
         self._metrics = metrics
         self._wall_ms = wall_ms
         self._calls = MemberCalls(directory, create_client)
+        self._lists = MemberLists(list_members)
         self._cache = ChainCache()
 
     async def load(
@@ -151,7 +156,11 @@
         verdict = await self._ask_all(load, deadline_at)
         if load.chain is not None:
             return self._finish_load("asked_all", load.chain)
-        is_unknown = verdict is Verdict.UNKNOWN
+        is_unknown = verdict is Verdict.UNKNOWN and (
+            await self._has_asked_all(load, started_at, deadline_at)
+        )
+        if load.chain is not None:  # It arrived while the list was read.
+            return self._finish_load("asked_all", load.chain)
         outcome = "unknown" if is_unknown else "unavailable"
         self._count_load(outcome)
         now = asyncio.get_running_loop().time()
@@ -251,6 +260,7 @@
 
     async def close(self) -> None:
         """Ends late calls and closes all connections."""
+        await self._lists.close()
         await self._calls.close()
 
     def _finish_load(
@@ -301,6 +311,19 @@
             )
         return None
 
+    async def _has_asked_all(
+        self, load: _Load, began_at: float, deadline_at: float
+    ) -> bool:
+        """Returns whether the store lists no member that was not asked.
+
+        The watch of the list may be behind: a storage host that it does not
+        show yet may hold the turn.
+        """
+        outcome = await self._lists.read(began_at, deadline_at)
+        if isinstance(outcome, Failed):
+            return False
+        return load.search.has_asked_all(outcome.unwrap())
+
     def _start_read(self, load: _Load, member: Member) -> None:
         load.search.ask(member, asyncio.get_running_loop().time())
         load.reads.append(self._calls.start(self._read(load, member)))
--- a/libs/history/src/masticdale_history/decisions.py
+++ b/libs/history/src/masticdale_history/decisions.py
@@ -305,6 +305,15 @@
         is_waiting = now - self._certain_at < ABSENCE_GRACE_S
         return None if is_waiting else Verdict.UNKNOWN
 
+    def has_asked_all(self, members: Iterable[Member]) -> bool:
+        """Returns whether each member was asked at its place and disk.
+
+        Args:
+            members: The members of a list; without any, it is not complete.
+        """
+        listed = list(members)
+        return bool(listed) and all(self._is_asked_at(m) for m in listed)
+
     def describe(self, now: float) -> list[str]:
         """Returns each host's answer and its age, for the log."""
         return [
@@ -320,13 +329,16 @@
             for host, asked in self._asked_by_host.items()
         }
         for member in members:
-            asked = self._asked_by_host.get(member.host)
             # A host that was listed or replaced since the members were asked
             # may hold the turn.
-            if asked is None or _place(asked.member) != _place(member):
+            if not self._is_asked_at(member):
                 lookup_by_host[member.host] = Lookup.UNCERTAIN
         return is_absence_certain(lookup_by_host, self._tolerated_losses)
 
+    def _is_asked_at(self, member: Member) -> bool:
+        asked = self._asked_by_host.get(member.host)
+        return asked is not None and _place(asked.member) == _place(member)
+
 
 def describe_answer(host: str, answer: str, age_s: float) -> str:
     """Returns a host's answer for the log.
--- a/libs/history/tests/history_case.py
+++ b/libs/history/tests/history_case.py
@@ -6,6 +6,8 @@
 import time
 import unittest
 
+from returns.result import Success
+
 from masticdale_common import ErrorKind, Failure, Metrics
 from masticdale_history import (
     HISTORY,
@@ -170,6 +172,9 @@
 
     async def asyncSetUp(self):
         self.directory = MemberDirectory()
+        self.list_outcome = Success(())
+        self.list_reads = 0
+        self.list_delay_s = 0.0
         self.host_by_name = {}
         for number in range(self.host_count):
             member = Member(
@@ -199,16 +204,31 @@
             TOLERATED,
             self.metrics,
             lambda member: create_member_client(member, self.metrics),
+            self.list_members,
         )
         self.addAsyncCleanup(client.close)
         return client
 
     def list_hosts(self, *hosts):
+        """Lists the hosts in the store and at the clients."""
+        self.store_hosts(*hosts)
+        objects = self.list_outcome.unwrap()
+        self.directory.apply(WatchBatch(1, objects, (), True), False)
+
+    def store_hosts(self, *hosts):
+        """Lists the hosts in the store only."""
         objects = tuple(
             StoredObject(member_key(h.member.host), 1, encode_member(h.member))
             for h in hosts
         )
-        self.directory.apply(WatchBatch(1, objects, (), True), False)
+        self.list_outcome = Success(objects)
+
+    async def list_members(self):
+        """Reads the list in the store."""
+        self.list_reads += 1
+        outcome = self.list_outcome
+        await asyncio.sleep(self.list_delay_s)
+        return outcome
 
     def ranked(self, chain_key="session"):
         """Returns the hosts by the ranking of a chain."""
--- a/libs/history/tests/test_loading.py
+++ b/libs/history/tests/test_loading.py
@@ -13,6 +13,7 @@
     turn,
     wall_ms,
 )
+from returns.result import Failure as Failed
 from returns.result import Success
 
 from masticdale_common import ErrorKind, Failure
@@ -25,6 +26,7 @@
 )
 from masticdale_history.client import HEDGE_DELAY_S
 from masticdale_history.member_calls import CALL_TIMEOUT_S
+from masticdale_history.member_lists import READ_INTERVAL_S
 from masticdale_platform import StoredObject, WatchBatch
 
 
@@ -323,5 +325,94 @@
         self.assertIs(outcome.failure().kind, ErrorKind.HISTORY_UNAVAILABLE)
 
 
+class StaleListTest(HistoryCase):
+    """The watch of the list of storage hosts is behind the store."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.unlisted = FakeHost(
+            Member("new", "127.0.0.1", free_port(), "west", "disk-new")
+        )
+
+    async def kind(self, *args, **kwargs):
+        outcome = await self.load(*args, **kwargs)
+        return outcome.failure().kind
+
+    async def test_a_host_that_only_the_store_lists_makes_it_uncertain(self):
+        """Guards against a 404 for a turn on a host not yet known here."""
+        self.store_hosts(*self.host_by_name.values(), self.unlisted)
+        self.assertIs(await self.kind("a"), ErrorKind.HISTORY_UNAVAILABLE)
+        self.store_hosts(*self.host_by_name.values())
+        self.assertIs(await self.kind("a"), ErrorKind.TURN_UNKNOWN)
+
+    async def test_a_replaced_host_makes_it_uncertain(self):
+        """Guards against a 404 by a disk that has been replaced."""
+        hosts = list(self.host_by_name.values())
+        old = hosts[0].member
+        for address, port, disk_id in (
+            ("127.0.0.2", old.port, old.disk_id),
+            (old.address, free_port(), old.disk_id),
+            (old.address, old.port, "disk-new"),
+        ):
+            replaced = Member(
+                old.host, address, port, old.failure_domain, disk_id
+            )
+            self.store_hosts(FakeHost(replaced), *hosts[1:])
+            self.assertIs(await self.kind("a"), ErrorKind.HISTORY_UNAVAILABLE)
+
+    async def test_a_failed_read_of_the_list_makes_it_uncertain(self):
+        """Guards against a 404 while the store can't be asked."""
+        self.list_outcome = Failed(Failure(ErrorKind.PLATFORM_UNAVAILABLE))
+        self.assertIs(await self.kind("a"), ErrorKind.HISTORY_UNAVAILABLE)
+
+    async def test_an_empty_list_makes_it_uncertain(self):
+        """Guards against a 404 after the objects in the store were lost."""
+        self.store_hosts()
+        self.assertIs(await self.kind("a"), ErrorKind.HISTORY_UNAVAILABLE)
+
+    async def test_a_silent_store_does_not_extend_a_load(self):
+        """Guards against loads that wait longer than their callers allow."""
+        self.list_delay_s = FOREVER_S
+        started_at = now()
+        kind = await self.kind("a", time_limit_s=0.3)
+        self.assertIs(kind, ErrorKind.HISTORY_UNAVAILABLE)
+        self.assertLess(now() - started_at, 0.5)
+
+    async def test_one_read_serves_all_loads_that_began_before_it(self):
+        """Guards against a store call for each unknown turn."""
+        loads = [
+            self.kind(f"a{number}", client=self.client) for number in range(20)
+        ]
+        kinds = await asyncio.gather(*loads)
+        self.assertEqual(set(kinds), {ErrorKind.TURN_UNKNOWN})
+        self.assertEqual(self.list_reads, 1)
+
+    async def test_reads_for_loads_one_after_another_are_spaced(self):
+        """Guards against a caller that sets the rate of store calls."""
+        started_at = now()
+        for number in range(3):
+            kind = await self.kind(f"a{number}", client=self.client)
+            self.assertIs(kind, ErrorKind.TURN_UNKNOWN)
+        self.assertEqual(self.list_reads, 3)
+        self.assertGreaterEqual(now() - started_at, 2 * READ_INTERVAL_S)
+
+    async def test_a_read_sent_before_a_load_began_does_not_serve_it(self):
+        """Guards against a 404 by a list older than the turn."""
+        self.list_delay_s = 0.2
+        first = asyncio.create_task(self.kind("a", client=self.client))
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.list_reads, 1)
+        self.store_hosts(*self.host_by_name.values(), self.unlisted)
+        second = await self.kind("b", client=self.client)
+        self.assertIs(second, ErrorKind.HISTORY_UNAVAILABLE)
+        self.assertIs(await first, ErrorKind.TURN_UNKNOWN)
+
+    async def test_no_list_is_read_for_a_turn_that_is_found(self):
+        """Guards against a store call for each turn."""
+        await self.save(turn("a"))
+        self.assertIsInstance(await self.load("a"), Success)
+        self.assertEqual(self.list_reads, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
