Learn the room of storage hosts before saves fail

Cause: a storage host that was never called counted as having room, and a full disk was noticed only by a save that it refused. After a loss of all hosts, turns ran and were then broken off.

Change: a member that is listed, or listed again with another address or disk id, is checked at once by the loop that checks suspect hosts, until it takes records. It counts for `check_room` only from then on; the order of writes still takes unknown hosts in their place.

Ruled out: - A periodic check of all members: traffic without kept turns. - A check at the save itself, at most every 2 s: a disk that fills up after the last save of the period would go unnoticed. - An answer to a read as proof of room: a full host serves reads.

--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -185,7 +185,7 @@
         """Returns HISTORY_UNAVAILABLE if a turn could not be saved now.
 
         Decides by the last answers of the storage hosts, without I/O. A host
-        that has never been called counts as reachable.
+        that has not answered yet counts as reachable, but not as having room.
         """
         now = asyncio.get_running_loop().time()
         hosts = distinct_disks(
--- a/libs/history/src/masticdale_history/decisions.py
+++ b/libs/history/src/masticdale_history/decisions.py
@@ -35,17 +35,21 @@
         failed_at: Time of the last call, if it was not answered; else None.
         refused_at: Time at which the host last refused records; None if it
             has accepted some since.
+        roomy_disk_id: Disk for which the host last answered that it takes
+            records; empty if it never has.
     """
 
     failed_at: float | None = None
     refused_at: float | None = None
+    roomy_disk_id: str = ""
 
 
 class HostStates:
     """States of the storage hosts, learned from the calls to them.
 
     They are kept by endpoint: a host that is replaced at another address has
-    no state. A host that has never been called counts as reachable.
+    no state. A host that has never been called counts as reachable, and takes
+    its place in the order of writes, but it does not count as having room.
     """
 
     def __init__(self) -> None:
@@ -65,7 +69,9 @@
 
     def record_room(self, member: Member) -> None:
         """Records that the host takes records."""
-        self._state(member).refused_at = None
+        state = self._state(member)
+        state.refused_at = None
+        state.roomy_disk_id = member.disk_id
 
     def retain(self, members: Iterable[Member]) -> None:
         """Drops the states of all hosts but the given ones."""
@@ -74,16 +80,29 @@
             del self._state_by_endpoint[endpoint]
 
     def is_suspect(self, member: Member) -> bool:
-        """Returns whether its last answer is missing or was a refusal."""
+        """Returns whether its last answer is missing or was a refusal.
+
+        Also for a host that has not answered with its listed disk yet.
+        """
         state = self._known_state(member)
-        return state.failed_at is not None or state.refused_at is not None
+        is_failing = state.failed_at is not None or state.refused_at is not None
+        return is_failing or state.roomy_disk_id != member.disk_id
 
     def is_reachable(self, member: Member, now: float) -> bool:
         """Returns whether no call to it has failed recently."""
         return not _is_recent(self._known_state(member).failed_at, now)
 
     def has_room(self, member: Member, now: float) -> bool:
-        """Returns whether it is reachable and has not refused recently."""
+        """Returns whether it has taken records, or said so, and still does.
+
+        A host that has not answered yet may be lost: it would be found out
+        only at the end of the turns that were begun with it.
+        """
+        is_known = self._known_state(member).roomy_disk_id == member.disk_id
+        return is_known and self.is_writable(member, now)
+
+    def is_writable(self, member: Member, now: float) -> bool:
+        """Returns whether it has neither failed nor refused recently."""
         is_refusing = _is_recent(self._known_state(member).refused_at, now)
         return self.is_reachable(member, now) and not is_refusing
 
@@ -100,7 +119,7 @@
             now: The time.
         """
         return sorted(
-            distinct_disks(ranked), key=lambda m: not self.has_room(m, now)
+            distinct_disks(ranked), key=lambda m: not self.is_writable(m, now)
         )
 
     def choose_near(
--- a/libs/history/tests/test_decisions.py
+++ b/libs/history/tests/test_decisions.py
@@ -85,6 +85,44 @@
         self.assertTrue(self.states.is_reachable(self.ranked[0], 10.0))
 
 
+class RoomTest(unittest.TestCase):
+    def setUp(self):
+        self.states = HostStates()
+        self.member = members(1)[0]
+
+    def has_room(self, member=None, now=10.0):
+        return self.states.has_room(member or self.member, now)
+
+    def test_a_host_that_never_answered_has_no_room(self):
+        """Guards against turns that are begun while all hosts are lost."""
+        self.assertFalse(self.has_room())
+        self.assertTrue(self.states.is_suspect(self.member))
+        self.states.record_failure(self.member, 0.0)
+        self.assertFalse(self.has_room())
+
+    def test_an_answer_to_a_read_shows_no_room(self):
+        """Guards against a full host that counts because it serves reads."""
+        self.states.record_answer(self.member)
+        self.assertFalse(self.has_room())
+
+    def test_a_host_that_takes_records_has_room(self):
+        """Guards against 503 although the hosts take turns."""
+        self.states.record_answer(self.member)
+        self.states.record_room(self.member)
+        self.assertTrue(self.has_room())
+        self.assertFalse(self.states.is_suspect(self.member))
+
+    def test_another_address_or_disk_has_no_room_before_it_answers(self):
+        """Guards against a replaced host that counts before it serves."""
+        self.states.record_room(self.member)
+        for replaced in (
+            Member("h0", "10.0.0.9", 7000, "d0", "disk-0"),
+            Member("h0", "10.0.0.1", 7000, "d0", "disk-new"),
+        ):
+            self.assertFalse(self.has_room(replaced))
+            self.assertTrue(self.states.is_suspect(replaced))
+
+
 class NearTest(unittest.TestCase):
     def setUp(self):
         self.states = HostStates()
