Take one further host for each 50 ms step of a save

Cause: after 50 ms all overdue hosts of a save were replaced at once, so slow disks got 3, then 6, then 8 writes of each turn. After a stall of the event loop the deadlines were applied before replies that had already arrived were read.

Change: `HedgeSteps` (without I/O) names at most one overdue host each 50 ms, the one that was sent to first. Before that, the save waits 5 ms more so that replies pass from the socket to it. A wake-up that is more than 20 ms late skips the step; the next one is 50 ms later. Refused and failed hosts are replaced at once, as before.

Ruled out: `asyncio.sleep(0)` before the step, as a reply needs several steps of the event loop; a number of such steps depends on the RPC client. A host whose event loop is always late passes over silent hosts only at the timeout of their calls, 1 s: more writes would delay it further.

--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -19,18 +19,19 @@
     Verdict,
     describe_answer,
     distinct_disks,
-    is_whole_chain,
 )
+from masticdale_history.hedging import HEDGE_DELAY_S, HedgeSteps
 from masticdale_history.member_calls import MemberCalls
 from masticdale_history.member_clients import ClientFactory
 from masticdale_history.member_lists import ListMembers, MemberLists
 from masticdale_history.members import MemberDirectory
 from masticdale_history.placement import Member, rank_hosts
-from masticdale_history.records import Chain, TurnKey, TurnRecord
-
-# Time after which a storage host that has not answered is passed over, in
-# seconds. A sync and a round trip take a few milliseconds.
-HEDGE_DELAY_S = 0.05
+from masticdale_history.records import (
+    Chain,
+    TurnKey,
+    TurnRecord,
+    is_whole_chain,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -351,27 +352,25 @@
         """Sends the record to hosts until it is saved or has failed."""
         loop = asyncio.get_running_loop()
         sends: list[asyncio.Task[None]] = []
-        overdue_at_by_host: dict[str, float] = {}
+        steps = HedgeSteps()
         while save.is_open and loop.time() < deadline_at:
             now = loop.time()
             for member in save.plan.take_targets():
                 sends.append(self._calls.start(self._send(save, member)))
                 save.answer_by_host[member.host] = ("awaited", now)
-                overdue_at_by_host[member.host] = now + HEDGE_DELAY_S
-            awaited = [send for send in sends if not send.done()]
-            if not awaited:
+                steps.add(member.host, now)
+            pending = [send for send in sends if not send.done()]
+            if not pending:
                 return
-            wake_at = min([*overdue_at_by_host.values(), deadline_at])
+            wake_at = min(steps.wake_at(save.plan.awaited), deadline_at)
             await asyncio.wait(
-                awaited,
+                pending,
                 timeout=max(0.0, wake_at - now),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            now = loop.time()
-            for host, overdue_at in list(overdue_at_by_host.items()):
-                if overdue_at <= now:
-                    save.plan.set_overdue(host)
-                    del overdue_at_by_host[host]
+            overdue = steps.step(save.plan.awaited, loop.time())
+            if overdue is not None:
+                save.plan.set_overdue(overdue)
 
     async def _send(self, save: _Save, member: Member) -> None:
         outcome = await self._calls.append_turns(member, (save.record,))
--- a/libs/history/src/masticdale_history/decisions.py
+++ b/libs/history/src/masticdale_history/decisions.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable, Sequence
 
 from masticdale_history.placement import Lookup, Member, is_absence_certain
-from masticdale_history.records import TurnKey, TurnRecord
 
 # Time for which a storage host counts as unreachable after a failed call, and
 # as without room after it has refused a record, in seconds.
@@ -201,6 +200,11 @@
             return SaveState.FAILED
         return SaveState.PENDING
 
+    @property
+    def awaited(self) -> frozenset[str]:
+        """The hosts that have not answered and are not overdue."""
+        return frozenset(self._awaited)
+
     def take_targets(self) -> list[Member]:
         """Returns the hosts to send the record to now; each only once."""
         if self.state is not SaveState.PENDING:
@@ -370,26 +374,6 @@
     return f"{host}: {answer} {round(1000 * age_s)} ms ago"
 
 
-def is_whole_chain(records: Sequence[TurnRecord], key: TurnKey) -> bool:
-    """Returns whether records are a turn and all turns before it.
-
-    Args:
-        records: The records, oldest first.
-        key: Key of the turn.
-    """
-    if not records or records[-1].key != key:
-        return False
-    previous_id = ""
-    for record in records:
-        if (record.workspace, record.previous_id) != (
-            key.workspace,
-            previous_id,
-        ):
-            return False
-        previous_id = record.turn_id
-    return True
-
-
 def _place(member: Member) -> tuple[Endpoint, str]:
     return (endpoint_of(member), member.disk_id)
 
--- a/libs/history/src/masticdale_history/records.py
+++ b/libs/history/src/masticdale_history/records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+from collections.abc import Sequence
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,3 +89,23 @@
     def with_turn(self, record: TurnRecord) -> "Chain":
         """Returns the chain continued by one turn."""
         return Chain((*self.records, record))
+
+
+def is_whole_chain(records: Sequence[TurnRecord], key: TurnKey) -> bool:
+    """Returns whether records are a turn and all turns before it.
+
+    Args:
+        records: The records, oldest first.
+        key: Key of the turn.
+    """
+    if not records or records[-1].key != key:
+        return False
+    previous_id = ""
+    for record in records:
+        if (record.workspace, record.previous_id) != (
+            key.workspace,
+            previous_id,
+        ):
+            return False
+        previous_id = record.turn_id
+    return True
--- a/libs/history/tests/test_decisions.py
+++ b/libs/history/tests/test_decisions.py
@@ -15,8 +15,8 @@
     SavePlan,
     SaveState,
     Verdict,
-    is_whole_chain,
 )
+from masticdale_history.records import is_whole_chain
 
 TOLERATED = 2
 COPIES = TOLERATED + 1
--- a/libs/history/tests/test_loading.py
+++ b/libs/history/tests/test_loading.py
@@ -24,7 +24,7 @@
     encode_member,
     member_key,
 )
-from masticdale_history.client import HEDGE_DELAY_S
+from masticdale_history.hedging import HEDGE_DELAY_S
 from masticdale_history.member_calls import CALL_TIMEOUT_S
 from masticdale_history.member_lists import READ_INTERVAL_S
 from masticdale_platform import StoredObject, WatchBatch
--- a/libs/history/tests/test_saving.py
+++ b/libs/history/tests/test_saving.py
@@ -1,6 +1,7 @@
 """Tests of the history client: saves at storage hosts that fail."""
 
 import asyncio
+import time
 import unittest
 
 from history_case import COPIES, FOREVER_S, FakeHost, HistoryCase, turn
@@ -10,6 +11,7 @@
 from masticdale_common import ErrorKind, Failure
 from masticdale_history import Chain, Member
 from masticdale_history.decisions import SUSPECT_PERIOD_S
+from masticdale_history.hedging import HEDGE_DELAY_S
 from masticdale_history.member_calls import (
     CALL_TIMEOUT_S,
     PROBE_INTERVAL_S,
@@ -79,6 +81,23 @@
         record = turn("a")
         self.assertEqual(await self.save(record), Success(None))
 
+    async def test_slow_hosts_are_replaced_one_for_each_step(self):
+        """Guards against writes that multiply while all disks are slow."""
+        for host in self.ranked():
+            host.faults.delay_s = 0.08
+        self.assertEqual(await self.save(turn("a")), Success(None))
+        used = [h for h in self.ranked() if h.calls]
+        self.assertEqual(len(used), COPIES + 1)
+
+    async def test_a_stall_of_the_event_loop_replaces_no_host(self):
+        """Guards against writes that multiply when the entry host stalls."""
+        await self.save(turn("a"))
+        saving = asyncio.create_task(self.save(turn("b")))
+        await asyncio.sleep(0.001)
+        time.sleep(4 * HEDGE_DELAY_S)  # noqa: ASYNC251
+        self.assertEqual(await saving, Success(None))
+        self.assertCountEqual(self.holding(turn("b")), self.ranked()[:COPIES])
+
     async def test_a_silent_host_is_tried_last_until_it_answers(self):
         """Guards against each save waiting for the same lost host."""
         silent = self.ranked()[0]
