--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -19,17 +19,19 @@
     Verdict,
     describe_answer,
     distinct_disks,
-    is_whole_chain,
 )
+from masticdale_history.hedging import HEDGE_DELAY_S, HedgeSteps
 from masticdale_history.member_calls import MemberCalls
 from masticdale_history.member_clients import ClientFactory
+from masticdale_history.member_lists import ListMembers, MemberLists
 from masticdale_history.members import MemberDirectory
 from masticdale_history.placement import Member, rank_hosts
-from masticdale_history.records import Chain, TurnKey, TurnRecord
-
-# Time after which a storage host that has not answered is passed over, in
-# seconds. A sync and a round trip take a few milliseconds.
-HEDGE_DELAY_S = 0.05
+from masticdale_history.records import (
+    Chain,
+    TurnKey,
+    TurnRecord,
+    is_whole_chain,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +94,7 @@
         tolerated_losses: int,
         metrics: Metrics,
         create_client: ClientFactory,
+        list_members: ListMembers,
         wall_ms: Callable[[], int] = wall_clock_ms,
     ) -> None:
         """Initializes the client.
@@ -104,6 +107,8 @@
                 record is saved on one disk more.
             metrics: Records loads, saves and reachable hosts.
             create_client: Returns a new RPC client of a storage host.
+            list_members: Reads all objects under ``MEMBER_PREFIX`` from the
+                platform's store.
             wall_ms: Returns wall-clock milliseconds.
         """
         self._directory = directory
@@ -113,6 +118,7 @@
         self._metrics = metrics
         self._wall_ms = wall_ms
         self._calls = MemberCalls(directory, create_client)
+        self._lists = MemberLists(list_members)
         self._cache = ChainCache()
 
     async def load(
@@ -151,7 +157,11 @@
         verdict = await self._ask_all(load, deadline_at)
         if load.chain is not None:
             return self._finish_load("asked_all", load.chain)
-        is_unknown = verdict is Verdict.UNKNOWN
+        is_unknown = verdict is Verdict.UNKNOWN and (
+            await self._has_asked_all(load, started_at, deadline_at)
+        )
+        if load.chain is not None:  # It arrived while the list was read.
+            return self._finish_load("asked_all", load.chain)
         outcome = "unknown" if is_unknown else "unavailable"
         self._count_load(outcome)
         now = asyncio.get_running_loop().time()
@@ -176,7 +186,7 @@
         """Returns HISTORY_UNAVAILABLE if a turn could not be saved now.
 
         Decides by the last answers of the storage hosts, without I/O. A host
-        that has never been called counts as reachable.
+        that has not answered yet counts as reachable, but not as having room.
         """
         now = asyncio.get_running_loop().time()
         hosts = distinct_disks(
@@ -251,6 +261,7 @@
 
     async def close(self) -> None:
         """Ends late calls and closes all connections."""
+        await self._lists.close()
         await self._calls.close()
 
     def _finish_load(
@@ -301,6 +312,19 @@
             )
         return None
 
+    async def _has_asked_all(
+        self, load: _Load, began_at: float, deadline_at: float
+    ) -> bool:
+        """Returns whether the store lists no member that was not asked.
+
+        The watch of the list may be behind: a storage host that it does not
+        show yet may hold the turn.
+        """
+        outcome = await self._lists.read(began_at, deadline_at)
+        if isinstance(outcome, Failed):
+            return False
+        return load.search.has_asked_all(outcome.unwrap())
+
     def _start_read(self, load: _Load, member: Member) -> None:
         load.search.ask(member, asyncio.get_running_loop().time())
         load.reads.append(self._calls.start(self._read(load, member)))
@@ -328,27 +352,25 @@
         """Sends the record to hosts until it is saved or has failed."""
         loop = asyncio.get_running_loop()
         sends: list[asyncio.Task[None]] = []
-        overdue_at_by_host: dict[str, float] = {}
+        steps = HedgeSteps()
         while save.is_open and loop.time() < deadline_at:
             now = loop.time()
             for member in save.plan.take_targets():
                 sends.append(self._calls.start(self._send(save, member)))
                 save.answer_by_host[member.host] = ("awaited", now)
-                overdue_at_by_host[member.host] = now + HEDGE_DELAY_S
-            awaited = [send for send in sends if not send.done()]
-            if not awaited:
+                steps.add(member.host, now)
+            pending = [send for send in sends if not send.done()]
+            if not pending:
                 return
-            wake_at = min([*overdue_at_by_host.values(), deadline_at])
+            wake_at = min(steps.wake_at(save.plan.awaited), deadline_at)
             await asyncio.wait(
-                awaited,
+                pending,
                 timeout=max(0.0, wake_at - now),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            now = loop.time()
-            for host, overdue_at in list(overdue_at_by_host.items()):
-                if overdue_at <= now:
-                    save.plan.set_overdue(host)
-                    del overdue_at_by_host[host]
+            overdue = steps.step(save.plan.awaited, loop.time())
+            if overdue is not None:
+                save.plan.set_overdue(overdue)
 
     async def _send(self, save: _Save, member: Member) -> None:
         outcome = await self._calls.append_turns(member, (save.record,))
--- a/libs/history/src/masticdale_history/decisions.py
+++ b/libs/history/src/masticdale_history/decisions.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable, Sequence
 
 from masticdale_history.placement import Lookup, Member, is_absence_certain
-from masticdale_history.records import TurnKey, TurnRecord
 
 # Time for which a storage host counts as unreachable after a failed call, and
 # as without room after it has refused a record, in seconds.
@@ -35,17 +34,21 @@
         failed_at: Time of the last call, if it was not answered; else None.
         refused_at: Time at which the host last refused records; None if it
             has accepted some since.
+        roomy_disk_id: Disk for which the host last answered that it takes
+            records; empty if it never has.
     """
 
     failed_at: float | None = None
     refused_at: float | None = None
+    roomy_disk_id: str = ""
 
 
 class HostStates:
     """States of the storage hosts, learned from the calls to them.
 
     They are kept by endpoint: a host that is replaced at another address has
-    no state. A host that has never been called counts as reachable.
+    no state. A host that has never been called counts as reachable, and takes
+    its place in the order of writes, but it does not count as having room.
     """
 
     def __init__(self) -> None:
@@ -65,7 +68,9 @@
 
     def record_room(self, member: Member) -> None:
         """Records that the host takes records."""
-        self._state(member).refused_at = None
+        state = self._state(member)
+        state.refused_at = None
+        state.roomy_disk_id = member.disk_id
 
     def retain(self, members: Iterable[Member]) -> None:
         """Drops the states of all hosts but the given ones."""
@@ -74,16 +79,29 @@
             del self._state_by_endpoint[endpoint]
 
     def is_suspect(self, member: Member) -> bool:
-        """Returns whether its last answer is missing or was a refusal."""
+        """Returns whether its last answer is missing or was a refusal.
+
+        Also for a host that has not answered with its listed disk yet.
+        """
         state = self._known_state(member)
-        return state.failed_at is not None or state.refused_at is not None
+        is_failing = state.failed_at is not None or state.refused_at is not None
+        return is_failing or state.roomy_disk_id != member.disk_id
 
     def is_reachable(self, member: Member, now: float) -> bool:
         """Returns whether no call to it has failed recently."""
         return not _is_recent(self._known_state(member).failed_at, now)
 
     def has_room(self, member: Member, now: float) -> bool:
-        """Returns whether it is reachable and has not refused recently."""
+        """Returns whether it has taken records, or said so, and still does.
+
+        A host that has not answered yet may be lost: it would be found out
+        only at the end of the turns that were begun with it.
+        """
+        is_known = self._known_state(member).roomy_disk_id == member.disk_id
+        return is_known and self.is_writable(member, now)
+
+    def is_writable(self, member: Member, now: float) -> bool:
+        """Returns whether it has neither failed nor refused recently."""
         is_refusing = _is_recent(self._known_state(member).refused_at, now)
         return self.is_reachable(member, now) and not is_refusing
 
@@ -100,7 +118,7 @@
             now: The time.
         """
         return sorted(
-            distinct_disks(ranked), key=lambda m: not self.has_room(m, now)
+            distinct_disks(ranked), key=lambda m: not self.is_writable(m, now)
         )
 
     def choose_near(
@@ -182,6 +200,11 @@
             return SaveState.FAILED
         return SaveState.PENDING
 
+    @property
+    def awaited(self) -> frozenset[str]:
+        """The hosts that have not answered and are not overdue."""
+        return frozenset(self._awaited)
+
     def take_targets(self) -> list[Member]:
         """Returns the hosts to send the record to now; each only once."""
         if self.state is not SaveState.PENDING:
@@ -305,6 +328,15 @@
         is_waiting = now - self._certain_at < ABSENCE_GRACE_S
         return None if is_waiting else Verdict.UNKNOWN
 
+    def has_asked_all(self, members: Iterable[Member]) -> bool:
+        """Returns whether each member was asked at its place and disk.
+
+        Args:
+            members: The members of a list; without any, it is not complete.
+        """
+        listed = list(members)
+        return bool(listed) and all(self._is_asked_at(m) for m in listed)
+
     def describe(self, now: float) -> list[str]:
         """Returns each host's answer and its age, for the log."""
         return [
@@ -320,13 +352,16 @@
             for host, asked in self._asked_by_host.items()
         }
         for member in members:
-            asked = self._asked_by_host.get(member.host)
             # A host that was listed or replaced since the members were asked
             # may hold the turn.
-            if asked is None or _place(asked.member) != _place(member):
+            if not self._is_asked_at(member):
                 lookup_by_host[member.host] = Lookup.UNCERTAIN
         return is_absence_certain(lookup_by_host, self._tolerated_losses)
 
+    def _is_asked_at(self, member: Member) -> bool:
+        asked = self._asked_by_host.get(member.host)
+        return asked is not None and _place(asked.member) == _place(member)
+
 
 def describe_answer(host: str, answer: str, age_s: float) -> str:
     """Returns a host's answer for the log.
@@ -339,26 +374,6 @@
     return f"{host}: {answer} {round(1000 * age_s)} ms ago"
 
 
-def is_whole_chain(records: Sequence[TurnRecord], key: TurnKey) -> bool:
-    """Returns whether records are a turn and all turns before it.
-
-    Args:
-        records: The records, oldest first.
-        key: Key of the turn.
-    """
-    if not records or records[-1].key != key:
-        return False
-    previous_id = ""
-    for record in records:
-        if (record.workspace, record.previous_id) != (
-            key.workspace,
-            previous_id,
-        ):
-            return False
-        previous_id = record.turn_id
-    return True
-
-
 def _place(member: Member) -> tuple[Endpoint, str]:
     return (endpoint_of(member), member.disk_id)
 
