--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -40,12 +40,14 @@
             response to a stream had begun, else UNKNOWN.
         reason: Short description for logs.
         retry_after_s: Delay that the replica asked for; None if unspecified.
+        is_refused: Whether the replica is up but takes no more calls.
     """
 
     replica_id: str
     ran: Executed
     reason: str
     retry_after_s: float | None = None
+    is_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -300,6 +302,8 @@
             # of replicas does not show it yet.
             state.record_failure(asyncio.get_running_loop().time())
             self.crashes.record_end(state)
+        else:
+            state.record_refusal(asyncio.get_running_loop().time())
         call.possible_runs -= 1
         try:
             async with asyncio.timeout(_REJECTION_BODY_TIMEOUT_S):
@@ -315,6 +319,7 @@
             Executed.NO,
             f"rejected with status {head.status}",
             metadata.retry_after_s,
+            is_refused=head.status != 421,
         )
 
     def _record_load(
@@ -323,7 +328,14 @@
         if metadata.running is None:
             return
         now = asyncio.get_running_loop().time()
-        state.record_load(ReportedLoad(metadata.running, metadata.waiting, now))
+        state.record_load(
+            ReportedLoad(
+                metadata.running,
+                metadata.waiting,
+                now,
+                metadata.slowdown_percent,
+            )
+        )
 
     def _failure(
         self,
@@ -332,6 +344,8 @@
         ran: Executed,
         reason: str,
         retry_after_s: float | None = None,
+        *,
+        is_refused: bool = False,
     ) -> AttemptFailure:
         self._metrics.count("upstream_failures_total", ran=ran.value)
         logs.write_bounded(
@@ -343,7 +357,9 @@
             reason=reason,
             content="" if ran is Executed.NO else call.content_digest,
         )
-        return AttemptFailure(state.replica.id, ran, reason, retry_after_s)
+        return AttemptFailure(
+            state.replica.id, ran, reason, retry_after_s, is_refused
+        )
 
 
 def _reason(error: BaseException) -> str:
