Keep calls out of the long queues of replicas

Cause: a replica that queues instead of refusing looked as if it had room soon after each report, and every host then sent its waiting calls there; they ended in time-outs, after which nobody knows whether they ran.

Change: a reported queue counts for half of the time in which it is worked off (at most 0.5 s), and for 2 s a host has at most one call at such a replica. A call that would wait there beyond its deadline is refused as not run. The time in a replica's queue no longer counts as its pace.

--- a/apps/masticdale_entry/tests/test_waiting_calls.py
+++ b/apps/masticdale_entry/tests/test_waiting_calls.py
@@ -140,6 +140,25 @@
         self.assertEqual(response.json()["error"], "stopping")
         self.assertEqual(self.executed("r1"), [])
 
+    async def test_a_call_is_not_sent_into_a_queue_that_is_too_long(self):
+        """Guards against a call that times out, and may have run, in a queue.
+
+        The replicas take 50 ms for a call and report 400 waiting ones.
+        """
+        self.set_unary_replicas(processing_s=0.05)
+        # The calls before took about 1 ms, and a call that takes much longer
+        # counts for little at first.
+        for n in range(15):
+            names = (f"slow-{n}-{other}" for other in range(4))
+            await asyncio.gather(*(self.send(IDEMPOTENT, x) for x in names))
+        self.set_unary_replicas(load="8,400,8,100")
+        for n in range(4):
+            await self.send(IDEMPOTENT, f"queued-{n}")
+        response = await self.send(NON_IDEMPOTENT, "r1", Deadline_Ms="400")
+        self.assertEqual(response.status_code, 503)
+        self.assertGreater(float(response.headers["retry-after"]), 0.4)
+        self.assertEqual(self.seen("r1"), [])
+
     async def test_one_replica_with_room_is_found(self):
         """Guards against a call that waits beside a free slot."""
         self.unary_replicas[0].behaviour.fault = ReplicaFault.OVERLOADED
--- a/libs/gateway/src/masticdale_gateway/unary.py
+++ b/libs/gateway/src/masticdale_gateway/unary.py
@@ -130,11 +130,13 @@
         unserved: Failure | None = None
         must_wait = self.waiting.must_wait(call)
         while call.remaining_s > 0:
-            if must_wait:
+            if attempts.possible_executions == 0:
+                unserved = self.waiting.refuse_if_late(call)
+            if unserved is None and must_wait:
                 unserved = await self.waiting.wait(call, wait)
-                if unserved is not None:
-                    break
                 attempts.begin_round()
+            if unserved is not None:
+                break
             must_wait = False
             state = self._next_state(call, attempts, wait)
             if state is None:
@@ -238,7 +240,7 @@
         exchange: Exchange,
         duration_s: float,
     ) -> None:
-        state.record_completion()
+        run_s = state.record_completion(duration_s)
         slowdown_percent = exchange.metadata.slowdown_percent
         # Error responses take less time than the work.
         if slowdown_percent is None or exchange.head.status >= 400:
@@ -246,7 +248,7 @@
         self._fleet.call_paces.observe(
             state.replica.incarnation,
             call.route.name,
-            duration_s,
+            run_s,
             slowdown_percent / 100,
             asyncio.get_running_loop().time(),
         )
--- a/libs/gateway/src/masticdale_gateway/waiting_calls.py
+++ b/libs/gateway/src/masticdale_gateway/waiting_calls.py
@@ -118,13 +118,29 @@
             best_rate = self._best_rate_per_s(call)
             offered = line.queue.offer(waiting, now, best_rate)
             if isinstance(offered, Failed):
-                return self._refuse(call, line, offered.failure())
+                return self._refuse(call, offered.failure())
             wait.waiting = waiting
             wait.full_replicas = self._fleet.count_full(service, now)
         else:
             line.queue.put_back(wait.waiting, now)
         return await self._wait_released(call, line, wait.waiting, wait)
 
+    def refuse_if_late(self, call: Call) -> Failure | None:
+        """Refuses a call that would wait too long in a replica's own queue.
+
+        Returns:
+            NO_UPSTREAM, with the expected wait as retry time; None if it may
+            be sent.
+        """
+        service = call.service.name
+        if not self._fleet.reports_slowdown(service):
+            return None
+        queue_s = self._fleet.shortest_queue_s(service, _now())
+        if queue_s < call.remaining_s:
+            return None
+        detail = f"queue of {queue_s:.3f} s, {call.remaining_s:.3f} s left"
+        return self._refuse(call, refusal(queue_s, detail))
+
     def record_end(self, service: str, *, is_complete: bool) -> None:
         """Records the end of an attempt, after which a slot may be free.
 
@@ -194,7 +210,7 @@
             line.queue.remove(waiting.number, loop.time())
             self._count(service, line)
         wait.rounds += 1
-        return None
+        return self.refuse_if_late(call)
 
     def _create(self, call: Call, now: float) -> WaitingCall:
         deadline_at = call.deadline_at
@@ -214,10 +230,9 @@
             size_bytes=len(call.request.body),
         )
 
-    def _refuse(
-        self, call: Call, line: _ServiceQueue, failure: Failure
-    ) -> Failure:
+    def _refuse(self, call: Call, failure: Failure) -> Failure:
         service = call.service.name
+        line = self._queue_by_service.get(service)
         self._metrics.count(
             "calls_refused_total", service=service, reason="at_once"
         )
@@ -227,7 +242,7 @@
             program_id=call.metadata.program_id,
             service=service,
             full_replicas=self._fleet.count_full(service, _now()),
-            waiting=len(line.queue),
+            waiting=len(line.queue) if line else 0,
             left_ms=round(1000 * call.remaining_s, 1),
             expected_ms=round(1000 * self._expected_s(call), 1),
             retry_after_ms=failure.effective_retry_after_ms,
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -154,6 +154,11 @@
             default=None,
         )
 
+    def shortest_queue_s(self, service: str, now: float) -> float:
+        """Returns the shortest wait that a service's replicas predict."""
+        states = self.healthy(service, now)
+        return min((state.queue_s(now) for state in states), default=0.0)
+
     def count_full(self, service: str, now: float) -> int:
         """Returns the number of a service's replicas believed full."""
         return sum(s.full_for_s(now) > 0 for s in self.eligible(service))
--- a/libs/routing/src/masticdale_routing/fullness.py
+++ b/libs/routing/src/masticdale_routing/fullness.py
@@ -9,6 +9,11 @@
 _FIRST_PAUSE_S = 0.015
 _PAUSE_GROWTH = 1.5
 _MAX_PAUSE_S = 0.1
+# Share of the time in which a reported queue is worked off for which the report
+# counts, and the bound of that time in seconds. Calls should wait at the hosts,
+# which order them, but the replica must not run out of work.
+_QUEUE_SHARE = 0.5
+_MAX_QUEUE_S = 0.5
 # The pauses vary by this share, so that hosts do not ask in step.
 _JITTER_SHARE = 0.3
 
@@ -27,20 +32,23 @@
         self._pause_s = min(_MAX_PAUSE_S, max(_FIRST_PAUSE_S, grown_s))
         self._full_until = now + self._with_jitter(self._pause_s)
 
-    def record_report(self, busy: int, slots: int, now: float) -> None:
+    def record_report(
+        self, busy: int, slots: int, call_s: float, now: float
+    ) -> None:
         """Records a load report.
 
         Args:
             busy: Requests running and waiting there.
-            slots: Requests that it runs concurrently.
+            slots: Requests that it runs concurrently; at least 1.
+            call_s: Time in which it runs one, in seconds; 0 if unknown.
             now: Event loop time in seconds.
         """
         if busy < slots:
             self._full_until = 0.0
             return
-        rounds = 1 + (busy - slots) / max(1, slots)
-        pause_s = min(_MAX_PAUSE_S, _FIRST_PAUSE_S * rounds)
-        until = now + self._with_jitter(pause_s)
+        queue_s = (busy - slots + 1) / slots * call_s
+        pause_s = min(_MAX_QUEUE_S, _QUEUE_SHARE * queue_s)
+        until = now + self._with_jitter(max(_FIRST_PAUSE_S, pause_s))
         self._full_until = max(self._full_until, until)
 
     def record_completion(self) -> None:
--- a/libs/routing/src/masticdale_routing/replicas.py
+++ b/libs/routing/src/masticdale_routing/replicas.py
@@ -18,9 +18,18 @@
 # look infinitely fast.
 _MIN_SLOWDOWN_PERCENT = 10
 _MAX_SLOWDOWN_PERCENT = 2_000
+# For how long a reported queue counts, in seconds. Meanwhile a host has at most
+# one call there. If
+# each of 50 hosts has one there, a replica of 6 slots has work for about eight
+# calls in sequence; more would only make them wait where they are not ordered.
+_QUEUE_REPORT_MAX_AGE_S = 2.0
 # Time after which a replica that is full with calls of this host alone is
 # looked at again, in seconds, unless one of them ends before.
 _OWN_CALLS_RECHECK_S = 0.1
+_CALL_LEARNING_RATE = 0.2
+# Bound of the ratio of a call's time to the mean, so that one that hung does
+# not make a queue look long.
+_MAX_CALL_RATIO = 4.0
 # The open periods are short compared with a replica's restart, so that a
 # restarted replica gets requests soon.
 _CIRCUIT_SETTINGS = CircuitBreakerSettings(
@@ -103,6 +112,8 @@
         self.reports_slowdown = False
         self._load: ReportedLoad | None = None
         self._in_flight_at_load = 0
+        # Mean time in which it runs a unary call, in seconds; 0 if unknown.
+        self._call_s = 0.0
         self._fullness = Fullness(rng)
 
     @property
@@ -131,29 +142,69 @@
         self._in_flight_at_load = self.in_flight
         if load.slowdown_percent is not None:
             self.reports_slowdown = True
-        busy = load.running + load.waiting
-        self._fullness.record_report(busy, self.replica.slots, load.at)
+        self._fullness.record_report(
+            load.running + load.waiting, self._slots, self._call_s, load.at
+        )
 
     def record_refusal(self, now: float) -> None:
         """Records that it refused a call because it is full."""
         self._fullness.record_refusal(now)
 
-    def record_completion(self) -> None:
+    def record_completion(self, duration_s: float) -> float:
         """Records that a unary call of this host has ended there.
 
         Its slot is free, unless the replica has a queue of its own.
+
+        Args:
+            duration_s: Time from the request to the end of the response.
+
+        Returns:
+            The time in which the replica has run it, in seconds: without its
+            share of the wait in the replica's queue, as far as that is known.
         """
         load = self._load
-        if load is None or load.running + load.waiting <= self.replica.slots:
+        busy = load.running + load.waiting if load is not None else 0
+        if busy <= self._slots:
             self._fullness.record_completion()
+        # Time in the system and in a slot are in the ratio of the requests
+        # there and of those that run.
+        run_s = duration_s * self._slots / max(self._slots, busy)
+        if not self._call_s:
+            self._call_s = run_s
+        bounded_s = min(run_s, _MAX_CALL_RATIO * self._call_s)
+        self._call_s += _CALL_LEARNING_RATE * (bounded_s - self._call_s)
+        return run_s
 
     def full_for_s(self, now: float) -> float:
         """Returns for how long it is believed full; 0 if it may have room."""
         remaining_s = self._fullness.remaining_s(now)
-        if self.in_flight < max(1, self.replica.slots):
+        limit = 1 if self._has_queue(now) else self._slots
+        if self.in_flight < limit:
             return remaining_s
         return max(remaining_s, _OWN_CALLS_RECHECK_S)
 
+    def _has_queue(self, now: float) -> bool:
+        load = self._load
+        return (
+            load is not None
+            and load.waiting > 0
+            and now - load.at < _QUEUE_REPORT_MAX_AGE_S
+        )
+
+    def queue_s(self, now: float) -> float:
+        """Returns the wait in its queue that its last report predicts.
+
+        The wait decreases from then on. It is forgotten after a time: a figure
+        that is wrong would otherwise keep all calls away, and thus be the last.
+        """
+        load = self._load
+        if load is None or not self._has_queue(now):
+            return 0.0
+        sent_since = max(0, self.in_flight - self._in_flight_at_load)
+        busy = load.running + load.waiting + sent_since
+        queue_s = (busy - self._slots + 1) / self._slots * self._call_s
+        return max(0.0, queue_s - (now - load.at))
+
     def slowdown(self, now: float) -> float:
         """Returns the factor of its momentary slowdown; 1 if unknown."""
         load = self._load
@@ -205,6 +256,10 @@
             and self.circuit.allows(now)
         )
 
+    @property
+    def _slots(self) -> int:
+        return max(1, self.replica.slots)
+
     @property
     def warmup_penalty(self) -> float:
         """Utilization to add while the replica is warming up, else 0."""
--- a/libs/routing/tests/test_earliest_finish.py
+++ b/libs/routing/tests/test_earliest_finish.py
@@ -222,7 +222,7 @@
             state.record_refusal(0.0)
         self.assertGreater(self.room_in_s(0.0), 0.01)
         self.assertLess(self.room_in_s(0.0), 0.02)
-        self.states[1].record_completion()
+        self.states[1].record_completion(0.1)
         self.assertEqual(self.room_in_s(0.0), 0)
 
     def test_repeated_refusals_make_the_pause_longer_up_to_a_bound(self):
@@ -237,7 +237,7 @@
         self.assertLess(pauses[0], 0.02)
         self.assertGreater(min(pauses[-10:]), 0.06)
         self.assertLess(max(pauses), 0.14)
-        state.record_completion()
+        state.record_completion(0.1)
         state.record_refusal(now)
         self.assertLess(state.full_for_s(now), 0.02)
 
@@ -254,9 +254,63 @@
         """Guards against calls sent into the queue of a replica."""
         (state, *_) = self.states
         state.record_load(ReportedLoad(SLOTS, 4, 0.0, 100))
-        state.record_completion()
+        state.record_completion(0.1)
         self.assertGreater(state.full_for_s(0.0), 0)
 
+    def test_a_long_queue_holds_calls_back_for_longer(self):
+        """Guards against deadlines that pass in the queue of a replica."""
+        (state, *_) = self.states
+        for _ in range(9):
+            state.record_load(ReportedLoad(1, 0, 0.0, 100))
+            state.record_completion(0.12)
+        held_s = []
+        for waiting in (0, 12, 600):
+            state.record_load(ReportedLoad(1, 0, 0.0, 100))
+            state.record_load(ReportedLoad(SLOTS, waiting, 0.0, 100))
+            held_s.append(state.full_for_s(0.0))
+        # Half of the time in which 1, 13 and 601 calls leave the slots.
+        for actual_s, expected_s in zip(
+            held_s, (0.015, 0.13, 0.5), strict=True
+        ):
+            self.assertAlmostEqual(actual_s, expected_s, delta=0.4 * expected_s)
+
+    def test_the_wait_in_a_queue_is_not_the_pace_of_a_replica(self):
+        """Guards against a replica that looks slow because many choose it."""
+        (state, *_) = self.states
+        state.record_load(ReportedLoad(SLOTS, 2 * SLOTS, 0.0, 100))
+        self.assertAlmostEqual(state.record_completion(0.3), 0.1)
+        state.record_load(ReportedLoad(2, 0, 0.0, 100))
+        self.assertAlmostEqual(state.record_completion(0.1), 0.1)
+
+    def test_a_host_has_one_call_at_a_replica_with_a_queue(self):
+        """Guards against 50 hosts that fill the queue of a replica together."""
+        (state, *_) = self.states
+        state.in_flight = 1
+        state.record_load(ReportedLoad(SLOTS, 1, 0.0, 100))
+        self.assertGreater(state.full_for_s(0.3), 0)
+        state.in_flight = 0
+        self.assertEqual(state.full_for_s(0.3), 0)
+        state.in_flight = 1
+        self.assertEqual(state.full_for_s(3.0), 0)
+        state.record_load(ReportedLoad(SLOTS - 1, 0, 3.0, 100))
+        self.assertEqual(state.full_for_s(3.0), 0)
+
+    def test_the_wait_in_a_queue_is_predicted_from_its_last_report(self):
+        """Guards against calls that time out in a queue known to be long."""
+        for state in self.states:
+            state.record_completion(0.12)
+            state.record_load(ReportedLoad(SLOTS, 59, 0.0, 100))
+        self.assertAlmostEqual(self.fleet.shortest_queue_s("tools", 0.0), 1.2)
+        self.assertAlmostEqual(self.fleet.shortest_queue_s("tools", 0.7), 0.5)
+        self.assertEqual(self.fleet.shortest_queue_s("tools", 9.0), 0)
+        for state in self.states:
+            state.record_load(ReportedLoad(SLOTS, 10**17, 10.0, 100))
+        self.assertGreater(self.fleet.shortest_queue_s("tools", 10.0), 99)
+        self.assertEqual(self.fleet.shortest_queue_s("tools", 13.0), 0)
+        self.assertEqual(self.fleet.room_in_s("tools", 13.0), 0)
+        self.states[0].record_load(ReportedLoad(1, 0, 0.0, 100))
+        self.assertEqual(self.fleet.shortest_queue_s("tools", 0.0), 0)
+
     def test_own_calls_fill_a_replica(self):
         """Guards against more calls of one host than a replica has slots."""
         for state in self.states:
