--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -511,8 +511,17 @@
                 else None
             ),
         )
-        self._dump.register("replicas", self._dump_replicas)
-        self._dump.register("waiting_calls", self._relay.waiting_calls)
+        self._dump.register(
+            "replicas",
+            lambda: {
+                state.replica.id: {
+                    "service": state.replica.service,
+                    "in_flight": state.in_flight,
+                    "draining": state.replica.is_draining,
+                }
+                for state in self._fleet.states()
+            },
+        )
         self._dump.register(
             "shards",
             lambda: {
@@ -529,25 +538,6 @@
         self._dump.register("history_hosts", self._histories.dump)
         self._dump.register("crash_suspects", self._dump_crash_suspects)
 
-    def _dump_replicas(self) -> JsonValue:
-        """Returns what this host knows of each replica."""
-        now = asyncio.get_running_loop().time()
-        services = {r.service for r in self._fleet.replicas()}
-        pace_by_id: dict[str, float] = {}
-        for service in services:
-            pace_by_id |= self._fleet.paces(service, now)
-        return {
-            state.replica.id: {
-                "service": state.replica.service,
-                "in_flight": state.in_flight,
-                "draining": state.replica.is_draining,
-                "pace": round(pace_by_id[state.replica.id], 2),
-                "slowdown": state.slowdown(now),
-                "full_for_ms": round(1000 * state.full_for_s(now), 1),
-            }
-            for state in self._fleet.states()
-        }
-
     def _dump_crash_suspects(self) -> JsonValue:
         """Returns the contents under which replicas have ended."""
         now = asyncio.get_running_loop().time()
--- a/libs/gateway/src/masticdale_gateway/codec.py
+++ b/libs/gateway/src/masticdale_gateway/codec.py
@@ -15,8 +15,6 @@
         request_id: Id of the caller's request; all attempts that this host
             makes for it carry the same id. Empty if the caller sent none.
         deadline_s: Seconds that the caller waits; None if unspecified.
-        finish_s: Seconds in which its program has to finish; None if
-            unspecified.
         program_id: The agent program it belongs to; empty for none.
         prefix_key: Key of the first part of its prompt; empty for none.
         prompt_parts: Number of parts of its prompt.
@@ -40,7 +38,6 @@
     key_digests: tuple[str, ...] = ()
     previous_turn_id: str = ""
     session_id: str = ""
-    finish_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,8 +51,6 @@
         running: Requests running at the replica; None if unspecified.
         waiting: Requests queued at the replica.
         retry_after_s: Delay before the next attempt; None if unspecified.
-        slowdown_percent: Momentary duration of work on the replica's machine;
-            100 is normal, None if unspecified.
     """
 
     is_rejected: bool
@@ -63,7 +58,6 @@
     running: int | None = None
     waiting: int = 0
     retry_after_s: float | None = None
-    slowdown_percent: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -40,14 +40,12 @@
             response to a stream had begun, else UNKNOWN.
         reason: Short description for logs.
         retry_after_s: Delay that the replica asked for; None if unspecified.
-        is_refused: Whether the replica is up but takes no more calls.
     """
 
     replica_id: str
     ran: Executed
     reason: str
     retry_after_s: float | None = None
-    is_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -303,8 +301,6 @@
             # of replicas does not show it yet.
             state.record_failure(asyncio.get_running_loop().time())
             self.crashes.record_end(state)
-        else:
-            state.record_refusal(asyncio.get_running_loop().time())
         call.possible_runs -= 1
         try:
             async with asyncio.timeout(_REJECTION_BODY_TIMEOUT_S):
@@ -320,7 +316,6 @@
             Executed.NO,
             f"rejected with status {head.status}",
             metadata.retry_after_s,
-            is_refused=head.status != 421,
         )
 
     def _record_load(
@@ -329,14 +324,7 @@
         if metadata.running is None:
             return
         now = asyncio.get_running_loop().time()
-        state.record_load(
-            ReportedLoad(
-                metadata.running,
-                metadata.waiting,
-                now,
-                metadata.slowdown_percent,
-            )
-        )
+        state.record_load(ReportedLoad(metadata.running, metadata.waiting, now))
 
     def _failure(
         self,
@@ -345,8 +333,6 @@
         ran: Executed,
         reason: str,
         retry_after_s: float | None = None,
-        *,
-        is_refused: bool = False,
     ) -> AttemptFailure:
         self._metrics.count("upstream_failures_total", ran=ran.value)
         logs.write_bounded(
@@ -358,9 +344,7 @@
             reason=reason,
             content="" if ran is Executed.NO else call.content_digest,
         )
-        return AttemptFailure(
-            state.replica.id, ran, reason, retry_after_s, is_refused
-        )
+        return AttemptFailure(state.replica.id, ran, reason, retry_after_s)
 
 
 def _reason(error: BaseException) -> str:
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -33,9 +33,6 @@
 from masticdale_routing.routes import Configuration, Route, Service
 from masticdale_workspaces import Workspace
 
-# A call that waits for a slot may be refused by replicas many times.
-_MAX_LOGGED_REPLICAS = 16
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayDependencies:
@@ -90,10 +87,7 @@
             self.pool, dependencies.codec, dependencies.metrics, self._crashes
         )
         self._unary = UnaryRelay(
-            dependencies.fleet,
-            sender,
-            dependencies.settings,
-            dependencies.metrics,
+            dependencies.fleet, sender, dependencies.settings
         )
         self._streams = StreamRelay(
             dependencies.fleet,
@@ -117,10 +111,6 @@
             collections.Counter(c.state.value for c in self._connections)
         )
 
-    def waiting_calls(self) -> dict[str, int]:
-        """Returns the number of calls that wait for a slot, by service."""
-        return self._unary.waiting.count_by_service()
-
     @property
     def is_idle(self) -> bool:
         """Whether no caller is owed a response."""
@@ -444,7 +434,7 @@
             status=writer.status,
             outcome=kind,
             detail=failure.detail if failure else "",
-            replicas=call.replica_ids[-_MAX_LOGGED_REPLICAS:] if call else [],
+            replicas=call.replica_ids if call else [],
             content=call.content_digest if call and failure else "",
             events=call.events if call else 0,
             took_ms=round(took_s * 1000, 1),
@@ -461,6 +451,6 @@
     if writer.status:
         writer.abort()
         return None
-    if call.possible_runs:
+    if call.replica_ids:
         return Failure(ErrorKind.OUTCOME_UNKNOWN, "the host is stopping")
     return Failure(ErrorKind.STOPPING)
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -1,15 +1,13 @@
 """Known replicas, and the choice of one for a request."""
 
 import collections
+import dataclasses
 import random
 from collections.abc import Iterable
 
 from masticdale_common import hashing
-from masticdale_routing.call_paces import CallPaces
 from masticdale_routing.failures import ReplicaFailures
-from masticdale_routing.replicas import Replica, ReplicaState, ReportedLoad
-
-__all__ = ["Fleet", "Replica", "ReplicaState", "ReportedLoad"]
+from masticdale_routing.retries import CircuitBreaker, CircuitBreakerSettings
 
 # Utilization of a key's first replica at which a request may spill over to the
 # key's second replica. Below it, batching slows each token only slightly,
@@ -19,6 +17,8 @@
 # compared for requests without a key; it stands for the network latency: about
 # 2 ms, against some 20 ms of work for each request in a queue of six slots.
 _OTHER_DOMAIN_PENALTY = 0.12
+# Utilization added to a replica that is still warming up.
+_COLD_PENALTY = 0.5
 # Utilization added to a replica that has failed recently. Another one is
 # chosen unless it is so busy that requests would have to wait there.
 _FAILED_PENALTY = 0.7
@@ -26,6 +26,133 @@
 # be repeated return first: if they fail too, no other request is lost.
 _AVOID_REPEATABLE_S = 1.5
 _AVOID_UNREPEATABLE_S = 6.0
+# Reported load older than this, in seconds, is ignored.
+_LOAD_REPORT_MAX_AGE_S = 0.5
+# The open periods are short compared with a replica's restart, so that a
+# restarted replica gets requests soon.
+_CIRCUIT_SETTINGS = CircuitBreakerSettings(
+    failures_to_open=2, initial_open_s=0.5, max_open_s=4.0
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replica:
+    """A replica as the platform lists it.
+
+    Attributes:
+        id: Changes with each start, unless ``started_at_ms`` changes instead.
+        service: Name of its service.
+        address: Its IP address.
+        port: Its port.
+        failure_domain: Its failure domain.
+        slots: Requests that it runs concurrently.
+        is_draining: Whether it takes no new requests.
+        warmup_remaining_ms: Time until it reaches its full speed.
+        started_at_ms: Unix time of its start in milliseconds; 0 if unknown.
+    """
+
+    id: str
+    service: str
+    address: str
+    port: int
+    failure_domain: str
+    slots: int
+    is_draining: bool
+    warmup_remaining_ms: float = 0.0
+    started_at_ms: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies one start of the replica; an id may be used again."""
+        return f"{self.id}/{self.started_at_ms}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Load that a replica reported with a response.
+
+    Attributes:
+        running: Requests in progress.
+        waiting: Requests in its queue.
+        at: Event loop time of the response, in seconds.
+    """
+
+    running: int
+    waiting: int
+    at: float
+
+
+class ReplicaState:
+    """A replica's state as seen by this host's own requests.
+
+    Attributes:
+        replica: The latest entry of the platform's list.
+        in_flight: Requests of this host in progress at the replica.
+        circuit: Its circuit breaker.
+        is_listed: Whether the platform's list still has this process.
+    """
+
+    def __init__(
+        self, replica: Replica, failures: ReplicaFailures | None = None
+    ) -> None:
+        self.replica = replica
+        self._failures = failures or ReplicaFailures()
+        self.in_flight = 0
+        self.circuit = CircuitBreaker(_CIRCUIT_SETTINGS)
+        self.is_listed = True
+        self._load: ReportedLoad | None = None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the platform has announced the end of this process."""
+        return self.replica.is_draining or not self.is_listed
+
+    def record_failure(
+        self, now: float, *, is_replica_fault: bool = True
+    ) -> None:
+        """Records a request that failed at the replica.
+
+        Args:
+            now: Event loop time in seconds.
+            is_replica_fault: Whether other hosts should learn of it. A request
+                that takes longer than its own deadline says nothing about the
+                replica; if it counted, all replicas would look alike soon.
+        """
+        self.circuit.record_failure(now)
+        if is_replica_fault:
+            self._failures.record(self.replica.id, now)
+
+    def record_load(self, load: ReportedLoad) -> None:
+        """Records the latest reported load."""
+        self._load = load
+
+    def utilization(self, now: float) -> float:
+        """Returns the estimated share of busy slots; may exceed 1.
+
+        It is based on the larger of this host's requests and the replica's own
+        report, if recent, plus a penalty during warm-up.
+        """
+        busy = self.in_flight
+        if (
+            self._load is not None
+            and now - self._load.at < _LOAD_REPORT_MAX_AGE_S
+        ):
+            busy = max(busy, self._load.running + self._load.waiting)
+        return busy / max(1, self.replica.slots) + self.warmup_penalty
+
+    def is_usable_for(self, service: str, now: float) -> bool:
+        """Whether it runs requests of a service and its circuit admits one."""
+        replica = self.replica
+        return (
+            replica.service == service
+            and not replica.is_draining
+            and self.circuit.allows(now)
+        )
+
+    @property
+    def warmup_penalty(self) -> float:
+        """Utilization to add while the replica is warming up, else 0."""
+        return _COLD_PENALTY if self.replica.warmup_remaining_ms > 0 else 0.0
 
 
 class Fleet:
@@ -33,16 +160,12 @@
 
     Attributes:
         failures: Recent failures of replicas, also at other hosts.
-        call_paces: Durations of unary calls.
     """
 
     def __init__(self, failure_domain: str, seed: int | None = None) -> None:
         self.failures = ReplicaFailures()
-        self.call_paces = CallPaces()
         self._failure_domain = failure_domain
         self._random = random.Random(seed)
-        # Separate, so that reports do not change the choices made without them.
-        self._jitter = random.Random(seed)
         self._state_by_id: dict[str, ReplicaState] = {}
         self._state_by_id_by_service: dict[str, dict[str, ReplicaState]] = (
             collections.defaultdict(dict)
@@ -71,7 +194,7 @@
         if state is None or _is_restarted(state.replica, replica):
             if state is not None:
                 state.is_listed = False
-            state = ReplicaState(replica, self.failures, self._jitter)
+            state = ReplicaState(replica, self.failures)
         state.replica = replica
         self._state_by_id[replica.id] = state
         self._state_by_id_by_service[replica.service][replica.id] = state
@@ -110,63 +233,6 @@
         states = self.eligible(service, excluded)
         return [s for s in states if s.circuit.allows(now)] or states
 
-    def reports_slowdown(self, service: str) -> bool:
-        """Returns whether a replica of a service has reported a slowdown."""
-        state_by_id = self._state_by_id_by_service.get(service, {})
-        return any(state.reports_slowdown for state in state_by_id.values())
-
-    def paces(self, service: str, now: float) -> dict[str, float]:
-        """Returns the pace of each replica of a service, by id.
-
-        The pace is the duration of unary calls relative to the median replica.
-        """
-        states = self._state_by_id_by_service.get(service, {}).values()
-        pace_by_incarnation = self.call_paces.pace_by_replica(
-            (state.replica.incarnation for state in states), now
-        )
-        return {
-            state.replica.id: pace_by_incarnation[state.replica.incarnation]
-            for state in states
-        }
-
-    def expected_call_s(self, service: str, route: str) -> float:
-        """Returns the usual duration of a route's calls; 0 if unknown."""
-        states = self._state_by_id_by_service.get(service, {}).values()
-        return self.call_paces.expected_s(
-            route, (state.replica.incarnation for state in states)
-        )
-
-    def room_in_s(
-        self, service: str, now: float, excluded: Iterable[str] = ()
-    ) -> float | None:
-        """Returns when a replica may have a free slot.
-
-        Args:
-            service: Name of the service.
-            now: Event loop time in seconds.
-            excluded: Ids of replicas to skip.
-
-        Returns:
-            Seconds, 0 if one may have room now; None without a usable replica.
-        """
-        return min(
-            (s.full_for_s(now) for s in self.healthy(service, now, excluded)),
-            default=None,
-        )
-
-    def shortest_queue_s(self, service: str, now: float) -> float:
-        """Returns the shortest wait that a service's replicas predict."""
-        states = self.healthy(service, now)
-        return min((state.queue_s(now) for state in states), default=0.0)
-
-    def count_full(self, service: str, now: float) -> int:
-        """Returns the number of a service's replicas believed full."""
-        return sum(s.full_for_s(now) > 0 for s in self.eligible(service))
-
-    def count_slots(self, service: str) -> int:
-        """Returns the number of slots of all usable replicas of a service."""
-        return sum(max(1, s.replica.slots) for s in self.eligible(service))
-
     def choose(
         self,
         service: str,
@@ -184,9 +250,7 @@
             service: Name of the service.
             key: Affinity key, such as a program's id; requests of one key go
                 to the replica that caches their prefix. None for stateless
-                requests, which go to the replica with the earliest expected
-                finish if replicas of the service report their slowdown, else
-                to the least utilized.
+                requests, which go to the least utilized replica.
             now: Event loop time in seconds.
             excluded: Ids of replicas to skip.
             assigned_id: Id of the replica that a shard owner has assigned;
@@ -216,8 +280,6 @@
                 if may_be_repeated
                 else _AVOID_UNREPEATABLE_S
             )
-            if self.reports_slowdown(service):
-                return self._choose_earliest_finish(healthy, avoided_s, now)
             return self._choose_least_utilized(healthy, avoided_s, now)
         return self._choose_by_key(healthy, key, now)
 
@@ -249,31 +311,6 @@
         order = self._random.sample(states, len(states))
         return min(order, key=cost)
 
-    def _choose_earliest_finish(
-        self, states: list[ReplicaState], avoided_s: float, now: float
-    ) -> ReplicaState:
-        """Chooses by the expected finish, in usual durations of a call.
-
-        A replica that may have room goes before a full one, and one that has
-        not failed lately before one that has: its pace says nothing then.
-        """
-        pace_by_id = self.paces(states[0].replica.service, now)
-
-        def cost(state: ReplicaState) -> tuple[bool, bool, float]:
-            replica = state.replica
-            work = 1 + state.requests_per_slot(now)
-            finish = work * pace_by_id[replica.id] * state.slowdown(now)
-            if replica.failure_domain != self._failure_domain:
-                finish += _OTHER_DOMAIN_PENALTY
-            return (
-                state.full_for_s(now) > 0,
-                self.failures.has_failed(replica.id, avoided_s, now),
-                finish,
-            )
-
-        order = self._random.sample(states, len(states))
-        return min(order, key=cost)
-
 
 def _is_restarted(old: Replica, new: Replica) -> bool:
     return old.started_at_ms != new.started_at_ms or (
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -69,7 +69,6 @@
         fatal_target: Requests whose target contains this are FATAL; empty for
             none.
         fatal_body: Requests with this body are FATAL; empty for none.
-        load: Value of its header Server-Load.
         ends_after_s: Time after which a FATAL request ends it, also if its
             client has left, in seconds; 0 to end after ``processing_s`` if the
             client is still there.
@@ -85,7 +84,6 @@
     fatal_target: str = ""
     fatal_body: bytes = b""
     ends_after_s: float = 0.0
-    load: str = "1,0,8"
 
 
 class FakeReplica:
@@ -231,7 +229,7 @@
         return {
             "Request-Id": request_id,
             "Response-Seal": f"seal-{self.id}-{request_id}",
-            "Server-Load": self.behaviour.load,
+            "Server-Load": "1,0,8",
         }
 
     async def _send_unary(
