Tell the balancer while no storage host answers an entry host

Other entry hosts reach the storage hosts, so that such a host becomes unready after a second. After a loss of all hosts all would be unready, which the balancer takes like all being ready.

Not built: relaying the calls through another entry host, as calls to the store are.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -125,6 +125,7 @@
         self._status_servers: list[asyncio.Server] = []
         self._listener: asyncio.Server | None = None
         self._is_stopping = False
+        self._is_cut_off = False
         incarnation = f"{time.time_ns():x}-{uuid.uuid4().hex[:8]}"
         peers_bind = _required(settings.peers)
         peers_address = _required(settings.effective_peers_address)
@@ -395,7 +396,12 @@
         logs.write("listening", address=str(callers))
 
     def _readiness(self) -> tuple[int, bytes]:
-        return (200 if self.is_ready else 503), b""
+        now = asyncio.get_running_loop().time()
+        is_cut_off = self._histories.is_cut_off(now)
+        if is_cut_off != self._is_cut_off:
+            self._is_cut_off = is_cut_off
+            logs.write("storage_hosts_reachable", reachable=not is_cut_off)
+        return (200 if self.is_ready and not is_cut_off else 503), b""
 
     def _start_watch(self, target: WatchTarget) -> None:
         watcher = Watcher(self._store, target, self._store.wait_before_retry)
--- a/apps/masticdale_entry/src/masticdale_entry/histories.py
+++ b/apps/masticdale_entry/src/masticdale_entry/histories.py
@@ -26,6 +26,11 @@
 _DEBOUNCE_S = 0.3
 
 
+# Time for which no storage host answers until the balancer is told, in seconds.
+# Longer than a restart of all hosts, after which all of them would be unready.
+_CUT_OFF_S = 1.0
+
+
 class EntryHistories:
     """``TurnHistory`` that starts with the first route that keeps histories.
 
@@ -62,6 +67,7 @@
         self._list_objects = list_objects
         self._directory: MemberDirectory | None = None
         self._client: HistoryClient | None = None
+        self._cut_off_since: float | None = None
 
     @property
     def is_started(self) -> bool:
@@ -107,6 +113,22 @@
             tolerated_losses=self._settings.tolerated_losses,
         )
 
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether no storage host has answered for a while.
+
+        Another entry host may reach them, so that callers are better served
+        there.
+
+        Args:
+            now: Event loop time in seconds.
+        """
+        if self._client is None or not self._client.is_cut_off:
+            self._cut_off_since = None
+            return False
+        if self._cut_off_since is None:
+            self._cut_off_since = now
+        return now - self._cut_off_since >= _CUT_OFF_S
+
     def close_idle(self) -> None:
         """Closes the connections that were idle for too long."""
         if self._client is not None:
--- a/apps/masticdale_entry/tests/test_kept_turns.py
+++ b/apps/masticdale_entry/tests/test_kept_turns.py
@@ -1,6 +1,7 @@
 """Tests of turns that continue others, through real hosts."""
 
 import asyncio
+import contextlib
 import subprocess
 import sys
 import unittest
@@ -12,6 +13,7 @@
 from test_stopping_orders import OrderCase
 from test_workspaces import KEY
 
+from masticdale_adapter import READINESS_PATH
 from masticdale_standins.replicas import ReplicaFault
 
 
@@ -132,6 +134,33 @@
         self.assertEqual(self.bodies(), {})
 
 
+class CutOffTest(KeptCase):
+    async def test_the_balancer_is_told_while_no_storage_host_answers(self):
+        """Guards against callers that stay at a host which can keep nothing."""
+        host = self.hosts[0]
+        await self.run_turn("t1")
+        self.assertEqual(await self.readiness(host), 200)
+        for storage in self.storage_hosts:
+            await storage.stop()
+        with contextlib.suppress(httpx.RemoteProtocolError):
+            await self.run_turn("t2")
+        await self.until_readiness(host, 503)
+        for storage in self.storage_hosts:
+            await storage.start()
+        await self.until_readiness(host, 200)
+
+    async def readiness(self, host):
+        response = await host.fetch(host.ports[1], READINESS_PATH)
+        return response.status_code
+
+    async def until_readiness(self, host, status):
+        for _ in range(100):
+            if await self.readiness(host) == status:
+                return
+            await asyncio.sleep(0.05)
+        self.fail(f"readiness is not {status} after 5 s")
+
+
 class EndTest(KeptCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -200,6 +200,15 @@
         detail = f"{with_room} of {self._copies} storage hosts take turns"
         return Failure(ErrorKind.HISTORY_UNAVAILABLE, detail)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether storage hosts are listed and none of them answers."""
+        now = asyncio.get_running_loop().time()
+        members = self._directory.members()
+        return bool(members) and not any(
+            self._calls.states.is_reachable(member, now) for member in members
+        )
+
     async def save(
         self,
         request_id: str,
