--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -17,6 +17,7 @@
     Drain,
 )
 from masticdale_soak.faults import ExecutedStep
+from masticdale_soak.history_checks import find_wrong_histories
 from masticdale_soak.load_generator import (
     BUDGET_TOKENS,
     DEADLINE_S,
@@ -462,31 +463,9 @@
 
 
 def _histories(observations: Observations) -> Findings:
-    """A replica gets the whole chain, and no kept turn is unknown.
-
-    A chain is what was sent and received before, byte for byte.
-    """
-    attempt_by_id = {a.request_id: a for a in observations.attempts}
-    for run in observations.runs:
-        attempt = attempt_by_id.get(run.request_id)
-        if attempt is None or attempt.kind is not RequestKind.CONVERSATION:
-            continue
-        expected = _chain(attempt, attempt_by_id) + attempt.content
-        if run.body != expected:
-            yield run.request_id, f"{run.body!r} instead of {expected!r}"
-    for attempt in observations.attempts:
-        is_unknown = attempt.status == httpx.codes.NOT_FOUND
-        if attempt.kind is RequestKind.CONVERSATION and is_unknown:
-            yield attempt.request_id, f"{attempt.previous_id} is unknown"
-
-
-def _chain(attempt: Attempt, attempt_by_id: dict[str, Attempt]) -> bytes:
-    """Returns the inputs and outputs of the turns before a turn."""
-    if not attempt.previous_id:
-        return b""
-    previous = attempt_by_id[attempt.previous_id]
-    before = _chain(previous, attempt_by_id)
-    return before + previous.content + previous.event_content()
+    """A replica gets the whole chain, and no kept turn is unknown."""
+    bodies = [(run.request_id, run.body) for run in observations.runs]
+    return find_wrong_histories(observations.attempts, bodies)
 
 
 CHECK_BY_NAME: dict[str, Callable[[Observations], Findings]] = {
