Tell cut off hosts by their last calls to storage hosts

Calls to a silent host are repeated every 0.9 s, close to the second for which a failure counts as recent: a cut off host could have looked reachable now and then.

--- a/libs/history/src/masticdale_history/client.py
+++ b/libs/history/src/masticdale_history/client.py
@@ -203,11 +203,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether storage hosts are listed and none of them answers."""
-        now = asyncio.get_running_loop().time()
-        members = self._directory.members()
-        return bool(members) and not any(
-            self._calls.states.is_reachable(member, now) for member in members
-        )
+        return self._calls.is_cut_off
 
     async def save(
         self,
--- a/libs/history/src/masticdale_history/decisions.py
+++ b/libs/history/src/masticdale_history/decisions.py
@@ -87,6 +87,10 @@
         is_failing = state.failed_at is not None or state.refused_at is not None
         return is_failing or state.roomy_disk_id != member.disk_id
 
+    def has_answered(self, member: Member) -> bool:
+        """Returns whether the last call to a member, if any, was answered."""
+        return self._known_state(member).failed_at is None
+
     def is_reachable(self, member: Member, now: float) -> bool:
         """Returns whether no call to it has failed recently."""
         return not _is_recent(self._known_state(member).failed_at, now)
--- a/libs/history/src/masticdale_history/member_calls.py
+++ b/libs/history/src/masticdale_history/member_calls.py
@@ -119,6 +119,12 @@
             self._probe_until_recovered(member)
         return Failed(failure)
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether hosts are listed and the last call to each has failed."""
+        members = self._directory.members()
+        return bool(members) and not any(map(self.states.has_answered, members))
+
     def start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Starts a task that ``close`` ends if it is still running."""
         task = asyncio.create_task(coroutine)
