--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -524,6 +524,7 @@
                     "service": state.replica.service,
                     "in_flight": state.in_flight,
                     "draining": state.replica.is_draining,
+                    "software_version": state.replica.software_version,
                 }
                 for state in self._fleet.states()
             },
--- a/apps/masticdale_entry/src/masticdale_entry/watched_state.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watched_state.py
@@ -109,6 +109,7 @@
             replica=replica_id,
             service=replica.service,
             draining=replica.is_draining,
+            software_version=replica.software_version,
             revision=revision,
         )
         return True
--- a/libs/gateway/src/masticdale_gateway/codec.py
+++ b/libs/gateway/src/masticdale_gateway/codec.py
@@ -25,6 +25,8 @@
         previous_turn_id: The turn that this one continues, by the id of its
             request; empty for none.
         session_id: The session it belongs to; empty for none.
+        resumed_request_id: The request that brought the first event of the
+            stream that this one resumes; empty for a new stream.
     """
 
     request_id: str
@@ -38,6 +40,12 @@
     key_digests: tuple[str, ...] = ()
     previous_turn_id: str = ""
     session_id: str = ""
+    resumed_request_id: str = ""
+
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return bool(self.resumed_request_id or self.last_event_id)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -267,7 +267,11 @@
             assigned=call.assigned_replica_id,
             in_flight=state.in_flight,
             attempt=len(call.replica_ids),
-            last_event_id=options.last_event_id,
+            last_event_id=(
+                options.last_event_id or call.metadata.last_event_id
+            ),
+            resumes=call.metadata.resumed_request_id,
+            software_version=state.replica.software_version,
         )
         call.possible_runs += 1
         call.suspected_keys = self.crashes.suspected_keys(call)
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -49,6 +49,8 @@
         is_draining: Whether it takes no new requests.
         warmup_remaining_ms: Time until it reaches its full speed.
         started_at_ms: Unix time of its start in milliseconds; 0 if unknown.
+        software_version: Version of its software, which is not that of the
+            model's weights; empty if unknown.
     """
 
     id: str
@@ -60,6 +62,7 @@
     is_draining: bool
     warmup_remaining_ms: float = 0.0
     started_at_ms: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
