--- /dev/null
+++ b/apps/masticdale_entry/tests/test_software_versions.py
@@ -0,0 +1,182 @@
+"""Tests of streams while replicas of two software versions serve."""
+
+import asyncio
+import dataclasses
+import re
+
+import httpx
+from case import HOST, STREAMING, EntryCase, turn_headers
+
+from masticdale_standins.replicas import FakeReplica
+
+OLD = "v1"
+NEW = "v1.2"
+EVENTS = 12
+EVENT_INTERVAL_S = 0.04
+# Time after which every stream has some of its events.
+SOME_EVENTS_S = 0.25
+# Time until each host has heard of new replicas, and until the shards of a
+# lost host answer again.
+LIST_DELAY_S = 0.8
+# Time from the loss of a host until its callers come back.
+RETURN_DELAY_S = 0.1
+# As the users' rules state it, the least share of streams that go on while two
+# replicas of their version serve.
+LEAST_RESUMED_SHARE = 0.5
+
+
+@dataclasses.dataclass
+class CallerStream:
+    """What a caller has of one stream, over all of its requests.
+
+    Attributes:
+        request_id: The request that brought its first event.
+        program: Its program; empty for none.
+        events: Number and replica of each event.
+        status: Status of the last response.
+        is_complete: Whether a response ended as a whole.
+    """
+
+    request_id: str
+    program: str = ""
+    events: list[tuple[int, str]] = dataclasses.field(default_factory=list)
+    status: int = 0
+    is_complete: bool = False
+
+    @property
+    def has_gone_on(self):
+        numbers = [number for number, _ in self.events]
+        return self.is_complete and numbers == list(range(1, EVENTS + 1))
+
+
+class SoftwareVersionCase(EntryCase):
+    """Three hosts, and three engines of each of two versions."""
+
+    async def asyncSetUp(self):
+        await self.start_stand_ins()
+        self.version_by_id = {}
+        for engine in self.engines:
+            self.list_engine(engine, OLD)
+        await self.add_engine(OLD)
+        for _ in range(3):
+            await self.add_engine(NEW)
+        self.set_engines(events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+        for number in range(3):
+            await self.add_host(f"host-{number}")
+        await self.wait_shards_owned()
+        # Shards get their standbys a little later.
+        await asyncio.sleep(LIST_DELAY_S)
+
+    def list_engine(self, engine, version, **changes):
+        self.version_by_id[engine.id] = version
+        entry = engine.entry(version=version, **changes)
+        self.store.put("servers", engine.id, entry)
+
+    async def add_engine(self, version):
+        engine = FakeReplica("engine", True)
+        await engine.start()
+        engine.behaviour = dataclasses.replace(self.engines[0].behaviour)
+        self.engines.append(engine)
+        self.list_engine(engine, version)
+        return engine
+
+    async def end_engine(self, engine):
+        """Ends an engine for good, as a crash does."""
+        self.engines.remove(engine)
+        await engine.stop()
+        self.store.remove("servers", engine.id)
+
+    def engine_that_runs(self, request_id):
+        (engine,) = (
+            engine
+            for engine in self.engines
+            for request in engine.executed_requests
+            if request.header_by_name["request-id"] == request_id
+        )
+        return engine
+
+    def versions_of(self, stream):
+        return {self.version_by_id[replica] for _, replica in stream.events}
+
+    async def ask(self, stream, host, request_id):
+        """Sends one request of a caller, and takes what it brings."""
+        headers = {"Host": HOST}
+        headers |= turn_headers(request_id, stream.program)
+        if stream.events:
+            headers["Last-Event-Id"] = str(stream.events[-1][0])
+            headers["Resumes"] = stream.request_id
+        text = ""
+        try:
+            async with host.http.stream(
+                "POST", STREAMING + stream.request_id, headers=headers
+            ) as response:
+                stream.status = response.status_code
+                if response.status_code != 200:
+                    return
+                async for chunk in response.aiter_text():
+                    text += chunk
+            stream.is_complete = True
+        except httpx.HTTPError:
+            stream.is_complete = False
+        finally:
+            found = re.findall(r"data: piece (\d+)\.0 of \S+ by (\S+)", text)
+            stream.events += [(int(n), replica) for n, replica in found]
+
+    def begin(self, stream, host):
+        return asyncio.create_task(self.ask(stream, host, stream.request_id))
+
+    async def resume(self, stream, host, request_id="again"):
+        await asyncio.sleep(RETURN_DELAY_S)
+        await self.ask(stream, host, request_id)
+
+    def assert_goes_on(self, stream):
+        self.assertTrue(stream.has_gone_on, stream)
+        self.assertEqual(len(self.versions_of(stream)), 1, stream)
+
+
+class InterruptedStreamTest(SoftwareVersionCase):
+    async def test_it_goes_on_at_the_version_that_began_it(self):
+        """Guards against one answer with events of two versions."""
+        for number in range(4):
+            stream = CallerStream(f"s{number}")
+            task = self.begin(stream, self.hosts[0])
+            await asyncio.sleep(SOME_EVENTS_S)
+            engine = self.engine_that_runs(stream.request_id)
+            version = self.version_by_id[engine.id]
+            await self.end_engine(engine)
+            await task
+            self.assert_goes_on(stream)
+            await self.add_engine(version)
+            await asyncio.sleep(LIST_DELAY_S)
+
+
+class ResumedStreamTest(SoftwareVersionCase):
+    async def test_streams_of_a_lost_host_go_on_at_their_version(self):
+        """Guards against events of two versions over a caller's requests."""
+        await self.check_streams_of_a_lost_host("")
+
+    async def test_turns_of_a_lost_host_go_on_at_their_version(self):
+        """Guards against the same where the program's owner is lost too."""
+        await self.check_streams_of_a_lost_host("p")
+
+    async def check_streams_of_a_lost_host(self, program):
+        lost, *others = self.hosts
+        streams = [
+            CallerStream(f"{program}s{n}", program and f"{program}{n}")
+            for n in range(16)
+        ]
+        tasks = [self.begin(stream, lost) for stream in streams]
+        await asyncio.sleep(SOME_EVENTS_S)
+        await lost.kill()
+        await asyncio.gather(*tasks)
+        self.assertTrue(all(stream.events for stream in streams))
+        await asyncio.gather(
+            *(
+                self.resume(stream, others[n % 2], f"{program}r{n}")
+                for n, stream in enumerate(streams)
+            )
+        )
+        mixed = [s for s in streams if len(self.versions_of(s)) > 1]
+        self.assertEqual(mixed, [])
+        resumed = sum(stream.has_gone_on for stream in streams)
+        self.assertGreaterEqual(resumed, LEAST_RESUMED_SHARE * len(streams))
