Keep an interrupted stream at the software version that began it

Callers saw one answer with events of two software versions of a service (ORDER).

Cause: after an interruption the relay chose among all replicas of the service; the version of their software was not even read. The class: replicas of a service taken for interchangeable in the middle of a stream.

A call now knows the origin of its stream from the first event on, and every later choice (the same replica, an assigned one, by key, isolated contents) is among replicas of that version. A replica that returns under its id at another version is another process. If only draining replicas of the version are left, one that began to drain less than 1 s ago is used. If none is left, the answer is broken off at once.

The wait for events in these tests asks for an event of each stream in place of a fixed time.

--- a/apps/masticdale_entry/src/masticdale_entry/watched_state.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watched_state.py
@@ -103,7 +103,7 @@
         if handle is not None:
             handle.cancel()
         replica = outcome.unwrap()
-        self._fleet.put(replica)
+        self._fleet.put(replica, asyncio.get_running_loop().time())
         logs.write_bounded(
             "replica_listed",
             replica=replica_id,
--- a/apps/masticdale_entry/tests/test_software_versions.py
+++ b/apps/masticdale_entry/tests/test_software_versions.py
@@ -12,9 +12,9 @@
 OLD = "v1"
 NEW = "v1.2"
 EVENTS = 12
-EVENT_INTERVAL_S = 0.04
-# Time after which every stream has some of its events.
-SOME_EVENTS_S = 0.25
+EVENT_INTERVAL_S = 0.08
+# Most time until every stream has an event; a stream lasts longer, in seconds.
+BEGIN_S = EVENTS * EVENT_INTERVAL_S
 # Time until each host has heard of new replicas, and until the shards of a
 # lost host answer again.
 LIST_DELAY_S = 0.8
@@ -49,6 +49,12 @@
         return self.is_complete and numbers == list(range(1, EVENTS + 1))
 
 
+def events_in(text):
+    """Returns number and replica of each whole event in a stream."""
+    found = re.findall(r"data: piece (\d+)\.0 of \S+ by (\S+)\n\n", text)
+    return [(int(number), replica) for number, replica in found]
+
+
 class SoftwareVersionCase(EntryCase):
     """Three hosts, and three engines of each of two versions."""
 
@@ -106,6 +112,7 @@
             headers["Last-Event-Id"] = str(stream.events[-1][0])
             headers["Resumes"] = stream.request_id
         text = ""
+        before = list(stream.events)
         try:
             async with host.http.stream(
                 "POST", STREAMING + stream.request_id, headers=headers
@@ -115,16 +122,19 @@
                     return
                 async for chunk in response.aiter_text():
                     text += chunk
+                    stream.events = before + events_in(text)
             stream.is_complete = True
         except httpx.HTTPError:
             stream.is_complete = False
-        finally:
-            found = re.findall(r"data: piece (\d+)\.0 of \S+ by (\S+)", text)
-            stream.events += [(int(n), replica) for n, replica in found]
 
     def begin(self, stream, host):
         return asyncio.create_task(self.ask(stream, host, stream.request_id))
 
+    async def wait_for_events(self, streams):
+        async with asyncio.timeout(BEGIN_S):
+            while not all(stream.events for stream in streams):
+                await asyncio.sleep(EVENT_INTERVAL_S / 4)
+
     async def resume(self, stream, host, request_id="again"):
         await asyncio.sleep(RETURN_DELAY_S)
         await self.ask(stream, host, request_id)
@@ -140,7 +150,7 @@
         for number in range(4):
             stream = CallerStream(f"s{number}")
             task = self.begin(stream, self.hosts[0])
-            await asyncio.sleep(SOME_EVENTS_S)
+            await self.wait_for_events([stream])
             engine = self.engine_that_runs(stream.request_id)
             version = self.version_by_id[engine.id]
             await self.end_engine(engine)
@@ -166,10 +176,9 @@
             for n in range(16)
         ]
         tasks = [self.begin(stream, lost) for stream in streams]
-        await asyncio.sleep(SOME_EVENTS_S)
+        await self.wait_for_events(streams)
         await lost.kill()
         await asyncio.gather(*tasks)
-        self.assertTrue(all(stream.events for stream in streams))
         await asyncio.gather(
             *(
                 self.resume(stream, others[n % 2], f"{program}r{n}")
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -13,6 +13,7 @@
 from masticdale_routing.assignments import TurnEnd, TurnPrompt
 from masticdale_routing.crashes import target_key
 from masticdale_routing.routes import Route, RouteKind, Service
+from masticdale_routing.versions import StreamOrigin
 from masticdale_workspaces import UsageClaim, Workspace
 
 if TYPE_CHECKING:
@@ -49,6 +50,8 @@
         trial_keys: The ``suspicion_keys`` that are held back, and for which
             this is the one run that may show whether they still end replicas.
         kept_turn: The turn to record; None if its history is not kept.
+        origin: Where the first event of the stream came from; None before it
+            and for other calls.
     """
 
     request: Request
@@ -68,6 +71,7 @@
     suspected_keys: tuple[str, ...] = ()
     trial_keys: tuple[str, ...] = ()
     kept_turn: "KeptTurn | None" = None
+    origin: StreamOrigin | None = None
     _content_digest: str = dataclasses.field(default="", init=False, repr=False)
 
     @property
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -21,7 +21,7 @@
     MalformedResponseError,
     UpstreamConnection,
 )
-from masticdale_routing.fleet import ReplicaState, ReportedLoad
+from masticdale_routing.fleet import Replica, ReplicaState, ReportedLoad
 
 # Time limit for the body of a rejection, which is read so that the connection
 # can be reused.
@@ -93,8 +93,13 @@
         self._is_lost = False
 
     @property
-    def replica_id(self) -> str:
+    def replica(self) -> Replica:
         """The replica that sends the response."""
+        return self._state.replica
+
+    @property
+    def replica_id(self) -> str:
+        """The id of that replica."""
         return self._state.replica.id
 
     async def read_chunk(self, timeout_s: float) -> Result[bytes | None, str]:
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -22,6 +22,7 @@
 )
 from masticdale_gateway.unary import BufferedResponse, no_upstream_failure
 from masticdale_routing.fleet import Fleet, ReplicaState
+from masticdale_routing.versions import StreamOrigin
 
 # A connection that was idle for longer may have been dropped on the network. A
 # request sent on it would get no response until the attempt times out. A new
@@ -104,10 +105,17 @@
             call.placement_key,
             now,
             excluded,
-            call.assigned_replica_id,
+            self._preferred_id(call),
             isolation_key=self._sender.crashes.isolation_key(call),
+            software_version=_software_version(call),
         )
 
+    def _preferred_id(self, call: Call) -> str:
+        """Returns the replica that began the stream, or the assigned one."""
+        if call.origin is not None and self._fleet.find(call.origin.replica_id):
+            return call.origin.replica_id
+        return call.assigned_replica_id
+
     def _choose_next(
         self,
         call: Call,
@@ -123,11 +131,15 @@
         attempts is limited by ``RelaySettings.max_total_attempts``;
         ``Route.max_attempts`` does not apply to streams.
         """
-        ids = {s.replica.id for s in self._fleet.eligible(call.service.name)}
-        is_interrupted = last.ran is not Executed.NO
-        if is_interrupted and state.replica.id in ids:
-            return state
-        excluded.add(state.replica.id)
+        replica_id = state.replica.id
+        if last.ran is not Executed.NO:
+            eligible = self._fleet.eligible(
+                call.service.name, (), _software_version(call)
+            )
+            for same in eligible:
+                if same.replica.id == replica_id:
+                    return same
+        excluded.add(replica_id)
         return self._choose(call, excluded)
 
     def _options(self, call: Call, stream: "_Stream") -> AttemptOptions:
@@ -183,6 +195,8 @@
             except OversizedEventError:
                 return _Interrupted("oversized event")
             if events:
+                if call.origin is None:
+                    call.origin = _origin(call, exchange)
                 stream.start(self._codec, exchange)
                 await stream.forward(events)
                 wait_s = self._settings.next_event_timeout_s
@@ -223,6 +237,20 @@
         return Failure(ErrorKind.UPSTREAM_FAILED, reason)
 
 
+def _software_version(call: Call) -> str | None:
+    return call.origin.software_version if call.origin else None
+
+
+def _origin(call: Call, exchange: Exchange) -> StreamOrigin:
+    replica = exchange.replica
+    return StreamOrigin(
+        call.metadata.request_id,
+        replica.service,
+        replica.software_version,
+        replica.id,
+    )
+
+
 class _Stream:
     """Progress of forwarding one stream.
 
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -5,7 +5,7 @@
 import unittest
 
 from masticdale_common import Metrics
-from masticdale_gateway.codec import ResponseMetadata
+from masticdale_gateway.codec import RequestMetadata, ResponseMetadata
 from masticdale_gateway.crashes import CrashDependencies, CrashGuard
 from masticdale_gateway.exchanges import AttemptOptions, Sender
 from masticdale_routing.failures import ReplicaFailures
@@ -57,7 +57,7 @@
         request=types.SimpleNamespace(
             method=b"POST", target=b"/", headers=None, body=b""
         ),
-        metadata=types.SimpleNamespace(request_id="q", program_id="p"),
+        metadata=RequestMetadata("q", program_id="p"),
         remaining_s=3.0,
         replica_ids=[],
         assigned_replica_id="",
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 from collections.abc import Iterable
 
@@ -26,6 +27,9 @@
 # be repeated return first: if they fail too, no other request is lost.
 _AVOID_REPEATABLE_S = 1.5
 _AVOID_UNREPEATABLE_S = 6.0
+# Time for which a replica that has begun to drain still gets requests that no
+# other one may run, in seconds. It serves two seconds longer.
+_DRAINING_USE_S = 1.0
 # Reported load older than this, in seconds, is ignored.
 _LOAD_REPORT_MAX_AGE_S = 0.5
 # The open periods are short compared with a replica's restart, so that a
@@ -93,6 +97,8 @@
         in_flight: Requests of this host in progress at the replica.
         circuit: Its circuit breaker.
         is_listed: Whether the platform's list still has this process.
+        draining_since: Event loop time at which it was seen to begin draining,
+            in seconds; None if it does not drain or that was not seen.
     """
 
     def __init__(
@@ -103,6 +109,7 @@
         self.in_flight = 0
         self.circuit = CircuitBreaker(_CIRCUIT_SETTINGS)
         self.is_listed = True
+        self.draining_since: float | None = None
         self._load: ReportedLoad | None = None
 
     @property
@@ -185,11 +192,15 @@
         """Returns the state of each replica."""
         return self._state_by_id.values()
 
-    def put(self, replica: Replica) -> None:
+    def put(self, replica: Replica, now: float = -math.inf) -> None:
         """Adds or updates a replica.
 
         A replica that restarted under the same id has lost its cache and its
         requests, so its state is replaced too.
+
+        Args:
+            replica: The entry of the platform's list.
+            now: Event loop time in seconds.
         """
         state = self._state_by_id.get(replica.id)
         if state is not None and state.replica.service != replica.service:
@@ -198,6 +209,8 @@
             if state is not None:
                 state.is_listed = False
             state = ReplicaState(replica, self.failures)
+        elif replica.is_draining and not state.replica.is_draining:
+            state.draining_since = now
         state.replica = replica
         self._state_by_id[replica.id] = state
         self._state_by_id_by_service[replica.service][replica.id] = state
@@ -214,28 +227,65 @@
         return self._state_by_id.get(replica_id)
 
     def eligible(
-        self, service: str, excluded: Iterable[str] = ()
+        self,
+        service: str,
+        excluded: Iterable[str] = (),
+        software_version: str | None = None,
     ) -> list[ReplicaState]:
-        """Returns the service's replicas that are not draining or excluded."""
-        excluded_ids = set(excluded)
-        state_by_id = self._state_by_id_by_service.get(service, {})
+        """Returns the service's replicas that are not draining or excluded.
+
+        Args:
+            service: Name of the service.
+            excluded: Ids of replicas to skip.
+            software_version: The only version to return; None for any.
+        """
         return [
             state
-            for replica_id, state in state_by_id.items()
-            if replica_id not in excluded_ids and not state.replica.is_draining
+            for state in self._states_of(service, excluded, software_version)
+            if not state.replica.is_draining
         ]
 
     def healthy(
-        self, service: str, now: float, excluded: Iterable[str] = ()
+        self,
+        service: str,
+        now: float,
+        excluded: Iterable[str] = (),
+        software_version: str | None = None,
     ) -> list[ReplicaState]:
         """Returns the eligible replicas whose circuits admit requests.
 
         If all circuits are open, they are ignored: refusing every request
-        would also refuse those that some replica can serve.
+        would also refuse those that some replica can serve. If all replicas of
+        the one version that may run a request drain, those that have begun to
+        a moment ago are returned.
         """
-        states = self.eligible(service, excluded)
+        states = self.eligible(service, excluded, software_version)
+        if not states and software_version is not None:
+            states = [
+                state
+                for state in self._states_of(
+                    service, excluded, software_version
+                )
+                if state.draining_since is not None
+                and now - state.draining_since < _DRAINING_USE_S
+            ]
         return [s for s in states if s.circuit.allows(now)] or states
 
+    def _states_of(
+        self,
+        service: str,
+        excluded: Iterable[str],
+        software_version: str | None,
+    ) -> list[ReplicaState]:
+        excluded_ids = set(excluded)
+        state_by_id = self._state_by_id_by_service.get(service, {})
+        return [
+            state
+            for replica_id, state in state_by_id.items()
+            if replica_id not in excluded_ids
+            and software_version in (None, state.replica.software_version)
+        ]
+
     def choose(
         self,
         service: str,
@@ -246,6 +296,7 @@
         *,
         may_be_repeated: bool = True,
         isolation_key: str = "",
+        software_version: str | None = None,
     ) -> ReplicaState | None:
         """Chooses a replica for a request.
 
@@ -263,11 +314,13 @@
                 sent again; others avoid failing replicas for longer.
             isolation_key: Key of a request that may end replicas; all requests
                 with the same key go to one replica. Empty for other requests.
+            software_version: The only version that may run the request; None
+                for any.
 
         Returns:
             The chosen replica, or None if the service has no eligible one.
         """
-        healthy = self.healthy(service, now, excluded)
+        healthy = self.healthy(service, now, excluded, software_version)
         if not healthy:
             return None
         if isolation_key:
@@ -316,10 +369,14 @@
 
 
 def _is_restarted(old: Replica, new: Replica) -> bool:
-    return old.started_at_ms != new.started_at_ms or (
+    return (
+        old.started_at_ms,
         old.address,
         old.port,
+        old.software_version,
     ) != (
+        new.started_at_ms,
         new.address,
         new.port,
+        new.software_version,
     )
--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -98,8 +98,8 @@
 def ignore_drains():
     eligible = Fleet.eligible
 
-    def all_replicas(self, service, excluded=()):
-        del excluded
+    def all_replicas(self, service, excluded=(), software_version=None):
+        del excluded, software_version
         states = self._state_by_id_by_service.get(service, {})
         return list(states.values()) or eligible(self, service)
 
