Keep streams that callers resume at the version that began them

Cause: Resumes was read nowhere, and no host knew which replica had sent the events that a caller has. A resumed stream was placed as a new one; a program's turn met its version only where its replica happened to be kept. The class: state of a request that only the host that began it holds, needed once that host is lost.

The host that begins a stream tells two of the hosts that all know (owners and standbys of shards, seeds), chosen by the stream's id, before it sends the first event; it waits for one of them, 100 ms at most. A host to which the caller returns asks all of these. Nothing is sent while a service has had one version for as long as callers can resume a stream (twice the longest timeout of its routes), as this host has seen it without a gap; then any host can tell. When a second version appears, open streams are told of. What can't be told is refused at once, 503 and true, with stream_origin_unknown; nothing is guessed.

Ruled out: a wrong or late list (replicas were sent to under their own ids).

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -65,6 +65,7 @@
     ShardMap,
     ShardOwner,
     ShardReconciler,
+    SharedOrigins,
     SharedWatches,
     StandbyCopies,
     StandbyFailover,
@@ -73,6 +74,7 @@
 from masticdale_routing.assignments import TurnAssignments
 from masticdale_routing.crashes import CrashEvidence, Suspicion
 from masticdale_routing.fleet import Fleet
+from masticdale_routing.versions import VersionHistory
 from masticdale_rpc import Address, RpcServer
 
 # Size of the accept queue. It must hold a burst of some hundred callers, since
@@ -109,6 +111,9 @@
 # Interval at which a watch source deletes crash reports of hosts that are gone
 # and old trials.
 _DELETE_ABANDONED_INTERVAL_S = 600.0
+# Interval at which the versions of replicas are compared with what this host
+# still knows of the list, in seconds.
+_VERSIONS_INTERVAL_S = 0.5
 # Workspaces in the state dump.
 _MAX_DUMPED_USAGES = 100
 
@@ -156,6 +161,20 @@
             {REPORT_PREFIX: FOLLOW_WAIT_S},
         )
         self._fleet = Fleet(settings.failure_domain)
+        self._versions = VersionHistory(
+            self._fleet,
+            lambda: (
+                self._configuration.current.table
+                if self._configuration.current
+                else None
+            ),
+            lambda: not self._store.is_store_unreachable,
+        )
+        self._origins = SharedOrigins(
+            self._peer_clients,
+            self._versions,
+            self._metrics,
+        )
         self._crash_evidence = CrashEvidence()
         crash_notices = CrashNotices(
             settings.host, self._crash_evidence, self._peer_clients, live_hosts
@@ -236,6 +255,7 @@
             lambda: self._store.is_directly_reachable,
             self._fleet.failures,
             crash_notices,
+            self._origins,
         )
         self._ledger.admit_locally = service.admit
         self._peer_server = RpcServer(service, peers_bind, LEDGER)
@@ -260,6 +280,7 @@
                     self._crash_evidence, self._crash_trials
                 ),
                 history=self._histories,
+                origins=self._origins,
             )
         )
         self._register_dumps()
@@ -295,6 +316,11 @@
         """The contents under which replicas have ended, by their digest."""
         return self._crash_evidence.suspicions()
 
+    @property
+    def remembered_streams(self) -> int:
+        """Number of streams whose origin this host remembers for others."""
+        return self._origins.remembered
+
     def shard_of(self, program_id: str) -> int:
         """Returns the ledger shard of a program."""
         return hashing.shard_of(program_id, LEDGER_SHARD_COUNT)
@@ -326,7 +352,7 @@
             WatchTarget(
                 REPLICA_PREFIX,
                 _WATCH_TIMEOUT_S,
-                self._replicas.apply,
+                self._apply_replicas,
                 _REPLICAS_DEBOUNCE_S,
             )
         )
@@ -359,6 +385,7 @@
                 EXPIRY_INTERVAL_S,
                 self._crash_reports.expire,
             ),
+            ("versions", _VERSIONS_INTERVAL_S, self._review_versions),
             (
                 "abandoned-reports",
                 _DELETE_ABANDONED_INTERVAL_S,
@@ -413,6 +440,18 @@
         self._configuration.apply(batch, after_outage)
         self._histories.follow(self._configuration.current)
 
+    def _apply_replicas(self, batch: WatchBatch, after_outage: bool) -> None:
+        self._replicas.apply(batch, after_outage)
+        self._update_versions()
+
+    def _update_versions(self) -> None:
+        self._versions.update(asyncio.get_running_loop().time())
+        self._origins.review()
+
+    async def _review_versions(self) -> None:
+        if self._replicas.is_loaded:
+            self._update_versions()
+
     def _apply_shards(self, batch: WatchBatch, after_outage: bool) -> None:
         del after_outage
         is_first = not self._shard_map.is_loaded
@@ -541,6 +580,9 @@
         )
         self._dump.register("usage", self._dump_usage)
         self._dump.register("lease_age_s", lambda: self._lease.age_s)
+        self._dump.register(
+            "remembered_streams", lambda: self.remembered_streams
+        )
         self._dump.register("connections", self._relay.count_by_state)
         self._dump.register("history_hosts", self._histories.dump)
         self._dump.register("crash_suspects", self._dump_crash_suspects)
--- a/apps/masticdale_entry/tests/test_software_versions.py
+++ b/apps/masticdale_entry/tests/test_software_versions.py
@@ -3,10 +3,12 @@
 import asyncio
 import dataclasses
 import re
+import unittest.mock
 
 import httpx
-from case import HOST, STREAMING, EntryCase, turn_headers
+from case import HOST, STREAMING, EntryCase, event_ids, turn_headers
 
+from masticdale_routing import routes
 from masticdale_standins.replicas import FakeReplica
 
 OLD = "v1"
@@ -20,6 +22,8 @@
 LIST_DELAY_S = 0.8
 # Time from the loss of a host until its callers come back.
 RETURN_DELAY_S = 0.1
+# Most time for a refusal that waits for nothing, in seconds.
+AT_ONCE_S = 0.5
 # As the users' rules state it, the least share of streams that go on while two
 # replicas of their version serve.
 LEAST_RESUMED_SHARE = 0.5
@@ -189,3 +193,101 @@
         self.assertEqual(mixed, [])
         resumed = sum(stream.has_gone_on for stream in streams)
         self.assertGreaterEqual(resumed, LEAST_RESUMED_SHARE * len(streams))
+
+    async def interrupt(self, stream):
+        """Breaks a stream off with its host; returns its engine."""
+        task = self.begin(stream, self.hosts[0])
+        await self.wait_for_events([stream])
+        await self.hosts[0].kill()
+        await task
+        return self.engine_that_runs(stream.request_id)
+
+    async def test_a_stream_resumed_twice_stays_at_its_version(self):
+        """Guards against an origin that is known for one resumption only."""
+        stream = CallerStream("s")
+        await self.interrupt(stream)
+        task = asyncio.create_task(self.resume(stream, self.hosts[1], "r1"))
+        resumed_at = len(stream.events) + 2
+        async with asyncio.timeout(2 * BEGIN_S):
+            while len(stream.events) < resumed_at:
+                await asyncio.sleep(EVENT_INTERVAL_S / 4)
+        await self.hosts[1].kill()
+        await task
+        await self.resume(stream, self.hosts[2], "r2")
+        self.assert_goes_on(stream)
+
+    async def test_a_stream_whose_version_has_left_is_refused(self):
+        """Guards against going on at another version, or waiting in vain."""
+        stream = CallerStream("s")
+        engine = await self.interrupt(stream)
+        version = self.version_by_id[engine.id]
+        for other in list(self.engines):
+            if self.version_by_id[other.id] == version:
+                await self.end_engine(other)
+        await asyncio.sleep(LIST_DELAY_S)
+        await self.assert_is_refused(stream)
+
+    async def test_a_stream_that_no_host_knows_is_refused(self):
+        """Guards against guessing which version began a stream."""
+        await self.assert_is_refused(CallerStream("s", events=[(3, "i-0")]))
+
+    async def assert_is_refused(self, stream):
+        before = list(stream.events)
+        began_at = asyncio.get_running_loop().time()
+        await self.ask(stream, self.hosts[1], "refused")
+        took_s = asyncio.get_running_loop().time() - began_at
+        self.assertEqual((stream.status, stream.events), (503, before))
+        self.assertLess(took_s, AT_ONCE_S)
+        runs = [r for e in self.engines for r in e.executed_requests]
+        ids = {run.header_by_name["request-id"] for run in runs}
+        self.assertNotIn("refused", ids)
+
+    async def test_a_replica_that_returns_at_another_version(self):
+        """Guards against taking the id of a replica for its version."""
+        stream = CallerStream("s")
+        engine = await self.interrupt(stream)
+        before = self.version_by_id[engine.id]
+        await engine.stop()
+        await engine.start()
+        after = NEW if before == OLD else OLD
+        self.list_engine(engine, after, born=1_800_000_000_000)
+        self.version_by_id[engine.id] = before
+        await asyncio.sleep(LIST_DELAY_S)
+        events = len(stream.events)
+        await self.resume(stream, self.hosts[1])
+        self.assertTrue(stream.has_gone_on, stream)
+        self.assertNotIn(engine.id, {i for _, i in stream.events[events:]})
+
+
+class SingleVersionTest(EntryCase):
+    async def asyncSetUp(self):
+        # Otherwise hosts would have to run for as long as streams may last.
+        patch = unittest.mock.patch.object(routes, "_DEADLINE_TIMEOUTS", 0.02)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+        for engine in self.engines:
+            entry = engine.entry()
+            del entry["version"]
+            self.store.put("servers", engine.id, entry)
+        self.set_engines(events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+        self.other = await self.add_host("host-2")
+        await asyncio.sleep(LIST_DELAY_S)
+
+    async def test_a_stream_of_a_lost_host_goes_on_without_messages(self):
+        """Guards against refusing streams where one version has served.
+
+        The engines list no version, and the lost host has told nobody.
+        """
+        headers = {"Host": HOST} | turn_headers("s")
+        with self.assertRaises(httpx.HTTPError):
+            async with self.host.http.stream(
+                "POST", STREAMING, headers=headers
+            ) as response:
+                async for _ in response.aiter_text():
+                    await self.host.kill()
+        headers |= {"Request-Id": "r", "Resumes": "s", "Last-Event-Id": "2"}
+        response = await self.other.http.post(STREAMING, headers=headers)
+        self.assertEqual(response.status_code, 200)
+        self.assertEqual(event_ids(response.text), list(range(3, EVENTS + 1)))
+        self.assertEqual(self.other.entry.remembered_streams, 0)
--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -27,6 +27,7 @@
     OVERLOADED = "overloaded"
     QUARANTINED = "quarantined"
     CRASH_SUSPECT = "crash_suspect"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_FAILED = "upstream_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -143,6 +144,12 @@
         5000,
         "The request is held back: replicas that ran it have crashed.",
     ),
+    ErrorKind.STREAM_ORIGIN_UNKNOWN: ErrorResponse(
+        503,
+        Executed.NO,
+        100,
+        "The software version that began the stream is unknown; begin anew.",
+    ),
     ErrorKind.NO_UPSTREAM: ErrorResponse(
         503, Executed.NO, 2000, "No replica can serve the call now."
     ),
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -153,7 +153,7 @@
         if not self.is_stream:
             return None
         metadata = self.metadata
-        return metadata.program_id or metadata.prefix_key or metadata.request_id
+        return metadata.program_id or metadata.prefix_key or metadata.stream_id
 
 
 def _digest(*parts: bytes) -> str:
--- a/libs/gateway/src/masticdale_gateway/codec.py
+++ b/libs/gateway/src/masticdale_gateway/codec.py
@@ -42,6 +42,11 @@
     session_id: str = ""
     resumed_request_id: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """The request that brought, or is to bring, a stream's first event."""
+        return self.resumed_request_id or self.request_id
+
     @property
     def is_resumption(self) -> bool:
         """Whether the caller has events of the stream already."""
--- /dev/null
+++ b/libs/gateway/src/masticdale_gateway/origins.py
@@ -0,0 +1,127 @@
+"""Where resumed streams began, by what the hosts tell each other."""
+
+import asyncio
+from typing import Protocol
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from masticdale_common import ErrorKind, Failure, Metrics, logs
+from masticdale_gateway.calls import Call
+from masticdale_routing.versions import KnownVersions, StreamOrigin
+
+
+class StreamOrigins(Protocol):
+    """Remembers where streams began, for whichever host resumes them."""
+
+    async def open(self, origin: StreamOrigin) -> None:
+        """Makes known where a stream begins, before its first event is sent.
+
+        Returns after a short time in any case; a stream that could not be made
+        known may not be resumed.
+        """
+        ...
+
+    def close(self, request_id: str) -> None:
+        """Ends what ``open`` began; unknown ids are ignored."""
+        ...
+
+    async def find(
+        self, request_id: str, service: str
+    ) -> tuple[StreamOrigin | None, KnownVersions]:
+        """Looks up where a stream began.
+
+        Args:
+            request_id: The caller's request that brought its first event.
+            service: The service that runs it.
+
+        Returns:
+            The origin, or None if no host knows of it, and the versions of the
+            service that the asked hosts know.
+        """
+        ...
+
+
+class NoOrigins:
+    """``StreamOrigins`` of a host without others and of one version."""
+
+    async def open(self, origin: StreamOrigin) -> None:
+        """See ``StreamOrigins.open``."""
+
+    def close(self, request_id: str) -> None:
+        """See ``StreamOrigins.close``."""
+
+    async def find(
+        self, request_id: str, service: str
+    ) -> tuple[StreamOrigin | None, KnownVersions]:
+        """See ``StreamOrigins.find``."""
+        del request_id, service
+        return None, KnownVersions(frozenset({""}), is_complete=True)
+
+
+class OriginGuard:
+    """Keeps each stream at the software version that began it."""
+
+    def __init__(self, origins: StreamOrigins, metrics: Metrics) -> None:
+        self._origins = origins
+        self._metrics = metrics
+
+    async def admit(self, call: Call) -> Failure | None:
+        """Finds the origin of a stream that its caller resumes.
+
+        Returns:
+            The failure if it can't be told; None if the call may be run.
+        """
+        if not call.is_stream or not call.metadata.is_resumption:
+            return None
+        found = await self._find(call)
+        if isinstance(found, Failed):
+            failure: Failure = found.failure()
+            return failure
+        call.origin = found.unwrap()
+        return None
+
+    async def record_first_event(
+        self, call: Call, origin: StreamOrigin
+    ) -> None:
+        """Records where a stream begins; resumed ones stay as they are."""
+        if call.origin is not None:
+            return
+        call.origin = origin
+        began_at = asyncio.get_running_loop().time()
+        await self._origins.open(origin)
+        self._metrics.observe(
+            "stream_origin_seconds",
+            asyncio.get_running_loop().time() - began_at,
+        )
+
+    def finish(self, call: Call) -> None:
+        """Ends a call."""
+        if call.origin is not None:
+            self._origins.close(call.origin.request_id)
+
+    async def _find(self, call: Call) -> Result[StreamOrigin, Failure]:
+        resumed_id = call.metadata.resumed_request_id
+        service = call.service.name
+        origin, known = await self._origins.find(resumed_id, service)
+        sole = known.sole_version
+        if origin is None and sole is not None:
+            origin = StreamOrigin(resumed_id, service, sole)
+        if origin is not None and origin.service_name != service:
+            origin = None
+        outcome = "unknown" if origin is None else "found"
+        self._metrics.count("streams_resumed_total", origin=outcome)
+        logs.write_bounded(
+            "stream_resumed",
+            request_id=call.metadata.request_id,
+            resumes=resumed_id,
+            service=service,
+            software_version=origin.software_version if origin else None,
+            replica=origin.replica_id if origin else "",
+            versions=sorted(known.versions),
+            versions_complete=known.is_complete,
+            outcome=outcome,
+        )
+        if origin is None:
+            return Failed(Failure(ErrorKind.STREAM_ORIGIN_UNKNOWN))
+        return Success(origin)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -25,6 +25,7 @@
 from masticdale_gateway.exchanges import Sender
 from masticdale_gateway.histories import NoHistory, TurnHistory
 from masticdale_gateway.messages import Request
+from masticdale_gateway.origins import NoOrigins, OriginGuard, StreamOrigins
 from masticdale_gateway.pools import ConnectionPool
 from masticdale_gateway.streaming import StreamRelay
 from masticdale_gateway.transports import ConnectionLostError
@@ -50,6 +51,7 @@
         settings: Limits of the data path.
         crashes: What is known of requests that end replicas.
         history: Reads and writes the turns of routes that keep them.
+        origins: Remembers where streams began.
     """
 
     configuration: Callable[[], Configuration | None]
@@ -63,6 +65,7 @@
         default_factory=CrashDependencies
     )
     history: TurnHistory = dataclasses.field(default_factory=NoHistory)
+    origins: StreamOrigins = dataclasses.field(default_factory=NoOrigins)
 
 
 class Relay:
@@ -83,6 +86,7 @@
         self._crashes = CrashGuard(
             dependencies.crashes, self.pool, dependencies.metrics
         )
+        self._origins = OriginGuard(dependencies.origins, dependencies.metrics)
         sender = Sender(
             self.pool, dependencies.codec, dependencies.metrics, self._crashes
         )
@@ -94,6 +98,7 @@
             sender,
             dependencies.codec,
             dependencies.settings,
+            self._origins,
         )
 
     def create_connection(self) -> CallerConnection:
@@ -260,7 +265,7 @@
         authenticated = self._authenticate(configuration, route, metadata)
         if isinstance(authenticated, Failed):
             return authenticated
-        name = route.service_for(metadata.program_id or metadata.request_id)
+        name = route.service_for(metadata.program_id or metadata.stream_id)
         service = configuration.service_by_name.get(name) or Service(name, 0)
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
@@ -325,11 +330,14 @@
             return held
         try:
             failure = await self._open_turn(call)
+            if failure is None:
+                failure = await self._origins.admit(call)
             if failure is not None:
                 return failure
             return await self._run_admitted(call, writer)
         finally:
             self._crashes.finish(call)
+            self._origins.finish(call)
 
     async def _open_turn(self, call: Call) -> Failure | None:
         """Loads the history of a turn before its tokens are reserved."""
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -20,6 +20,7 @@
     Exchange,
     Sender,
 )
+from masticdale_gateway.origins import OriginGuard
 from masticdale_gateway.unary import BufferedResponse, no_upstream_failure
 from masticdale_routing.fleet import Fleet, ReplicaState
 from masticdale_routing.versions import StreamOrigin
@@ -50,7 +51,9 @@
         sender: Sender,
         codec: HeaderCodec,
         settings: RelaySettings,
+        origins: OriginGuard,
     ) -> None:
+        self._origins = origins
         self._fleet = fleet
         self._sender = sender
         self._codec = codec
@@ -195,8 +198,9 @@
             except OversizedEventError:
                 return _Interrupted("oversized event")
             if events:
-                if call.origin is None:
-                    call.origin = _origin(call, exchange)
+                await self._origins.record_first_event(
+                    call, _origin(call, exchange)
+                )
                 stream.start(self._codec, exchange)
                 await stream.forward(events)
                 wait_s = self._settings.next_event_timeout_s
@@ -244,7 +248,7 @@
 def _origin(call: Call, exchange: Exchange) -> StreamOrigin:
     replica = exchange.replica
     return StreamOrigin(
-        call.metadata.request_id,
+        call.metadata.stream_id,
         replica.service,
         replica.software_version,
         replica.id,
--- a/libs/ledger/src/masticdale_ledger/__init__.py
+++ b/libs/ledger/src/masticdale_ledger/__init__.py
@@ -27,6 +27,7 @@
 )
 from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_ledger.standby import StandbyCopies
+from masticdale_ledger.stream_origins import SharedOrigins
 
 __all__ = [
     "LEASE_CHECK_INTERVAL_S",
@@ -49,6 +50,7 @@
     "ShardOwner",
     "ShardReconciler",
     "ShardRecord",
+    "SharedOrigins",
     "SharedWatches",
     "StandbyCopies",
     "StandbyFailover",
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -191,6 +191,32 @@
   1: bool is_news,
 }
 
+struct StreamOrigin {
+  1: string request_id,      // that brought the stream's first event
+  2: string service_name,
+  3: string software_version,
+  4: string replica_id,
+}
+
+struct NoteStreamsRequest {
+  1: list<StreamOrigin> origins,
+}
+
+struct NoteStreamsReply {
+  1: bool remembered,
+}
+
+struct FindStreamRequest {
+  1: string request_id,      // that brought the stream's first event
+  2: string service_name,
+}
+
+struct FindStreamReply {
+  1: list<StreamOrigin> origins, // empty: unknown
+  2: list<string> versions,  // of the service, within a stream's lifetime
+  3: bool versions_complete, // no other version can have served
+}
+
 service Ledger {
   AdmitReply admit(1: AdmitRequest request),
   SettleReply settle(1: SettleRequest request),
@@ -201,4 +227,6 @@
   DecideReply decide(1: DecideRequest request),
   StoreReply store(1: StoreRequest request),
   CrashNoticeReply notify_crashes(1: CrashNoticeRequest request),
+  NoteStreamsReply note_streams(1: NoteStreamsRequest request),
+  FindStreamReply find_stream(1: FindStreamRequest request),
 }
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -5,6 +5,7 @@
 from masticdale_common import Failure
 from masticdale_routing.crashes import CrashReport
 from masticdale_routing.failures import FailureReport
+from masticdale_routing.versions import StreamOrigin
 from masticdale_rpc import Contract, Rpc, build_structs
 from masticdale_workspaces import UsageLevel
 
@@ -365,6 +366,48 @@
     is_news: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteStreamsRequest:
+    """Tells where streams began; see ``StreamOrigin``."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoteStreamsReply:
+    """Whether the called host remembers them."""
+
+    remembered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindStreamRequest:
+    """Asks where a stream began.
+
+    Attributes:
+        request_id: The caller's request that brought its first event.
+        service_name: The service that runs it.
+    """
+
+    request_id: str
+    service_name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindStreamReply:
+    """What the called host knows of a stream.
+
+    Attributes:
+        origins: Where it began; empty if unknown.
+        versions: The service's versions; see ``KnownVersions``.
+        versions_complete: Whether no other version can have served.
+    """
+
+    origins: tuple[StreamOrigin, ...] = ()
+    versions: tuple[str, ...] = ()
+    versions_complete: bool = False
+
+
 ADMIT = Rpc("admit", AdmitRequest, AdmitReply)
 SETTLE = Rpc("settle", SettleRequest, SettleReply)
 HAND_OVER = Rpc("hand_over", HandOver, HandOverReply)
@@ -374,6 +417,8 @@
 DECIDE = Rpc("decide", DecideRequest, DecideReply)
 STORE = Rpc("store", StoreRequest, StoreReply)
 NOTIFY_CRASHES = Rpc("notify_crashes", CrashNoticeRequest, CrashNoticeReply)
+NOTE_STREAMS = Rpc("note_streams", NoteStreamsRequest, NoteStreamsReply)
+FIND_STREAM = Rpc("find_stream", FindStreamRequest, FindStreamReply)
 
 _RPCS = (
     ADMIT,
@@ -385,6 +430,8 @@
     DECIDE,
     STORE,
     NOTIFY_CRASHES,
+    NOTE_STREAMS,
+    FIND_STREAM,
 )
 _INNER_TYPES = (
     CrashReport,
@@ -392,6 +439,7 @@
     FailureReport,
     HostAddress,
     Settlement,
+    StreamOrigin,
     UsageLevel,
     AccountState,
     StoreItem,
--- a/libs/ledger/src/masticdale_ledger/service.py
+++ b/libs/ledger/src/masticdale_ledger/service.py
@@ -22,8 +22,12 @@
     CrashNoticeRequest,
     DecideReply,
     DecideRequest,
+    FindStreamReply,
+    FindStreamRequest,
     HandOver,
     HandOverReply,
+    NoteStreamsReply,
+    NoteStreamsRequest,
     SealReply,
     SealRequest,
     SettleReply,
@@ -36,6 +40,7 @@
 from masticdale_ledger.reconciler import ShardReconciler
 from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_ledger.standby import StandbyCopies
+from masticdale_ledger.stream_origins import SharedOrigins
 from masticdale_platform import ObjectStore
 from masticdale_routing.assignments import TurnPrompt
 from masticdale_routing.failures import ReplicaFailures
@@ -57,6 +62,7 @@
         can_relay: Callable[[], bool],
         replica_failures: ReplicaFailures | None = None,
         crash_notices: CrashNotices | None = None,
+        stream_origins: SharedOrigins | None = None,
     ) -> None:
         """Creates the handlers.
 
@@ -71,7 +77,9 @@
             can_relay: Returns whether the store answers this host.
             replica_failures: Failures of replicas to pass on to other hosts.
             crash_notices: Receives reports of crashes; None to ignore them.
+            stream_origins: Remembers where streams began; None to ignore them.
         """
+        self._stream_origins = stream_origins
         self._crash_notices = crash_notices
         self._replica_failures = replica_failures or ReplicaFailures()
         self._can_relay = can_relay
@@ -139,6 +147,20 @@
             return CrashNoticeReply()
         return self._crash_notices.receive(request)
 
+    async def note_streams(
+        self, request: NoteStreamsRequest
+    ) -> NoteStreamsReply:
+        """Remembers where streams of other hosts began."""
+        if self._stream_origins is None:
+            return NoteStreamsReply()
+        return self._stream_origins.receive(request)
+
+    async def find_stream(self, request: FindStreamRequest) -> FindStreamReply:
+        """Tells where a stream began, as far as this host knows."""
+        if self._stream_origins is None:
+            return FindStreamReply()
+        return self._stream_origins.answer(request)
+
     async def store(self, request: StoreRequest) -> StoreReply:
         """Makes a store call for a host that can't reach the store."""
         return await serve_store(
--- /dev/null
+++ b/libs/ledger/src/masticdale_ledger/stream_origins.py
@@ -0,0 +1,243 @@
+"""Shares among hosts where streams began.
+
+The host that begins a stream tells two others, chosen by the stream's id among
+those that all hosts know, before it sends the first event. Whichever host the
+caller comes to when that host is lost asks all of those. Nothing is sent while
+a service has had a single version for as long as a stream can last, since any
+host then knows which one began it.
+"""
+
+import asyncio
+import collections
+import contextlib
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from returns.result import Failure as Failed
+
+from masticdale_common import Metrics, hashing
+from masticdale_ledger.hosts import Hosts
+from masticdale_ledger.messages import (
+    FIND_STREAM,
+    NOTE_STREAMS,
+    FindStreamReply,
+    FindStreamRequest,
+    NoteStreamsReply,
+    NoteStreamsRequest,
+)
+from masticdale_routing.versions import (
+    KnownVersions,
+    StreamOrigin,
+    VersionHistory,
+)
+
+# Hosts that are told of a stream. The second stands in for one that is lost
+# together with the host that began it.
+_TOLD_HOSTS = 2
+# Longest time for which the first event of a stream waits until another host
+# knows its origin, in seconds.
+_NOTE_TIMEOUT_S = 0.1
+# Longest time for which a resumed stream waits for the hosts that are asked, in
+# seconds. One that is cut off does not answer.
+_FIND_TIMEOUT_S = 0.15
+# Streams that a host remembers for others; the oldest are forgotten first.
+_MAX_REMEMBERED = 50_000
+
+_Address = tuple[str, int]
+_ResultT = TypeVar("_ResultT")
+
+
+class _RememberedOrigins:
+    """Origins by the id of the stream."""
+
+    def __init__(self) -> None:
+        self._noted_by_id: collections.OrderedDict[
+            str, tuple[StreamOrigin | None, float]
+        ] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._noted_by_id)
+
+    def put(self, origin: StreamOrigin, now: float, lifetime_s: float) -> None:
+        """Remembers an origin; contradictory ones of one id count as none."""
+        kept: StreamOrigin | None = origin
+        known, expires_at = self._noted_by_id.get(
+            origin.request_id, (origin, now)
+        )
+        if now < expires_at and not _agree(known, origin):
+            kept = None
+        self._noted_by_id[origin.request_id] = kept, now + lifetime_s
+        self._noted_by_id.move_to_end(origin.request_id)
+        self._drop_old(now)
+
+    def get(self, request_id: str, now: float) -> StreamOrigin | None:
+        """Returns the origin of a stream, or None."""
+        origin, expires_at = self._noted_by_id.get(request_id, (None, 0.0))
+        return origin if now < expires_at else None
+
+    def _drop_old(self, now: float) -> None:
+        while self._noted_by_id:
+            _, expires_at = next(iter(self._noted_by_id.values()))
+            if now < expires_at and len(self) <= _MAX_REMEMBERED:
+                return
+            self._noted_by_id.popitem(last=False)
+
+
+def _agree(known: StreamOrigin | None, origin: StreamOrigin) -> bool:
+    return (
+        known is not None and known.software_version == origin.software_version
+    )
+
+
+class SharedOrigins:
+    """``StreamOrigins`` of a host among others, and its answers to them."""
+
+    def __init__(
+        self,
+        hosts: Hosts,
+        versions: VersionHistory,
+        metrics: Metrics,
+    ) -> None:
+        """Starts without streams.
+
+        Args:
+            hosts: The other hosts.
+            versions: The versions that this host has seen.
+            metrics: Metrics registry.
+        """
+        self._hosts = hosts
+        self._versions = versions
+        self._metrics = metrics
+        self._remembered = _RememberedOrigins()
+        self._untold_by_id: dict[str, StreamOrigin] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def remembered(self) -> int:
+        """Number of streams that this host remembers for others."""
+        return len(self._remembered)
+
+    async def open(self, origin: StreamOrigin) -> None:
+        """See ``StreamOrigins.open``."""
+        if self._is_plain(origin.service_name):
+            self._untold_by_id[origin.request_id] = origin
+            return
+        await self._tell(origin)
+
+    def close(self, request_id: str) -> None:
+        """See ``StreamOrigins.close``."""
+        self._untold_by_id.pop(request_id, None)
+
+    async def find(
+        self, request_id: str, service: str
+    ) -> tuple[StreamOrigin | None, KnownVersions]:
+        """See ``StreamOrigins.find``."""
+        now = asyncio.get_running_loop().time()
+        known = self._versions.known(service, now)
+        origin = self._remembered.get(request_id, now)
+        if origin is not None:
+            return origin, known
+        request = FindStreamRequest(request_id, service)
+        asked = {
+            self._spawn(self._ask(address, request))
+            for address in self._hosts.candidates()
+        }
+        try:
+            async with asyncio.timeout(_FIND_TIMEOUT_S):
+                for answered in asyncio.as_completed(asked):
+                    reply = await answered
+                    if reply.origins:
+                        return reply.origins[0], known
+                    known = known.union(
+                        KnownVersions(
+                            frozenset(reply.versions), reply.versions_complete
+                        )
+                    )
+        except TimeoutError:
+            self._metrics.count("stream_origin_timeouts_total")
+        finally:
+            for task in asked:
+                task.cancel()
+        return None, known
+
+    def review(self) -> None:
+        """Tells other hosts of open streams once they can't know by themselves.
+
+        To be called after each change of the list of replicas.
+        """
+        for origin in list(self._untold_by_id.values()):
+            if not self._is_plain(origin.service_name):
+                del self._untold_by_id[origin.request_id]
+                self._spawn(self._tell(origin))
+
+    def receive(self, request: NoteStreamsRequest) -> NoteStreamsReply:
+        """Remembers streams that other hosts have begun."""
+        now = asyncio.get_running_loop().time()
+        for origin in request.origins:
+            self._remembered.put(origin, now, self._versions.lifetime_s)
+        return NoteStreamsReply(remembered=True)
+
+    def answer(self, request: FindStreamRequest) -> FindStreamReply:
+        """Tells another host what this one knows of a stream."""
+        now = asyncio.get_running_loop().time()
+        origin = self._remembered.get(request.request_id, now)
+        known = self._versions.known(request.service_name, now)
+        return FindStreamReply(
+            (origin,) if origin else (),
+            tuple(sorted(known.versions)),
+            known.is_complete,
+        )
+
+    def _is_plain(self, service: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._versions.known(service, now).sole_version is not None
+
+    async def _tell(self, origin: StreamOrigin) -> None:
+        """Returns once another host remembers a stream."""
+        candidates = self._hosts.candidates()
+        ranked = hashing.rendezvous_rank(
+            origin.request_id, [f"{host}:{port}" for host, port in candidates]
+        )
+        address_by_name = {f"{a}:{p}": (a, p) for a, p in candidates}
+        request = NoteStreamsRequest((origin,))
+        told = {
+            self._spawn(self._note(address_by_name[name], request))
+            for name in ranked[:_TOLD_HOSTS]
+        }
+        is_told = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_NOTE_TIMEOUT_S):
+                for answered in asyncio.as_completed(told):
+                    is_told = await answered
+                    if is_told:
+                        break
+        self._metrics.count(
+            "stream_origins_total", told="yes" if is_told else "no"
+        )
+
+    async def _note(
+        self, address: _Address, request: NoteStreamsRequest
+    ) -> bool:
+        outcome = await self._hosts.client(*address).call(
+            NOTE_STREAMS, request, _NOTE_TIMEOUT_S
+        )
+        return not isinstance(outcome, Failed) and outcome.unwrap().remembered
+
+    async def _ask(
+        self, address: _Address, request: FindStreamRequest
+    ) -> FindStreamReply:
+        outcome = await self._hosts.client(*address).call(
+            FIND_STREAM, request, _FIND_TIMEOUT_S
+        )
+        if isinstance(outcome, Failed):
+            return FindStreamReply()
+        reply: FindStreamReply = outcome.unwrap()
+        return reply
+
+    def _spawn(
+        self, work: Coroutine[None, None, _ResultT]
+    ) -> asyncio.Task[_ResultT]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/libs/ledger/tests/test_stream_origins.py
@@ -0,0 +1,181 @@
+"""Tests of hosts that tell each other where streams began."""
+
+import asyncio
+import unittest
+
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from masticdale_common import ErrorKind, Failure, Metrics
+from masticdale_ledger import Hosts, SharedOrigins
+from masticdale_ledger.messages import NOTE_STREAMS
+from masticdale_routing.versions import KnownVersions, StreamOrigin
+
+HOSTS = 6
+SERVICE = "engine"
+ORIGIN = StreamOrigin("r1", SERVICE, "v1", "i-1")
+BOTH = KnownVersions(frozenset({"v1", "v2"}), is_complete=True)
+ONLY_V1 = KnownVersions(frozenset({"v1"}), is_complete=True)
+# The wait of a first event for hosts that don't answer, and that of a resumed
+# stream, with time for a busy machine.
+MOST_WAIT_S = 0.5
+
+
+class Versions:
+    lifetime_s = 8.0
+
+    def __init__(self):
+        self.known_versions = BOTH
+
+    def known(self, service, now):
+        del service, now
+        return self.known_versions
+
+
+class Client:
+    """Calls another host without a network."""
+
+    def __init__(self, network, number):
+        self.network = network
+        self.number = number
+
+    async def call(self, rpc, request, timeout_s):
+        await asyncio.sleep(0)
+        if self.number in self.network.silent:
+            await asyncio.sleep(timeout_s)
+        if self.number in self.network.silent | self.network.ended:
+            return Failed(Failure(ErrorKind.PEER_UNAVAILABLE))
+        origins = self.network.origins[self.number]
+        if rpc is NOTE_STREAMS:
+            self.network.notes += 1
+            return Success(origins.receive(request))
+        return Success(origins.answer(request))
+
+
+class Network:
+    def __init__(self):
+        self.silent = set()
+        self.ended = set()
+        self.notes = 0
+        self.versions = [Versions() for _ in range(HOSTS)]
+        self.origins = [
+            SharedOrigins(OtherHosts(self, n), self.versions[n], Metrics())
+            for n in range(HOSTS)
+        ]
+
+    def set_known(self, known):
+        for versions in self.versions:
+            versions.known_versions = known
+
+
+class OtherHosts(Hosts):
+    def __init__(self, network, number):
+        self.network = network
+        self.number = number
+
+    def client(self, address, port):
+        del address
+        return Client(self.network, port)
+
+    def candidates(self):
+        return [("h", n) for n in range(HOSTS) if n != self.number]
+
+
+class SharedOriginsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.network = Network()
+
+    async def find(self, number, request_id="r1"):
+        return await self.network.origins[number].find(request_id, SERVICE)
+
+    def tellers(self):
+        return {n for n, o in enumerate(self.network.origins) if o.remembered}
+
+    async def test_every_host_finds_a_stream_of_a_lost_one(self):
+        """Guards against origins that are lost with the host that knew."""
+        await self.network.origins[0].open(ORIGIN)
+        self.network.ended = {0, max(self.tellers())}
+        for number in set(range(1, HOSTS)) - self.network.ended:
+            origin, _ = await self.find(number)
+            self.assertEqual(origin, ORIGIN)
+
+    async def test_the_host_that_began_it_does_not_count(self):
+        """Guards against an origin known only to the host that is lost."""
+        await self.network.origins[0].open(ORIGIN)
+        self.assertNotIn(0, self.tellers())
+        self.assertEqual(len(self.tellers()), 2)
+
+    async def test_an_unknown_stream_is_not_guessed(self):
+        origin, known = await self.find(1)
+        self.assertIsNone(origin)
+        self.assertIsNone(known.sole_version)
+
+    async def test_nothing_is_sent_while_there_is_one_version(self):
+        """Guards against messages for each stream of most deployments."""
+        self.network.set_known(ONLY_V1)
+        await self.network.origins[0].open(ORIGIN)
+        self.assertEqual(self.network.notes, 0)
+        _, known = await self.find(1)
+        self.assertEqual(known.sole_version, "v1")
+
+    async def test_open_streams_are_told_when_a_second_version_appears(self):
+        """Guards against refusing all streams that a release interrupts."""
+        self.network.set_known(ONLY_V1)
+        ended = StreamOrigin("r0", SERVICE, "v1", "i-1")
+        for origin in (ORIGIN, ended):
+            await self.network.origins[0].open(origin)
+        self.network.origins[0].close("r0")
+        self.network.set_known(BOTH)
+        for _ in range(2):
+            self.network.origins[0].review()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.network.notes, 2)
+        origin, _ = await self.find(1)
+        self.assertEqual(origin, ORIGIN)
+
+    async def test_a_host_that_knows_little_asks_those_that_know(self):
+        """Guards against refusing all streams at a restarted host."""
+        self.network.set_known(ONLY_V1)
+        self.network.versions[1].known_versions = KnownVersions(
+            frozenset({"v1"})
+        )
+        _, known = await self.find(1)
+        self.assertEqual(known.sole_version, "v1")
+
+    async def test_a_version_that_another_host_has_seen_counts(self):
+        """Guards against a host with an old list that knows one version."""
+        self.network.set_known(ONLY_V1)
+        self.network.versions[4].known_versions = BOTH
+        _, known = await self.find(1)
+        self.assertIsNone(known.sole_version)
+
+    async def test_silent_hosts_delay_no_stream_for_long(self):
+        """Guards against a first event that waits for a cut off host."""
+        self.network.silent = set(range(1, HOSTS))
+        async with asyncio.timeout(MOST_WAIT_S):
+            await self.network.origins[0].open(ORIGIN)
+        async with asyncio.timeout(MOST_WAIT_S):
+            self.assertEqual(await self.find(0), (None, BOTH))
+
+    async def test_one_silent_host_delays_no_stream(self):
+        """Guards against waiting for both hosts that are told."""
+        await self.network.origins[0].open(ORIGIN)
+        self.network.silent = {min(self.tellers())}
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        other = StreamOrigin("r1", SERVICE, "v1", "i-2")
+        await self.network.origins[0].open(other)
+        self.assertLess(loop.time() - began_at, 0.05)
+
+    async def test_contradictory_origins_count_as_none(self):
+        """Guards against a request id that a caller uses twice."""
+        for version in ("v1", "v2", "v1"):
+            origin = StreamOrigin("r1", SERVICE, version)
+            await self.network.origins[0].open(origin)
+        origin, known = await self.find(1)
+        self.assertIsNone(origin)
+        self.assertIsNone(known.sole_version)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/routing/src/masticdale_routing/routes.py
+++ b/libs/routing/src/masticdale_routing/routes.py
@@ -8,6 +8,9 @@
 
 from masticdale_workspaces import WorkspaceTable
 
+# Timeouts of a route after which no caller waits any longer.
+_DEADLINE_TIMEOUTS = 2
+
 
 class RouteKind(enum.StrEnum):
     """Whether and how requests of a route may be repeated."""
@@ -95,11 +98,21 @@
 
 
 class RouteTable:
-    """Finds the route of a request by host and path."""
+    """Finds the route of a request by host and path.
+
+    Attributes:
+        stream_lifetime_s: Time within which callers resume a stream, in
+            seconds; 0 without streams. A caller resumes it until its deadline,
+            which may be later than the timeout of its first request.
+    """
 
     def __init__(self, routes: Iterable[Route]) -> None:
+        self.stream_lifetime_s = 0.0
         self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
+            if route.kind is RouteKind.STREAMING:
+                lifetime_s = _DEADLINE_TIMEOUTS * route.timeout_s
+                self.stream_lifetime_s = max(self.stream_lifetime_s, lifetime_s)
             by_prefix = self._route_by_prefix_by_host.setdefault(
                 route.virtual_host, {}
             )
--- a/libs/routing/src/masticdale_routing/versions.py
+++ b/libs/routing/src/masticdale_routing/versions.py
@@ -6,6 +6,13 @@
 """
 
 import dataclasses
+from collections.abc import Callable, Iterable
+
+from masticdale_routing.fleet import Fleet
+from masticdale_routing.routes import RouteTable
+
+# The ``lifetime_s`` of streams before a configuration tells it, in seconds.
+_DEFAULT_LIFETIME_S = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,3 +30,99 @@
     service_name: str
     software_version: str
     replica_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownVersions:
+    """What a host knows of the versions of a service.
+
+    Attributes:
+        versions: Those that replicas had within the lifetime of a stream.
+        is_complete: Whether no other version can have served in that time.
+    """
+
+    versions: frozenset[str] = frozenset()
+    is_complete: bool = False
+
+    @property
+    def sole_version(self) -> str | None:
+        """The version of every stream that may be resumed; None if unknown."""
+        if not self.is_complete or len(self.versions) != 1:
+            return None
+        return next(iter(self.versions))
+
+    def union(self, other: "KnownVersions") -> "KnownVersions":
+        """Returns what two hosts know together."""
+        return KnownVersions(
+            self.versions | other.versions,
+            self.is_complete or other.is_complete,
+        )
+
+
+class VersionHistory:
+    """The versions that this host has seen in the list of replicas."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        table: Callable[[], RouteTable | None],
+        is_fresh: Callable[[], bool],
+    ) -> None:
+        """Initializes the history of a list that has not been read.
+
+        Args:
+            fleet: The replicas.
+            table: Returns the routes, or None before the first configuration.
+            is_fresh: Returns whether changes of the list reach this host.
+        """
+        self._fleet = fleet
+        self._table = table
+        self._is_fresh = is_fresh
+        self._began_at: float | None = None
+        self._current: set[tuple[str, str]] = set()
+        self._gone_at: dict[tuple[str, str], float] = {}
+
+    @property
+    def lifetime_s(self) -> float:
+        """Time within which callers resume a stream, in seconds."""
+        table = self._table()
+        return table.stream_lifetime_s if table else _DEFAULT_LIFETIME_S
+
+    def update(self, now: float) -> None:
+        """Takes over a change of the list.
+
+        Args:
+            now: Event loop time in seconds.
+        """
+        if self._began_at is None:
+            self._began_at = now
+        listed = {
+            (replica.service, replica.software_version)
+            for replica in self._fleet.replicas()
+        }
+        for gone in self._current - listed:
+            self._gone_at[gone] = now
+        self._current = listed
+        self._gone_at = {
+            pair: gone_at
+            for pair, gone_at in self._gone_at.items()
+            if now - gone_at < self.lifetime_s
+        }
+
+    def known(self, service: str, now: float) -> KnownVersions:
+        """Returns what this host knows of the versions of a service."""
+        listed: Iterable[tuple[str, str]] = self._current
+        recent = {
+            pair
+            for pair, gone_at in self._gone_at.items()
+            if now - gone_at < self.lifetime_s
+        }
+        versions = frozenset(
+            version for name, version in recent.union(listed) if name == service
+        )
+        return KnownVersions(versions, self._is_complete(now))
+
+    def _is_complete(self, now: float) -> bool:
+        if self._began_at is None or not self._is_fresh():
+            return False
+        return now - self._began_at >= self.lifetime_s
--- a/libs/routing/tests/test_versions.py
+++ b/libs/routing/tests/test_versions.py
@@ -1,10 +1,18 @@
-"""Tests of choices among replicas of several software versions."""
+"""Tests of what a host knows of software versions, without a network."""
 
+import math
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from masticdale_routing.fleet import Fleet, Replica
+from masticdale_routing.routes import Route, RouteKind, RouteTable
+from masticdale_routing.versions import KnownVersions, VersionHistory
 
 SERVICE = "engine"
+# Twice the timeout of the only route with streams.
+LIFETIME_S = 8.0
 
 
 def replica(number, version, **changes):
@@ -21,6 +29,111 @@
     return Replica(**(fields | changes))
 
 
+class VersionHistoryTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet("a")
+        self.is_fresh = True
+        self.table = RouteTable(
+            [
+                Route(
+                    "r", "h", "/", RouteKind.STREAMING, 4.0, 1, 0, (), 1, True
+                ),
+                Route(
+                    "s", "h", "/s/", RouteKind.IDEMPOTENT, 9, 1, 0, (), 1, True
+                ),
+            ]
+        )
+        self.history = VersionHistory(
+            self.fleet, lambda: self.table, lambda: self.is_fresh
+        )
+
+    def list(self, version_by_number, now):
+        for known in self.fleet.replicas():
+            self.fleet.remove(known.id)
+        for number, version in version_by_number.items():
+            self.fleet.put(replica(number, version))
+        self.history.update(now)
+
+    def sole_version(self, now):
+        return self.history.known(SERVICE, now).sole_version
+
+    def test_a_host_that_has_just_started_knows_nothing(self):
+        """Guards against trusting a list read after a version has left."""
+        self.list({1: "v2"}, 0.0)
+        self.assertIsNone(self.sole_version(LIFETIME_S - 0.1))
+        self.assertEqual(self.sole_version(LIFETIME_S), "v2")
+
+    def test_a_version_that_has_left_counts_for_the_life_of_a_stream(self):
+        """Guards against resuming its streams at the version that stays."""
+        self.list({1: "v1", 2: "v2"}, 0.0)
+        self.list({2: "v2"}, 100.0)
+        self.assertIsNone(self.sole_version(100.0 + LIFETIME_S - 0.1))
+        self.assertEqual(self.sole_version(100.0 + LIFETIME_S), "v2")
+
+    def test_a_list_that_may_be_outdated_does_not_count(self):
+        """Guards against a host cut off from the store during a release."""
+        self.list({1: "v1"}, 0.0)
+        self.is_fresh = False
+        self.assertIsNone(self.sole_version(100.0))
+
+    def test_no_stream_is_known_before_a_configuration(self):
+        """Guards against a lifetime of none while routes are unknown."""
+        self.table = None
+        self.list({1: "v1"}, 0.0)
+        self.assertIsNone(self.sole_version(LIFETIME_S))
+
+    def test_versions_of_another_service_do_not_count(self):
+        self.fleet.put(replica(3, "v9", service="desk"))
+        self.list({1: "v1"}, 0.0)
+        self.assertEqual(self.sole_version(100.0), "v1")
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 20.0),
+                st.dictionaries(
+                    st.integers(1, 3), st.sampled_from(["", "v1", "v2"])
+                ),
+            ),
+            min_size=1,
+            max_size=12,
+        ),
+        st.floats(0.0, LIFETIME_S),
+    )
+    def test_a_sole_version_is_that_of_every_stream(self, changes, age_s):
+        """Guards against a stream resumed at a version that did not begin it.
+
+        The version of a stream is any that was listed at some time within a
+        stream's life before now.
+        """
+        self.setUp()
+        now = 0.0
+        listed: list[tuple[float, set[str]]] = []
+        for wait_s, version_by_number in changes:
+            now += wait_s
+            self.list(version_by_number, now)
+            listed.append((now, set(version_by_number.values())))
+        now += 1.0
+        sole = self.sole_version(now)
+        if sole is None:
+            return
+        ends = [at for at, _ in listed[1:]] + [math.inf]
+        possible = {
+            version
+            for (_, versions), end in zip(listed, ends, strict=True)
+            for version in versions
+            if end > now - age_s
+        }
+        self.assertLessEqual(possible, {sole})
+
+    def test_what_two_hosts_know_together(self):
+        """Guards against ignoring a version that only one host has seen."""
+        old = KnownVersions(frozenset({"v1"}), is_complete=True)
+        new = KnownVersions(frozenset({"v2"}))
+        self.assertIsNone(old.union(new).sole_version)
+        self.assertEqual(old.union(KnownVersions()).sole_version, "v1")
+
+
 class FleetTest(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet("a", seed=1)
