--- a/tools/soak/src/masticdale_soak/checks.py
+++ b/tools/soak/src/masticdale_soak/checks.py
@@ -33,12 +33,20 @@
     GRACE_S,
     Incarnation,
 )
+from masticdale_soak.resumed_streams import (
+    find_mixed_streams,
+    find_refused_resumptions,
+)
 
 # Times that a request is sent to replicas once it has ended three and its hosts
 # have had the time to hear of it.
 _MAX_FATAL_RUNS = 3
 _FATAL_REPLICAS = 3
-_STREAM_KINDS = (RequestKind.TURN, RequestKind.CONVERSATION)
+_STREAM_KINDS = (
+    RequestKind.TURN,
+    RequestKind.CONVERSATION,
+    RequestKind.STREAM,
+)
 # Statuses that guarantee that the request was not and will not be executed.
 _NOT_RUN_STATUSES = frozenset({402, 408, 421, 429, 503})
 # Seconds after which a draining replica gets no new requests: the guaranteed
@@ -91,6 +99,7 @@
         executed_steps: Injected faults, restarts and configuration changes.
         drains: Periods in which replicas were draining.
         recovery_attempts: Requests sent after the recovery from all faults.
+        version_by_replica: Software versions of the replicas.
     """
 
     attempts: list[Attempt]
@@ -99,6 +108,7 @@
     executed_steps: list[ExecutedStep]
     drains: list[Drain]
     recovery_attempts: list[Attempt]
+    version_by_replica: dict[str, str]
 
     def steps_between(
         self, started_at: float, ended_at: float, prefixes: tuple[str, ...]
@@ -182,7 +192,8 @@
             yield attempt.request_id, f"seal {attempt.seal!r}"
         if attempt.kind in _STREAM_KINDS:
             numbers = attempt.event_ids()
-            if numbers != list(range(1, EVENTS + 1)):
+            first = attempt.last_event_id + 1
+            if numbers != list(range(first, EVENTS + 1)):
                 yield attempt.request_id, f"events {numbers}"
         elif attempt.body != b"body of " + attempt.request_id.encode():
             yield attempt.request_id, f"body {attempt.body!r}"
@@ -197,7 +208,8 @@
         ):
             continue
         numbers = attempt.event_ids()
-        if numbers != list(range(1, len(numbers) + 1)):
+        first = attempt.last_event_id + 1
+        if numbers != list(range(first, first + len(numbers))):
             yield attempt.request_id, f"events {numbers}"
 
 
@@ -468,6 +480,24 @@
     return find_wrong_histories(observations.attempts, bodies)
 
 
+def _stream_versions(observations: Observations) -> Findings:
+    """No stream holds events of two software versions."""
+    return find_mixed_streams(
+        observations.attempts, observations.version_by_replica
+    )
+
+
+def _resumed_streams(observations: Observations) -> Findings:
+    """Streams that callers resume go on about as often as new ones begin."""
+    return find_refused_resumptions(
+        attempt
+        for attempt in observations.attempts
+        if observations.is_undisturbed(
+            attempt.host, attempt.started_at, attempt.ended_at
+        )
+    )
+
+
 CHECK_BY_NAME: dict[str, Callable[[Observations], Findings]] = {
     "at-most-once": _at_most_once,
     "true-refusals": _true_refusals,
@@ -485,6 +515,8 @@
     "usage-caps": _usage_caps,
     "fatal-requests": _fatal_requests,
     "histories": _histories,
+    "stream-versions": _stream_versions,
+    "resumed-streams": _resumed_streams,
     "answers-in-time": _answers_in_time,
     "told-when-to-return": _told_when_to_return,
     "recovery": _recovery,
--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -40,6 +40,9 @@
 _SEEDS = 3
 _ENGINES = 3
 _UNARY_REPLICAS = 3
+_SOFTWARE_VERSIONS = ("v1", "v1.2")
+# Engines of each version in a run with several.
+_ENGINES_OF_VERSION = 2
 # Part of the target of requests that end each replica that runs them.
 FATAL_TARGET = "fatal"
 # Seconds after which an ended replica starts again.
@@ -72,11 +75,17 @@
         proxy: Proxy through which all hosts connect.
         faults: Faults of the replica.
         link_faults: Faults of the proxy.
+        software_version: Version in its entry.
     """
 
     def __init__(
-        self, service: str, is_stream: bool, store: FakeObjectStore
+        self,
+        service: str,
+        is_stream: bool,
+        store: FakeObjectStore,
+        software_version: str = _SOFTWARE_VERSIONS[0],
     ) -> None:
+        self.software_version = software_version
         self.fake = FakeReplica(service, is_stream)
         self.fake.behaviour = ReplicaBehaviour(
             events=EVENTS,
@@ -146,6 +155,7 @@
             state=self._state,
             sequence=self._sequence,
             born=self._started_ms,
+            version=self.software_version,
         )
         self._store.put("servers", self.fake.id, entry)
 
@@ -174,7 +184,7 @@
         self.store_faults = FaultStack(StoreFault.NONE, self._set_store_fault)
         self.store_delays = FaultStack(0.0, self._set_store_delay)
         self.replicas = [
-            *(Replica("engine", True, self.store) for _ in range(_ENGINES)),
+            *self._engines(plan),
             *(
                 Replica("desk", False, self.store)
                 for _ in range(_UNARY_REPLICAS)
@@ -195,6 +205,17 @@
             for replica in self.replicas:
                 replica.fake.behaviour.fatal_target = FATAL_TARGET
 
+    def _engines(self, plan: Plan) -> list[Replica]:
+        if not plan.has_versions:
+            return [
+                Replica("engine", True, self.store) for _ in range(_ENGINES)
+            ]
+        return [
+            Replica("engine", True, self.store, version)
+            for _ in range(_ENGINES_OF_VERSION)
+            for version in _SOFTWARE_VERSIONS
+        ]
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Starts everything and stops it on exit."""
--- a/tools/soak/src/masticdale_soak/load_generator.py
+++ b/tools/soak/src/masticdale_soak/load_generator.py
@@ -63,12 +63,14 @@
     VERSION = "version"
     FATAL = "fatal"
     CONVERSATION = "conversation"
+    STREAM = "stream"
 
 
 _POSTED_KINDS = (
     RequestKind.TURN,
     RequestKind.ORDER,
     RequestKind.CONVERSATION,
+    RequestKind.STREAM,
 )
 
 
@@ -93,6 +95,9 @@
         previous_id: Request id of the turn that a CONVERSATION request
             continues; empty for the first turn.
         content: Body of the request.
+        resumes: Request that began the stream that a STREAM request resumes;
+            empty for a new stream.
+        last_event_id: The last event of that stream; 0 for a new one.
     """
 
     request_id: str
@@ -110,6 +115,8 @@
     retry_after_s: float | None = None
     previous_id: str = ""
     content: bytes = b"{}"
+    resumes: str = ""
+    last_event_id: int = 0
 
     @property
     def is_served(self) -> bool:
@@ -203,6 +210,8 @@
         version: int = 0,
         previous_id: str = "",
         content: bytes = b"{}",
+        resumes: str = "",
+        last_event_id: int = 0,
     ) -> Attempt:
         """Sends a request to a host and waits for its complete response."""
         attempt = Attempt(
@@ -214,6 +223,8 @@
             version,
             previous_id=previous_id,
             content=content,
+            resumes=resumes,
+            last_event_id=last_event_id,
         )
         self.attempts.append(attempt)
         attempt.started_at = time.monotonic()
@@ -387,6 +398,11 @@
         return LOOKUP_PATH + FATAL_TARGET, fields
     if attempt.kind is RequestKind.VERSION:
         return version_path(attempt.version) + "x", fields
+    if attempt.kind is RequestKind.STREAM:
+        if attempt.resumes:
+            fields["Resumes"] = attempt.resumes
+            fields["Last-Event-Id"] = str(attempt.last_event_id)
+        return STREAM_PATH + "x", fields
     fields |= {
         "Program-Id": attempt.program_id,
         "Session-Id": attempt.program_id,
--- a/tools/soak/src/masticdale_soak/main.py
+++ b/tools/soak/src/masticdale_soak/main.py
@@ -24,6 +24,7 @@
     output: str = "",
     fatal: bool = False,
     histories: bool = False,
+    versions: bool = False,
 ) -> None:
     """Runs the plan of one seed.
 
@@ -35,8 +36,10 @@
         fatal: Whether the load holds requests that end their replicas.
         histories: Whether the load holds conversations, and storage hosts are
             lost.
+        versions: Whether engines of two software versions serve, and callers
+            resume streams.
     """
-    report = run_seed(seed, seconds, hosts, fatal, histories)
+    report = run_seed(seed, seconds, hosts, fatal, histories, versions)
     print(report.summary())
     _report_and_exit([report], output)
 
@@ -51,6 +54,7 @@
     output: str = "",
     fatal: bool = False,
     histories: bool = False,
+    versions: bool = False,
 ) -> None:
     """Runs consecutive seeds in parallel.
 
@@ -65,6 +69,8 @@
         fatal: Whether the load holds requests that end their replicas.
         histories: Whether the load holds conversations, and storage hosts are
             lost.
+        versions: Whether engines of two software versions serve, and callers
+            resume streams.
     """
     begin = first or random.SystemRandom().randrange(1, 1_000_000)
     deadline = time.monotonic() + 60 * minutes
@@ -82,6 +88,7 @@
                         hosts,
                         fatal,
                         histories,
+                        versions,
                     )
                 )
                 number += 1
@@ -105,7 +112,9 @@
     failed = [r for r in reports if not r.is_clean]
     _report_and_exit(
         [
-            run_seed(r.seed, r.seconds, r.hosts, r.fatal, r.histories)
+            run_seed(
+                r.seed, r.seconds, r.hosts, r.fatal, r.histories, r.versions
+            )
             for r in failed
         ],
         "",
--- a/tools/soak/src/masticdale_soak/plans.py
+++ b/tools/soak/src/masticdale_soak/plans.py
@@ -114,6 +114,8 @@
             replica that runs them.
         has_histories: Whether the load holds conversations, whose turns storage
             hosts keep, and storage hosts are lost.
+        has_versions: Whether engines of two software versions serve, and the
+            load holds streams that are resumed.
     """
 
     seed: int
@@ -122,6 +124,7 @@
     steps: tuple[Step, ...]
     has_fatal_requests: bool = False
     has_histories: bool = False
+    has_versions: bool = False
 
 
 def make_plan(
@@ -131,6 +134,7 @@
     *,
     fatal: bool = False,
     histories: bool = False,
+    versions: bool = False,
 ) -> Plan:
     """Generates a plan; equal arguments give equal plans.
 
@@ -140,6 +144,7 @@
         hosts: Number of entry hosts.
         fatal: Whether the load holds requests that end their replicas.
         histories: Whether the load holds conversations.
+        versions: Whether engines of two software versions serve.
     """
     rng = random.Random(seed)
     last_s = max(_FAULT_FREE_START_S, seconds - _FAULT_FREE_END_S)
@@ -156,4 +161,4 @@
         )
         steps.append(step)
     ordered = tuple(sorted(steps, key=lambda s: s.start_s))
-    return Plan(seed, seconds, hosts, ordered, fatal, histories)
+    return Plan(seed, seconds, hosts, ordered, fatal, histories, versions)
--- a/tools/soak/src/masticdale_soak/runs.py
+++ b/tools/soak/src/masticdale_soak/runs.py
@@ -15,6 +15,7 @@
 from masticdale_soak.faults import FaultInjector
 from masticdale_soak.load_generator import Attempt, LoadGenerator, RequestKind
 from masticdale_soak.plans import Plan, make_plan
+from masticdale_soak.resumed_streams import ResumedStreamLoad
 
 # Seconds from the end of the last fault until every host must serve again.
 # Entries, lists and shards recover about two seconds after the store; a circuit
@@ -36,6 +37,7 @@
         violations: Violated guarantees.
         fatal: Whether the load held requests that end their replicas.
         histories: Whether the load held conversations.
+        versions: Whether engines of two software versions served.
         logs: Directory of the hosts' logs; empty without violations.
     """
 
@@ -49,6 +51,7 @@
     violations: list[dict[str, str]]
     fatal: bool = False
     histories: bool = False
+    versions: bool = False
     logs: str = ""
 
     @property
@@ -95,6 +98,9 @@
                 environment, load_generator, plan.seed
             )
             work.append(conversations.run(plan.seconds))
+        if plan.has_versions:
+            streams = ResumedStreamLoad(load_generator, plan.seed)
+            work.append(streams.run(plan.seconds))
         await asyncio.gather(*work)
         await asyncio.sleep(_RECOVERY_S)
         probes = await _probe_hosts(environment, load_generator)
@@ -117,9 +123,17 @@
     hosts: int,
     fatal: bool = False,
     histories: bool = False,
+    versions: bool = False,
 ) -> Report:
     """Runs the plan of a seed and returns its report."""
-    plan = make_plan(seed, seconds, hosts, fatal=fatal, histories=histories)
+    plan = make_plan(
+        seed,
+        seconds,
+        hosts,
+        fatal=fatal,
+        histories=histories,
+        versions=versions,
+    )
     report, _ = asyncio.run(run_plan(plan))
     return report
 
@@ -175,6 +189,10 @@
         executed_steps=injector.executed_steps,
         drains=environment.drains,
         recovery_attempts=probes,
+        version_by_replica={
+            replica.fake.id: replica.software_version
+            for replica in environment.replicas
+        },
     )
 
 
@@ -198,6 +216,7 @@
         runs=len(observations.runs),
         fatal=plan.has_fatal_requests,
         histories=plan.has_histories,
+        versions=plan.has_versions,
         faults=faults,
         violations=[dataclasses.asdict(v) for v in violations],
     )
--- a/tools/soak/tests/broken_host.py
+++ b/tools/soak/tests/broken_host.py
@@ -8,10 +8,11 @@
 import pathlib
 import sys
 
+from returns.result import Failure as Failed
 from returns.result import Success
 
 from masticdale_adapter import PlatformHeaderCodec, headers
-from masticdale_common import Executed, Failure
+from masticdale_common import ErrorKind, Executed, Failure
 from masticdale_entry.entry import EntryHost
 from masticdale_entry.main import main
 from masticdale_entry.watched_state import ActiveConfiguration
@@ -20,6 +21,7 @@
 from masticdale_gateway.crashes import CrashGuard
 from masticdale_gateway.exchanges import AttemptFailure, Sender
 from masticdale_gateway.kept_turns import KeptTurn
+from masticdale_gateway.origins import OriginGuard
 from masticdale_gateway.streaming import _Stream
 from masticdale_ledger import LedgerClient
 from masticdale_ledger.accounts import Account, BudgetExceeded
@@ -163,6 +165,21 @@
     KeptTurn.preceding_body = b""
 
 
+def ignore_versions():
+    states_of = Fleet._states_of
+    Fleet._states_of = lambda self, service, excluded, software_version: (
+        states_of(self, service, excluded, None)
+    )
+
+
+def refuse_resumptions():
+    async def find(self, call):
+        del self, call
+        return Failed(Failure(ErrorKind.STREAM_ORIGIN_UNKNOWN))
+
+    OriginGuard._find = find
+
+
 def start_only_once():
     settings = pathlib.Path(sys.argv[-1])
     if settings.with_suffix(".log").stat().st_size:
@@ -190,6 +207,8 @@
         grant_each_request,
         blame_no_request,
         send_bare_inputs,
+        ignore_versions,
+        refuse_resumptions,
     )
 }
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -31,6 +31,8 @@
 FATAL_BUILDS = {"blame_no_request"}
 # Builds that run beside conversations.
 HISTORY_BUILDS = {"send_bare_inputs"}
+# Builds that run beside streams that are resumed, and engines of two versions.
+VERSION_BUILDS = {"ignore_versions", "refuse_resumptions"}
 # Indexes of replicas: three engines, then three unary replicas.
 UNARY_REPLICAS = (3, 4, 5)
 ENGINES = (0, 1, 2)
@@ -42,6 +44,12 @@
     )
 
 
+# Enough for the least number of resumed streams that the check asks for.
+KILLS = tuple(
+    Step(start_s, 0.2, Fault.KILL, 0) for start_s in (1.0, 2.0, 3.0, 4.0, 5.0)
+)
+
+
 # Check, patch of ``broken_host.py`` that violates it, faults that trigger it.
 BROKEN_BUILDS = (
     (
@@ -88,6 +96,12 @@
     ("usage-caps", "grant_each_request", ()),
     ("fatal-requests", "blame_no_request", ()),
     ("histories", "send_bare_inputs", ()),
+    (
+        "stream-versions",
+        "ignore_versions",
+        steps(Fault.REPLICA_CRASH, ENGINES, duration_s=1.0),
+    ),
+    ("resumed-streams", "refuse_resumptions", KILLS),
     ("answers-in-time", "delay_responses", ()),
     (
         "told-when-to-return",
@@ -119,6 +133,7 @@
                         faults,
                         has_fatal_requests=name in FATAL_BUILDS,
                         has_histories=name in HISTORY_BUILDS,
+                        has_versions=name in VERSION_BUILDS,
                     ),
                     pathlib.Path(directory),
                     (sys.executable, str(BROKEN_HOST), name),
--- a/tools/soak/tests/test_soak_seeds.py
+++ b/tools/soak/tests/test_soak_seeds.py
@@ -41,6 +41,12 @@
         self.assertEqual(report.violations, [], report)
         self.assertGreater(report.served, 100)
 
+    def test_a_run_with_two_versions_violates_no_guarantee(self):
+        """Guards against streams that hold events of two versions."""
+        report = run_seed(7, 12.0, 3, versions=True)
+        self.assertEqual(report.violations, [], report)
+        self.assertGreater(report.served, 100)
+
     def test_regression_seeds_violate_no_guarantee(self):
         for seed, seconds, hosts in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
