Tell no host of streams that no caller may resume

On routes that keep histories, and on those whose streams may not be resumed, a resumed stream is refused or not sent at all; telling where it began was in vain: two calls and a round trip before its first event. The guard of origins gets tests of its own.

--- a/libs/gateway/src/masticdale_gateway/origins.py
+++ b/libs/gateway/src/masticdale_gateway/origins.py
@@ -88,6 +88,9 @@
         if call.origin is not None:
             return
         call.origin = origin
+        # Routes that keep histories refuse streams that callers resume.
+        if not call.route.is_resumable or call.keeps_history:
+            return
         began_at = asyncio.get_running_loop().time()
         await self._origins.open(origin)
         self._metrics.observe(
--- /dev/null
+++ b/libs/gateway/tests/test_origins.py
@@ -0,0 +1,112 @@
+"""Tests of the origins of streams at one host."""
+
+import dataclasses
+import unittest
+
+from test_calls import create_call
+
+from masticdale_common import ErrorKind, Metrics
+from masticdale_gateway.codec import RequestMetadata
+from masticdale_gateway.origins import OriginGuard
+from masticdale_routing.routes import RouteKind
+from masticdale_routing.versions import KnownVersions, StreamOrigin
+
+NOTHING = (None, KnownVersions())
+BOTH = KnownVersions(frozenset({"v1", "v2"}), is_complete=True)
+
+
+class Origins:
+    def __init__(self, found=NOTHING):
+        self.found = found
+        self.opened = []
+        self.closed = []
+
+    async def open(self, origin):
+        self.opened.append(origin)
+
+    def close(self, request_id):
+        self.closed.append(request_id)
+
+    async def find(self, request_id, service):
+        self.asked = request_id, service
+        return self.found
+
+
+def create_stream(resumes="", last_event_id="", **route):
+    call = create_call()
+    fields = {"kind": RouteKind.STREAMING, "is_resumable": True} | route
+    call.route = dataclasses.replace(call.route, **fields)
+    call.metadata = RequestMetadata(
+        "r2", last_event_id=last_event_id, resumed_request_id=resumes
+    )
+    return call
+
+
+class OriginGuardTest(unittest.IsolatedAsyncioTestCase):
+    async def admit(self, call, found=NOTHING):
+        self.origins = Origins(found)
+        return await OriginGuard(self.origins, Metrics()).admit(call)
+
+    async def test_the_first_event_alone_tells_the_origin(self):
+        """Guards against an origin that changes with an interruption."""
+        origins = Origins()
+        guard = OriginGuard(origins, Metrics())
+        call = create_stream()
+        first = StreamOrigin("r2", "desk", "v1", "i-1")
+        for origin in (first, StreamOrigin("r2", "desk", "v1", "i-2")):
+            await guard.record_first_event(call, origin)
+        self.assertEqual((call.origin, origins.opened), (first, [first]))
+        guard.finish(call)
+        self.assertEqual(origins.closed, ["r2"])
+
+    async def test_what_no_caller_resumes_is_not_told(self):
+        """Guards against messages for streams that are never resumed."""
+        for route in ({"is_resumable": False}, {"retention_s": 60.0}):
+            with self.subTest(route=route):
+                origins = Origins()
+                call = create_stream(**route)
+                origin = StreamOrigin("r2", "desk", "v1")
+                guard = OriginGuard(origins, Metrics())
+                await guard.record_first_event(call, origin)
+                self.assertEqual((call.origin, origins.opened), (origin, []))
+
+    async def test_new_streams_and_other_calls_ask_nobody(self):
+        for call in (create_stream(), create_call()):
+            self.assertIsNone(await self.admit(call))
+            self.assertFalse(hasattr(self.origins, "asked"))
+
+    async def test_a_resumed_stream_keeps_its_origin(self):
+        origin = StreamOrigin("r1", "desk", "v1", "i-1")
+        call = create_stream("r1", "3")
+        self.assertIsNone(await self.admit(call, (origin, BOTH)))
+        self.assertEqual(call.origin, origin)
+        self.assertEqual(self.origins.asked, ("r1", "desk"))
+
+    async def test_a_sole_version_tells_where_any_stream_began(self):
+        call = create_stream("r1", "3")
+        only = KnownVersions(frozenset({"v1"}), is_complete=True)
+        self.assertIsNone(await self.admit(call, (None, only)))
+        self.assertEqual(call.origin, StreamOrigin("r1", "desk", "v1"))
+
+    async def test_what_can_not_be_told_is_refused(self):
+        """Guards against guessing the version of a stream.
+
+        Several versions may have begun it, its request is not named, or it
+        began at another service.
+        """
+        elsewhere = StreamOrigin("r1", "engine", "v1", "i-1")
+        for resumes, found in (
+            ("r1", (None, BOTH)),
+            ("r1", NOTHING),
+            ("", (None, BOTH)),
+            ("r1", (elsewhere, BOTH)),
+        ):
+            with self.subTest(resumes=resumes, found=found):
+                call = create_stream(resumes, "3")
+                failure = await self.admit(call, found)
+                self.assertEqual(failure.kind, ErrorKind.STREAM_ORIGIN_UNKNOWN)
+                self.assertIsNone(call.origin)
+
+
+if __name__ == "__main__":
+    unittest.main()
