Know streams of callers that name no request by their session

While several versions serve each of them was refused: their origin was told under a request that nobody named.

The two hosts that are told of a stream are chosen by its session, and remember it under both.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -318,7 +318,7 @@
 
     @property
     def remembered_streams(self) -> int:
-        """Number of streams whose origin this host remembers for others."""
+        """Number of streams and sessions remembered for other hosts."""
         return self._origins.remembered
 
     def shard_of(self, program_id: str) -> int:
--- a/apps/masticdale_entry/tests/test_software_versions.py
+++ b/apps/masticdale_entry/tests/test_software_versions.py
@@ -39,6 +39,7 @@
         events: Number and replica of each event.
         status: Status of the last response.
         is_complete: Whether a response ended as a whole.
+        names_request: Whether the caller says which request began it.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     events: list[tuple[int, str]] = dataclasses.field(default_factory=list)
     status: int = 0
     is_complete: bool = False
+    names_request: bool = True
 
     @property
     def has_gone_on(self):
@@ -114,7 +116,8 @@
         headers |= turn_headers(request_id, stream.program)
         if stream.events:
             headers["Last-Event-Id"] = str(stream.events[-1][0])
-            headers["Resumes"] = stream.request_id
+            if stream.names_request:
+                headers["Resumes"] = stream.request_id
         text = ""
         before = list(stream.events)
         try:
@@ -173,10 +176,16 @@
         """Guards against the same where the program's owner is lost too."""
         await self.check_streams_of_a_lost_host("p")
 
-    async def check_streams_of_a_lost_host(self, program):
+    async def test_callers_that_name_no_request_go_on_by_their_session(self):
+        """Guards against refusing them, or going on at any version."""
+        await self.check_streams_of_a_lost_host("p", names_request=False)
+
+    async def check_streams_of_a_lost_host(self, program, **caller):
         lost, *others = self.hosts
         streams = [
-            CallerStream(f"{program}s{n}", program and f"{program}{n}")
+            CallerStream(
+                f"{program}s{n}", program and f"{program}{n}", **caller
+            )
             for n in range(16)
         ]
         tasks = [self.begin(stream, lost) for stream in streams]
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -116,6 +116,15 @@
         """Name of the caller's workspace; empty for none."""
         return self.workspace.name if self.workspace else ""
 
+    @property
+    def session_key(self) -> str:
+        """Names the session of a program's turn; empty for none."""
+        metadata = self.metadata
+        if not metadata.session_id:
+            return ""
+        parts = (self.workspace_name, metadata.program_id, metadata.session_id)
+        return "/".join(parts)
+
     @property
     def turn_end(self) -> TurnEnd:
         """How the call has ended at the replicas."""
--- a/libs/gateway/src/masticdale_gateway/origins.py
+++ b/libs/gateway/src/masticdale_gateway/origins.py
@@ -27,12 +27,13 @@
         ...
 
     async def find(
-        self, request_id: str, service: str
+        self, stream_key: str, service: str
     ) -> tuple[StreamOrigin | None, KnownVersions]:
         """Looks up where a stream began.
 
         Args:
-            request_id: The caller's request that brought its first event.
+            stream_key: The caller's request that brought its first event, or
+                the ``session_key`` of the latest stream of a session.
             service: The service that runs it.
 
         Returns:
@@ -52,10 +53,10 @@
         """See ``StreamOrigins.close``."""
 
     async def find(
-        self, request_id: str, service: str
+        self, stream_key: str, service: str
     ) -> tuple[StreamOrigin | None, KnownVersions]:
         """See ``StreamOrigins.find``."""
-        del request_id, service
+        del stream_key, service
         return None, KnownVersions(frozenset({""}), is_complete=True)
 
 
@@ -106,10 +107,11 @@
     async def _find(self, call: Call) -> Result[StreamOrigin, Failure]:
         resumed_id = call.metadata.resumed_request_id
         service = call.service.name
-        origin, known = await self._origins.find(resumed_id, service)
+        stream_key = resumed_id or call.session_key
+        origin, known = await self._origins.find(stream_key, service)
         sole = known.sole_version
         if origin is None and sole is not None:
-            origin = StreamOrigin(resumed_id, service, sole)
+            origin = StreamOrigin(call.metadata.stream_id, service, sole)
         if origin is not None and origin.service_name != service:
             origin = None
         outcome = "unknown" if origin is None else "found"
@@ -118,6 +120,7 @@
             "stream_resumed",
             request_id=call.metadata.request_id,
             resumes=resumed_id,
+            stream_key=stream_key,
             service=service,
             software_version=origin.software_version if origin else None,
             replica=origin.replica_id if origin else "",
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -252,6 +252,7 @@
         replica.service,
         replica.software_version,
         replica.id,
+        call.session_key,
     )
 
 
--- a/libs/gateway/tests/test_origins.py
+++ b/libs/gateway/tests/test_origins.py
@@ -27,17 +27,21 @@
     def close(self, request_id):
         self.closed.append(request_id)
 
-    async def find(self, request_id, service):
-        self.asked = request_id, service
+    async def find(self, stream_key, service):
+        self.asked = stream_key, service
         return self.found
 
 
-def create_stream(resumes="", last_event_id="", **route):
+def create_stream(resumes="", last_event_id="", session="", **route):
     call = create_call()
     fields = {"kind": RouteKind.STREAMING, "is_resumable": True} | route
     call.route = dataclasses.replace(call.route, **fields)
     call.metadata = RequestMetadata(
-        "r2", last_event_id=last_event_id, resumed_request_id=resumes
+        "r2",
+        program_id="p",
+        session_id=session,
+        last_event_id=last_event_id,
+        resumed_request_id=resumes,
     )
     return call
 
@@ -82,6 +86,15 @@
         self.assertEqual(call.origin, origin)
         self.assertEqual(self.origins.asked, ("r1", "desk"))
 
+    async def test_a_caller_that_names_no_request_is_known_by_its_session(self):
+        """Guards against refusing all streams of such callers."""
+        origin = StreamOrigin("r1", "desk", "v1", "i-1", "/p/s")
+        call = create_stream("", "3", session="s")
+        self.assertIsNone(await self.admit(call, (origin, BOTH)))
+        self.assertEqual(self.origins.asked, ("/p/s", "desk"))
+        await self.admit(create_stream("r1", "3", session="s"), (origin, BOTH))
+        self.assertEqual(self.origins.asked, ("r1", "desk"))
+
     async def test_a_sole_version_tells_where_any_stream_began(self):
         call = create_stream("r1", "3")
         only = KnownVersions(frozenset({"v1"}), is_complete=True)
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -196,6 +196,7 @@
   2: string service_name,
   3: string software_version,
   4: string replica_id,
+  5: string session_key,     // of the session that it belongs to
 }
 
 struct NoteStreamsRequest {
@@ -207,7 +208,7 @@
 }
 
 struct FindStreamRequest {
-  1: string request_id,      // that brought the stream's first event
+  1: string stream_key,      // of the request that began it, or of its session
   2: string service_name,
 }
 
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -385,11 +385,11 @@
     """Asks where a stream began.
 
     Attributes:
-        request_id: The caller's request that brought its first event.
+        stream_key: See ``StreamOrigins.find``.
         service_name: The service that runs it.
     """
 
-    request_id: str
+    stream_key: str
     service_name: str
 
 
--- a/libs/ledger/src/masticdale_ledger/stream_origins.py
+++ b/libs/ledger/src/masticdale_ledger/stream_origins.py
@@ -10,7 +10,8 @@
 import asyncio
 import collections
 import contextlib
-from collections.abc import Coroutine
+import dataclasses
+from collections.abc import Coroutine, Sequence
 from typing import Any, TypeVar
 
 from returns.result import Failure as Failed
@@ -40,53 +41,66 @@
 # Longest time for which a resumed stream waits for the hosts that are asked, in
 # seconds. One that is cut off does not answer.
 _FIND_TIMEOUT_S = 0.15
-# Streams that a host remembers for others; the oldest are forgotten first.
+# Streams and sessions that a host remembers; the oldest are forgotten first.
 _MAX_REMEMBERED = 50_000
 
 _Address = tuple[str, int]
 _ResultT = TypeVar("_ResultT")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Remembered:
+    origin: StreamOrigin
+    expires_at: float
+
+
 class _RememberedOrigins:
-    """Origins by the id of the stream."""
+    """Origins by the keys of streams: their requests and their sessions."""
 
     def __init__(self) -> None:
-        self._noted_by_id: collections.OrderedDict[
-            str, tuple[StreamOrigin | None, float]
+        self._remembered_by_key: collections.OrderedDict[
+            str, dict[str, _Remembered]
         ] = collections.OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._noted_by_id)
+        return len(self._remembered_by_key)
 
     def put(self, origin: StreamOrigin, now: float, lifetime_s: float) -> None:
-        """Remembers an origin; contradictory ones of one id count as none."""
-        kept: StreamOrigin | None = origin
-        known, expires_at = self._noted_by_id.get(
-            origin.request_id, (origin, now)
-        )
-        if now < expires_at and not _agree(known, origin):
-            kept = None
-        self._noted_by_id[origin.request_id] = kept, now + lifetime_s
-        self._noted_by_id.move_to_end(origin.request_id)
+        """Remembers an origin.
+
+        Args:
+            origin: The origin.
+            now: Event loop time in seconds.
+            lifetime_s: How long to remember it, in seconds.
+        """
+        remembered = _Remembered(origin, now + lifetime_s)
+        for key in filter(None, (origin.request_id, origin.session_key)):
+            by_version = self._remembered_by_key.setdefault(key, {})
+            by_version[origin.software_version] = remembered
+            self._remembered_by_key.move_to_end(key)
         self._drop_old(now)
 
-    def get(self, request_id: str, now: float) -> StreamOrigin | None:
-        """Returns the origin of a stream, or None."""
-        origin, expires_at = self._noted_by_id.get(request_id, (None, 0.0))
-        return origin if now < expires_at else None
+    def get(self, key: str, now: float) -> tuple[StreamOrigin, ...]:
+        """Returns the origins of a key, the latest of each version."""
+        by_version = self._remembered_by_key.get(key, {})
+        return tuple(
+            remembered.origin
+            for remembered in by_version.values()
+            if now < remembered.expires_at
+        )
 
     def _drop_old(self, now: float) -> None:
-        while self._noted_by_id:
-            _, expires_at = next(iter(self._noted_by_id.values()))
-            if now < expires_at and len(self) <= _MAX_REMEMBERED:
+        while self._remembered_by_key:
+            oldest = next(iter(self._remembered_by_key.values()))
+            is_expired = all(now >= r.expires_at for r in oldest.values())
+            if not is_expired and len(self) <= _MAX_REMEMBERED:
                 return
-            self._noted_by_id.popitem(last=False)
+            self._remembered_by_key.popitem(last=False)
 
 
-def _agree(known: StreamOrigin | None, origin: StreamOrigin) -> bool:
-    return (
-        known is not None and known.software_version == origin.software_version
-    )
+def _is_certain(origins: Sequence[StreamOrigin], stream_key: str) -> bool:
+    """Returns whether these are the origin of a request, not of a session."""
+    return len(origins) == 1 and origins[0].request_id == stream_key
 
 
 class SharedOrigins:
@@ -114,7 +128,7 @@
 
     @property
     def remembered(self) -> int:
-        """Number of streams that this host remembers for others."""
+        """Number of streams and sessions remembered for other hosts."""
         return len(self._remembered)
 
     async def open(self, origin: StreamOrigin) -> None:
@@ -129,15 +143,15 @@
         self._untold_by_id.pop(request_id, None)
 
     async def find(
-        self, request_id: str, service: str
+        self, stream_key: str, service: str
     ) -> tuple[StreamOrigin | None, KnownVersions]:
         """See ``StreamOrigins.find``."""
         now = asyncio.get_running_loop().time()
         known = self._versions.known(service, now)
-        origin = self._remembered.get(request_id, now)
-        if origin is not None:
-            return origin, known
-        request = FindStreamRequest(request_id, service)
+        found = list(self._remembered.get(stream_key, now))
+        if _is_certain(found, stream_key):
+            return found[0], known
+        request = FindStreamRequest(stream_key, service)
         asked = {
             self._spawn(self._ask(address, request))
             for address in self._hosts.candidates()
@@ -146,8 +160,9 @@
             async with asyncio.timeout(_FIND_TIMEOUT_S):
                 for answered in asyncio.as_completed(asked):
                     reply = await answered
-                    if reply.origins:
+                    if _is_certain(reply.origins, stream_key):
                         return reply.origins[0], known
+                    found += reply.origins
                     known = known.union(
                         KnownVersions(
                             frozenset(reply.versions), reply.versions_complete
@@ -158,7 +173,9 @@
         finally:
             for task in asked:
                 task.cancel()
-        return None, known
+        versions = frozenset(origin.software_version for origin in found)
+        origin = found[0] if len(versions) == 1 else None
+        return origin, known.union(KnownVersions(versions))
 
     def review(self) -> None:
         """Tells other hosts of open streams once they can't know by themselves.
@@ -180,10 +197,9 @@
     def answer(self, request: FindStreamRequest) -> FindStreamReply:
         """Tells another host what this one knows of a stream."""
         now = asyncio.get_running_loop().time()
-        origin = self._remembered.get(request.request_id, now)
         known = self._versions.known(request.service_name, now)
         return FindStreamReply(
-            (origin,) if origin else (),
+            self._remembered.get(request.stream_key, now),
             tuple(sorted(known.versions)),
             known.is_complete,
         )
@@ -195,8 +211,10 @@
     async def _tell(self, origin: StreamOrigin) -> None:
         """Returns once another host remembers a stream."""
         candidates = self._hosts.candidates()
+        # The streams of a session are known to the same hosts.
         ranked = hashing.rendezvous_rank(
-            origin.request_id, [f"{host}:{port}" for host, port in candidates]
+            origin.session_key or origin.request_id,
+            [f"{host}:{port}" for host, port in candidates],
         )
         address_by_name = {f"{a}:{p}": (a, p) for a, p in candidates}
         request = NoteStreamsRequest((origin,))
--- a/libs/ledger/tests/test_stream_origins.py
+++ b/libs/ledger/tests/test_stream_origins.py
@@ -85,8 +85,8 @@
     def setUp(self):
         self.network = Network()
 
-    async def find(self, number, request_id="r1"):
-        return await self.network.origins[number].find(request_id, SERVICE)
+    async def find(self, number, stream_key="r1"):
+        return await self.network.origins[number].find(stream_key, SERVICE)
 
     def tellers(self):
         return {n for n, o in enumerate(self.network.origins) if o.remembered}
@@ -167,6 +167,37 @@
         await self.network.origins[0].open(other)
         self.assertLess(loop.time() - began_at, 0.05)
 
+    async def test_a_session_finds_its_stream(self):
+        """Guards against refusing callers that name no request."""
+        for request_id, session in (("r1", "a"), ("r2", "b"), ("r3", "a")):
+            origin = StreamOrigin(request_id, SERVICE, "v1", "i-1", session)
+            await self.network.origins[0].open(origin)
+        origin, _ = await self.find(1, "a")
+        self.assertEqual(origin.software_version, "v1")
+
+    async def test_a_session_of_two_versions_is_not_guessed(self):
+        """Guards against resuming a stream at the version of the one before."""
+        for request_id, version in (("r1", "v1"), ("r2", "v2")):
+            origin = StreamOrigin(request_id, SERVICE, version, "i-1", "a")
+            await self.network.origins[0].open(origin)
+        self.assertEqual(await self.find(1, "a"), (None, BOTH))
+        origin, _ = await self.find(1, "r1")
+        self.assertEqual(origin.software_version, "v1")
+
+    async def test_a_version_of_a_session_is_forgotten(self):
+        """Guards against programs that stay ambiguous once they have moved."""
+        for versions in self.network.versions:
+            versions.lifetime_s = 0.05
+        first = StreamOrigin("r1", SERVICE, "v1", "i-1", "a")
+        await self.network.origins[0].open(first)
+        await asyncio.sleep(0.1)
+        second = StreamOrigin("r2", SERVICE, "v2", "i-2", "a")
+        for versions in self.network.versions:
+            versions.lifetime_s = 8.0
+        await self.network.origins[0].open(second)
+        origin, _ = await self.find(1, "a")
+        self.assertEqual(origin, second)
+
     async def test_contradictory_origins_count_as_none(self):
         """Guards against a request id that a caller uses twice."""
         for version in ("v1", "v2", "v1"):
--- a/libs/routing/src/masticdale_routing/versions.py
+++ b/libs/routing/src/masticdale_routing/versions.py
@@ -24,12 +24,15 @@
         service_name: The service that runs it.
         software_version: Version of the replica's software.
         replica_id: The replica; empty if unknown.
+        session_key: Names the session that it belongs to; empty for none. The
+            streams of a session follow one another.
     """
 
     request_id: str
     service_name: str
     software_version: str
     replica_id: str = ""
+    session_key: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
