Count a gap in the list of replicas against a sole version

After an outage of the store a host trusted its list at once, although a second version may have come, begun streams and gone meanwhile. It now watches for the lifetime of a stream again, as after a start. Found by reading; test_a_gap_in_the_list_counts_for_the_life_of_a_stream fails without it.

--- a/libs/gateway/src/masticdale_gateway/origins.py
+++ b/libs/gateway/src/masticdale_gateway/origins.py
@@ -44,7 +44,7 @@
 
 
 class NoOrigins:
-    """``StreamOrigins`` of a host without others and of one version."""
+    """``StreamOrigins`` of a host that remembers nothing."""
 
     async def open(self, origin: StreamOrigin) -> None:
         """See ``StreamOrigins.open``."""
@@ -57,7 +57,7 @@
     ) -> tuple[StreamOrigin | None, KnownVersions]:
         """See ``StreamOrigins.find``."""
         del stream_key, service
-        return None, KnownVersions(frozenset({""}), is_complete=True)
+        return None, KnownVersions()
 
 
 class OriginGuard:
--- a/libs/routing/src/masticdale_routing/versions.py
+++ b/libs/routing/src/masticdale_routing/versions.py
@@ -81,7 +81,7 @@
         self._fleet = fleet
         self._table = table
         self._is_fresh = is_fresh
-        self._began_at: float | None = None
+        self._watched_since: float | None = None
         self._current: set[tuple[str, str]] = set()
         self._gone_at: dict[tuple[str, str], float] = {}
 
@@ -92,13 +92,16 @@
         return table.stream_lifetime_s if table else _DEFAULT_LIFETIME_S
 
     def update(self, now: float) -> None:
-        """Takes over a change of the list.
+        """Takes over a change of the list, or of whether it is up to date.
 
         Args:
             now: Event loop time in seconds.
         """
-        if self._began_at is None:
-            self._began_at = now
+        if not self._is_fresh():
+            # A version may come and go unseen.
+            self._watched_since = None
+        elif self._watched_since is None:
+            self._watched_since = now
         listed = {
             (replica.service, replica.software_version)
             for replica in self._fleet.replicas()
@@ -126,6 +129,6 @@
         return KnownVersions(versions, self._is_complete(now))
 
     def _is_complete(self, now: float) -> bool:
-        if self._began_at is None or not self._is_fresh():
+        if self._watched_since is None or not self._is_fresh():
             return False
-        return now - self._began_at >= self.lifetime_s
+        return now - self._watched_since >= self.lifetime_s
--- a/libs/routing/tests/test_versions.py
+++ b/libs/routing/tests/test_versions.py
@@ -76,6 +76,16 @@
         self.is_fresh = False
         self.assertIsNone(self.sole_version(100.0))
 
+    def test_a_gap_in_the_list_counts_for_the_life_of_a_stream(self):
+        """Guards against a version that comes and goes in an outage."""
+        self.list({1: "v1"}, 0.0)
+        self.is_fresh = False
+        self.history.update(100.0)
+        self.is_fresh = True
+        self.history.update(105.0)
+        self.assertIsNone(self.sole_version(105.0 + LIFETIME_S - 0.1))
+        self.assertEqual(self.sole_version(105.0 + LIFETIME_S), "v1")
+
     def test_no_stream_is_known_before_a_configuration(self):
         """Guards against a lifetime of none while routes are unknown."""
         self.table = None
