Name what a host does with origins in the usual terms

announce, acknowledged and sole version in place of tell, told and plain; the label of stream_origins_total is acknowledged. No behaviour changes.

--- a/libs/gateway/tests/test_origins.py
+++ b/libs/gateway/tests/test_origins.py
@@ -51,7 +51,7 @@
         self.origins = Origins(found)
         return await OriginGuard(self.origins, Metrics()).admit(call)
 
-    async def test_the_first_event_alone_tells_the_origin(self):
+    async def test_the_first_event_alone_sets_the_origin(self):
         """Guards against an origin that changes with an interruption."""
         origins = Origins()
         guard = OriginGuard(origins, Metrics())
@@ -63,7 +63,7 @@
         guard.finish(call)
         self.assertEqual(origins.closed, ["r2"])
 
-    async def test_what_no_caller_resumes_is_not_told(self):
+    async def test_what_no_caller_resumes_is_not_announced(self):
         """Guards against messages for streams that are never resumed."""
         for route in ({"is_resumable": False}, {"retention_s": 60.0}):
             with self.subTest(route=route):
--- a/libs/ledger/src/masticdale_ledger/stream_origins.py
+++ b/libs/ledger/src/masticdale_ledger/stream_origins.py
@@ -1,10 +1,10 @@
 """Shares among hosts where streams began.
 
-The host that begins a stream tells two others, chosen by the stream's id among
-those that all hosts know, before it sends the first event. Whichever host the
-caller comes to when that host is lost asks all of those. Nothing is sent while
-a service has had a single version for as long as a stream can last, since any
-host then knows which one began it.
+The host that begins a stream announces it to two others, chosen by the stream's
+id among those that all hosts know, before it sends the first event. Whichever
+host the caller comes to when that host is lost asks all of those. Nothing is
+sent while a service has had a single version for as long as a stream can last,
+since any host then knows which one began it.
 """
 
 import asyncio
@@ -32,9 +32,9 @@
     VersionHistory,
 )
 
-# Hosts that are told of a stream. The second stands in for one that is lost
-# together with the host that began it.
-_TOLD_HOSTS = 2
+# Hosts to which a stream is announced. The second stands in for one that is
+# lost together with the host that began it.
+_ANNOUNCEMENTS = 2
 # Longest time for which the first event of a stream waits until another host
 # knows its origin, in seconds.
 _NOTE_TIMEOUT_S = 0.1
@@ -123,7 +123,7 @@
         self._versions = versions
         self._metrics = metrics
         self._remembered = _RememberedOrigins()
-        self._untold_by_id: dict[str, StreamOrigin] = {}
+        self._unannounced_by_id: dict[str, StreamOrigin] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
     @property
@@ -133,14 +133,14 @@
 
     async def open(self, origin: StreamOrigin) -> None:
         """See ``StreamOrigins.open``."""
-        if self._is_plain(origin.service_name):
-            self._untold_by_id[origin.request_id] = origin
+        if self._has_sole_version(origin.service_name):
+            self._unannounced_by_id[origin.request_id] = origin
             return
-        await self._tell(origin)
+        await self._announce(origin)
 
     def close(self, request_id: str) -> None:
         """See ``StreamOrigins.close``."""
-        self._untold_by_id.pop(request_id, None)
+        self._unannounced_by_id.pop(request_id, None)
 
     async def find(
         self, stream_key: str, service: str
@@ -178,14 +178,14 @@
         return origin, known.union(KnownVersions(versions))
 
     def review(self) -> None:
-        """Tells other hosts of open streams once they can't know by themselves.
+        """Announces open streams once other hosts can't know by themselves.
 
         To be called after each change of the list of replicas.
         """
-        for origin in list(self._untold_by_id.values()):
-            if not self._is_plain(origin.service_name):
-                del self._untold_by_id[origin.request_id]
-                self._spawn(self._tell(origin))
+        for origin in list(self._unannounced_by_id.values()):
+            if not self._has_sole_version(origin.service_name):
+                del self._unannounced_by_id[origin.request_id]
+                self._spawn(self._announce(origin))
 
     def receive(self, request: NoteStreamsRequest) -> NoteStreamsReply:
         """Remembers streams that other hosts have begun."""
@@ -204,11 +204,11 @@
             known.is_complete,
         )
 
-    def _is_plain(self, service: str) -> bool:
+    def _has_sole_version(self, service: str) -> bool:
         now = asyncio.get_running_loop().time()
         return self._versions.known(service, now).sole_version is not None
 
-    async def _tell(self, origin: StreamOrigin) -> None:
+    async def _announce(self, origin: StreamOrigin) -> None:
         """Returns once another host remembers a stream."""
         candidates = self._hosts.candidates()
         # The streams of a session are known to the same hosts.
@@ -218,22 +218,23 @@
         )
         address_by_name = {f"{a}:{p}": (a, p) for a, p in candidates}
         request = NoteStreamsRequest((origin,))
-        told = {
-            self._spawn(self._note(address_by_name[name], request))
-            for name in ranked[:_TOLD_HOSTS]
+        sent = {
+            self._spawn(self._send(address_by_name[name], request))
+            for name in ranked[:_ANNOUNCEMENTS]
         }
-        is_told = False
+        is_acknowledged = False
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_NOTE_TIMEOUT_S):
-                for answered in asyncio.as_completed(told):
-                    is_told = await answered
-                    if is_told:
+                for answered in asyncio.as_completed(sent):
+                    is_acknowledged = await answered
+                    if is_acknowledged:
                         break
         self._metrics.count(
-            "stream_origins_total", told="yes" if is_told else "no"
+            "stream_origins_total",
+            acknowledged="yes" if is_acknowledged else "no",
         )
 
-    async def _note(
+    async def _send(
         self, address: _Address, request: NoteStreamsRequest
     ) -> bool:
         outcome = await self._hosts.client(*address).call(
--- a/libs/ledger/tests/test_stream_origins.py
+++ b/libs/ledger/tests/test_stream_origins.py
@@ -88,13 +88,13 @@
     async def find(self, number, stream_key="r1"):
         return await self.network.origins[number].find(stream_key, SERVICE)
 
-    def tellers(self):
+    def holders(self):
         return {n for n, o in enumerate(self.network.origins) if o.remembered}
 
     async def test_every_host_finds_a_stream_of_a_lost_one(self):
         """Guards against origins that are lost with the host that knew."""
         await self.network.origins[0].open(ORIGIN)
-        self.network.ended = {0, max(self.tellers())}
+        self.network.ended = {0, max(self.holders())}
         for number in set(range(1, HOSTS)) - self.network.ended:
             origin, _ = await self.find(number)
             self.assertEqual(origin, ORIGIN)
@@ -102,8 +102,8 @@
     async def test_the_host_that_began_it_does_not_count(self):
         """Guards against an origin known only to the host that is lost."""
         await self.network.origins[0].open(ORIGIN)
-        self.assertNotIn(0, self.tellers())
-        self.assertEqual(len(self.tellers()), 2)
+        self.assertNotIn(0, self.holders())
+        self.assertEqual(len(self.holders()), 2)
 
     async def test_an_unknown_stream_is_not_guessed(self):
         origin, known = await self.find(1)
@@ -118,7 +118,9 @@
         _, known = await self.find(1)
         self.assertEqual(known.sole_version, "v1")
 
-    async def test_open_streams_are_told_when_a_second_version_appears(self):
+    async def test_open_streams_are_announced_when_a_second_version_appears(
+        self,
+    ):
         """Guards against refusing all streams that a release interrupts."""
         self.network.set_known(ONLY_V1)
         ended = StreamOrigin("r0", SERVICE, "v1", "i-1")
@@ -158,9 +160,9 @@
             self.assertEqual(await self.find(0), (None, BOTH))
 
     async def test_one_silent_host_delays_no_stream(self):
-        """Guards against waiting for both hosts that are told."""
+        """Guards against waiting for both announcements."""
         await self.network.origins[0].open(ORIGIN)
-        self.network.silent = {min(self.tellers())}
+        self.network.silent = {min(self.holders())}
         loop = asyncio.get_running_loop()
         began_at = loop.time()
         other = StreamOrigin("r1", SERVICE, "v1", "i-2")
