Log late responses that came in place of the awaited one

A caller's 502 said that a response was malformed or lost, not whether the replica had sent responses to earlier requests on that connection before. The doubles of two tests get the attribute that the sender reads.

--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -329,8 +329,28 @@
             encode_request(request.method, request.target, fields, body),
             lambda head: self._codec.matches_request(head, request_id),
         )
-        return await wait_for_bytes(
-            connection.read_head, call, state, options.response_limit
+        try:
+            return await wait_for_bytes(
+                connection.read_head, call, state, options.response_limit
+            )
+        finally:
+            if connection.skipped_responses:
+                self._record_skipped(call, state, connection.skipped_responses)
+
+    def _record_skipped(
+        self, call: Call, state: ReplicaState, responses: int
+    ) -> None:
+        """Records responses to earlier requests that came in place of one."""
+        service = state.replica.service
+        self._metrics.count(
+            "late_responses_total", amount=responses, service=service
+        )
+        logs.write_bounded(
+            "late_responses",
+            request_id=call.metadata.request_id,
+            replica=state.replica.id,
+            service=service,
+            responses=responses,
         )
 
     async def _handle_unusable_response(
--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -43,6 +43,8 @@
     Attributes:
         idle_since: End of the last exchange, in loop seconds.
         keep_alive_s: The server's keep-alive timeout; None if unspecified.
+        skipped_responses: Responses to other requests that were discarded
+            while the current one was awaited.
     """
 
     def __init__(self) -> None:
@@ -65,7 +67,7 @@
         # the size of its body; before the head, all bytes received.
         self._overhead_bytes = 0
         self._read_bytes = 0
-        self._skipped_responses = 0
+        self.skipped_responses = 0
         self._arrived = asyncio.Event()
         self._parser = httptools.HttpResponseParser(self)
         self._headers = Headers()
@@ -136,7 +138,7 @@
         self.write(data)
         self._matches = matches
         self._is_awaiting = True
-        self._skipped_responses = 0
+        self.skipped_responses = 0
         self._overhead_bytes = 0
 
     async def read_head(self) -> ResponseHead:
@@ -235,8 +237,8 @@
         self._is_discarding = not self._matches(head)
         if self._is_discarding:
             self._must_close = True
-            self._skipped_responses += 1
-            if self._skipped_responses > _MAX_SKIPPED_RESPONSES:
+            self.skipped_responses += 1
+            if self.skipped_responses > _MAX_SKIPPED_RESPONSES:
                 raise OversizedResponseError(
                     f"more than {_MAX_SKIPPED_RESPONSES} responses to other"
                     " requests"
@@ -288,7 +290,7 @@
         # Bounds heads, chunk extensions and trailers that never end: the parser
         # keeps what it has read of them, and reports nothing before their end.
         limit = _MAX_HEAD_BYTES
-        if self._skipped_responses:
+        if self.skipped_responses:
             limit += _MAX_SKIPPED_BYTES
         if self._is_awaiting and self._overhead_bytes > limit:
             raise OversizedResponseError(
--- a/libs/gateway/tests/history_case.py
+++ b/libs/gateway/tests/history_case.py
@@ -124,6 +124,7 @@
     def __init__(self):
         self.sent = []
         self.responses = []
+        self.skipped_responses = 0
         self._items = []
 
     def send(self, data, matches):
--- a/libs/gateway/tests/test_exchanges.py
+++ b/libs/gateway/tests/test_exchanges.py
@@ -27,6 +27,8 @@
 class Connection:
     """A connection whose response never arrives, or is a rejection."""
 
+    skipped_responses = 0
+
     def __init__(self, is_rejected):
         self._is_rejected = is_rejected
 
