Refuse a head or discarded body that holds another status line

Callers got successes, and failures with a receipt, of another status than their replica had given, and requests that had run were refused as not run.

A replica stops inside a response, mostly a late copy of the one before, and goes on with the awaited one. Where it stopped in a reason phrase or a field value, the next status line became a part of that text, so that the parser read one head from two: status and first fields of the copy, and id, receipt, length and body of the awaited response. A copy that stopped in its body hid the awaited response in what was discarded, and the request waited until its deadline.

Wherever the first response was cut, the status line of the second one is in a reason phrase, a field, a trailer or the discarded body, or is an error of syntax already. Each of these is now searched for a status line, and the response is malformed at once if there is one. It isn't parsed again from there: a field or a body may repeat what a caller has sent.

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import re
 from collections.abc import Callable
 
 import httptools
@@ -21,6 +22,9 @@
 # Limits on the late responses to earlier requests that are skipped.
 _MAX_SKIPPED_BYTES = 2 << 20
 _MAX_SKIPPED_RESPONSES = 16
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+# One byte less than what _STATUS_LINE matches.
+_STATUS_LINE_TAIL_BYTES = len(b"HTTP/1.1 200") - 1
 
 ResponseMatcher = Callable[[ResponseHead], bool]
 
@@ -40,6 +44,11 @@
     end. Bytes that arrive while no response is awaited belong to no request;
     the connection is then not reused.
 
+    A server may stop inside a response and go on with the next one, whose
+    status line then stands in what is left of the first. It is malformed where
+    no part of the awaited response can hold one: in a reason phrase, a field, a
+    trailer, or the body of a response to another request.
+
     Attributes:
         idle_since: End of the last exchange, in loop seconds.
         keep_alive_s: The server's keep-alive timeout; None if unspecified.
@@ -68,6 +77,9 @@
         self._overhead_bytes = 0
         self._read_bytes = 0
         self.skipped_responses = 0
+        # The end of the discarded body, where a status line may begin.
+        self._discarded_tail = b""
+        self._reason_phrase = bytearray()
         self._arrived = asyncio.Event()
         self._parser = httptools.HttpResponseParser(self)
         self._headers = Headers()
@@ -205,9 +217,16 @@
         self._headers = Headers()
         self._field_bytes = 0
         self._is_in_body = False
+        self._reason_phrase.clear()
+        self._discarded_tail = b""
+
+    def on_status(self, reason_phrase: bytes) -> None:
+        """Called by the parser, for each part that was read at once."""
+        self._reason_phrase += reason_phrase
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser, also for the trailers of a chunked body."""
+        _reject_status_line(value)
         # A trailer must not change a head that may have been forwarded.
         if self._is_in_body:
             return
@@ -220,6 +239,7 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
+        _reject_status_line(self._reason_phrase)
         self._is_in_body = True
         headers = self._headers
         status = self._parser.get_status_code()
@@ -251,6 +271,9 @@
     def on_body(self, body: bytes) -> None:
         """Called by the parser."""
         if self._is_discarding:
+            body = self._discarded_tail + body
+            _reject_status_line(body)
+            self._discarded_tail = body[-_STATUS_LINE_TAIL_BYTES:]
             return
         last = self._items[-1] if self._items else None
         if self._is_awaiting and isinstance(last, bytearray):
@@ -320,6 +343,11 @@
     return True
 
 
+def _reject_status_line(data: bytes | bytearray) -> None:
+    if _STATUS_LINE.search(data):
+        raise MalformedResponseError("a response begins inside another one")
+
+
 def _cause(error: httptools.HttpParserCallbackError) -> MalformedResponseError:
     cause = error.__cause__ or error.__context__
     if isinstance(cause, MalformedResponseError):
