Refuse requests with a request line inside a field

A caller's connection that carries a head cut inside a field's value and then another request would run a request with the target of the first one and the id and body of the second.

Cause: the parser takes the second request line for the rest of the value.

Evidence: test_cut_requests, 128 such requests before over 24 orders of the fields and each cut of a head, none now.

Change: a value that ends with a method, a target and the protocol's version is answered with 400, also in trailers.

A body that is cut and filled up by the next request can't be told from a whole one; this remains.

--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import enum
+import re
 import socket
 from asyncio.trsock import TransportSocket
 from collections.abc import Awaitable, Callable, Iterable
@@ -28,6 +29,9 @@
 # Time in which a closing connection must flush its write buffer. A shorter one
 # could drop the end of a response on its way to another failure domain.
 _LINGER_S = 1.0
+# The end of a value that holds a request line: the caller began another request
+# inside this head, and the parser would join the two.
+_REQUEST_LINE = re.compile(rb"[A-Z] \S+ HTTP/1\.[01]\Z")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -239,6 +243,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser, also for the trailers of a chunked body."""
+        if _REQUEST_LINE.search(value):
+            raise _RejectedError(
+                Failure(ErrorKind.BAD_REQUEST, "a request line inside a field")
+            )
         # A trailer must not change what the headers said, such as the key.
         if not self._headers_done:
             self._headers.fields.append((name, value))
