Reuse no connection on which another response has begun

A response that is followed, in the same read, by the beginning of another one left its connection reusable: the beginning stayed in the parser, and the response to the next request was added to it. Since heads that hold another status line are refused, such a request got 502, or waited for a body until its deadline, though its replica had answered it.

The beginning of a message while no response is awaited now ends the reuse of the connection.

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -214,6 +214,10 @@
 
     def on_message_begin(self) -> None:
         """Called by the parser."""
+        if not self._is_awaiting:
+            # What follows a response in the same read may be the beginning of
+            # another one, to which the next response would be added.
+            self._must_close = True
         self._headers = Headers()
         self._field_bytes = 0
         self._is_in_body = False
