Require the longest deadline of callers to be watched before inference

Callers that resumed a stream 21 s after a loss of all hosts, with deadlines of 30 s on a route of 10 s, got the rest from another software version.

Cause: a new host that had watched the list of replicas for twice the longest timeout took the version that it listed for the only one. Nothing bounds a caller's deadline by the timeout, and a later configuration may lower it. A time watched was taken for proof of what callers hold.

Change: the longest time for which a caller can hold a stream is kept in the store (stream-holds/longest), raised in powers of two before the first event of a stream whose deadline exceeds it; the event waits 100 ms at most. Deadlines up to 6 s are never recorded. A host that would infer the version of a stream without an origin reads the record, at most once in 4 s, and refuses if the store does not answer. KnownVersions tells when each version was last listed and for how long the list was watched; the times of two hosts are not added. Origins are remembered until the stream's own deadline, and streams with longer ones are announced in any case. New fields of messages between hosts are optional in both directions.

Tests of KnownVersions name the time in question now, in place of a boolean. SingleVersionTest ran with a lifetime of 0.2 s, to which its own deadline of 2.5 s is a long one that is announced; it lets the hosts' clock of versions run 100 times as fast instead, and asserts the same.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -37,6 +37,7 @@
 from masticdale_entry.peers import PeerClients
 from masticdale_entry.settings import Settings
 from masticdale_entry.status import StatusServer, dump_page, metrics_page
+from masticdale_entry.stream_holds import StoredHold
 from masticdale_entry.watched_state import ActiveConfiguration, ReplicaList
 from masticdale_entry.watching import Watcher, WatchTarget
 from masticdale_gateway import (
@@ -170,10 +171,12 @@
             ),
             lambda: not self._store.is_store_unreachable,
         )
+        self._stream_hold = StoredHold(self._store, self._metrics)
         self._origins = SharedOrigins(
             self._peer_clients,
             self._versions,
             self._metrics,
+            self._stream_hold,
         )
         self._crash_evidence = CrashEvidence()
         crash_notices = CrashNotices(
@@ -332,6 +335,7 @@
             task.cancel()
         self._relay.abort()
         await self._histories.close()
+        await self._stream_hold.close()
         await self._peer_server.close(0.0)
         for server in self._status_servers:
             server.close()
@@ -513,6 +517,7 @@
         for task in self._tasks:
             task.cancel()
         await self._histories.close()
+        await self._stream_hold.close()
         await self._peer_server.close(0.0)
         self._relay.log_unanswered()
         logs.write(
@@ -583,6 +588,9 @@
         self._dump.register(
             "remembered_streams", lambda: self.remembered_streams
         )
+        self._dump.register(
+            "longest_stream_hold_s", lambda: self._stream_hold.known_s
+        )
         self._dump.register("connections", self._relay.count_by_state)
         self._dump.register("history_hosts", self._histories.dump)
         self._dump.register("crash_suspects", self._dump_crash_suspects)
--- a/apps/masticdale_entry/tests/test_software_versions.py
+++ b/apps/masticdale_entry/tests/test_software_versions.py
@@ -8,7 +8,7 @@
 import httpx
 from case import HOST, STREAMING, EntryCase, event_ids, turn_headers
 
-from masticdale_routing import routes
+from masticdale_routing.versions import VersionHistory
 from masticdale_standins.replicas import FakeReplica
 
 OLD = "v1"
@@ -27,6 +27,8 @@
 # As the users' rules state it, the least share of streams that go on while two
 # replicas of their version serve.
 LEAST_RESUMED_SHARE = 0.5
+# Factor by which time passes faster in what hosts know of versions.
+CLOCK_SPEED = 100.0
 
 
 @dataclasses.dataclass
@@ -271,9 +273,14 @@
 class SingleVersionTest(EntryCase):
     async def asyncSetUp(self):
         # Otherwise hosts would have to run for as long as streams may last.
-        patch = unittest.mock.patch.object(routes, "_DEADLINE_TIMEOUTS", 0.02)
-        patch.start()
-        self.addCleanup(patch.stop)
+        update, known = VersionHistory.update, VersionHistory.known
+        for name, method in (
+            ("update", lambda h, now: update(h, CLOCK_SPEED * now)),
+            ("known", lambda h, s, now: known(h, s, CLOCK_SPEED * now)),
+        ):
+            patch = unittest.mock.patch.object(VersionHistory, name, method)
+            patch.start()
+            self.addCleanup(patch.stop)
         await super().asyncSetUp()
         for engine in self.engines:
             entry = engine.entry()
--- a/libs/gateway/src/masticdale_gateway/calls.py
+++ b/libs/gateway/src/masticdale_gateway/calls.py
@@ -11,6 +11,7 @@
 from masticdale_gateway.bodies import BodyLimits
 from masticdale_gateway.codec import RequestMetadata
 from masticdale_gateway.messages import Request
+from masticdale_routing import versions
 from masticdale_routing.assignments import TurnEnd, TurnPrompt
 from masticdale_routing.crashes import target_key
 from masticdale_routing.routes import Route, RouteKind, Service
@@ -140,6 +141,18 @@
         """Seconds until the deadline; negative after it."""
         return self.deadline_at - asyncio.get_running_loop().time()
 
+    @property
+    def hold_s(self) -> float:
+        """For how long the caller can hold the stream, in seconds.
+
+        A caller that sends no deadline counts as one that waits for the
+        timeout of the route.
+        """
+        deadline_s = self.metadata.deadline_s
+        if deadline_s is None:
+            deadline_s = self.route.timeout_s
+        return versions.hold_s(deadline_s)
+
     @property
     def is_stream(self) -> bool:
         """Whether the response is an event stream."""
--- a/libs/gateway/src/masticdale_gateway/origins.py
+++ b/libs/gateway/src/masticdale_gateway/origins.py
@@ -22,6 +22,14 @@
         """
         ...
 
+    async def extend(self, hold_s: float) -> None:
+        """Makes known for how long a caller can hold a resumed stream.
+
+        Args:
+            hold_s: The time from now on, in seconds.
+        """
+        ...
+
     def close(self, request_id: str) -> None:
         """Ends what ``open`` began; unknown ids are ignored."""
         ...
@@ -42,6 +50,20 @@
         """
         ...
 
+    async def required_watch_s(self, known: KnownVersions) -> float | None:
+        """Returns for how long a sole version must have been watched.
+
+        A version that was the only one for a shorter time need not be that of
+        a stream without a known origin.
+
+        Args:
+            known: What is known of the versions of its service.
+
+        Returns:
+            The time in seconds; None if it can't be told now.
+        """
+        ...
+
 
 class NoOrigins:
     """``StreamOrigins`` of a host that remembers nothing."""
@@ -49,6 +71,9 @@
     async def open(self, origin: StreamOrigin) -> None:
         """See ``StreamOrigins.open``."""
 
+    async def extend(self, hold_s: float) -> None:
+        """See ``StreamOrigins.extend``."""
+
     def close(self, request_id: str) -> None:
         """See ``StreamOrigins.close``."""
 
@@ -59,6 +84,11 @@
         del stream_key, service
         return None, KnownVersions()
 
+    async def required_watch_s(self, known: KnownVersions) -> float | None:
+        """See ``StreamOrigins.required_watch_s``."""
+        del known
+        return None
+
 
 class OriginGuard:
     """Keeps each stream at the software version that began it."""
@@ -80,6 +110,8 @@
             failure: Failure = found.failure()
             return failure
         call.origin = found.unwrap()
+        # A resumption may name a later deadline than the request before.
+        await self._origins.extend(call.hold_s)
         return None
 
     async def record_first_event(
@@ -109,8 +141,11 @@
         service = call.service.name
         stream_key = resumed_id or call.session_key
         origin, known = await self._origins.find(stream_key, service)
-        sole = known.sole_version
-        if origin is None and sole is not None:
+        required_s = None
+        if origin is None:
+            required_s = await self._origins.required_watch_s(known)
+        sole = None if required_s is None else known.sole_version(required_s)
+        if sole is not None:
             origin = StreamOrigin(call.metadata.stream_id, service, sole)
         if origin is not None and origin.service_name != service:
             origin = None
@@ -124,8 +159,12 @@
             service=service,
             software_version=origin.software_version if origin else None,
             replica=origin.replica_id if origin else "",
-            versions=sorted(known.versions),
-            versions_complete=known.is_complete,
+            version_ages_s={
+                version: round(age_s, 1)
+                for version, age_s in sorted(known.age_by_version.items())
+            },
+            watched_s=round(known.watched_s, 1),
+            required_watch_s=required_s,
             outcome=outcome,
         )
         if origin is None:
--- a/libs/gateway/src/masticdale_gateway/streaming.py
+++ b/libs/gateway/src/masticdale_gateway/streaming.py
@@ -304,6 +304,7 @@
         replica.software_version,
         replica.id,
         call.session_key,
+        call.hold_s,
     )
 
 
--- a/libs/gateway/tests/test_origins.py
+++ b/libs/gateway/tests/test_origins.py
@@ -12,18 +12,29 @@
 from masticdale_routing.versions import KnownVersions, StreamOrigin
 
 NOTHING = (None, KnownVersions())
-BOTH = KnownVersions(frozenset({"v1", "v2"}), is_complete=True)
+WATCH_S = 8.0
+BOTH = KnownVersions({"v1": 0.0, "v2": 0.0}, WATCH_S)
+ONLY_V1 = KnownVersions({"v1": 0.0}, WATCH_S)
 
 
 class Origins:
-    def __init__(self, found=NOTHING):
+    def __init__(self, found=NOTHING, required_s=WATCH_S):
         self.found = found
+        self.required_s = required_s
+        self.extended = []
         self.opened = []
         self.closed = []
 
     async def open(self, origin):
         self.opened.append(origin)
 
+    async def extend(self, hold_s):
+        self.extended.append(hold_s)
+
+    async def required_watch_s(self, known):
+        del known
+        return self.required_s
+
     def close(self, request_id):
         self.closed.append(request_id)
 
@@ -47,8 +58,8 @@
 
 
 class OriginGuardTest(unittest.IsolatedAsyncioTestCase):
-    async def admit(self, call, found=NOTHING):
-        self.origins = Origins(found)
+    async def admit(self, call, found=NOTHING, required_s=WATCH_S):
+        self.origins = Origins(found, required_s)
         return await OriginGuard(self.origins, Metrics()).admit(call)
 
     async def test_the_first_event_alone_sets_the_origin(self):
@@ -97,10 +108,35 @@
 
     async def test_a_sole_version_tells_where_any_stream_began(self):
         call = create_stream("r1", "3")
-        only = KnownVersions(frozenset({"v1"}), is_complete=True)
-        self.assertIsNone(await self.admit(call, (None, only)))
+        self.assertIsNone(await self.admit(call, (None, ONLY_V1)))
         self.assertEqual(call.origin, StreamOrigin("r1", "desk", "v1"))
 
+    async def test_a_version_that_was_watched_for_too_short_tells_nothing(self):
+        """Guards against deadlines longer than the time watched.
+
+        So it is while the store can't tell how long that must be.
+        """
+        for required_s in (WATCH_S + 0.1, None):
+            with self.subTest(required_s=required_s):
+                call = create_stream("r1", "3")
+                failure = await self.admit(call, (None, ONLY_V1), required_s)
+                self.assertEqual(failure.kind, ErrorKind.STREAM_ORIGIN_UNKNOWN)
+
+    async def test_a_resumption_extends_the_time_that_callers_hold(self):
+        """Guards against one that names a later deadline than the first."""
+        origin = StreamOrigin("r1", "desk", "v1", "i-1")
+        call = create_stream("r1", "3")
+        call.metadata = dataclasses.replace(call.metadata, deadline_s=60.0)
+        await self.admit(call, (origin, BOTH))
+        self.assertEqual(self.origins.extended, [call.hold_s])
+        self.assertGreater(call.hold_s, 60.0)
+
+    def test_a_caller_without_a_deadline_waits_for_the_timeout(self):
+        """Guards against streams without a time for which they are held."""
+        call = create_stream()
+        self.assertIsNone(call.metadata.deadline_s)
+        self.assertGreaterEqual(call.hold_s, call.route.timeout_s)
+
     async def test_what_can_not_be_told_is_refused(self):
         """Guards against guessing the version of a stream.
 
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -197,6 +197,7 @@
   3: string software_version,
   4: string replica_id,
   5: string session_key,     // of the session that it belongs to
+  6: double hold_s,          // how long its caller can hold it; 0: unknown
 }
 
 struct NoteStreamsRequest {
@@ -212,10 +213,17 @@
   2: string service_name,
 }
 
+struct SeenVersion {
+  1: string version,
+  2: double age_s,           // since it was last listed
+}
+
 struct FindStreamReply {
   1: list<StreamOrigin> origins, // empty: unknown
   2: list<string> versions,  // of the service, within a stream's lifetime
   3: bool versions_complete, // no other version can have served
+  4: double watched_s,       // how long the list was watched without a gap
+  5: list<SeenVersion> seen, // of the service, also before that lifetime
 }
 
 service Ledger {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -393,19 +393,32 @@
     service_name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A software version that was listed ``age_s`` seconds ago."""
+
+    version: str
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FindStreamReply:
     """What the called host knows of a stream.
 
     Attributes:
         origins: Where it began; empty if unknown.
-        versions: The service's versions; see ``KnownVersions``.
-        versions_complete: Whether no other version can have served.
+        versions: The service's versions within the lifetime of a stream.
+        versions_complete: Whether no other version can have served in that
+            time. Read by hosts of before ``watched_s`` only.
+        watched_s: See ``KnownVersions``; 0 from hosts of before it.
+        seen: The versions of ``KnownVersions``; empty from such hosts.
     """
 
     origins: tuple[StreamOrigin, ...] = ()
     versions: tuple[str, ...] = ()
     versions_complete: bool = False
+    watched_s: float = 0.0
+    seen: tuple[SeenVersion, ...] = ()
 
 
 ADMIT = Rpc("admit", AdmitRequest, AdmitReply)
@@ -438,6 +451,7 @@
     CrashNotice,
     FailureReport,
     HostAddress,
+    SeenVersion,
     Settlement,
     StreamOrigin,
     UsageLevel,
--- a/libs/ledger/src/masticdale_ledger/stream_origins.py
+++ b/libs/ledger/src/masticdale_ledger/stream_origins.py
@@ -4,7 +4,8 @@
 id among those that all hosts know, before it sends the first event. Whichever
 host the caller comes to when that host is lost asks all of those. Nothing is
 sent while a service has had a single version for as long as a stream can last,
-since any host then knows which one began it.
+since any host then knows which one began it. For how long a stream can last is
+recorded in the store, since all hosts may be lost at once.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 import contextlib
 import dataclasses
 from collections.abc import Coroutine, Sequence
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from returns.result import Failure as Failed
 
@@ -25,8 +26,10 @@
     FindStreamRequest,
     NoteStreamsReply,
     NoteStreamsRequest,
+    SeenVersion,
 )
 from masticdale_routing.versions import (
+    MAX_HOLD_S,
     KnownVersions,
     StreamOrigin,
     VersionHistory,
@@ -48,6 +51,32 @@
 _ResultT = TypeVar("_ResultT")
 
 
+class LongestHold(Protocol):
+    """The longest time for which a caller can hold a stream, kept durably.
+
+    Attributes:
+        known_s: The time that this host knows to be recorded, in seconds.
+    """
+
+    known_s: float
+
+    async def raise_to(self, hold_s: float) -> None:
+        """Records a time, unless a longer one is recorded.
+
+        Returns after a short time in any case, and goes on in the background
+        while the store does not answer.
+        """
+        ...
+
+    async def read(self) -> float | None:
+        """Returns the recorded time; None if the store does not answer.
+
+        It covers all streams that had their first event before the call, but
+        for the last seconds.
+        """
+        ...
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Remembered:
     origin: StreamOrigin
@@ -73,10 +102,16 @@
             now: Event loop time in seconds.
             lifetime_s: How long to remember it, in seconds.
         """
-        remembered = _Remembered(origin, now + lifetime_s)
         for key in filter(None, (origin.request_id, origin.session_key)):
             by_version = self._remembered_by_key.setdefault(key, {})
-            by_version[origin.software_version] = remembered
+            before = by_version.get(origin.software_version)
+            # An earlier stream of a session may be held for longer.
+            expires_at = max(
+                now + lifetime_s, before.expires_at if before else 0.0
+            )
+            by_version[origin.software_version] = _Remembered(
+                origin, expires_at
+            )
             self._remembered_by_key.move_to_end(key)
         self._drop_old(now)
 
@@ -103,6 +138,13 @@
     return len(origins) == 1 and origins[0].request_id == stream_key
 
 
+def _versions(reply: FindStreamReply) -> KnownVersions:
+    # Hosts of before ``seen`` don't tell when a version was listed.
+    ages = dict.fromkeys(reply.versions, 0.0)
+    ages |= {seen.version: seen.age_s for seen in reply.seen}
+    return KnownVersions(ages, reply.watched_s)
+
+
 class SharedOrigins:
     """``StreamOrigins`` of a host among others, and its answers to them."""
 
@@ -111,6 +153,7 @@
         hosts: Hosts,
         versions: VersionHistory,
         metrics: Metrics,
+        longest_hold: LongestHold,
     ) -> None:
         """Starts without streams.
 
@@ -118,8 +161,10 @@
             hosts: The other hosts.
             versions: The versions that this host has seen.
             metrics: Metrics registry.
+            longest_hold: The record of how long callers can hold streams.
         """
         self._hosts = hosts
+        self._longest_hold = longest_hold
         self._versions = versions
         self._metrics = metrics
         self._remembered = _RememberedOrigins()
@@ -133,10 +178,17 @@
 
     async def open(self, origin: StreamOrigin) -> None:
         """See ``StreamOrigins.open``."""
-        if self._has_sole_version(origin.service_name):
+        is_long = origin.hold_s > self._least_watch_s
+        if not is_long and self._has_sole_version(origin.service_name):
             self._unannounced_by_id[origin.request_id] = origin
+            await self.extend(origin.hold_s)
             return
-        await self._announce(origin)
+        await asyncio.gather(self._announce(origin), self.extend(origin.hold_s))
+
+    async def extend(self, hold_s: float) -> None:
+        """See ``StreamOrigins.extend``."""
+        if hold_s > self._longest_hold.known_s:
+            await self._longest_hold.raise_to(hold_s)
 
     def close(self, request_id: str) -> None:
         """See ``StreamOrigins.close``."""
@@ -163,11 +215,7 @@
                     if _is_certain(reply.origins, stream_key):
                         return reply.origins[0], known
                     found += reply.origins
-                    known = known.union(
-                        KnownVersions(
-                            frozenset(reply.versions), reply.versions_complete
-                        )
-                    )
+                    known = known.union(_versions(reply))
         except TimeoutError:
             self._metrics.count("stream_origin_timeouts_total")
         finally:
@@ -175,7 +223,19 @@
                 task.cancel()
         versions = frozenset(origin.software_version for origin in found)
         origin = found[0] if len(versions) == 1 else None
-        return origin, known.union(KnownVersions(versions))
+        listed = KnownVersions(dict.fromkeys(versions, 0.0))
+        return origin, known.union(listed)
+
+    async def required_watch_s(self, known: KnownVersions) -> float | None:
+        """See ``StreamOrigins.required_watch_s``."""
+        least_s = self._least_watch_s
+        if known.sole_version(least_s) is None:
+            return least_s
+        recorded_s = await self._longest_hold.read()
+        if recorded_s is None:
+            self._metrics.count("stream_hold_unknown_total")
+            return None
+        return max(recorded_s, self._versions.lifetime_s)
 
     def review(self) -> None:
         """Announces open streams once other hosts can't know by themselves.
@@ -191,22 +251,35 @@
         """Remembers streams that other hosts have begun."""
         now = asyncio.get_running_loop().time()
         for origin in request.origins:
-            self._remembered.put(origin, now, self._versions.lifetime_s)
+            lifetime_s = max(origin.hold_s, self._versions.lifetime_s)
+            self._remembered.put(origin, now, min(lifetime_s, MAX_HOLD_S))
         return NoteStreamsReply(remembered=True)
 
     def answer(self, request: FindStreamRequest) -> FindStreamReply:
         """Tells another host what this one knows of a stream."""
         now = asyncio.get_running_loop().time()
         known = self._versions.known(request.service_name, now)
+        lifetime_s = self._versions.lifetime_s
         return FindStreamReply(
             self._remembered.get(request.stream_key, now),
-            tuple(sorted(known.versions)),
-            known.is_complete,
+            tuple(sorted(known.versions(lifetime_s))),
+            known.watched_s >= lifetime_s,
+            known.watched_s,
+            tuple(
+                SeenVersion(version, age_s)
+                for version, age_s in sorted(known.age_by_version.items())
+            ),
         )
 
+    @property
+    def _least_watch_s(self) -> float:
+        """The watched time that is required as far as this host knows."""
+        return max(self._longest_hold.known_s, self._versions.lifetime_s)
+
     def _has_sole_version(self, service: str) -> bool:
         now = asyncio.get_running_loop().time()
-        return self._versions.known(service, now).sole_version is not None
+        known = self._versions.known(service, now)
+        return known.sole_version(self._least_watch_s) is not None
 
     async def _announce(self, origin: StreamOrigin) -> None:
         """Returns once another host remembers a stream."""
--- a/libs/routing/tests/test_versions.py
+++ b/libs/routing/tests/test_versions.py
@@ -8,7 +8,13 @@
 
 from masticdale_routing.fleet import Fleet, Replica
 from masticdale_routing.routes import Route, RouteKind, RouteTable
-from masticdale_routing.versions import KnownVersions, VersionHistory
+from masticdale_routing.versions import (
+    MAX_HOLD_S,
+    MIN_HOLD_S,
+    KnownVersions,
+    VersionHistory,
+    hold_s,
+)
 
 SERVICE = "engine"
 # Twice the timeout of the only route with streams.
@@ -54,8 +60,8 @@
             self.fleet.put(replica(number, version))
         self.history.update(now)
 
-    def sole_version(self, now):
-        return self.history.known(SERVICE, now).sole_version
+    def sole_version(self, now, within_s=LIFETIME_S):
+        return self.history.known(SERVICE, now).sole_version(within_s)
 
     def test_a_host_that_has_just_started_knows_nothing(self):
         """Guards against trusting a list read after a version has left."""
@@ -90,7 +96,8 @@
         """Guards against a lifetime of none while routes are unknown."""
         self.table = None
         self.list({1: "v1"}, 0.0)
-        self.assertIsNone(self.sole_version(LIFETIME_S))
+        lifetime_s = self.history.lifetime_s
+        self.assertIsNone(self.sole_version(LIFETIME_S, lifetime_s))
 
     def test_versions_of_another_service_do_not_count(self):
         self.fleet.put(replica(3, "v9", service="desk"))
@@ -138,10 +145,57 @@
 
     def test_what_two_hosts_know_together(self):
         """Guards against ignoring a version that only one host has seen."""
-        old = KnownVersions(frozenset({"v1"}), is_complete=True)
-        new = KnownVersions(frozenset({"v2"}))
-        self.assertIsNone(old.union(new).sole_version)
-        self.assertEqual(old.union(KnownVersions()).sole_version, "v1")
+        old = KnownVersions({"v1": 0.0}, 8.0)
+        new = KnownVersions({"v2": 0.0})
+        self.assertIsNone(old.union(new).sole_version(8.0))
+        self.assertEqual(old.union(KnownVersions()).sole_version(8.0), "v1")
+
+    def test_another_host_answers_only_for_the_time_that_it_has_watched(self):
+        """Guards against one that started after the version in question left.
+
+        Times of two hosts are not added, since there may be a gap between.
+        """
+        asked = KnownVersions({"v2": 0.0}, 20.0)
+        known = KnownVersions({"v2": 0.0}, 15.0).union(asked)
+        self.assertEqual(known.sole_version(20.0), "v2")
+        self.assertIsNone(known.sole_version(32.0))
+        longer = KnownVersions({"v2": 0.0, "v1": 25.0}, 100.0)
+        self.assertEqual(known.union(longer).sole_version(20.0), "v2")
+        self.assertIsNone(known.union(longer).sole_version(32.0))
+        self.assertEqual(longer.union(known).sole_version(25.0), "v2")
+
+    def test_a_lower_timeout_shortens_no_time_that_callers_hold(self):
+        """Guards against forgetting a version that has left with the timeout.
+
+        The configuration lowers the timeout while streams are under way.
+        """
+        self.list({1: "v1", 2: "v2"}, 0.0)
+        self.list({2: "v2"}, 100.0)
+        self.table = RouteTable(
+            [Route("r", "h", "/", RouteKind.STREAMING, 0.5, 1, 0, (), 1, True)]
+        )
+        self.history.update(101.0)
+        self.history.update(116.0)
+        self.assertEqual(self.history.lifetime_s, MIN_HOLD_S)
+        self.assertEqual(self.sole_version(116.0, MIN_HOLD_S), "v2")
+        self.assertIsNone(self.sole_version(116.0, 32.0))
+        self.assertEqual(self.sole_version(133.0, 32.0), "v2")
+
+    def test_a_version_is_forgotten_once_no_caller_can_hold_a_stream(self):
+        """Guards against a history that grows with each release."""
+        self.list({1: "v1", 2: "v2"}, 0.0)
+        self.list({2: "v2"}, 100.0)
+        self.history.update(100.0 + MAX_HOLD_S)
+        known = self.history.known(SERVICE, 100.0 + MAX_HOLD_S)
+        self.assertEqual(known.age_by_version, {"v2": 0.0})
+
+    def test_a_stream_is_held_past_its_deadline(self):
+        """Guards against a replica that begins streams after it has left.
+
+        Hosts hear of it late. An endless deadline counts as the longest.
+        """
+        self.assertGreater(hold_s(30.0), 31.0)
+        self.assertEqual(hold_s(1e12), MAX_HOLD_S)
 
 
 class FleetTest(unittest.TestCase):
