Stand-in replica: begin a copy of an earlier response before the next

No change for callers. On a connection that was used before, the replica sends a copy of that connection's previous response, of a 503 with Not-Executed or of an interim response, cut at a drawn byte of its head, its body or anywhere. The response to the request follows in the same write or some milliseconds later, and a share of them is a 500, so that the two differ. The replica records the statuses that it sealed, by request id.

--- a/tools/standins/src/masticdale_standins/raw_http.py
+++ b/tools/standins/src/masticdale_standins/raw_http.py
@@ -10,6 +10,9 @@
 
 import httptools
 
+# Bytes of a response that a connection keeps: some responses have no end.
+_MAX_KEPT_BYTES = 4096
+
 
 @dataclasses.dataclass(slots=True)
 class RawRequest:
@@ -55,14 +58,34 @@
 
 
 class RawConnection:
-    """A connection to which handlers write raw bytes."""
+    """A connection to which handlers write raw bytes.
+
+    Attributes:
+        last_response: The beginning of what was written since the last call of
+            ``begin_response``.
+    """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
+        self.last_response = b""
+        self._unsent = b""
+
+    def begin_response(self, beginning: bytes = b"") -> None:
+        """Begins a response.
+
+        Args:
+            beginning: Bytes to send in one write with its first ones; they are
+                no part of it.
+        """
+        self.last_response = b""
+        self._unsent = beginning
 
     async def write(self, data: bytes) -> None:
         """Writes bytes unchanged."""
-        self._writer.write(data)
+        missing = _MAX_KEPT_BYTES - len(self.last_response)
+        self.last_response += data[:missing]
+        self._writer.write(self._unsent + data)
+        self._unsent = b""
         await self._writer.drain()
 
     def close(self) -> None:
--- a/tools/standins/src/masticdale_standins/replicas.py
+++ b/tools/standins/src/masticdale_standins/replicas.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import itertools
+import random
 
 from masticdale_standins.raw_http import (
     RawConnection,
@@ -69,8 +70,11 @@
     ENDLESS_TRAILERS = enum.auto()
 
 
+_HEAD_END = b"\r\n\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 _OTHER_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\n"
+REFUSAL = encode_response(503, {"Not-Executed": "1"}, b"full")
+INTERIM = b"HTTP/1.1 102 Processing\r\nNote: running\r\n\r\n"
 # What an endless response sends after its usual header fields: the beginning,
 # and the bytes that are then repeated.
 _ENDLESS_PARTS: dict[ReplicaFault, tuple[bytes, bytes]] = {
@@ -94,6 +98,61 @@
 _ENDLESS_PAUSE_S = 0.0005
 
 
+class CutPlace(enum.Enum):
+    """Where a copy of a response is cut.
+
+    Attributes:
+        HEAD: Before the end of its head.
+        BODY: After its head; of a response without body, within the head.
+        ANYWHERE: At any byte.
+    """
+
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    ANYWHERE = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutCopies:
+    """Copies that a replica begins before its responses, and doesn't end.
+
+    They come on connections that were used before.
+
+    Attributes:
+        content: What is copied; the previous response of the connection if
+            empty.
+        place: Where a copy is cut.
+        share: Share of the responses that follow one.
+        delays_s: Delays of the response after it, in seconds, of which one is
+            drawn; 0 for one write.
+        failed_share: Share of all requests that are answered with 500.
+    """
+
+    content: bytes = b""
+    place: CutPlace = CutPlace.HEAD
+    share: float = 0.5
+    delays_s: tuple[float, ...] = (0.0, 0.003)
+    failed_share: float = 0.0
+
+    def draw(self, rng: random.Random, previous: bytes) -> bytes:
+        """Draws what comes before a response; empty for nothing.
+
+        Args:
+            rng: Source of the random choices.
+            previous: Previous response of the connection; empty for none.
+        """
+        if not previous or rng.random() >= self.share:
+            return b""
+        copy = self.content or previous
+        head_bytes = copy.find(_HEAD_END) + len(_HEAD_END)
+        first, last = 1, len(copy) - 1
+        if self.place is CutPlace.HEAD or head_bytes > last:
+            last = head_bytes - 1
+        elif self.place is CutPlace.BODY:
+            first = head_bytes
+        return copy[: rng.randint(first, last)]
+
+
 @dataclasses.dataclass(slots=True)
 class ReplicaBehaviour:
     """How a replica responds.
@@ -116,6 +175,7 @@
         events_before_pause: Number of events of a stream before a pause.
         pause_s: Duration of that pause, in seconds; 0 for none.
         body_bytes: Length of the body of a unary response; 0 for a short one.
+        cut_copies: Copies that come before responses; None for none.
     """
 
     fault: ReplicaFault = ReplicaFault.NONE
@@ -131,6 +191,7 @@
     events_before_pause: int = 0
     pause_s: float = 0.0
     body_bytes: int = 0
+    cut_copies: CutCopies | None = None
 
 
 class FakeReplica:
@@ -146,6 +207,8 @@
             response was complete.
         has_ended: Whether a request has ended it.
         endless_s: Time that each endless response has lasted, in seconds.
+        sealed_statuses: Statuses of its sealed responses, by request id.
+        copies: Number of copies that came before responses.
     """
 
     def __init__(self, service: str, is_stream: bool) -> None:
@@ -157,10 +220,17 @@
         self.abandoned = 0
         self.has_ended = False
         self.endless_s: list[float] = []
+        self.sealed_statuses: dict[str, list[int]] = {}
+        self.copies = 0
+        self._random = random.Random(0)
         self._ending: asyncio.Task[None] | None = None
         self._is_stream = is_stream
         self._server = RawServer(self._handle)
 
+    def seed(self, seed: int) -> None:
+        """Restarts its random choices from a seed."""
+        self._random = random.Random(seed)
+
     @property
     def port(self) -> int:
         """Listening port; 0 before the first start."""
@@ -211,6 +281,7 @@
         expected = request.header_by_name.get("expect-instance", self.id)
         if expected != self.id:
             headers = {"Instance-Id": self.id}
+            connection.begin_response()
             await connection.write(encode_response(421, headers))
             return
         try:
@@ -219,6 +290,20 @@
             self.abandoned += 1
             raise
 
+    async def _begin_response(self, connection: RawConnection) -> None:
+        copies = self.behaviour.cut_copies
+        if copies is None:
+            connection.begin_response()
+            return
+        beginning = copies.draw(self._random, connection.last_response)
+        self.copies += bool(beginning)
+        delay_s = self._random.choice(copies.delays_s)
+        if beginning and delay_s:
+            await connection.write(beginning)
+            await asyncio.sleep(delay_s)
+            beginning = b""
+        connection.begin_response(beginning)
+
     async def _respond(
         self, request: RawRequest, connection: RawConnection
     ) -> None:
@@ -231,19 +316,25 @@
             fault = ReplicaFault.FATAL
         if behaviour.fatal_body and behaviour.fatal_body == request.body:
             fault = ReplicaFault.FATAL
+        copies = behaviour.cut_copies
+        if copies is not None and self._random.random() < copies.failed_share:
+            # So that copy and response often have different statuses.
+            fault = ReplicaFault.SERVER_ERROR
         headers = self._headers(request)
-        if fault in (
+        is_refused = fault in (
             ReplicaFault.OVERLOADED,
             ReplicaFault.OVERLOADED_TRUNCATED,
-        ):
-            refusal = encode_response(503, {"Not-Executed": "1"}, b"full")
+        )
+        if not is_refused:
+            self.executed_requests.append(request)
+        await self._begin_response(connection)
+        if is_refused:
             if fault is ReplicaFault.OVERLOADED:
-                await connection.write(refusal)
+                await connection.write(REFUSAL)
                 return
-            await connection.write(refusal[:-1])
+            await connection.write(REFUSAL[:-1])
             connection.close()
             return
-        self.executed_requests.append(request)
         if fault is ReplicaFault.FATAL and behaviour.ends_after_s:
             self._ending = asyncio.create_task(self._end_later())
             await asyncio.sleep(3600)
@@ -256,11 +347,14 @@
         elif fault in _ENDLESS_PARTS:
             await self._send_endless(connection, headers, fault)
         elif fault is ReplicaFault.SERVER_ERROR:
+            self._record_status(headers, 500)
             await connection.write(encode_response(500, headers, b"failed"))
         elif self._is_stream:
+            self._record_status(headers, 200)
             await self._send_stream(request, connection, headers, fault)
         else:
             await asyncio.sleep(behaviour.processing_s)
+            self._record_status(headers, 200)
             await self._send_unary(connection, headers, fault)
 
     async def _crash(self) -> None:
@@ -275,6 +369,10 @@
         self.has_ended = True
         await self.stop()
 
+    def _record_status(self, headers: dict[str, str], status: int) -> None:
+        statuses = self.sealed_statuses.setdefault(headers["Request-Id"], [])
+        statuses.append(status)
+
     def _headers(self, request: RawRequest) -> dict[str, str]:
         request_id = request.header_by_name.get("request-id", "")
         return {
