Ledger: count repeated turns against the quota of an acting standby

Callers could see a program exceed its budget by more than one turn after a loss of all hosts that follows a partition. Found while the quotas of isolated hosts were checked for turns in flight; no play or complaint is traced to it.

Cause: a standby that acts for its owner admitted each turn that its copy holds as reserved, whatever its quota. The copy may have arrived without an answer. The owner has then refused the turn, has its tokens back, and grants them again within its own quota.

Change: at an acting standby, a turn that is reserved already must fit the quota too. An owner goes on to admit its own reserved turns.

Cost: while the store is away, a turn whose grant was lost with its owner waits if the turns in flight of its program exceed the standby's quota.

--- a/libs/ledger/src/masticdale_ledger/owned_shard.py
+++ b/libs/ledger/src/masticdale_ledger/owned_shard.py
@@ -94,9 +94,15 @@
         account = self.accounts.get(claim.program_id)
         if account is None:
             return True
-        if claim.request_id in account.reserved_by_request_id:
+        is_reserved = claim.request_id in account.reserved_by_request_id
+        if is_reserved and not self.is_acting:
             return False
-        needed = account.committed_tokens + claim.turn_tokens
+        # The owner may have refused a turn whose copy arrived here without an
+        # answer. It then counts the turn's tokens as its own or as unspent, so
+        # that the turn must fit the quota of this side.
+        needed = account.committed_tokens
+        if not is_reserved:
+            needed += claim.turn_tokens
         return needed > quota.limit_tokens
 
     @property
