Ledger: leave turns in flight out of the limit of an isolated host

Cause: a turn that is reserved while the quotas are computed lowered the limit of its host, and counted against that limit as well. Where half of the tokens left is less than a turn, the limit then held no turn at all, also after the turn was refused and its tokens were given back (limit 100 in place of 180).

Change: the limit is computed from the spent tokens alone, as the tokens of the peer were already. This keeps the sum of both sides within the ceiling: spent tokens that one side knows and the other one does not raise its limit by no more than was used, and each side counts turns in flight against its limit at their maximum (test_both_quotas_stay_below_the_unrecorded_limit, 2,000 examples of settlements known to either side).

Ruled out: adding the reserved tokens to the limit. Both sides would grant what a turn leaves of its maximum; the test above fails with 200 tokens in place of 100 that the other side charges.

--- a/libs/ledger/src/masticdale_ledger/isolation.py
+++ b/libs/ledger/src/masticdale_ledger/isolation.py
@@ -61,9 +61,11 @@
 ) -> dict[str, IsolationQuota]:
     """Returns the quota of one host for each program, by program ID.
 
-    The two hosts may disagree on which turns have ended. A turn in flight
-    lowers this host's limit but not the peer's tokens, so that the sum of both
-    stays within the ceiling whichever host has received more settlements.
+    The two hosts may disagree on which turns have ended. Each counts a turn
+    against its limit, at its maximum until it ends, so that the limit itself
+    leaves turns in flight out. An ended turn raises a host's limit by no more
+    than it used. The grants of both therefore stay within the ceiling whichever
+    host has received more settlements.
 
     Args:
         accounts: The accounts that both hosts hold.
@@ -87,20 +89,17 @@
         # cover a turn, yet would count as spent after each loss of an owner.
         return IsolationQuota(account.spent_tokens, 0)
     turn_tokens = account.most_tokens
-    unspent_tokens = max(0, account.ceiling_tokens - account.committed_tokens)
-    peer_unspent_tokens = max(0, account.ceiling_tokens - account.spent_tokens)
+    unspent_tokens = max(0, account.ceiling_tokens - account.spent_tokens)
+    peer_tokens = _split_tokens(
+        unspent_tokens, turn_tokens, not is_remainder_side
+    )
     if account.awaits_standby_ack:
         # The standby does not hold this account, so a host that seals the
         # standby would count the program from zero. A replaced owner must not
         # admit its turns as well.
-        unspent_tokens = 0
-    return IsolationQuota(
-        limit_tokens=account.spent_tokens
-        + _split_tokens(unspent_tokens, turn_tokens, is_remainder_side),
-        peer_tokens=_split_tokens(
-            peer_unspent_tokens, turn_tokens, not is_remainder_side
-        ),
-    )
+        return IsolationQuota(account.spent_tokens, peer_tokens)
+    own_tokens = _split_tokens(unspent_tokens, turn_tokens, is_remainder_side)
+    return IsolationQuota(account.spent_tokens + own_tokens, peer_tokens)
 
 
 def _split_tokens(
