Read responses whose Via field names an address

A response with a field such as 'Via: HTTP/1.1 192.168.0.5' was refused as malformed, so that its caller got 502: three digits after the version count as a status line. A status ends there, with a space or the end of its line. The class says that such text is refused although it is legal.

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -22,8 +22,9 @@
 # Limits on the late responses to earlier requests that are skipped.
 _MAX_SKIPPED_BYTES = 2 << 20
 _MAX_SKIPPED_RESPONSES = 16
-_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
-# One byte less than what _STATUS_LINE matches.
+# The status ends there, so that an address in a Via field does not match.
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?![^ \r\n])")
+# One byte less than the shortest status line.
 _STATUS_LINE_TAIL_BYTES = len(b"HTTP/1.1 200") - 1
 
 ResponseMatcher = Callable[[ResponseHead], bool]
@@ -45,9 +46,10 @@
     the connection is then not reused.
 
     A server may stop inside a response and go on with the next one, whose
-    status line then stands in what is left of the first. It is malformed where
-    no part of the awaited response can hold one: in a reason phrase, a field, a
-    trailer, or the body of a response to another request.
+    status line then stands in what is left of the first. A response that holds
+    a status line in its reason phrase, a field or a trailer is therefore
+    refused as malformed, although such text is legal there, and so is a
+    response to another request that holds one in its body.
 
     Attributes:
         idle_since: End of the last exchange, in loop seconds.
