Gateway: note a second response in one place

on_message_begin ends the reuse of a connection when a message begins while no response is awaited. _put did the same for the parts of that message, which come after its beginning, so that its line had no effect any more. No change in behaviour; test_closed_responses and the tests of libs/gateway pass.

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -308,9 +308,6 @@
 
     def _put(self, item: ResponseHead | bytearray | None) -> None:
         if not self._is_awaiting:
-            # A second response arrived in the same read as the end of the
-            # first.
-            self._must_close = True
             return
         self._items.append(item)
         self._arrived.set()
