Tests: share what reads of responses are tested with

Also: a count that nothing read, and a second loop that waits for the first event of streams.

Assertions are as before.

--- a/apps/masticdale_entry/tests/test_closed_responses_of_replicas.py
+++ b/apps/masticdale_entry/tests/test_closed_responses_of_replicas.py
@@ -140,9 +140,7 @@
             return cut, end, request_id, result
 
         pairs = [(cut, end) for cut in cuts for end in ("close", "reset")]
-        results = await asyncio.gather(*(fetch(*pair) for pair in pairs))
-        self.responses = getattr(self, "responses", 0) + len(results)
-        return results
+        return await asyncio.gather(*(fetch(*pair) for pair in pairs))
 
     async def find_wrong(self, path, cuts, **options):
         """Returns the results that are a success without the whole body."""
--- a/apps/masticdale_entry/tests/test_software_versions.py
+++ b/apps/masticdale_entry/tests/test_software_versions.py
@@ -139,8 +139,8 @@
     def begin(self, stream, host):
         return asyncio.create_task(self.ask(stream, host, stream.request_id))
 
-    async def wait_for_events(self, streams):
-        async with asyncio.timeout(BEGIN_S):
+    async def wait_for_events(self, streams, within_s=BEGIN_S):
+        async with asyncio.timeout(within_s):
             while not all(stream.events for stream in streams):
                 await asyncio.sleep(EVENT_INTERVAL_S / 4)
 
--- a/apps/masticdale_entry/tests/test_streams_after_a_loss.py
+++ b/apps/masticdale_entry/tests/test_streams_after_a_loss.py
@@ -48,9 +48,7 @@
             for n in range(STREAMS)
         ]
         tasks = [self.begin(stream, self.hosts[0]) for stream in streams]
-        async with asyncio.timeout(BEGIN_S):
-            while not all(stream.events for stream in streams):
-                await asyncio.sleep(EVENT_INTERVAL_S / 4)
+        await self.wait_for_events(streams, BEGIN_S)
         return streams, tasks
 
     async def lose_all(self, tasks):
--- a/libs/gateway/tests/test_upstreams.py
+++ b/libs/gateway/tests/test_upstreams.py
@@ -8,6 +8,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from masticdale_gateway.testing import FakeTransport
 from masticdale_gateway.upstreams import (
     OversizedResponseError,
     UpstreamConnection,
@@ -19,32 +20,6 @@
 OTHER = HEAD.replace(b"r1", b"r0")
 
 
-class Transport:
-    """Records whether the connection reads and is open."""
-
-    def __init__(self):
-        self.is_reading = True
-        self.is_aborted = False
-
-    def write(self, data):
-        pass
-
-    def abort(self):
-        self.is_aborted = True
-
-    def is_closing(self):
-        return self.is_aborted
-
-    def pause_reading(self):
-        self.is_reading = False
-
-    def resume_reading(self):
-        self.is_reading = True
-
-    def get_write_buffer_size(self):
-        return 0
-
-
 def matches(head):
     return head.headers.get(b"request-id") == b"r1"
 
@@ -57,7 +32,7 @@
 
 def connect():
     """Returns a connection that awaits a response, and its transport."""
-    transport = Transport()
+    transport = FakeTransport()
     connection = UpstreamConnection()
     connection.connection_made(transport)
     connection.send(b"request", matches)
