Accept heads whose fields have no space after the colon

What callers saw: a legal head of 16,084 bytes in lines like "a:" got 431.

Cause: the size of the fields counted a space after each colon, which is optional; short lines counted a quarter more than they are.

Change: the least size on the wire counts. What is longer is still bounded by the bytes that were read.

Evidence: test_a_largest_head_without_spaces failed before (0 of 1 requests reached the replica).

--- a/libs/gateway/src/masticdale_gateway/messages.py
+++ b/libs/gateway/src/masticdale_gateway/messages.py
@@ -39,8 +39,11 @@
 
     @property
     def size(self) -> int:
-        """Size of the fields on the wire, in bytes."""
-        return sum(len(name) + len(value) + 4 for name, value in self.fields)
+        """Least size of the fields on the wire, in bytes.
+
+        White space around a value is optional.
+        """
+        return sum(len(name) + len(value) + 3 for name, value in self.fields)
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of the field with this lowercase name."""
