Bound what all callers together make an entry host hold

What callers saw: clients that send many bodies or very many short header lines and stay connected, or that read no responses, ended a process by its memory; 600 connections took every descriptor, so that nobody else was accepted.

Cause: each limit was one request's, nothing was counted over all connections. Beside it: parts of a body were kept as objects (80 bytes for a chunk of two), task and parser kept a closed connection in memory until the collector came, responses were written whole whatever the caller read, and a connection was accepted whatever it left for the connections to replicas.

Change: ConnectionBudget. Each connection reports an estimate of what it holds: what is read, queued, being served and not taken. Over the budget (a quarter of the host's memory) the largest of what is not served yet is given up: a request gets 503 host_busy, not run, a response that isn't read is broken off. A quarter of the budget is left to small requests; the only large one always passes. Descriptors: a connection counts one, a request that is being served another; the oldest unserved connection is closed. Reads are 16 KiB at once, responses are written in parts of 64 KiB. Other ways weighed: to stop reading (a crowd that stays open would hold up ordinary callers until its timeout), limits per connection (a crowd opens more of them), refusing what comes last (that is the ordinary caller).

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -17,12 +17,14 @@
     read_replica,
 )
 from masticdale_common import (
+    ConnectionBudget,
     JsonValue,
     Metrics,
     StateDump,
     Subscription,
     TimerService,
     hashing,
+    limits_of_host,
     logs,
 )
 from masticdale_entry.crash_reports import (
@@ -127,6 +129,9 @@
         self._metrics = Metrics()
         self._timers = TimerService()
         self._dump = StateDump()
+        self._callers_budget = ConnectionBudget(
+            limits_of_host(settings.memory_mb, settings.max_descriptors)
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._status_servers: list[asyncio.Server] = []
         self._listener: asyncio.Server | None = None
@@ -284,6 +289,7 @@
                 ),
                 history=self._histories,
                 origins=self._origins,
+                budget=self._callers_budget,
             )
         )
         self._register_dumps()
@@ -407,7 +413,7 @@
         callers = _required(settings.callers)
         page_by_path = {READINESS_PATH: self._readiness}
         self._status_servers.append(
-            await StatusServer(page_by_path).listen(
+            await StatusServer(page_by_path, self._callers_budget).listen(
                 str(readiness.ip), readiness.port
             )
         )
@@ -417,7 +423,7 @@
                 "/state": dump_page(self._dump),
             }
             self._status_servers.append(
-                await StatusServer(page_by_path).listen(
+                await StatusServer(page_by_path, self._callers_budget).listen(
                     str(callers.ip), settings.metrics_port
                 )
             )
@@ -592,6 +598,7 @@
             "longest_stream_hold_s", lambda: self._stream_hold.known_s
         )
         self._dump.register("connections", self._relay.count_by_state)
+        self._dump.register("callers_budget", self._callers_budget.state)
         self._dump.register("history_hosts", self._histories.dump)
         self._dump.register("crash_suspects", self._dump_crash_suspects)
 
--- a/apps/masticdale_entry/src/masticdale_entry/history_storage.py
+++ b/apps/masticdale_entry/src/masticdale_entry/history_storage.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from masticdale_common import (
+    ConnectionBudget,
     JsonValue,
     MasticdaleError,
     Metrics,
@@ -260,7 +261,8 @@
             "/state": dump_page(dump),
         }
         try:
-            self._status_server = await StatusServer(page_by_path).listen(
+            server = StatusServer(page_by_path, ConnectionBudget())
+            self._status_server = await server.listen(
                 str(self._settings.address.ip), port
             )
         except OSError as error:
--- a/apps/masticdale_entry/src/masticdale_entry/settings.py
+++ b/apps/masticdale_entry/src/masticdale_entry/settings.py
@@ -53,6 +53,10 @@
             which of them are new.
         tolerated_losses: Number of storage hosts that may be lost at once
             without losing a turn.
+        memory_mb: Memory of the process in MB; callers may make it hold a
+            quarter. 32 MB in all without it.
+        max_descriptors: Limit on descriptors of the process; that of the
+            operating system without it.
         usage_window_s: Length of the window in which requests beyond a usage
             cap are tolerated; None for no tolerance.
         usage_excess_share: Tolerated excess as a share of what a cap allows in
@@ -76,6 +80,8 @@
     disk_mb: int = pydantic.Field(default=0, ge=0)
     first_start: bool = False
     tolerated_losses: int = pydantic.Field(default=0, ge=0)
+    memory_mb: int | None = pydantic.Field(default=None, gt=0)
+    max_descriptors: int | None = pydantic.Field(default=None, gt=0)
     usage_window_s: float | None = pydantic.Field(default=None, gt=0)
     usage_excess_share: float | None = pydantic.Field(default=None, ge=0)
     usage_excess_requests: float | None = pydantic.Field(default=None, ge=0)
--- a/apps/masticdale_entry/src/masticdale_entry/status.py
+++ b/apps/masticdale_entry/src/masticdale_entry/status.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Callable
 
-from masticdale_common import Failure, Metrics, StateDump
+from masticdale_common import ConnectionBudget, Failure, Metrics, StateDump
 from masticdale_gateway.callers import (
     CallerConnection,
     ResponseWriter,
@@ -19,14 +19,23 @@
 class StatusServer:
     """Serves fixed paths."""
 
-    def __init__(self, page_by_path: dict[str, Page]) -> None:
+    def __init__(
+        self, page_by_path: dict[str, Page], budget: ConnectionBudget
+    ) -> None:
+        """Initializes the server.
+
+        Args:
+            page_by_path: The pages.
+            budget: What its connections may hold, with those of callers.
+        """
         self._page_by_path = page_by_path
+        self._budget = budget
 
     async def listen(self, host: str, port: int) -> asyncio.Server:
         """Starts to accept connections."""
         loop = asyncio.get_running_loop()
         return await loop.create_server(
-            lambda: CallerConnection(self._serve, set()),
+            lambda: CallerConnection(self._serve, set(), self._budget),
             host,
             port,
         )
@@ -37,17 +46,21 @@
                 request = await connection.next_request()
                 if request is None or isinstance(request, Failure):
                     break
-                self._respond(connection, request)
+                await self._respond(connection, request)
+                connection.end_request()
                 if not request.keeps_alive:
                     break
             await close_gracefully(connection)
         except ConnectionLostError:
             connection.abort()
 
-    def _respond(self, connection: CallerConnection, request: Request) -> None:
+    async def _respond(
+        self, connection: CallerConnection, request: Request
+    ) -> None:
         page = self._page_by_path.get(request.path)
         status, body = page() if page else (404, b"")
-        ResponseWriter(connection, request.keeps_alive).send(status, [], body)
+        writer = ResponseWriter(connection, request.keeps_alive)
+        await writer.send(status, [], body)
 
 
 def metrics_page(metrics: Metrics) -> Page:
--- a/libs/common/src/masticdale_common/__init__.py
+++ b/libs/common/src/masticdale_common/__init__.py
@@ -1,6 +1,12 @@
 """Error kinds, timers, logs, metrics, settings and state dumps."""
 
 from masticdale_common import hashing, logs, settings
+from masticdale_common.connection_budget import (
+    Account,
+    BudgetLimits,
+    ConnectionBudget,
+    limits_of_host,
+)
 from masticdale_common.dumps import JsonValue, StateDump
 from masticdale_common.exceptions import (
     ERROR_RESPONSE_BY_KIND,
@@ -16,6 +22,9 @@
 
 __all__ = [
     "ERROR_RESPONSE_BY_KIND",
+    "Account",
+    "BudgetLimits",
+    "ConnectionBudget",
     "ErrorKind",
     "ErrorResponse",
     "Executed",
@@ -28,6 +37,7 @@
     "Subscription",
     "TimerService",
     "hashing",
+    "limits_of_host",
     "logs",
     "settings",
 ]
--- /dev/null
+++ b/libs/common/src/masticdale_common/connection_budget.py
@@ -0,0 +1,281 @@
+"""Bounds what the connections of all callers make a process hold.
+
+Limits on one request do not bound a process: a caller may open many
+connections. Each connection reports what it holds. When the sum exceeds the
+budget, connections give up what no caller is owed a response for, the largest
+first, so that small requests still pass beside large ones.
+"""
+
+import dataclasses
+import resource
+from typing import Protocol
+
+from masticdale_common.dumps import JsonValue
+
+# Up to this size a connection counts as small. Large ones leave a part of the
+# budget to the small ones.
+_SMALL_BYTES = 65_536
+_LARGE_SHARE = 0.75
+# The part of a host's memory that callers may make its process hold.
+_MEMORY_SHARE = 0.25
+_DEFAULT_MEMORY_BYTES = 32_000_000
+# Descriptors that the platform reserves for files, and those for the store,
+# other hosts, probes, and connections that are about to close.
+_RESERVED_DESCRIPTORS = 200
+_OWN_DESCRIPTORS = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetLimits:
+    """Limits on what the connections of all callers hold.
+
+    Attributes:
+        memory_bytes: Memory. One large request alone may exceed it.
+        descriptors: Their descriptors, with those of connections to replicas
+            for the requests that are being served.
+    """
+
+    memory_bytes: int = _DEFAULT_MEMORY_BYTES
+    descriptors: int = 4096
+
+
+def limits_of_host(
+    memory_mb: int | None, max_descriptors: int | None
+) -> BudgetLimits:
+    """Returns the limits that suit a host.
+
+    Args:
+        memory_mb: Memory of the process in MB; None if unknown.
+        max_descriptors: Limit on its descriptors; None for the limit of the
+            operating system.
+    """
+    memory_bytes = _DEFAULT_MEMORY_BYTES
+    if memory_mb is not None:
+        memory_bytes = int(memory_mb * 1_000_000 * _MEMORY_SHARE)
+    if max_descriptors is None:
+        max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    reserved = _RESERVED_DESCRIPTORS + _OWN_DESCRIPTORS
+    return BudgetLimits(memory_bytes, max(1, max_descriptors - reserved))
+
+
+class Holder(Protocol):
+    """A connection whose account is open."""
+
+    def give_up_unserved(self) -> None:
+        """Gives up what no caller is owed a response for.
+
+        Incomplete requests and those that are not served yet are refused, and
+        a response that the caller does not read is broken off.
+        """
+        ...
+
+    def close_unserved(self) -> None:
+        """Closes the connection, on which no caller is owed a response.
+
+        No request is being served, or its response is not read.
+        """
+        ...
+
+
+class Account:
+    """What one connection holds.
+
+    Attributes:
+        holder: The connection.
+        held_bytes: Memory that it holds.
+        unserved_bytes: The part of it that the connection can give up.
+        is_serving: Whether a request is being served.
+        is_blocked: Whether the caller does not take what is written.
+    """
+
+    __slots__ = (
+        "_budget",
+        "held_bytes",
+        "holder",
+        "is_blocked",
+        "is_serving",
+        "unserved_bytes",
+    )
+
+    def __init__(self, budget: "ConnectionBudget", holder: Holder) -> None:
+        self.holder = holder
+        self.held_bytes = 0
+        self.unserved_bytes = 0
+        self.is_serving = False
+        self.is_blocked = False
+        self._budget = budget
+
+    @property
+    def is_small(self) -> bool:
+        """Whether it may use the part of the budget left to small ones."""
+        return self.held_bytes <= _SMALL_BYTES
+
+    def update(self, held_bytes: int, unserved_bytes: int) -> None:
+        """Records what the connection holds; others may have to give up.
+
+        Args:
+            held_bytes: Memory that it holds.
+            unserved_bytes: The part of it that it can give up.
+        """
+        budget = self._budget
+        is_growing = held_bytes > self.held_bytes
+        budget.held_bytes += held_bytes - self.held_bytes
+        budget.large -= not self.is_small
+        self.held_bytes = held_bytes
+        budget.large += not self.is_small
+        self.unserved_bytes = unserved_bytes
+        if is_growing and budget.is_exceeded_by(self):
+            budget.reclaim_memory(self)
+
+    def begin_serving(self) -> bool:
+        """Records that a request is about to be served.
+
+        Returns:
+            Whether the budget has room for it; if not, it must be refused.
+        """
+        budget = self._budget
+        if self.is_serving:
+            return True
+        if budget.is_exceeded_by(self):
+            return False
+        self.is_serving = True
+        budget.serving += 1
+        budget.reclaim_descriptors(self)
+        if budget.has_free_descriptors:
+            return True
+        self.end_serving()
+        return False
+
+    def end_serving(self) -> None:
+        """Records that the response is written, or that there is none."""
+        if self.is_serving:
+            self.is_serving = False
+            self._budget.serving -= 1
+
+    def touch(self) -> None:
+        """Makes the connection the last one to be closed for its descriptor."""
+        self._budget.touch(self)
+
+    def close(self) -> None:
+        """Returns everything to the budget; may be called again."""
+        self.end_serving()
+        self.update(0, 0)
+        self._budget.remove(self)
+
+
+class ConnectionBudget:
+    """The budget that the connections of all callers share.
+
+    Attributes:
+        limits: The limits.
+        held_bytes: Memory that the connections hold.
+        large: Number of connections that are not small.
+        serving: Number of requests that are being served.
+        given_up: Number of times that a connection had to give up memory, or
+            was closed for its descriptor.
+    """
+
+    def __init__(self, limits: BudgetLimits | None = None) -> None:
+        self.limits = limits or BudgetLimits()
+        self.held_bytes = 0
+        self.large = 0
+        self.serving = 0
+        self.given_up = 0
+        # By the time of the last response, or else of the opening.
+        self._accounts: dict[Account, None] = {}
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._accounts)
+
+    @property
+    def has_free_descriptors(self) -> bool:
+        """Whether the descriptors in use are within the limit."""
+        return self.connections + self.serving <= self.limits.descriptors
+
+    def state(self) -> JsonValue:
+        """Returns what the state dump shows."""
+        return {
+            "held_bytes": self.held_bytes,
+            "max_bytes": self.limits.memory_bytes,
+            "connections": self.connections,
+            "serving": self.serving,
+            "max_descriptors": self.limits.descriptors,
+            "given_up": self.given_up,
+        }
+
+    def open(self, holder: Holder) -> Account | None:
+        """Opens the account of a new connection.
+
+        Returns:
+            The account, or None if every descriptor is in use for a request
+            that is being served.
+        """
+        account = Account(self, holder)
+        self._accounts[account] = None
+        self.reclaim_descriptors(account)
+        if self.has_free_descriptors:
+            return account
+        self.remove(account)
+        return None
+
+    def touch(self, account: Account) -> None:
+        """See ``Account.touch``."""
+        if account in self._accounts:
+            del self._accounts[account]
+            self._accounts[account] = None
+
+    def remove(self, account: Account) -> None:
+        """Removes an account whose connection is closing."""
+        self._accounts.pop(account, None)
+
+    def is_exceeded_by(self, account: Account) -> bool:
+        """Returns whether memory exceeds the limit that holds for an account.
+
+        The only large connection is always within the limit.
+        """
+        limit = self.limits.memory_bytes
+        if account.is_small:
+            return self.held_bytes > limit
+        return self.large > 1 and self.held_bytes > limit * _LARGE_SHARE
+
+    def reclaim_memory(self, account: Account) -> None:
+        """Lets connections give up memory until an account is within limits.
+
+        Only a small account takes it from other small ones.
+        """
+        while self.is_exceeded_by(account):
+            candidates = [
+                a
+                for a in self._accounts
+                if a.unserved_bytes and (account.is_small or not a.is_small)
+            ]
+            if not candidates:
+                return
+            largest = max(candidates, key=lambda a: a.unserved_bytes)
+            self.given_up += 1
+            largest.holder.give_up_unserved()
+            # Not again, also if its holder could not give up anything.
+            largest.unserved_bytes = 0
+
+    def reclaim_descriptors(self, account: Account) -> None:
+        """Closes connections until the descriptors suffice, the oldest first.
+
+        Those on which no request is being served go before those whose callers
+        do not read the response.
+
+        Args:
+            account: The account for which there must be room.
+        """
+        while not self.has_free_descriptors:
+            others = [a for a in self._accounts if a is not account]
+            closable = (
+                *(a for a in others if not a.is_serving),
+                *(a for a in others if a.is_serving and a.is_blocked),
+            )
+            if not closable:
+                return
+            self.given_up += 1
+            self.remove(closable[0])
+            closable[0].holder.close_unserved()
--- a/libs/common/src/masticdale_common/exceptions.py
+++ b/libs/common/src/masticdale_common/exceptions.py
@@ -25,6 +25,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     TIMED_OUT = "timed_out"
     OVERLOADED = "overloaded"
+    HOST_BUSY = "host_busy"
     QUARANTINED = "quarantined"
     CRASH_SUSPECT = "crash_suspect"
     STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
@@ -132,6 +133,9 @@
     ErrorKind.OVERLOADED: ErrorResponse(
         503, Executed.NO, 2000, "The queue is too long for this priority."
     ),
+    ErrorKind.HOST_BUSY: ErrorResponse(
+        503, Executed.NO, 300, "The host holds too much for its callers."
+    ),
     ErrorKind.QUARANTINED: ErrorResponse(
         422,
         Executed.UNKNOWN,
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -12,7 +12,13 @@
 
 import httptools
 
-from masticdale_common import ErrorKind, Failure
+from masticdale_common import (
+    Account,
+    ConnectionBudget,
+    ErrorKind,
+    Failure,
+    logs,
+)
 from masticdale_gateway.messages import (
     LAST_CHUNK,
     Header,
@@ -29,6 +35,22 @@
 # Time in which a closing connection must flush its write buffer. A shorter one
 # could drop the end of a response on its way to another failure domain.
 _LINGER_S = 1.0
+# What is read of a caller at once. Small chunks and short header lines take
+# many times the processor time of large ones.
+_READ_BYTES = 16_384
+# Size of one write of a response. Of a larger one, the rest is written when the
+# caller has taken it.
+_WRITE_BYTES = 65_536
+# Estimates of the memory of a connection, a request that is queued, one that is
+# being served with its connection to a replica, and a header field.
+_CONNECTION_BYTES = 10_000
+_REQUEST_BYTES = 1_500
+_SERVING_BYTES = 20_000
+_FIELD_BYTES = 160
+# A body, and the values of fields, are held as read and as sent to a replica.
+_COPIES = 2
+# What a replica has sent of a stream whose caller does not read.
+_BLOCKED_STREAM_BYTES = 131_072
 # The end of a value that holds a request line: the caller began another request
 # inside this head, and the parser would join the two.
 _REQUEST_LINE = re.compile(rb"[A-Z] \S+ HTTP/1\.[01]\Z")
@@ -89,24 +111,35 @@
         request: The request that is being served; None between two requests.
     """
 
+    read_bytes = _READ_BYTES
+
     def __init__(
         self,
         serve: Callable[["CallerConnection"], Awaitable[None]],
         open_connections: set["CallerConnection"],
+        budget: ConnectionBudget | None = None,
     ) -> None:
         """Initializes the protocol of a connection that is about to open.
 
         Args:
             serve: Serves the connection until it is closed.
             open_connections: Holds this one while it is open.
+            budget: What it shares with other connections; None for a budget of
+                its own.
         """
         super().__init__()
+        self._budget = budget or ConnectionBudget()
+        self._account: Account | None = None
+        self._queued_bytes = 0
+        self._served_bytes = 0
+        # Of the response, what may wait for a caller that does not read.
+        self._response_bytes = 0
         self.limits = ReadLimits()
         self.request: Request | None = None
         self._serve = serve
         self._open_connections = open_connections
         self._task: asyncio.Task[None] | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._requests: collections.deque[Request] = collections.deque()
         self._failure: Failure | None = None
         self._failure_of_unread: Failure | None = None
@@ -151,27 +184,50 @@
         return self._requests[0].headers if self._requests else self._headers
 
     def connection_made(self, transport: Any) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         super().connection_made(transport)
+        # Reports each time that the caller does not take what is written.
+        transport.set_write_buffer_limits(high=0)
+        self._account = self._budget.open(self)
+        if self._account is None:
+            transport.abort()
+            return
         self._open_connections.add(self)
+        self._report_held()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         super().connection_lost(exc)
         self._open_connections.discard(self)
+        self._close_account()
         if self._task is not None:
             self._task.cancel()
+        # Task and parser refer to the connection. With what it holds, it would
+        # stay in memory until the garbage collector finds them.
+        self._task = None
+        self._parser = None
+        self._discard_unserved()
+
+    def resume_writing(self) -> None:
+        """See ``asyncio.BaseProtocol``."""
+        super().resume_writing()
+        self._report_held()
+
+    def write(self, data: bytes) -> None:
+        """See ``TransportProtocol.write``."""
+        super().write(data)
+        self._report_held()
 
     def eof_received(self) -> bool:
-        """See ``asyncio.Protocol``; treats a half-close as a disconnect."""
+        """See ``asyncio.BaseProtocol``; treats a half-close as a disconnect."""
         if self._task is not None:
             self._task.cancel()
         return False
 
     def data_received(self, data: bytes) -> None:
-        """See ``asyncio.Protocol``."""
-        if self._failure is not None:
+        """See ``asyncio.BaseProtocol``."""
+        if self._failure is not None or self._parser is None:
             return
         self._overhead_bytes += len(data)
         try:
@@ -189,13 +245,14 @@
             self._reject(Failure(ErrorKind.BAD_REQUEST, str(error)))
         except _RejectedError as error:
             self._reject(error.failure)
+        self._report_held()
 
     async def next_request(self) -> Request | Failure | None:
         """Waits for the next request.
 
         Returns:
             The request, a failure to send before closing, or None after the
-            idle timeout.
+            idle timeout. ``end_request`` must follow a request.
         """
         while not self._requests and self._failure is None:
             self._arrived.clear()
@@ -214,6 +271,9 @@
         if not self._requests:
             return self._failure
         request = self._requests.popleft()
+        if not self._begin_serving(request):
+            self._requests.appendleft(request)
+            return Failure(ErrorKind.HOST_BUSY)
         if (
             len(self._requests) < _MAX_PIPELINED
             and not self.transport.is_closing()
@@ -221,6 +281,40 @@
             self.transport.resume_reading()
         return request
 
+    def end_request(self) -> None:
+        """Records that the request is answered, or that it never will be."""
+        self.request = None
+        self._served_bytes = self._response_bytes = 0
+        if self._account is not None:
+            self._account.end_serving()
+            self._account.touch()
+        self._report_held()
+
+    def hold_response(self, size: int) -> None:
+        """Records the size of a response, or of what is buffered of a stream.
+
+        It counts while the caller does not take what is written.
+        """
+        self._response_bytes = size
+
+    def give_up_unserved(self) -> None:
+        """See ``masticdale_common.connection_budget.Holder``."""
+        self._log_given_up("memory")
+        if self.is_writable:
+            self._refuse_unserved()
+        else:
+            self._break_off()
+
+    def close_unserved(self) -> None:
+        """See ``masticdale_common.connection_budget.Holder``."""
+        self._log_given_up("descriptors")
+        if not self.is_writable:
+            self._break_off()
+        elif self._requests or self._message_began_at is not None:
+            self._refuse_unserved()
+        else:
+            self.close()
+
     def reject_unread(self, failure: Failure) -> None:
         """Ends the request that is being read, or the next one, with a failure.
 
@@ -240,6 +334,7 @@
     def on_url(self, url: bytes) -> None:
         """Called by the parser."""
         self._target += url
+        self._message_bytes += _COPIES * len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser, also for the trailers of a chunked body."""
@@ -250,6 +345,8 @@
         # A trailer must not change what the headers said, such as the key.
         if not self._headers_done:
             self._headers.fields.append((name, value))
+            size = len(name) + len(value)
+            self._message_bytes += _FIELD_BYTES + _COPIES * size
 
     def on_headers_complete(self) -> None:
         """Called by the parser."""
@@ -286,19 +383,24 @@
         if self._body_bytes > self.limits.body_bytes:
             raise _RejectedError(Failure(ErrorKind.TOO_LARGE))
         self._overhead_bytes = 0
-        self._body.append(body)
+        # One buffer: parts of two bytes would take many times their size.
+        self._body += body
+        self._message_bytes += _COPIES * len(body)
 
     def on_message_complete(self) -> None:
         """Called by the parser."""
         began_at = self._message_began_at or 0.0
+        held_bytes = _REQUEST_BYTES + self._message_bytes
+        self._queued_bytes += held_bytes
         self._requests.append(
             Request(
                 method=self._parser.get_method(),
                 target=self._target,
                 headers=self._headers,
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 received_at=began_at,
                 keeps_alive=self._parser.should_keep_alive(),
+                held_bytes=held_bytes,
             )
         )
         self._message_began_at = None
@@ -322,8 +424,71 @@
         self._headers_done = False
         # Bytes of the head, then those since the last part of the body.
         self._overhead_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        # Estimate of the memory that the message takes.
+        self._message_bytes = 0
+
+    def _begin_serving(self, request: Request) -> bool:
+        """Returns whether the budget has room to serve a request."""
+        self._queued_bytes -= request.held_bytes
+        self._served_bytes = request.held_bytes + _SERVING_BYTES
+        self._report_held()
+        if self._account is not None and self._account.begin_serving():
+            return True
+        self._served_bytes = 0
+        self._report_held()
+        return False
+
+    def _report_held(self) -> None:
+        """Tells the budget what the connection holds."""
+        if self._account is None:
+            return
+        unread_bytes = self.transport.get_write_buffer_size()
+        if not self.is_writable:
+            unread_bytes += self._response_bytes
+        unserved_bytes = (
+            self._message_bytes
+            + self._overhead_bytes
+            + self._queued_bytes
+            + unread_bytes
+        )
+        self._account.is_blocked = not self.is_writable
+        self._account.update(
+            _CONNECTION_BYTES + self._served_bytes + unserved_bytes,
+            unserved_bytes,
+        )
+
+    def _refuse_unserved(self) -> None:
+        self._discard_unserved()
+        self._message_began_at = None
+        self._reject(Failure(ErrorKind.HOST_BUSY))
+        self._report_held()
+
+    def _break_off(self) -> None:
+        self.abort()
+        self._close_account()
+
+    def _close_account(self) -> None:
+        if self._account is not None:
+            self._account.close()
+            self._account = None
+
+    def _discard_unserved(self) -> None:
+        self._requests.clear()
+        self._queued_bytes = 0
+        self._reset_message()
+
+    def _log_given_up(self, resource: str) -> None:
+        logs.write_bounded(
+            "caller_given_up",
+            resource=resource,
+            state=self.state,
+            held_bytes=self._account.held_bytes if self._account else 0,
+            held_bytes_of_all=self._budget.held_bytes,
+            connections=self._budget.connections,
+            serving=self._budget.serving,
+        )
 
     def _check_overhead(self) -> None:
         # Bounds heads, chunk extensions and trailers that never end: the parser
@@ -358,15 +523,25 @@
         self.is_finished = False
         self._connection = connection
 
-    def send(self, status: int, headers: Iterable[Header], body: bytes) -> None:
-        """Writes a complete response."""
+    async def send(
+        self, status: int, headers: Iterable[Header], body: bytes
+    ) -> None:
+        """Writes a complete response.
+
+        Waits while the caller reads slowly, but for the end of a response.
+        """
         head = encode_head(status, headers, len(body), self.keeps_alive)
-        self._connection.write(head + body)
         self.status = status
+        self._connection.hold_response(len(body))
+        self._connection.write(head + body[:_WRITE_BYTES])
+        for start in range(_WRITE_BYTES, len(body), _WRITE_BYTES):
+            await self._connection.drain()
+            self._connection.write(body[start : start + _WRITE_BYTES])
         self.is_finished = True
 
     def start(self, status: int, headers: Iterable[Header]) -> None:
         """Writes the head of a chunked response."""
+        self._connection.hold_response(_BLOCKED_STREAM_BYTES)
         self._connection.write(
             encode_head(status, headers, None, self.keeps_alive)
         )
--- a/libs/gateway/src/masticdale_gateway/listeners.py
+++ b/libs/gateway/src/masticdale_gateway/listeners.py
@@ -7,6 +7,9 @@
 
 from masticdale_gateway.relay import Relay
 
+# Connections accepted in one turn of the event loop. Those that are closed to
+# make room are gone only some turns later.
+_ACCEPTED_AT_ONCE = 8
 # Turns of the event loop from the accept of a connection until it is open and
 # registered.
 _ACCEPT_LOOP_TURNS = 4
@@ -24,9 +27,14 @@
         backlog: Size of the accept queue.
     """
     loop = asyncio.get_running_loop()
-    return await loop.create_server(
-        relay.create_connection, host, port, backlog=backlog
+    listening = socket.create_server((host, port))
+    listening.setblocking(False)
+    server = await loop.create_server(
+        relay.create_connection, sock=listening, backlog=_ACCEPTED_AT_ONCE
     )
+    # asyncio has one number for both.
+    listening.listen(backlog)
+    return server
 
 
 async def close_listener(relay: Relay, server: asyncio.Server) -> None:
--- a/libs/gateway/src/masticdale_gateway/messages.py
+++ b/libs/gateway/src/masticdale_gateway/messages.py
@@ -78,6 +78,7 @@
         body: Body without transfer coding.
         received_at: Time of its first byte, in loop seconds.
         keeps_alive: Whether the connection may carry another request.
+        held_bytes: Memory that it takes until it is answered.
     """
 
     method: bytes
@@ -86,6 +87,7 @@
     body: bytes
     received_at: float
     keeps_alive: bool
+    held_bytes: int = 0
 
     @property
     def path(self) -> str:
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -10,7 +10,13 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from masticdale_common import ErrorKind, Failure, Metrics, logs
+from masticdale_common import (
+    ConnectionBudget,
+    ErrorKind,
+    Failure,
+    Metrics,
+    logs,
+)
 from masticdale_gateway.bodies import BodyBuffers
 from masticdale_gateway.callers import (
     CallerConnection,
@@ -53,6 +59,7 @@
         crashes: What is known of requests that end replicas.
         history: Reads and writes the turns of routes that keep them.
         origins: Remembers where streams began.
+        budget: What the connections of callers may hold.
     """
 
     configuration: Callable[[], Configuration | None]
@@ -67,6 +74,9 @@
     )
     history: TurnHistory = dataclasses.field(default_factory=NoHistory)
     origins: StreamOrigins = dataclasses.field(default_factory=NoOrigins)
+    budget: ConnectionBudget = dataclasses.field(
+        default_factory=ConnectionBudget
+    )
 
 
 class Relay:
@@ -108,7 +118,9 @@
 
     def create_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
-        return CallerConnection(self.serve, self._connections)
+        return CallerConnection(
+            self.serve, self._connections, self._dependencies.budget
+        )
 
     @property
     def connections(self) -> int:
@@ -188,6 +200,8 @@
 
     async def _serve_next(self, connection: CallerConnection) -> bool:
         connection.limits = self._read_limits()
+        # A caller that sends requests and reads no responses is not served on.
+        await connection.drain()
         arrived = await connection.next_request()
         if arrived is None:
             return False
@@ -196,13 +210,20 @@
             metadata = self._dependencies.codec.parse_request(
                 connection.headers
             )
-            self._send_error(writer, metadata.request_id, arrived)
+            logs.write_bounded(
+                "request_refused",
+                request_id=metadata.request_id,
+                program_id=metadata.program_id,
+                outcome=arrived.kind.value,
+                detail=arrived.detail,
+            )
+            await self._send_error(writer, metadata.request_id, arrived)
             return False
         connection.request = arrived
         try:
             return await self._respond(connection, arrived)
         finally:
-            connection.request = None
+            connection.end_request()
 
     async def _respond(
         self, connection: CallerConnection, request: Request
@@ -236,9 +257,9 @@
         if not writer.status:
             writer.keeps_alive = writer.keeps_alive and not self.is_stopping
         if isinstance(outcome, Failure):
-            self._send_error(writer, metadata.request_id, outcome)
+            await self._send_error(writer, metadata.request_id, outcome)
         elif outcome is not None:
-            writer.send(
+            await writer.send(
                 outcome.head.status,
                 self._dependencies.codec.response_headers(outcome.head),
                 outcome.body,
@@ -390,7 +411,7 @@
             return await self._streams.run(call, writer)
         return await self._unary.run(call)
 
-    def _send_error(
+    async def _send_error(
         self, writer: ResponseWriter, request_id: str, failure: Failure
     ) -> None:
         effective_retry_after_ms = failure.effective_retry_after_ms
@@ -403,7 +424,7 @@
         body = json.dumps(
             {"error": failure.kind.value, "message": str(failure)}
         ).encode()
-        writer.send(failure.response.status, fields, body)
+        await writer.send(failure.response.status, fields, body)
 
     def _read_limits(self) -> ReadLimits:
         configuration = self._dependencies.configuration()
--- a/libs/gateway/src/masticdale_gateway/transports.py
+++ b/libs/gateway/src/masticdale_gateway/transports.py
@@ -3,18 +3,27 @@
 import asyncio
 from typing import Any
 
+# Shared by all connections, since each read is parsed before the next one.
+_read_buffer = memoryview(bytearray(65_536))
+
 
 class ConnectionLostError(Exception):
     """The peer closed or reset the connection."""
 
 
-class TransportProtocol(asyncio.Protocol):
+class TransportProtocol(asyncio.BufferedProtocol):
     """Protocol that holds its transport and applies write backpressure.
 
+    Subclasses parse what was read in ``data_received``.
+
     Attributes:
         lost: Set once the connection is closed.
+        read_bytes: What is read at once. Parsing it holds up all other
+            connections.
     """
 
+    read_bytes = len(_read_buffer)
+
     def __init__(self) -> None:
         self.lost = asyncio.Event()
         self._transport: asyncio.Transport | None = None
@@ -22,20 +31,33 @@
         self._writable.set()
 
     def connection_made(self, transport: Any) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         self._transport = transport
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See ``asyncio.BufferedProtocol``."""
+        del sizehint
+        return _read_buffer[: self.read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """See ``asyncio.BufferedProtocol``."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what was read."""
+        raise NotImplementedError
+
     def connection_lost(self, exc: Exception | None) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         self.lost.set()
         self._writable.set()
 
     def pause_writing(self) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         self._writable.set()
 
     @property
@@ -45,6 +67,11 @@
             raise ConnectionLostError
         return self._transport
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether the peer takes what is written."""
+        return self._writable.is_set()
+
     @property
     def has_pending_writes(self) -> bool:
         """Whether the write buffer is not empty."""
--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -11,7 +11,7 @@
 from masticdale_gateway.transports import ConnectionLostError, TransportProtocol
 
 # Bytes of a body buffered for a slow reader before reading pauses. One more
-# socket read may follow, 256 KiB in asyncio.
+# read may follow.
 _MAX_BUFFERED_BYTES = 65_536
 # Maximum size of a head, with the interim responses before it. Also by how much
 # chunk framing and trailers may exceed the body.
--- a/libs/gateway/tests/test_callers.py
+++ b/libs/gateway/tests/test_callers.py
@@ -1,7 +1,10 @@
 """Tests of the server side of HTTP/1.1."""
 
 import asyncio
+import gc
+import tracemalloc
 import unittest
+import weakref
 from unittest import mock
 
 from masticdale_common import Failure
@@ -16,12 +19,16 @@
         self.connect()
 
     def connect(self):
-        self.connection = CallerConnection(self._serve, set())
+        self.connection = self.create_connection()
+        self.addCleanup(self.connection.connection_lost, None)
+
+    def create_connection(self):
+        connection = CallerConnection(self._serve, set())
         self.transport = mock.Mock(spec=asyncio.Transport)
         self.transport.is_closing.return_value = False
         self.transport.get_write_buffer_size.return_value = 0
-        self.connection.connection_made(self.transport)
-        self.addCleanup(self.connection.connection_lost, None)
+        connection.connection_made(self.transport)
+        return connection
 
     async def _serve(self, connection):
         connection.request = await connection.next_request()
@@ -61,6 +68,33 @@
         self.assertEqual(self.connection.headers.get(b"host"), b"a")
 
 
+class MemoryTest(ConnectionCase):
+    async def test_a_closed_connection_is_freed_at_once(self):
+        """Guards against bodies that wait for the garbage collector."""
+        gc.disable()
+        self.addCleanup(gc.enable)
+        connection = self.create_connection()
+        connection.data_received(_HEAD + b"bo")
+        await asyncio.sleep(0)
+        connection.connection_lost(None)
+        # Lets the task end.
+        for _ in range(3):
+            await asyncio.sleep(0)
+        freed = weakref.ref(connection)
+        del connection
+        self.assertIsNone(freed())
+
+    async def test_parts_of_a_body_take_no_more_than_their_size(self):
+        """Guards against chunks that each become an object."""
+        self.connection.data_received(_CHUNKED)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(100):
+            self.connection.data_received(b"2\r\nxx\r\n" * 1000)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, 2 * 200_000)
+
+
 class EndlessRequestTest(ConnectionCase):
     async def feed(self, beginning, part):
         """Feeds 1 MiB in parts; returns why the request is refused."""
--- a/libs/gateway/tests/test_closing_connections.py
+++ b/libs/gateway/tests/test_closing_connections.py
@@ -49,6 +49,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
 
 class Codec:
     def parse_request(self, headers):
