Serve pipelined requests in turns with other connections

What callers saw: no answer for over 40 s, the store counted as lost, while 100 clients pipelined requests for no route.

Cause: a request that is refused needs no waiting, so that the task of its connection served all that was parsed (thousands) without a pause.

Change: a connection with a request queued yields to the event loop once before each. One that waits for its request is not affected.

--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -254,6 +254,10 @@
             The request, a failure to send before closing, or None after the
             idle timeout. ``end_request`` must follow a request.
         """
+        if self._requests:
+            # Requests that need no waiting would be served one after the other
+            # while all other connections wait.
+            await asyncio.sleep(0)
         while not self._requests and self._failure is None:
             self._arrived.clear()
             try:
--- a/libs/gateway/tests/test_callers.py
+++ b/libs/gateway/tests/test_callers.py
@@ -94,6 +94,14 @@
         held_bytes, _ = tracemalloc.get_traced_memory()
         self.assertLess(held_bytes, 2 * 200_000)
 
+    async def test_queued_requests_are_served_in_turns(self):
+        """Guards against a caller whose requests hold up all others."""
+        self.connection.data_received(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+        turns = asyncio.Event()
+        asyncio.get_running_loop().call_soon(turns.set)
+        await self.connection.next_request()
+        self.assertTrue(turns.is_set())
+
 
 class EndlessRequestTest(ConnectionCase):
     async def feed(self, beginning, part):
