Bound what callers make masticdaled hold

Twelve heads of 24 MB took 592 MB; 100 callers that pipeline, 3.4 GB; 600 connections, every descriptor.

Cause: uvicorn limits neither heads nor trailers, nor what all connections hold (docs/FINDINGS.md, for heads and trailers; the rest was not known).

Weighed: uvicorn's h11 protocol (bounds heads only), limit_concurrency (counts connections, idle ones keep others out), a server of our own (more to keep than a subclass).

--- a/apps/masticdaled/src/masticdaled/answers.py
+++ b/apps/masticdaled/src/masticdaled/answers.py
@@ -35,16 +35,26 @@
     )
 
 
+def retry_after_s(failure: Failure) -> int | None:
+    """Returns the value of ``Retry-After``; None without one.
+
+    It is in whole seconds, rounded up, since an earlier retry would be rejected
+    again.
+    """
+    if failure.effective_retry_after_ms is None:
+        return None
+    return math.ceil(failure.effective_retry_after_ms / MS_PER_S)
+
+
 def error_response(failure: Failure) -> litestar.Response[ErrorBody]:
     """Returns the response to a failed request.
 
     Returns:
-        The status and body of the failure's kind. ``Retry-After`` is in whole
-        seconds, rounded up, since an earlier retry would be rejected again.
+        The status and body of the failure's kind.
     """
     headers = {}
-    if failure.effective_retry_after_ms is not None:
-        seconds = math.ceil(failure.effective_retry_after_ms / MS_PER_S)
+    seconds = retry_after_s(failure)
+    if seconds is not None:
         headers["Retry-After"] = str(seconds)
     return litestar.Response(
         error_body(failure),
--- a/apps/masticdaled/src/masticdaled/daemon.py
+++ b/apps/masticdaled/src/masticdaled/daemon.py
@@ -7,10 +7,12 @@
 from returns.result import Success
 
 from masticdale_common import (
+    ConnectionBudget,
     Metrics,
     StateDump,
     Subscription,
     TimerService,
+    limits_of_host,
     logs,
 )
 from masticdale_config import ActiveConfig, ConfigStore
@@ -70,6 +72,9 @@
         self.metrics = Metrics()
         self.timers = TimerService()
         self.state_dump = StateDump()
+        self.connection_budget = ConnectionBudget(
+            limits_of_host(settings.memory_mb, settings.max_descriptors)
+        )
         self.incarnation = new_incarnation()
         self.in_force = ActiveConfig()
         self.store = PlatformClient(
@@ -254,6 +259,7 @@
         self.state_dump.register("homes", self.homes.dump)
         self.state_dump.register("quarantine", self.digest_home.dump)
         self.state_dump.register("peers", self.peers.state)
+        self.state_dump.register("callers_budget", self.connection_budget.state)
         self.state_dump.register("timers", lambda: list(self.timers.names()))
 
     def _subscribe_timers(self) -> None:
@@ -312,7 +318,12 @@
     async def _serve_http(
         self, address: Address, app: litestar.Litestar
     ) -> None:
-        server = create_http_server(app, address, self.settings.stop.finish_s)
+        server = create_http_server(
+            app,
+            address,
+            self.settings.stop.finish_s,
+            self.connection_budget,
+        )
         self._http_servers.append(server)
         self._http_tasks.append(asyncio.create_task(server.serve()))
         while not server.started:
--- a/apps/masticdaled/src/masticdaled/http_servers.py
+++ b/apps/masticdaled/src/masticdaled/http_servers.py
@@ -1,15 +1,23 @@
 """HTTP servers of callers and operators, stopped by the daemon."""
 
 import contextlib
+import functools
 import math
+import socket
 from collections.abc import Iterator
 
 import litestar
 import uvicorn
 
+from masticdale_common import ConnectionBudget
 from masticdale_peers import Address
+from masticdaled.bounded_protocol import BoundedHttpProtocol
 
 _KEEP_ALIVE_S = 120
+_BACKLOG = 1024
+# Connections accepted in one turn of the event loop. Those that are closed to
+# make room are gone only some turns later.
+_ACCEPTED_AT_ONCE = 8
 
 
 class HttpServer(uvicorn.Server):
@@ -24,6 +32,15 @@
         """Installs no signal handlers."""
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """See ``uvicorn.Server``."""
+        await super().startup(sockets)
+        # asyncio has one number for both.
+        for server in self.servers:
+            for listening in server.sockets:
+                with listening.dup() as duplicate:
+                    duplicate.listen(_BACKLOG)
+
     def end_kept_connections(self) -> None:
         """Ends each connection with its next response from now on.
 
@@ -37,7 +54,10 @@
 
 
 def create_http_server(
-    app: litestar.Litestar, address: Address, finish_s: float
+    app: litestar.Litestar,
+    address: Address,
+    finish_s: float,
+    budget: ConnectionBudget | None = None,
 ) -> HttpServer:
     """Creates a server; ``serve`` runs it until ``should_exit`` is set.
 
@@ -45,12 +65,19 @@
         app: The application.
         address: Address to listen on.
         finish_s: Longest wait of a stop for requests, in seconds.
+        budget: What its connections share with those of other servers; None for
+            a budget of its own.
     """
+    protocol = functools.partial(
+        BoundedHttpProtocol, budget=budget or ConnectionBudget()
+    )
     return HttpServer(
         uvicorn.Config(
             app,
             host=str(address.ip),
             port=address.port,
+            http=protocol,  # type: ignore[arg-type]
+            backlog=_ACCEPTED_AT_ONCE,
             log_level="warning",
             access_log=False,
             lifespan="off",
--- a/apps/masticdaled/src/masticdaled/settings.py
+++ b/apps/masticdaled/src/masticdaled/settings.py
@@ -71,6 +71,10 @@
         stop: How a planned stop goes.
         programs: Times of programs.
         requests: Bounds of callers' requests.
+        memory_mb: Memory of the process in MB; callers and operators may make
+            it hold a quarter. 32 MB in all without it.
+        max_descriptors: Limit on descriptors of the process; that of the
+            operating system without it.
     """
 
     host: str = pydantic.Field(min_length=1)
@@ -87,6 +91,8 @@
     stop: StopSettings = StopSettings()
     programs: ProgramSettings = ProgramSettings()
     requests: RequestSettings = RequestSettings()
+    memory_mb: int | None = pydantic.Field(default=None, gt=0)
+    max_descriptors: int | None = pydantic.Field(default=None, gt=0)
 
     @property
     def other_peers(self) -> tuple[PeerSettings, ...]:
