--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -220,13 +220,13 @@
         self._report_held()
 
     def eof_received(self) -> bool:
-        """See ``asyncio.BaseProtocol``; treats a half-close as a disconnect."""
+        """See ``asyncio.Protocol``; treats a half-close as a disconnect."""
         if self._task is not None:
             self._task.cancel()
         return False
 
     def data_received(self, data: bytes) -> None:
-        """See ``asyncio.BaseProtocol``."""
+        """See ``TransportProtocol.data_received``."""
         if self._failure is not None or self._parser is None:
             return
         self._overhead_bytes += len(data)
--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -101,7 +101,7 @@
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``asyncio.BaseProtocol``."""
         super().connection_lost(exc)
         self._arrived.set()
 
@@ -117,7 +117,7 @@
         return False
 
     def data_received(self, data: bytes) -> None:
-        """See ``asyncio.Protocol``."""
+        """See ``TransportProtocol.data_received``."""
         if not self._is_awaiting:
             self._must_close = True
             self.abort()
