Leave more descriptors to what a process needs itself

Cause: a connection that is closed to make room keeps its descriptor until its task has answered, some turns of the event loop later; 8 were accepted in each, and 64 left for these, the store and other hosts. A host keeps up to 64 connections to one owner alone.

Change: an eighth of the descriptors, 96 at least, is left, and 4 connections are accepted in a turn.

--- a/apps/masticdaled/src/masticdaled/http_servers.py
+++ b/apps/masticdaled/src/masticdaled/http_servers.py
@@ -17,7 +17,7 @@
 _BACKLOG = 1024
 # Connections accepted in one turn of the event loop. Those that are closed to
 # make room are gone only some turns later.
-_ACCEPTED_AT_ONCE = 8
+_ACCEPTED_AT_ONCE = 4
 
 
 class HttpServer(uvicorn.Server):
--- a/libs/common/src/masticdale_common/connection_budget.py
+++ b/libs/common/src/masticdale_common/connection_budget.py
@@ -19,10 +19,12 @@
 # The part of a host's memory that callers may make its process hold.
 _MEMORY_SHARE = 0.25
 _DEFAULT_MEMORY_BYTES = 32_000_000
-# Descriptors that the platform reserves for files, and those for the store,
-# other hosts, probes, and connections that are about to close.
+# Descriptors that the platform reserves for files.
 _RESERVED_DESCRIPTORS = 200
-_OWN_DESCRIPTORS = 64
+# Of the others, those for the store, other hosts and probes, and connections
+# that are about to close: the least number, and the share.
+_MIN_OWN_DESCRIPTORS = 96
+_OWN_SHARE = 0.125
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,8 +56,9 @@
         memory_bytes = int(memory_mb * 1_000_000 * _MEMORY_SHARE)
     if max_descriptors is None:
         max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    reserved = _RESERVED_DESCRIPTORS + _OWN_DESCRIPTORS
-    return BudgetLimits(memory_bytes, max(1, max_descriptors - reserved))
+    usable = max_descriptors - _RESERVED_DESCRIPTORS
+    own = max(_MIN_OWN_DESCRIPTORS, int(usable * _OWN_SHARE))
+    return BudgetLimits(memory_bytes, max(1, usable - own))
 
 
 class Holder(Protocol):
--- a/libs/gateway/src/masticdale_gateway/listeners.py
+++ b/libs/gateway/src/masticdale_gateway/listeners.py
@@ -9,7 +9,7 @@
 
 # Connections accepted in one turn of the event loop. Those that are closed to
 # make room are gone only some turns later.
-_ACCEPTED_AT_ONCE = 8
+_ACCEPTED_AT_ONCE = 4
 # Turns of the event loop from the accept of a connection until it is open and
 # registered.
 _ACCEPT_LOOP_TURNS = 4
