Count the chain of a kept turn among what callers hold

What callers would see: the same end of a process, by requests of some hundred bytes: each names a previous turn, whose chain of up to 8 MB is loaded and sent. Found by reading, not played.

Cause: the budget counted what a request brings, not what it makes the host load.

Change: when the chain is loaded it counts as read and as sent. A turn that then finds no room is refused before its tokens are reserved: 503 host_busy, not run.

Evidence: test_a_chain_counts_among_what_callers_hold; without the change the turn is sent to the replica.

--- a/libs/common/src/masticdale_common/connection_budget.py
+++ b/libs/common/src/masticdale_common/connection_budget.py
@@ -113,6 +113,11 @@
         """Whether it may use the part of the budget left to small ones."""
         return self.held_bytes <= _SMALL_BYTES
 
+    @property
+    def is_within_budget(self) -> bool:
+        """Whether what it holds fits into the budget beside the others."""
+        return not self._budget.is_exceeded_by(self)
+
     def update(self, held_bytes: int, unserved_bytes: int) -> None:
         """Records what the connection holds; others may have to give up.
 
@@ -139,7 +144,7 @@
         budget = self._budget
         if self.is_serving:
             return True
-        if budget.is_exceeded_by(self):
+        if not self.is_within_budget:
             return False
         self.is_serving = True
         budget.serving += 1
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -294,6 +294,16 @@
             self._account.touch()
         self._report_held()
 
+    def hold_history(self, size: int) -> bool:
+        """Records the size of what the request continues, in bytes.
+
+        Returns:
+            Whether the budget has room for it; if not, it must be refused.
+        """
+        self._served_bytes += _COPIES * size
+        self._report_held()
+        return self._account is not None and self._account.is_within_budget
+
     def hold_response(self, size: int) -> None:
         """Records the size of a response, or of what is buffered of a stream.
 
@@ -527,6 +537,10 @@
         self.is_finished = False
         self._connection = connection
 
+    def hold_history(self, size: int) -> bool:
+        """See ``CallerConnection.hold_history``."""
+        return self._connection.hold_history(size)
+
     async def send(
         self, status: int, headers: Iterable[Header], body: bytes
     ) -> None:
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -355,7 +355,7 @@
         if held is not None:
             return held
         try:
-            failure = await self._open_turn(call)
+            failure = await self._open_turn(call, writer)
             if failure is None:
                 failure = await self._origins.admit(call)
             if failure is not None:
@@ -365,7 +365,9 @@
             self._crashes.finish(call)
             self._origins.finish(call)
 
-    async def _open_turn(self, call: Call) -> Failure | None:
+    async def _open_turn(
+        self, call: Call, writer: ResponseWriter
+    ) -> Failure | None:
         """Loads the history of a turn before its tokens are reserved."""
         if not call.keeps_history:
             return None
@@ -378,7 +380,11 @@
         if isinstance(outcome, Failed):
             failure: Failure = outcome.failure()
             return failure
-        call.kept_turn = outcome.unwrap()
+        turn = outcome.unwrap()
+        if not writer.hold_history(turn.chain.size_bytes):
+            detail = f"{turn.chain.size_bytes} bytes of turns before"
+            return Failure(ErrorKind.HOST_BUSY, detail)
+        call.kept_turn = turn
         return None
 
     async def _run_admitted(
--- a/libs/gateway/tests/test_kept_turns.py
+++ b/libs/gateway/tests/test_kept_turns.py
@@ -71,6 +71,21 @@
             self.history.record("t1").output, b"a\n\n b\nc\n d\n\n"
         )
 
+    async def test_a_chain_counts_among_what_callers_hold(self):
+        """Guards against small turns that load more than the host can hold."""
+        await self.run_turn("t1", b"x" * (1 << 20))
+        budget = self.relay._dependencies.budget
+        other = budget.open(mock.Mock())
+        # Small requests still pass.
+        other.update(int(budget.limits.memory_bytes * 0.9), 0)
+        received = await self.send("t2", b"in-2", Previous_Turn="t1")
+        self.assertIn(b"HTTP/1.1 503", received)
+        self.assertIn(b"host_busy", received)
+        self.assertEqual(len(self.replica.sent), 1)
+        other.close()
+        self.connect()
+        await self.run_turn("t2", b"in-2", Previous_Turn="t1")
+
     async def test_a_resumed_stream_is_recorded_once(self):
         """Guards against events recorded twice after an interruption."""
         self.answer(event(1, b"a"), event(2, b"b") + b"id: 3\ndata: ha", LOST)
