Let idle connections give way one by one for memory

Cause: the base of a connection could not be given up, so that idle ones alone filled the budget. With it given up, two more showed: the largest of small accounts is the one with a request, so that the ordinary one paid; and memory that is freed only turns later made all others give up too.

Change: what is not served counts whole. Who gives up closes its account at once. A refusal still names its request.

Evidence: BudgetTest, two tests, failed before.

--- a/apps/masticdaled/src/masticdaled/bounded_protocol.py
+++ b/apps/masticdaled/src/masticdaled/bounded_protocol.py
@@ -228,16 +228,18 @@
         if account is None:
             return
         account.is_blocked = self.flow.write_paused
-        unserved_bytes = (
-            self._message_bytes
+        held_bytes = (
+            _CONNECTION_BYTES
+            + self._served_bytes
+            + self._message_bytes
             + self._overhead_bytes
             + sum(self._queued_bytes)
             + self.transport.get_write_buffer_size()
         )
-        account.update(
-            _CONNECTION_BYTES + self._served_bytes + unserved_bytes,
-            unserved_bytes,
-        )
+        unserved_bytes = held_bytes - self._served_bytes
+        if account.is_serving:
+            unserved_bytes -= _CONNECTION_BYTES
+        account.update(held_bytes, unserved_bytes)
 
 
 def _encode_failure(failure: Failure) -> bytes:
--- a/libs/common/src/masticdale_common/connection_budget.py
+++ b/libs/common/src/masticdale_common/connection_budget.py
@@ -67,8 +67,9 @@
     def give_up_unserved(self) -> None:
         """Gives up what no caller is owed a response for.
 
-        Incomplete requests and those that are not served yet are refused, and
-        a response that the caller does not read is broken off.
+        Incomplete requests and those that are not served yet are refused, a
+        response that the caller does not read is broken off, and an idle
+        connection is closed.
         """
         ...
 
@@ -251,21 +252,28 @@
     def reclaim_memory(self, account: Account) -> None:
         """Lets connections give up memory until an account is within limits.
 
-        Only a small account takes it from other small ones.
+        The largest one goes first. Small accounts take it from other small
+        ones, the oldest first.
         """
         while self.is_exceeded_by(account):
-            candidates = [
-                a
-                for a in self._accounts
-                if a.unserved_bytes and (account.is_small or not a.is_small)
-            ]
-            if not candidates:
+            next_one = self._next_to_give_up(account)
+            if next_one is None:
                 return
-            largest = max(candidates, key=lambda a: a.unserved_bytes)
             self.given_up += 1
-            largest.holder.give_up_unserved()
+            next_one.holder.give_up_unserved()
             # Not again, also if its holder could not give up anything.
-            largest.unserved_bytes = 0
+            next_one.unserved_bytes = 0
+
+    def _next_to_give_up(self, account: Account) -> Account | None:
+        candidates = [a for a in self._accounts if a.unserved_bytes]
+        large = [a for a in candidates if not a.is_small]
+        if large:
+            return max(large, key=lambda a: a.unserved_bytes)
+        if not account.is_small:
+            return None
+        # Among small ones, what came last may well be an ordinary request.
+        candidates.sort(key=lambda a: a is account)
+        return candidates[0] if candidates else None
 
     def reclaim_descriptors(self, account: Account) -> None:
         """Closes connections until the descriptors suffice, the oldest first.
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -49,6 +49,8 @@
 _FIELD_BYTES = 160
 # A body, and the values of fields, are held as read and as sent to a replica.
 _COPIES = 2
+# Header fields of a refused request that are kept until it is answered.
+_KEPT_FIELDS = 32
 # What a replica has sent of a stream whose caller does not read.
 _BLOCKED_STREAM_BYTES = 131_072
 # The end of a value that holds a request line: the caller began another request
@@ -313,21 +315,11 @@
 
     def give_up_unserved(self) -> None:
         """See ``masticdale_common.connection_budget.Holder``."""
-        self._log_given_up("memory")
-        if self.is_writable:
-            self._refuse_unserved()
-        else:
-            self._break_off()
+        self._give_up("memory")
 
     def close_unserved(self) -> None:
         """See ``masticdale_common.connection_budget.Holder``."""
-        self._log_given_up("descriptors")
-        if not self.is_writable:
-            self._break_off()
-        elif self._requests or self._message_began_at is not None:
-            self._refuse_unserved()
-        else:
-            self.close()
+        self._give_up("descriptors")
 
     def reject_unread(self, failure: Failure) -> None:
         """Ends the request that is being read, or the next one, with a failure.
@@ -461,26 +453,42 @@
         unread_bytes = self.transport.get_write_buffer_size()
         if not self.is_writable:
             unread_bytes += self._response_bytes
-        unserved_bytes = (
-            self._message_bytes
+        held_bytes = (
+            _CONNECTION_BYTES
+            + self._served_bytes
+            + self._message_bytes
             + self._overhead_bytes
             + self._queued_bytes
             + unread_bytes
         )
+        unserved_bytes = held_bytes - self._served_bytes
+        if self._served_bytes:
+            unserved_bytes -= _CONNECTION_BYTES
         self._account.is_blocked = not self.is_writable
-        self._account.update(
-            _CONNECTION_BYTES + self._served_bytes + unserved_bytes,
-            unserved_bytes,
-        )
+        self._account.update(held_bytes, unserved_bytes)
 
-    def _refuse_unserved(self) -> None:
+    def _give_up(self, resource: str) -> None:
+        self._log_given_up(resource)
+        is_unfinished = bool(self._requests) or (
+            self._message_began_at is not None
+        )
+        headers = self.headers
         self._discard_unserved()
         self._message_began_at = None
-        self._reject(Failure(ErrorKind.HOST_BUSY))
-        self._report_held()
-
-    def _break_off(self) -> None:
-        self.abort()
+        # The refusal names the request, but must not keep what was given up.
+        self._headers.fields += headers.fields[:_KEPT_FIELDS]
+        if not self.is_writable:
+            self.abort()
+        elif is_unfinished:
+            self._reject(Failure(ErrorKind.HOST_BUSY))
+            if self._served_bytes:
+                # The response to the request before is still due.
+                self._report_held()
+                return
+        else:
+            self.close()
+        # Its memory is free some turns of the event loop later. Others need not
+        # give up theirs until then.
         self._close_account()
 
     def _close_account(self) -> None:
--- a/libs/gateway/tests/test_callers.py
+++ b/libs/gateway/tests/test_callers.py
@@ -7,8 +7,9 @@
 import weakref
 from unittest import mock
 
-from masticdale_common import Failure
+from masticdale_common import BudgetLimits, ConnectionBudget, Failure
 from masticdale_gateway.callers import CallerConnection, ConnectionState
+from masticdale_gateway.messages import Request
 
 _HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 _CHUNKED = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -22,8 +23,8 @@
         self.connection = self.create_connection()
         self.addCleanup(self.connection.connection_lost, None)
 
-    def create_connection(self):
-        connection = CallerConnection(self._serve, set())
+    def create_connection(self, budget=None):
+        connection = CallerConnection(self._serve, set(), budget)
         self.transport = mock.Mock(spec=asyncio.Transport)
         self.transport.is_closing.return_value = False
         self.transport.get_write_buffer_size.return_value = 0
@@ -103,6 +104,43 @@
         self.assertTrue(turns.is_set())
 
 
+class BudgetTest(ConnectionCase):
+    def connect_many(self, count, data):
+        """Opens connections that share 1 MB, and feeds each the same bytes."""
+        self.budget = ConnectionBudget(BudgetLimits(1_000_000))
+        self.transports = []
+        for _ in range(count):
+            connection = self.create_connection(self.budget)
+            self.transports.append(self.transport)
+            self.addCleanup(connection.connection_lost, None)
+            if data:
+                connection.data_received(data)
+
+    async def request_after(self, count, data):
+        """Returns what becomes of a request beside such connections."""
+        self.connect_many(count, data)
+        connection = self.create_connection(self.budget)
+        self.addCleanup(connection.connection_lost, None)
+        connection.data_received(_HEAD + b"body")
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return connection.request
+
+    async def test_idle_connections_give_way_one_by_one(self):
+        """Guards against idle connections that fill the memory budget."""
+        served = await self.request_after(120, b"")
+        self.assertIsInstance(served, Request)
+        closed = sum(t.close.called for t in self.transports)
+        # What one over the budget, and the request, need.
+        self.assertLess(closed, 30)
+
+    async def test_short_beginnings_give_way_one_by_one(self):
+        """Guards against refusing all callers for what one of them holds."""
+        served = await self.request_after(120, b"POST /")
+        self.assertIsInstance(served, Request)
+        self.assertLess(self.budget.given_up, 30)
+
+
 class EndlessRequestTest(ConnectionCase):
     async def feed(self, beginning, part):
         """Feeds 1 MiB in parts; returns why the request is refused."""
