Name a connection flushing while the rest of a response is written

Cause: responses are written in parts since the budget, by the task that serves the request, so that the state stayed 'serving' until the caller had taken all but the last part: state dump and 'stopping' lines said that a replica was awaited.

Change: from the whole response on the state is 'flushing'.

--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -136,6 +136,7 @@
         self._served_bytes = 0
         # Of the response, what may wait for a caller that does not read.
         self._response_bytes = 0
+        self._is_answered = False
         self.limits = ReadLimits()
         self.request: Request | None = None
         self._serve = serve
@@ -152,8 +153,10 @@
     @property
     def state(self) -> ConnectionState:
         """How far the connection is with its current request."""
-        if self.request is not None:
+        if self.request is not None and not self._is_answered:
             return ConnectionState.SERVING
+        if self.request is not None:
+            return ConnectionState.FLUSHING
         if self.has_pending_writes:
             return ConnectionState.FLUSHING
         if self.transport.is_closing():
@@ -290,6 +293,7 @@
     def end_request(self) -> None:
         """Records that the request is answered, or that it never will be."""
         self.request = None
+        self._is_answered = False
         self._served_bytes = self._response_bytes = 0
         if self._account is not None:
             self._account.end_serving()
@@ -306,12 +310,17 @@
         self._report_held()
         return self._account is not None and self._account.is_within_budget
 
-    def hold_response(self, size: int) -> None:
+    def hold_response(self, size: int, is_whole: bool) -> None:
         """Records the size of a response, or of what is buffered of a stream.
 
         It counts while the caller does not take what is written.
+
+        Args:
+            size: Size in bytes.
+            is_whole: Whether the response only waits for the caller.
         """
         self._response_bytes = size
+        self._is_answered = is_whole
 
     def give_up_unserved(self) -> None:
         """See ``masticdale_common.connection_budget.Holder``."""
@@ -558,7 +567,7 @@
         """
         head = encode_head(status, headers, len(body), self.keeps_alive)
         self.status = status
-        self._connection.hold_response(len(body))
+        self._connection.hold_response(len(body), is_whole=True)
         self._connection.write(head + body[:_WRITE_BYTES])
         for start in range(_WRITE_BYTES, len(body), _WRITE_BYTES):
             await self._connection.drain()
@@ -567,7 +576,7 @@
 
     def start(self, status: int, headers: Iterable[Header]) -> None:
         """Writes the head of a chunked response."""
-        self._connection.hold_response(_BLOCKED_STREAM_BYTES)
+        self._connection.hold_response(_BLOCKED_STREAM_BYTES, is_whole=False)
         self._connection.write(
             encode_head(status, headers, None, self.keeps_alive)
         )
