Set the accept queue of both kinds of servers in one place

The entry host's listener and masticdaled's servers each had the number of connections accepted at once and their own way to set the backlog after the start; the entry host made its socket itself for it. set_backlog serves both. No change in behaviour.

--- a/apps/masticdaled/src/masticdaled/http_servers.py
+++ b/apps/masticdaled/src/masticdaled/http_servers.py
@@ -9,15 +9,16 @@
 import litestar
 import uvicorn
 
-from masticdale_common import ConnectionBudget
+from masticdale_common import (
+    ACCEPTED_AT_ONCE,
+    ConnectionBudget,
+    set_backlog,
+)
 from masticdale_peers import Address
 from masticdaled.bounded_protocol import BoundedHttpProtocol
 
 _KEEP_ALIVE_S = 120
 _BACKLOG = 1024
-# Connections accepted in one turn of the event loop. Those that are closed to
-# make room are gone only some turns later.
-_ACCEPTED_AT_ONCE = 4
 
 
 class HttpServer(uvicorn.Server):
@@ -35,11 +36,8 @@
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """See ``uvicorn.Server``."""
         await super().startup(sockets)
-        # asyncio has one number for both.
         for server in self.servers:
-            for listening in server.sockets:
-                with listening.dup() as duplicate:
-                    duplicate.listen(_BACKLOG)
+            set_backlog(server, _BACKLOG)
 
     def end_kept_connections(self) -> None:
         """Ends each connection with its next response from now on.
@@ -77,7 +75,7 @@
             host=str(address.ip),
             port=address.port,
             http=protocol,  # type: ignore[arg-type]
-            backlog=_ACCEPTED_AT_ONCE,
+            backlog=ACCEPTED_AT_ONCE,
             log_level="warning",
             access_log=False,
             lifespan="off",
--- a/libs/common/src/masticdale_common/__init__.py
+++ b/libs/common/src/masticdale_common/__init__.py
@@ -2,10 +2,12 @@
 
 from masticdale_common import hashing, logs, settings
 from masticdale_common.connection_budget import (
+    ACCEPTED_AT_ONCE,
     Account,
     BudgetLimits,
     ConnectionBudget,
     limits_of_host,
+    set_backlog,
 )
 from masticdale_common.dumps import JsonValue, StateDump
 from masticdale_common.exceptions import (
@@ -21,6 +23,7 @@
 from masticdale_common.timers import Subscription, TimerService
 
 __all__ = [
+    "ACCEPTED_AT_ONCE",
     "ERROR_RESPONSE_BY_KIND",
     "Account",
     "BudgetLimits",
@@ -39,5 +42,6 @@
     "hashing",
     "limits_of_host",
     "logs",
+    "set_backlog",
     "settings",
 ]
--- a/libs/common/src/masticdale_common/connection_budget.py
+++ b/libs/common/src/masticdale_common/connection_budget.py
@@ -6,12 +6,16 @@
 first, so that small requests still pass beside large ones.
 """
 
+import asyncio
 import dataclasses
 import resource
 from typing import Protocol
 
 from masticdale_common.dumps import JsonValue
 
+# Connections accepted in one turn of the event loop: the backlog with which to
+# create a server. Those that are closed to make room are gone some turns later.
+ACCEPTED_AT_ONCE = 4
 # Up to this size a connection counts as small. Large ones leave a part of the
 # budget to the small ones.
 _SMALL_BYTES = 65_536
@@ -61,6 +65,20 @@
     return BudgetLimits(memory_bytes, max(1, usable - own))
 
 
+def set_backlog(server: asyncio.Server, backlog: int) -> None:
+    """Sets the size of a server's accept queue.
+
+    asyncio has one number for it and for the connections accepted at once.
+
+    Args:
+        server: A server that listens.
+        backlog: The size.
+    """
+    for listening in server.sockets:
+        with listening.dup() as duplicate:
+            duplicate.listen(backlog)
+
+
 class Holder(Protocol):
     """A connection whose account is open."""
 
--- a/libs/gateway/src/masticdale_gateway/listeners.py
+++ b/libs/gateway/src/masticdale_gateway/listeners.py
@@ -5,11 +5,9 @@
 import socket
 from collections.abc import Iterator
 
+from masticdale_common import ACCEPTED_AT_ONCE, set_backlog
 from masticdale_gateway.relay import Relay
 
-# Connections accepted in one turn of the event loop. Those that are closed to
-# make room are gone only some turns later.
-_ACCEPTED_AT_ONCE = 4
 # Turns of the event loop from the accept of a connection until it is open and
 # registered.
 _ACCEPT_LOOP_TURNS = 4
@@ -27,13 +25,10 @@
         backlog: Size of the accept queue.
     """
     loop = asyncio.get_running_loop()
-    listening = socket.create_server((host, port))
-    listening.setblocking(False)
     server = await loop.create_server(
-        relay.create_connection, sock=listening, backlog=_ACCEPTED_AT_ONCE
+        relay.create_connection, host, port, backlog=ACCEPTED_AT_ONCE
     )
-    # asyncio has one number for both.
-    listening.listen(backlog)
+    set_backlog(server, backlog)
     return server
 
 
