--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -26,6 +26,7 @@
 _START_COMMAND = ("python3", "-S", "deploy/start.py")
 _KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 _READY_TIMEOUT_S = 20.0
+_RUN_TIMEOUT_S = 110.0
 # How the task of a connection ends; the last one at the end of the run.
 _CONNECTION_ENDS = (
     OSError,
@@ -521,6 +522,29 @@
         writer.close()
 
 
+async def exchange_or_closed(
+    address: str, method: str, target: str, fields: Fields, body: bytes = b""
+) -> Message:
+    """Like ``exchange``; the status is ``closed`` without a whole response."""
+    try:
+        return await exchange(address, method, target, fields, body)
+    except (OSError, asyncio.IncompleteReadError):
+        return Message(["", "closed"], {})
+
+
+def _end(number: int, frame: object) -> None:
+    """Ends the run, and with it the started processes, at SIGTERM."""
+    del number, frame
+    sys.exit(2)
+
+
+async def _run_in_time(
+    scenario: Callable[[bool], Awaitable[bool]], has_trouble: bool
+) -> bool:
+    async with asyncio.timeout(_RUN_TIMEOUT_S):
+        return await scenario(has_trouble)
+
+
 def run(scenario: Callable[[bool], Awaitable[bool]]) -> None:
     """Runs a scenario and exits with its result.
 
@@ -529,8 +553,9 @@
             whether the rule was kept.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, _end)
     try:
-        held = asyncio.run(scenario(has_trouble))
+        held = asyncio.run(_run_in_time(scenario, has_trouble))
     except Exception as error:  # The case could not run.
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
