Log and measure how old the list of replicas is

The logs of the incident tell which replica a host chose, not what the host knew of it. replica_chosen names the store's position that the list reflects and the age of that knowledge, watch_age_seconds has the age of configuration, replicas and shards, also where they come from a watch source, and replica_kept tells of a replica that is missing from the list and used on.

No decision changes.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -76,7 +76,7 @@
 from masticdale_platform import WatchBatch
 from masticdale_routing.assignments import TurnAssignments
 from masticdale_routing.crashes import CrashEvidence, Suspicion
-from masticdale_routing.fleet import Fleet
+from masticdale_routing.fleet import Fleet, ListState
 from masticdale_routing.versions import VersionHistory
 from masticdale_rpc import Address, RpcServer
 
@@ -117,6 +117,8 @@
 # Interval at which the versions of replicas are compared with what this host
 # still knows of the list, in seconds.
 _VERSIONS_INTERVAL_S = 0.5
+# Interval at which the ages of watched state are measured, in seconds.
+_WATCH_AGES_INTERVAL_S = 1.0
 # Workspaces in the state dump.
 _MAX_DUMPED_USAGES = 100
 
@@ -290,6 +292,10 @@
                 history=self._histories,
                 origins=self._origins,
                 budget=self._callers_budget,
+                list_state=lambda: ListState(
+                    self._store.last_position(REPLICA_PREFIX),
+                    self._store.age_s(REPLICA_PREFIX),
+                ),
             )
         )
         self._register_dumps()
@@ -396,6 +402,7 @@
                 self._crash_reports.expire,
             ),
             ("versions", _VERSIONS_INTERVAL_S, self._review_versions),
+            ("watch-ages", _WATCH_AGES_INTERVAL_S, self._measure_watch_ages),
             (
                 "abandoned-reports",
                 _DELETE_ABANDONED_INTERVAL_S,
@@ -473,6 +480,11 @@
                 asyncio.create_task(self._reconciler.reconcile())
             )
 
+    async def _measure_watch_ages(self) -> None:
+        for prefix in (CONFIGURATION_PREFIX, REPLICA_PREFIX, SHARD_PREFIX):
+            age_s = self._store.age_s(prefix)
+            self._metrics.gauge("watch_age_seconds", age_s, prefix=prefix)
+
     async def _close_idle(self) -> None:
         self._relay.pool.close_idle()
         self._peer_clients.close_idle()
--- a/apps/masticdale_entry/src/masticdale_entry/watched_state.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watched_state.py
@@ -122,6 +122,9 @@
             return
         # Replicas can't renew their entries while the store is unavailable;
         # immediate removal would empty the fleet in every outage.
+        logs.write_bounded(
+            "replica_kept", replica=replica_id, kept_s=_LAPSED_GRACE_S
+        )
         loop = asyncio.get_running_loop()
         self._removal_timer_by_id[replica_id] = loop.call_later(
             _LAPSED_GRACE_S, self._remove, replica_id
--- a/libs/gateway/src/masticdale_gateway/exchanges.py
+++ b/libs/gateway/src/masticdale_gateway/exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from returns.result import Failure as Failed
 from returns.result import Result, Success
@@ -29,7 +30,12 @@
     OversizedResponseError,
     UpstreamConnection,
 )
-from masticdale_routing.fleet import Replica, ReplicaState, ReportedLoad
+from masticdale_routing.fleet import (
+    ListState,
+    Replica,
+    ReplicaState,
+    ReportedLoad,
+)
 
 # Time limit for the body of a rejection, which is read so that the connection
 # can be reused.
@@ -209,12 +215,14 @@
         metrics: Metrics,
         crashes: CrashGuard,
         body_buffers: BodyBuffers,
+        list_state: Callable[[], ListState] = ListState,
     ) -> None:
         self.pool = pool
         self.crashes = crashes
         self.body_buffers = body_buffers
         self._codec = codec
         self._metrics = metrics
+        self._list_state = list_state
 
     async def send(
         self, call: Call, state: ReplicaState, options: AttemptOptions
@@ -306,6 +314,7 @@
         )
         request_id = call.metadata.request_id
         call.replica_ids.append(state.replica.id)
+        list_state = self._list_state()
         # The "request" line is written at the end of a request, and is missing
         # if the host is killed before; this line still names the replica.
         logs.write_bounded(
@@ -321,6 +330,8 @@
             ),
             resumes=call.metadata.resumed_request_id,
             software_version=state.replica.software_version,
+            list_position=list_state.position,
+            list_age_ms=round(1000 * list_state.age_s),
         )
         call.possible_runs += 1
         call.suspected_keys = self.crashes.suspected_keys(call)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -37,7 +37,7 @@
 from masticdale_gateway.streaming import StreamRelay
 from masticdale_gateway.transports import ConnectionLostError
 from masticdale_gateway.unary import BufferedResponse, UnaryRelay
-from masticdale_routing.fleet import Fleet
+from masticdale_routing.fleet import Fleet, ListState
 from masticdale_routing.routes import Configuration, Route, Service
 from masticdale_workspaces import Workspace
 
@@ -60,6 +60,7 @@
         history: Reads and writes the turns of routes that keep them.
         origins: Remembers where streams began.
         budget: What the connections of callers may hold.
+        list_state: Returns how old the list of replicas is.
     """
 
     configuration: Callable[[], Configuration | None]
@@ -77,6 +78,7 @@
     budget: ConnectionBudget = dataclasses.field(
         default_factory=ConnectionBudget
     )
+    list_state: Callable[[], ListState] = ListState
 
 
 class Relay:
@@ -104,6 +106,7 @@
             dependencies.metrics,
             self._crashes,
             BodyBuffers(dependencies.settings.body_limits),
+            dependencies.list_state,
         )
         self._unary = UnaryRelay(
             dependencies.fleet, sender, dependencies.settings
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any, TypeVar
@@ -114,6 +115,7 @@
         self._relay_failed = False
         self._last_relay: RpcClient | None = None
         self._last_position_by_prefix: dict[str, int] = {}
+        self._confirmed_at_by_prefix: dict[str, float] = {}
         self._skipped_until_by_peer: dict[RpcClient, float] = {}
 
     @property
@@ -126,6 +128,20 @@
         """Whether the store answered the last direct call or probe."""
         return self._direct_path.is_reachable
 
+    def last_position(self, prefix: str) -> int:
+        """Returns the position of the last batch of a prefix; 0 for none."""
+        return self._last_position_by_prefix.get(prefix, 0)
+
+    def age_s(self, prefix: str) -> float:
+        """Returns how old the batches of a prefix are as a whole.
+
+        Returns:
+            Seconds since the store was known to hold nothing newer; infinite
+            before the first batch.
+        """
+        confirmed_at = self._confirmed_at_by_prefix.get(prefix, -math.inf)
+        return asyncio.get_running_loop().time() - confirmed_at
+
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
         return await self._call_with_fallback(lambda store: store.read(key))
@@ -166,6 +182,7 @@
             return outcome
         batch = outcome.unwrap()
         self._last_position_by_prefix[prefix] = batch.position
+        self._confirm(prefix, batch.age_s)
         if self._shared is not None:
             self._shared.apply(prefix, position, batch)
         return outcome
@@ -311,7 +328,12 @@
         The source's own watch may have stalled. Its list, read again after a
         failure, would make replicas that are leaving look ready again.
         """
-        return batch.position < self._last_position_by_prefix.get(prefix, 0)
+        return batch.position < self.last_position(prefix)
+
+    def _confirm(self, prefix: str, age_s: float) -> None:
+        confirmed_at = asyncio.get_running_loop().time() - age_s
+        before = self._confirmed_at_by_prefix.get(prefix, confirmed_at)
+        self._confirmed_at_by_prefix[prefix] = max(before, confirmed_at)
 
     def _update_followers(self, outcome: Result[WatchBatch, Failure]) -> None:
         if self._shared is None:
--- a/libs/ledger/src/masticdale_ledger/ledger.thrift
+++ b/libs/ledger/src/masticdale_ledger/ledger.thrift
@@ -168,6 +168,7 @@
   4: bool is_snapshot,
   5: i64 version,
   6: optional WireFailure failure,
+  7: i64 age_ms,
 }
 
 struct CrashReport {
--- a/libs/ledger/src/masticdale_ledger/messages.py
+++ b/libs/ledger/src/masticdale_ledger/messages.py
@@ -328,7 +328,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreReply:
-    """The result of a store call; each operation sets only some fields."""
+    """The result of a store call; each operation sets only some fields.
+
+    Attributes:
+        items: The objects that were read, listed or changed.
+        deleted_keys: The keys that were deleted.
+        position: Position from which the next watch continues.
+        is_snapshot: Whether ``items`` are all objects of the prefix.
+        version: Version of the object that was written.
+        failure: Why the call failed; None if it succeeded.
+        age_ms: How long ago the store was known to hold nothing newer.
+    """
 
     items: tuple[StoreItem, ...] = ()
     deleted_keys: tuple[str, ...] = ()
@@ -336,6 +346,7 @@
     is_snapshot: bool = False
     version: int = 0
     failure: Failure | None = None
+    age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ledger/src/masticdale_ledger/peer_store.py
+++ b/libs/ledger/src/masticdale_ledger/peer_store.py
@@ -188,6 +188,7 @@
         batch.deleted_keys,
         batch.position,
         batch.is_snapshot,
+        age_ms=int(1000 * batch.age_s),
     )
 
 
@@ -197,6 +198,7 @@
         tuple(_to_object(i) for i in reply.items),
         reply.deleted_keys,
         reply.is_snapshot,
+        reply.age_ms / 1000,
     )
 
 
--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -37,12 +37,15 @@
     Attributes:
         position: The store position that the objects reflect.
         complete_since: Position from which on all deletions are known.
+        confirmed_at: Event loop time, in seconds, at which the store was known
+            to hold nothing newer.
         object_by_key: The objects under the prefix.
         deletions: The latest deletions, oldest first.
     """
 
     position: int = 0
     complete_since: int = 0
+    confirmed_at: float = 0.0
     object_by_key: dict[str, StoredObject] = dataclasses.field(
         default_factory=dict
     )
@@ -121,6 +124,8 @@
             self._notify()
             return
         state.apply(batch)
+        now = asyncio.get_running_loop().time()
+        state.confirmed_at = max(state.confirmed_at, now - batch.age_s)
         self._notify()
 
     def mark_store_reachable(self) -> None:
@@ -160,11 +165,14 @@
                 failure = Failure(ErrorKind.PLATFORM_UNAVAILABLE, detail)
                 return Failed(failure)
             # A follower of another source may already have a later position.
+            now = asyncio.get_running_loop().time()
+            age_s = now - state.confirmed_at
             if state.position > position:
-                return Success(state.since(position))
-            remaining_s = deadline - asyncio.get_running_loop().time()
+                newer = state.since(position)
+                return Success(dataclasses.replace(newer, age_s=age_s))
+            remaining_s = deadline - now
             if remaining_s <= 0:
-                return Success(WatchBatch(position, (), (), False))
+                return Success(WatchBatch(position, (), (), False, age_s))
             changed = self._changed
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining_s):
--- a/libs/platform/src/masticdale_platform/types.py
+++ b/libs/platform/src/masticdale_platform/types.py
@@ -42,12 +42,15 @@
         deleted_keys: Keys deleted since the requested position.
         is_snapshot: Whether the batch holds all stored objects, so that keys
             missing from it are deleted.
+        age_s: Seconds, on receipt, since the store was known to hold nothing
+            newer than this batch.
     """
 
     position: int
     changed: tuple[StoredObject, ...]
     deleted_keys: tuple[str, ...]
     is_snapshot: bool = False
+    age_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -74,6 +74,19 @@
         return f"{self.id}/{self.started_at_ms}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListState:
+    """How old the list of replicas of this host is.
+
+    Attributes:
+        position: Position of the store that it reflects.
+        age_s: Seconds since the store was known to hold nothing newer.
+    """
+
+    position: int = 0
+    age_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
     """Load that a replica reported with a response.
