--- a/tools/standins/src/masticdale_standins/objects.py
+++ b/tools/standins/src/masticdale_standins/objects.py
@@ -45,12 +45,15 @@
             their connection.
         delay_s: Delay before each response, in seconds.
         omits_watch_events: Watches report no changes; lists stay correct.
+        watch_responses_to_lose: Number of watch responses with changes that
+            never arrive; their connections stay open and silent.
     """
 
     fault: StoreFault = StoreFault.NONE
     responses_to_lose: int = 0
     delay_s: float = 0.0
     omits_watch_events: bool = False
+    watch_responses_to_lose: int = 0
 
 
 class FakeObjectStore:
@@ -59,11 +62,14 @@
     Attributes:
         faults: Active faults.
         calls: Number of calls by HTTP method.
+        json_by_string: JSON that replaces strings in response bodies, for
+            values that this process can't encode.
     """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls: dict[str, int] = {}
+        self.json_by_string: dict[str, str] = {}
         self._server = RawServer(self._handle)
         self._revision = 1
         self._compacted_revision = 0
@@ -131,15 +137,19 @@
         names = [urllib.parse.unquote(part) for part in parts]
         if request.method == "GET":
             status, body = await self._read(names, parameters)
+            if body.get("events") and self.faults.watch_responses_to_lose > 0:
+                self.faults.watch_responses_to_lose -= 1
+                await asyncio.sleep(3600)
         else:
             status, body = self._write(request, names, parameters)
             if self.faults.responses_to_lose > 0:
                 self.faults.responses_to_lose -= 1
                 connection.reset()
                 return
-        await connection.write(
-            encode_response(status, _JSON, json.dumps(body).encode())
-        )
+        text = json.dumps(body)
+        for string, value in self.json_by_string.items():
+            text = text.replace(json.dumps(string), value)
+        await connection.write(encode_response(status, _JSON, text.encode()))
 
     async def _apply_fault(
         self, request: RawRequest, connection: RawConnection
