Check waiting watches, and serve watched state only if it is recent

Cause: a watch waits for up to 28 s on one connection. Where its response is lost, or the connection has gone silent while its peer still acknowledges, the watch looks like one without changes. The check of the store (ping) uses another connection and succeeds. Followers hear from such a source that nothing is new.

Change: while a watch waits, the store is asked from its position again, each second for the configuration and the replicas, each 4 s for the rest; what the check finds takes the place of the watch. State that was not confirmed for a second longer is not served to followers, whatever the reason, so that they ask the next source or the store. The bound is on the age of what is known, not on one cause.

Tests: the double of a watch source in test_shared_watches ran no watch and so never confirmed its state; it does so when it is asked, as a running one does by its checks. The checks themselves are unchanged.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -73,7 +73,7 @@
     StandbyCopies,
     StandbyFailover,
 )
-from masticdale_platform import WatchBatch
+from masticdale_platform import CheckIntervals, WatchBatch
 from masticdale_routing.assignments import TurnAssignments
 from masticdale_routing.crashes import CrashEvidence, Suspicion
 from masticdale_routing.fleet import Fleet, ListState
@@ -86,6 +86,13 @@
 # Close to the longest watch that the store allows, since each watch is a billed
 # call. TCP keep-alive detects a dead connection sooner.
 _WATCH_TIMEOUT_S = 28.0
+# How often waiting watches are checked, in seconds. A configuration and a
+# replica that leaves must take effect within two seconds; old owners of shards
+# and old reports only cost calls.
+_CHECK_INTERVALS = CheckIntervals(
+    default_s=4.0,
+    by_prefix={CONFIGURATION_PREFIX: 1.0, REPLICA_PREFIX: 1.0},
+)
 # Pause after a change of the list of replicas. Short, because a replica must
 # get no new work two seconds after it announces that it drains.
 _REPLICAS_DEBOUNCE_S = 0.3
@@ -158,7 +165,7 @@
             self._shard_map, settings, self._metrics
         )
         watch_sources = self._peer_clients.watch_sources()
-        shared = None if watch_sources else SharedWatches()
+        shared = None if watch_sources else SharedWatches(_CHECK_INTERVALS)
         self._store = FallbackStore(
             self._direct_store,
             self._peer_clients.all,
@@ -167,6 +174,7 @@
             shared,
             self._direct_store.ping,
             {REPORT_PREFIX: FOLLOW_WAIT_S},
+            _CHECK_INTERVALS,
         )
         self._fleet = Fleet(settings.failure_domain)
         self._versions = VersionHistory(
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
@@ -19,6 +20,8 @@
     WatchSources,
 )
 from masticdale_platform import (
+    CheckedWatches,
+    CheckIntervals,
     ListedHost,
     ObjectStore,
     StoredObject,
@@ -89,6 +92,7 @@
         shared: SharedWatches | None = None,
         ping: Ping | None = None,
         follow_wait_s_by_prefix: Mapping[str, float] | None = None,
+        check_intervals: CheckIntervals | None = None,
     ) -> None:
         """Initializes the store.
 
@@ -102,8 +106,12 @@
             ping: A cheap call of the store itself, for ``check``.
             follow_wait_s_by_prefix: How long to wait for changes of a prefix at
                 a watch source, in seconds, unless as long as usual.
+            check_intervals: How often this host's own watches are checked.
         """
         self._direct = direct
+        self._direct_watches = CheckedWatches(
+            direct, check_intervals or CheckIntervals(), metrics
+        )
         self._peers = peers
         self._metrics = metrics
         self._shared = shared
@@ -213,7 +221,12 @@
         if self._watch_sources.all:
             # A watch source may be available again by then.
             wait_s = min(wait_s, _SILENT_SOURCE_BACKOFF_S)
-        watched: Any = self._direct.watch(prefix, position, wait_s)
+        watched: Any = self._direct_watches.watch(
+            prefix,
+            position,
+            wait_s,
+            functools.partial(self._record_check, prefix, position),
+        )
         changed = self._direct_path.changed
         events = []
         if self._direct_path.is_reachable and self._watch_sources.all:
@@ -238,9 +251,8 @@
     async def check(self) -> None:
         """Checks on a watch source that the store still answers.
 
-        A watch of an unresponsive store looks like one without changes, and a
-        watch may take half a minute. Without the check, followers would keep
-        an old configuration and send work to replicas that have left.
+        Followers of a source whose store does not respond must leave it soon:
+        a check of a single watch comes too late for that.
         """
         if self._shared is None or self._ping is None:
             return
@@ -330,6 +342,23 @@
         """
         return batch.position < self.last_position(prefix)
 
+    def _record_check(
+        self,
+        prefix: str,
+        position: int,
+        outcome: Result[WatchBatch, Failure],
+        began_at: float,
+    ) -> None:
+        """Records a check of a waiting watch that has found no change."""
+        self._record_outcome(outcome)
+        self._update_followers(outcome)
+        if isinstance(outcome, Failed):
+            return
+        age_s = asyncio.get_running_loop().time() - began_at
+        self._confirm(prefix, age_s)
+        if self._shared is not None:
+            self._shared.confirm(prefix, position, age_s)
+
     def _confirm(self, prefix: str, age_s: float) -> None:
         confirmed_at = asyncio.get_running_loop().time() - age_s
         before = self._confirmed_at_by_prefix.get(prefix, confirmed_at)
--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -15,7 +15,7 @@
 from returns.result import Result, Success
 
 from masticdale_common import ErrorKind, Failure
-from masticdale_platform import StoredObject, WatchBatch
+from masticdale_platform import CheckIntervals, StoredObject, WatchBatch
 
 # Deletions remembered for each prefix. A follower that is further behind gets a
 # whole list.
@@ -98,7 +98,14 @@
 class SharedWatches:
     """The latest known state of each prefix that this host watches."""
 
-    def __init__(self) -> None:
+    def __init__(self, check_intervals: CheckIntervals | None = None) -> None:
+        """Initializes the state.
+
+        Args:
+            check_intervals: How often the watches are checked. State that was
+                not confirmed for longer is not served.
+        """
+        self._check_intervals = check_intervals or CheckIntervals()
         self._state_by_prefix: dict[str, _WatchedPrefix] = {}
         self._is_store_unreachable = True
         self._changed = asyncio.Event()
@@ -128,6 +135,20 @@
         state.confirmed_at = max(state.confirmed_at, now - batch.age_s)
         self._notify()
 
+    def confirm(self, prefix: str, position: int, age_s: float) -> None:
+        """Records that the store holds nothing newer than a position.
+
+        Args:
+            prefix: The watched prefix.
+            position: Position of the last batch.
+            age_s: Seconds since this was so.
+        """
+        state = self._state_by_prefix.get(prefix)
+        if state is None or state.position != position:
+            return
+        now = asyncio.get_running_loop().time()
+        state.confirmed_at = max(state.confirmed_at, now - age_s)
+
     def mark_store_reachable(self) -> None:
         """Records that the store answers this host."""
         self._is_store_unreachable = False
@@ -152,8 +173,9 @@
             The changes since the position, a snapshot if the position is too
             old for that, or an empty batch after the wait.
 
-        Failures: NOT_FOUND if this host does not watch the prefix;
-        PLATFORM_UNAVAILABLE if the store does not answer this host either.
+        Failures: NOT_FOUND if this host does not watch the prefix, or does not
+        know that its state is recent; PLATFORM_UNAVAILABLE if the store does
+        not answer this host either.
         """
         deadline = asyncio.get_running_loop().time() + wait_s
         while True:
@@ -167,6 +189,9 @@
             # A follower of another source may already have a later position.
             now = asyncio.get_running_loop().time()
             age_s = now - state.confirmed_at
+            if age_s > self._check_intervals.max_age_s(prefix):
+                detail = f"{prefix} was not confirmed for {age_s:.1f} s"
+                return Failed(Failure(ErrorKind.NOT_FOUND, detail))
             if state.position > position:
                 newer = state.since(position)
                 return Success(dataclasses.replace(newer, age_s=age_s))
--- a/libs/ledger/tests/test_shared_watches.py
+++ b/libs/ledger/tests/test_shared_watches.py
@@ -12,7 +12,7 @@
 from masticdale_ledger.fallback_store import FallbackStore
 from masticdale_ledger.peer_store import serve_store
 from masticdale_ledger.shared_watches import SharedWatches
-from masticdale_platform import StoredObject, WatchBatch
+from masticdale_platform import CheckIntervals, StoredObject, WatchBatch
 from masticdale_platform.testing import MemoryStore
 
 PREFIX = "a/"
@@ -51,6 +51,8 @@
         if self.is_unresponsive:
             await asyncio.sleep(timeout_s)
             return Failed(Failure(ErrorKind.PEER_UNAVAILABLE, "silent"))
+        # The checks of its watch, which these tests do not run.
+        self.shared.confirm(PREFIX, self.position, 0.0)
         return Success(await serve_store(self.direct, request, self.shared))
 
 
@@ -259,6 +261,38 @@
         self.assertFalse(batch.is_snapshot)
 
 
+class UnconfirmedStateTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against followers of a source whose watch has stopped."""
+
+    INTERVALS = CheckIntervals(default_s=0.1)
+
+    async def asyncSetUp(self):
+        self.shared = SharedWatches(self.INTERVALS)
+        self.shared.mark_store_reachable()
+        self.shared.apply(PREFIX, 0, WatchBatch(7, (), (), is_snapshot=True))
+
+    async def test_state_that_was_not_confirmed_is_not_served(self):
+        await asyncio.sleep(self.INTERVALS.max_age_s(PREFIX) + 0.05)
+        outcome = await self.shared.wait_newer(PREFIX, 0, 0.0)
+        self.assertIs(outcome.failure().kind, ErrorKind.NOT_FOUND)
+        self.shared.confirm(PREFIX, 7, 0.0)
+        self.assertEqual(
+            (await self.shared.wait_newer(PREFIX, 0, 0.0)).unwrap().position, 7
+        )
+
+    async def test_followers_learn_the_age_of_the_state(self):
+        self.shared.confirm(PREFIX, 7, 0.0)
+        await asyncio.sleep(0.2)
+        outcome = await self.shared.wait_newer(PREFIX, 7, 0.0)
+        self.assertGreaterEqual(outcome.unwrap().age_s, 0.2)
+
+    async def test_an_older_position_confirms_nothing(self):
+        await asyncio.sleep(0.2)
+        self.shared.confirm(PREFIX, 6, 0.0)
+        outcome = await self.shared.wait_newer(PREFIX, 7, 0.0)
+        self.assertGreaterEqual(outcome.unwrap().age_s, 0.2)
+
+
 class ChangesTest(unittest.IsolatedAsyncioTestCase):
     """Guards against watch sources that send whole lists at each change.
 
--- a/libs/platform/src/masticdale_platform/__init__.py
+++ b/libs/platform/src/masticdale_platform/__init__.py
@@ -4,6 +4,7 @@
 library that not every host installs.
 """
 
+from masticdale_platform.checked_watches import CheckedWatches, CheckIntervals
 from masticdale_platform.types import (
     MAX_VALUE_BYTES,
     MUST_NOT_EXIST,
@@ -16,6 +17,8 @@
 __all__ = [
     "MAX_VALUE_BYTES",
     "MUST_NOT_EXIST",
+    "CheckIntervals",
+    "CheckedWatches",
     "ListedHost",
     "ObjectStore",
     "StoredObject",
