Take only a store that answers nobody for an outage, not a watch that failed

Cause: after a failed watch, a replica that is missing from the next list was kept for 1.9 s, as after an outage in which it could not renew its entry. But a watch may be cut in calm, by a restart of a proxy or when the store drops its history, and what is missing then was removed. Time until the cut, pause before the list and grace add up to more than two seconds.

Change: the store counts as away only if it answered neither this host nor, through them, any other that was asked, or if the watch sources said so while this host's own watch hung. test_entries_that_lapsed_in_an_outage_are_kept and the recovery test of 600 watchers pass unchanged.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -456,7 +456,12 @@
         return (200 if self.is_ready and not is_cut_off else 503), b""
 
     def _start_watch(self, target: WatchTarget) -> None:
-        watcher = Watcher(self._store, target, self._store.wait_before_retry)
+        watcher = Watcher(
+            self._store,
+            target,
+            self._store.wait_before_retry,
+            lambda: self._store.last_outage_at,
+        )
         self._tasks.append(asyncio.create_task(watcher.run()))
 
     def _apply_configuration(
--- a/apps/masticdale_entry/src/masticdale_entry/watching.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -23,8 +24,8 @@
     Attributes:
         prefix: Prefix of the watched keys.
         wait_s: Maximum duration of one watch.
-        apply: Called with each batch and whether it is the first one after the
-            store was unavailable.
+        apply: Called with each batch and whether it is the first one after an
+            outage of the store.
         debounce_s: Pause after a batch of changes, so that a burst, as at the
             start of a fleet, takes few watches and not one for each change.
     """
@@ -43,6 +44,7 @@
         store: ObjectStore,
         target: WatchTarget,
         pause: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        last_outage_at: Callable[[], float] | None = None,
     ) -> None:
         """Creates a watcher; ``run`` starts it.
 
@@ -51,12 +53,16 @@
             target: What to watch, and its consumer.
             pause: Sleeps for a number of seconds after a failed watch, or less
                 if a retry may succeed sooner.
+            last_outage_at: Returns the event loop time, in seconds, of the
+                store's last outage. Without it each failed watch counts as one.
         """
         self._store = store
         self._target = target
         self._pause_after_failure = pause
+        self._last_outage_at = last_outage_at
         self._position = 0
-        self._after_outage = False
+        self._has_failed = False
+        self._succeeded_at = -math.inf
         self._backoff_s = _INITIAL_BACKOFF_S
 
     async def run(self) -> None:
@@ -71,7 +77,7 @@
         if isinstance(outcome, Failed):
             failure = outcome.failure()
             if failure.kind is not ErrorKind.HISTORY_GONE:
-                self._after_outage = True
+                self._has_failed = True
             # A failing store may accept a watch from a position whose next
             # changes it has dropped; that watch would miss them. Restart from
             # a full list.
@@ -87,11 +93,23 @@
         batch = outcome.unwrap()
         self._position = batch.position
         self._backoff_s = _INITIAL_BACKOFF_S
-        after_outage, self._after_outage = self._after_outage, False
+        after_outage = self._is_after_outage()
+        self._has_failed = False
+        self._succeeded_at = asyncio.get_running_loop().time()
         self._target.apply(batch, after_outage)
         if batch.changed or batch.deleted_keys:
             await asyncio.sleep(self._target.debounce_s)
 
+    def _is_after_outage(self) -> bool:
+        """Whether the store had an outage since the last batch.
+
+        A watch may be cut at any time. What is missing from the list that is
+        read next was then removed, and did not lapse in an outage.
+        """
+        if self._last_outage_at is None or not self._has_failed:
+            return self._has_failed
+        return self._last_outage_at() > self._succeeded_at
+
     async def _back_off(self) -> None:
         await self._pause_after_failure(
             self._backoff_s * random.uniform(0.5, 1.5)
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -121,6 +121,7 @@
         self._watch_sources = WatchSources(watch_sources or [])
         self._direct_path = DirectPath()
         self._relay_failed = False
+        self._last_outage_at = -math.inf
         self._last_relay: RpcClient | None = None
         self._last_position_by_prefix: dict[str, int] = {}
         self._confirmed_at_by_prefix: dict[str, float] = {}
@@ -136,6 +137,18 @@
         """Whether the store answered the last direct call or probe."""
         return self._direct_path.is_reachable
 
+    @property
+    def last_outage_at(self) -> float:
+        """When the store was last known to answer nobody.
+
+        A watch that fails is no sign of that, nor is a store that does not
+        answer this host alone.
+
+        Returns:
+            Event loop time in seconds; minus infinity for never.
+        """
+        return self._last_outage_at
+
     def last_position(self, prefix: str) -> int:
         """Returns the position of the last batch of a prefix; 0 for none."""
         return self._last_position_by_prefix.get(prefix, 0)
@@ -234,6 +247,8 @@
         outcome = await self._await_unless_interrupted(watched, *events)
         if outcome is None:
             is_after_outage = self._watch_sources.have_lost_store
+            if is_after_outage:
+                self._record_outage()
             if changed.is_set() or is_after_outage or position == 0:
                 return _PATH_CHANGED
             return Success(WatchBatch(position, (), (), is_snapshot=False))
@@ -342,6 +357,9 @@
         """
         return batch.position < self.last_position(prefix)
 
+    def _record_outage(self) -> None:
+        self._last_outage_at = asyncio.get_running_loop().time()
+
     def _record_check(
         self,
         prefix: str,
@@ -389,6 +407,8 @@
             )
             self._skipped_until_by_peer[peer] = now + skipped_s
         self._relay_failed = _is_unavailable(outcome)
+        if self.is_store_unreachable:
+            self._record_outage()
         return outcome
 
     def _order_relays(self, peers: Peers) -> Peers:
