Keep a replica draining until its process ends

Cause: a write without an answer may be executed seconds later, so that an entry that says ready can replace the one that says draining. The newest entry of the store was believed. A process never takes its draining back.

Change: the fleet keeps a process draining once it was seen so, also after its entry was removed and comes back. Another start of the replica, or another service, is another process. Beside it: a replica whose entry changed its service stayed marked as unlisted (test_a_replica_that_changes_its_service_is_listed).

Not covered: a host that starts while the older entry is the newest.

--- a/apps/masticdale_entry/src/masticdale_entry/watched_state.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watched_state.py
@@ -104,11 +104,13 @@
             handle.cancel()
         replica = outcome.unwrap()
         self._fleet.put(replica, asyncio.get_running_loop().time())
+        state = self._fleet.find(replica_id)
         logs.write_bounded(
             "replica_listed",
             replica=replica_id,
             service=replica.service,
-            draining=replica.is_draining,
+            state="draining" if replica.is_draining else "ready",
+            draining=state is not None and state.replica.is_draining,
             software_version=replica.software_version,
             revision=revision,
         )
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -30,6 +30,8 @@
 # Time for which a replica that has begun to drain still gets requests that no
 # other one may run, in seconds. It serves two seconds longer.
 _DRAINING_USE_S = 1.0
+# Replicas remembered that have drained and are no longer listed.
+_MAX_DRAINED = 10_000
 # Reported load older than this, in seconds, is ignored.
 _LOAD_REPORT_MAX_AGE_S = 0.5
 # The open periods are short compared with a replica's restart, so that a
@@ -38,6 +40,9 @@
     failures_to_open=2, initial_open_s=0.5, max_open_s=4.0
 )
 
+# What tells one process of a replica from another.
+_Process = tuple[str, str, int, str, int, str]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replica:
@@ -190,6 +195,7 @@
         self._failure_domain = failure_domain
         self._random = random.Random(seed)
         self._state_by_id: dict[str, ReplicaState] = {}
+        self._drained: dict[_Process, None] = {}
         self._state_by_id_by_service: dict[str, dict[str, ReplicaState]] = (
             collections.defaultdict(dict)
         )
@@ -209,13 +215,16 @@
         """Adds or updates a replica.
 
         A replica that restarted under the same id has lost its cache and its
-        requests, so its state is replaced too.
+        requests, so its state is replaced too. One that drains stays so until
+        its process ends: a write that it made before may reach the store last.
 
         Args:
             replica: The entry of the platform's list.
             now: Event loop time in seconds.
         """
         state = self._state_by_id.get(replica.id)
+        if not replica.is_draining and self._has_drained(replica, state):
+            replica = dataclasses.replace(replica, is_draining=True)
         if state is not None and state.replica.service != replica.service:
             self.remove(replica.id)
         if state is None or _is_restarted(state.replica, replica):
@@ -231,9 +240,21 @@
     def remove(self, replica_id: str) -> None:
         """Removes a replica; an unknown id is ignored."""
         state = self._state_by_id.pop(replica_id, None)
-        if state is not None:
-            state.is_listed = False
-            del self._state_by_id_by_service[state.replica.service][replica_id]
+        if state is None:
+            return
+        state.is_listed = False
+        del self._state_by_id_by_service[state.replica.service][replica_id]
+        if state.replica.is_draining:
+            self._drained[_process(state.replica)] = None
+            if len(self._drained) > _MAX_DRAINED:
+                del self._drained[next(iter(self._drained))]
+
+    def _has_drained(
+        self, replica: Replica, state: ReplicaState | None
+    ) -> bool:
+        if state is not None and not _is_restarted(state.replica, replica):
+            return state.replica.is_draining
+        return _process(replica) in self._drained
 
     def find(self, replica_id: str) -> ReplicaState | None:
         """Returns the state of a replica, or None if it is not listed."""
@@ -381,15 +402,16 @@
         return min(order, key=cost)
 
 
-def _is_restarted(old: Replica, new: Replica) -> bool:
+def _process(replica: Replica) -> _Process:
     return (
-        old.started_at_ms,
-        old.address,
-        old.port,
-        old.software_version,
-    ) != (
-        new.started_at_ms,
-        new.address,
-        new.port,
-        new.software_version,
+        replica.id,
+        replica.service,
+        replica.started_at_ms,
+        replica.address,
+        replica.port,
+        replica.software_version,
     )
+
+
+def _is_restarted(old: Replica, new: Replica) -> bool:
+    return _process(old) != _process(new)
--- a/libs/routing/tests/test_fleet.py
+++ b/libs/routing/tests/test_fleet.py
@@ -26,6 +26,37 @@
     return fleet
 
 
+class DrainingTest(unittest.TestCase):
+    """Guards against new requests after an older entry arrives last."""
+
+    def setUp(self):
+        self.fleet = fleet_of(replica("r1", is_draining=True))
+
+    def chosen(self):
+        return self.fleet.choose("engine", "p", 0.0)
+
+    def test_a_replica_that_drains_is_not_ready_again(self):
+        self.fleet.put(replica("r1"))
+        self.assertIsNone(self.chosen())
+
+    def test_a_removed_replica_that_drained_is_not_ready_again(self):
+        self.fleet.remove("r1")
+        self.fleet.put(replica("r1"))
+        self.assertIsNone(self.chosen())
+
+    def test_another_process_of_the_replica_is_ready(self):
+        self.fleet.put(replica("r1", started_at_ms=5))
+        self.assertEqual(self.chosen().replica.started_at_ms, 5)
+        self.fleet.remove("r1")
+        self.fleet.put(replica("r1", service="other"))
+        self.assertIsNotNone(self.fleet.choose("other", "p", 0.0))
+
+    def test_a_replica_that_changes_its_service_is_listed(self):
+        self.fleet.put(replica("r1", service="other"))
+        self.assertFalse(self.fleet.find("r1").is_leaving)
+        self.assertIsNone(self.chosen())
+
+
 class ChooseTest(unittest.TestCase):
     def test_requests_of_a_program_go_to_one_replica(self):
         fleet = fleet_of(*(replica(f"r{n}") for n in range(5)))
