--- a/apps/masticdale_entry/src/masticdale_entry/watching.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watching.py
@@ -68,7 +68,18 @@
     async def run(self) -> None:
         """Watches until cancelled."""
         while True:
-            await self._step()
+            try:
+                await self._step()
+            except Exception as error:
+                # Without its watch a consumer would go by old state until the
+                # process ends, and nothing would show it.
+                logs.write_bounded(
+                    "watch_crashed",
+                    prefix=self._target.prefix,
+                    error=repr(error)[:300],
+                )
+                self._position = 0
+                await self._back_off()
 
     async def _step(self) -> None:
         outcome = await self._store.watch(
