Bound how long a host without the store waits for other hosts

It waited for hosts that did not answer, up to two seconds each and six of them, and did not try the store meanwhile. A relayed watch now ends when the next probe of the store is due.

--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -15,7 +15,6 @@
 from masticdale_ledger.peer_store import FOLLOW_WAIT_S, PeerStore
 from masticdale_ledger.shared_watches import SharedWatches
 from masticdale_ledger.store_paths import (
-    PROBE_INTERVAL_S,
     DirectPath,
     WatchSources,
 )
@@ -45,6 +44,10 @@
 # The same for a host that does not reach the store either.
 _STORELESS_RELAY_S = 1.0
 
+# How long a relayed watch may take beyond its wait, in seconds: the store takes
+# up to 0.4 s while it is slow.
+_RELAY_MARGIN_S = 0.5
+
 # A watch source that did not answer is not asked for this long, in seconds.
 _SILENT_SOURCE_BACKOFF_S = 5.0
 # The same for a watch source that has lost the store or has just started.
@@ -222,12 +225,14 @@
                 followed = await self._follow(prefix, position)
                 if followed is not None:
                     return followed
-                limit_s = min(wait_s, PROBE_INTERVAL_S)
+                # Hosts that do not answer must not delay the next probe.
+                limit_s = min(wait_s, self._direct_path.next_probe_in_s)
                 relayed = self._relay(
                     lambda store: store.watch(prefix, position, limit_s)
                 )
+                probe_due = asyncio.sleep(limit_s + _RELAY_MARGIN_S)
                 return (
-                    await self._await_unless_interrupted(relayed)
+                    await self._await_unless_interrupted(relayed, probe_due)
                     or _PATH_CHANGED
                 )
             wait_s = _PROBE_WATCH_S
@@ -238,6 +243,7 @@
             prefix,
             position,
             wait_s,
+            self.age_s(prefix),
             functools.partial(self._record_check, prefix, position),
         )
         changed = self._direct_path.changed
@@ -251,7 +257,8 @@
                 self._record_outage()
             if changed.is_set() or is_after_outage or position == 0:
                 return _PATH_CHANGED
-            return Success(WatchBatch(position, (), (), is_snapshot=False))
+            age_s = self.age_s(prefix)
+            return Success(WatchBatch(position, (), (), False, age_s))
         # The connection of a waiting watch may be dropped at any time. Only
         # the list that is read next shows whether the store answers.
         if position == 0 or not isinstance(outcome, Failed):
@@ -397,7 +404,7 @@
         for peer in self._order_relays(peers)[:_MAX_RELAYS]:
             self._metrics.count("store_calls_relayed_total")
             store: Any = PeerStore(peer)
-            outcome = await call(store)
+            outcome = await self._call_relay(peer, store, call)
             if not _is_unavailable(outcome):
                 self._last_relay = peer
                 break
@@ -411,6 +418,20 @@
             self._record_outage()
         return outcome
 
+    async def _call_relay(
+        self, peer: RpcClient, store: Any, call: StoreCall[T]
+    ) -> Result[T, Failure]:
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        try:
+            return await call(store)
+        except asyncio.CancelledError:
+            # Given up before its timeout; the next call asks others first.
+            if loop.time() - began_at >= _RELAY_MARGIN_S:
+                until = loop.time() + _STORELESS_RELAY_S
+                self._skipped_until_by_peer[peer] = until
+            raise
+
     def _order_relays(self, peers: Peers) -> Peers:
         """Returns hosts in random order, after the last one that answered."""
         ordered = self._random.sample(peers, len(peers))
--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -20,6 +20,8 @@
 # Deletions remembered for each prefix. A follower that is further behind gets a
 # whole list.
 _MAX_DELETIONS = 1_000
+# Waits shorter than this, in seconds, would only spin.
+_MIN_WAIT_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,7 +191,8 @@
             # A follower of another source may already have a later position.
             now = asyncio.get_running_loop().time()
             age_s = now - state.confirmed_at
-            if age_s > self._check_intervals.max_age_s(prefix):
+            recent_for_s = self._check_intervals.max_age_s(prefix) - age_s
+            if recent_for_s < _MIN_WAIT_S:
                 detail = f"{prefix} was not confirmed for {age_s:.1f} s"
                 return Failed(Failure(ErrorKind.NOT_FOUND, detail))
             if state.position > position:
@@ -200,7 +203,7 @@
                 return Success(WatchBatch(position, (), (), False, age_s))
             changed = self._changed
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(remaining_s):
+                async with asyncio.timeout(min(remaining_s, recent_for_s)):
                     await changed.wait()
 
     def _notify(self) -> None:
--- a/libs/ledger/src/masticdale_ledger/store_paths.py
+++ b/libs/ledger/src/masticdale_ledger/store_paths.py
@@ -10,6 +10,8 @@
 # configuration change has to take effect 2 s after its acknowledgement, also
 # right after an outage.
 PROBE_INTERVAL_S = 1.0
+# Waits shorter than this, in seconds, would only spin.
+_CLOCK_RESOLUTION_S = 0.001
 # A call that fails this soon after the store has become reachable, in seconds,
 # was probably sent before.
 _RECOVERY_PERIOD_S = 0.5
@@ -59,7 +61,7 @@
 
     def claim_probe(self) -> bool:
         """Returns whether a probe is due; if so, schedules the next one."""
-        if self.next_probe_in_s > 0:
+        if self.next_probe_in_s > _CLOCK_RESOLUTION_S:
             return False
         self._schedule_probe()
         return True
--- a/libs/platform/src/masticdale_platform/checked_watches.py
+++ b/libs/platform/src/masticdale_platform/checked_watches.py
@@ -17,9 +17,9 @@
 
 # How long a check waits for changes, in seconds.
 _CHECK_WAIT_S = 0.01
-# The largest duration of a check, in seconds: the timeout of a call, and a
-# margin for a busy event loop.
-_CHECK_DURATION_S = 1.0
+# The largest duration of a check, in seconds, at which state still counts as
+# confirmed in time. The store takes up to 0.4 s while it is slow.
+_CHECK_DURATION_S = 0.5
 
 # Receives the outcome of a check, and the event loop time at which it began.
 CheckObserver = Callable[[Result[WatchBatch, Failure], float], None]
@@ -68,6 +68,7 @@
         prefix: str,
         position: int,
         wait_s: float,
+        age_s: float,
         observer: CheckObserver,
     ) -> Result[WatchBatch, Failure]:
         """Watches a prefix; see ``ObjectStore.watch``.
@@ -76,6 +77,8 @@
             prefix: Prefix of the watched keys.
             position: Position of the last batch; 0 for a snapshot.
             wait_s: Longest wait, in seconds.
+            age_s: Seconds since the store was known to hold nothing newer than
+                the last batch. The first check comes sooner if it is old.
             observer: Receives the outcome of each check that finds no change.
 
         Returns:
@@ -87,7 +90,9 @@
         waiting = asyncio.create_task(
             self._store.watch(prefix, position, wait_s)
         )
-        checking = asyncio.create_task(self._check(prefix, position, observer))
+        checking = asyncio.create_task(
+            self._check(prefix, position, age_s, observer)
+        )
         try:
             await asyncio.wait(
                 (waiting, checking), return_when=asyncio.FIRST_COMPLETED
@@ -102,13 +107,19 @@
             checking.cancel()
 
     async def _check(
-        self, prefix: str, position: int, observer: CheckObserver
+        self,
+        prefix: str,
+        position: int,
+        age_s: float,
+        observer: CheckObserver,
     ) -> Result[WatchBatch, Failure]:
         """Returns what the watch should have returned, once there is any."""
         loop = asyncio.get_running_loop()
+        interval_s = self._intervals.interval_s(prefix)
+        pause_s = max(0.0, interval_s - age_s)
         while True:
-            interval_s = self._intervals.interval_s(prefix)
-            await asyncio.sleep(interval_s * random.uniform(0.8, 1.0))
+            await asyncio.sleep(pause_s * random.uniform(0.8, 1.0))
+            pause_s = interval_s
             began_at = loop.time()
             self._metrics.count("watch_checks_total", prefix=prefix)
             outcome = await self._store.watch(prefix, position, _CHECK_WAIT_S)
