Refuse responses whose status is no status at once

No caller got it as an answer here, but each waited for its whole deadline and got 504: the parser takes any three digits, below 200 they counted as an interim response, and the final one was awaited. The attempt now fails as malformed: repeated where it may be, else 502 at once.

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -26,6 +26,8 @@
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?![^ \r\n])")
 # One byte less than the shortest status line.
 _STATUS_LINE_TAIL_BYTES = len(b"HTTP/1.1 200") - 1
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 
 ResponseMatcher = Callable[[ResponseHead], bool]
 
@@ -249,6 +251,10 @@
         self._is_in_body = True
         headers = self._headers
         status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            # The parser takes any three digits; below 200 they would count as
+            # an interim response, after which the final one is awaited.
+            raise MalformedResponseError(f"invalid status {status:03}")
         if status < 200:
             return
         self._is_close_delimited = (
