Refuse a body in which a second response begins

Its client got a 200 whose body held the head of the second one. A status line followed by a field is refused in a body now; text that only mentions a status line is not. An error also keeps a body that ends with its connection from counting as complete.

Not covered: a cut so close to the end of a body with a length that what is left holds no status line with a field's name (40 bytes in the test).

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -26,6 +26,15 @@
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?![^ \r\n])")
 # One byte less than the shortest status line.
 _STATUS_LINE_TAIL_BYTES = len(b"HTTP/1.1 200") - 1
+
+# A status line with its first field. In a body, text that quotes a response may
+# hold a status line alone.
+_RESPONSE_START = re.compile(
+    rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: [^\r\n]{0,64})?\r\n"
+    rb"[!#-'*+.0-9A-Z^-z|~-]{1,64}:"
+)
+# At least one byte less than the longest match.
+_RESPONSE_START_TAIL_BYTES = 160
 _MIN_STATUS = 100
 _MAX_STATUS = 599
 
@@ -51,7 +60,8 @@
     status line then stands in what is left of the first. A response that holds
     a status line in its reason phrase, a field or a trailer is therefore
     refused as malformed, although such text is legal there, and so is a
-    response to another request that holds one in its body.
+    response to another request that holds one in its body. The body of the
+    awaited response may quote a status line, but no status line with a field.
 
     Attributes:
         idle_since: End of the last exchange, in loop seconds.
@@ -81,8 +91,8 @@
         self._overhead_bytes = 0
         self._read_bytes = 0
         self.skipped_responses = 0
-        # The end of the discarded body, where a status line may begin.
-        self._discarded_tail = b""
+        # The end of the body so far, where a second response may begin.
+        self._body_tail = b""
         self._reason_phrase = bytearray()
         self._arrived = asyncio.Event()
         self._parser = httptools.HttpResponseParser(self)
@@ -113,6 +123,7 @@
             self._is_close_delimited
             and self._is_awaiting
             and not self._is_discarding
+            and self._error is None
         ):
             self._end_message()
         self._must_close = True
@@ -226,7 +237,7 @@
         self._field_bytes = 0
         self._is_in_body = False
         self._reason_phrase.clear()
-        self._discarded_tail = b""
+        self._body_tail = b""
 
     def on_status(self, reason_phrase: bytes) -> None:
         """Called by the parser, for each part that was read at once."""
@@ -283,10 +294,11 @@
     def on_body(self, body: bytes) -> None:
         """Called by the parser."""
         if self._is_discarding:
-            body = self._discarded_tail + body
+            body = self._body_tail + body
             _reject_status_line(body)
-            self._discarded_tail = body[-_STATUS_LINE_TAIL_BYTES:]
+            self._body_tail = body[-_STATUS_LINE_TAIL_BYTES:]
             return
+        self._reject_second_response(body)
         last = self._items[-1] if self._items else None
         if self._is_awaiting and isinstance(last, bytearray):
             last += body
@@ -302,6 +314,12 @@
         if self._buffered_bytes >= _MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
 
+    def _reject_second_response(self, body: bytes) -> None:
+        window = self._body_tail + body
+        if _RESPONSE_START.search(window):
+            raise MalformedResponseError("a response begins inside another one")
+        self._body_tail = window[-_RESPONSE_START_TAIL_BYTES:]
+
     def on_message_complete(self) -> None:
         """Called by the parser."""
         if self._parser.get_status_code() >= 200 and not self._is_discarding:
