Take no success that ends before its request is written for whole

Reset on the way it was no answer here before either (test_early_responses). Ended in order while the request was still being written, the part counted as the whole body: test_a_success_that_ends_early_is_not_whole failed before. Such a server closes with unread bytes, which resets the connection; whether the reset or the end is seen first is chance. A failure is still passed on, as is a success that ends after the request was written: by PROTOCOL a response may end with its channel.

--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -124,11 +124,21 @@
             and self._is_awaiting
             and not self._is_discarding
             and self._error is None
+            and not self._is_cut_short()
         ):
             self._end_message()
         self._must_close = True
         return False
 
+    def _is_cut_short(self) -> bool:
+        """Whether the server ends a success before it has read the request.
+
+        It then resets the connection as it closes it, so that the body may be
+        a part of what was meant.
+        """
+        is_success = self._parser.get_status_code() < 300
+        return is_success and self.has_pending_writes
+
     def data_received(self, data: bytes) -> None:
         """See ``TransportProtocol.data_received``."""
         if not self._is_awaiting:
