Refuse late requests that may outlast the grace of a planned stop

Here a call got 502, outcome unknown, and a stream was broken off at 7.2 s of 8.

Cause: whatever was read was passed on, whatever time it might take. From 3 s after SIGTERM on callers have other hosts to go to. A request that arrives then and whose deadline ends after the host gives up is refused now with 503, not run; shorter ones are served. LateRequestTest: a call and a stream of 20 s reached the replica before (2 of 3 tests failed), now neither does.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -46,6 +46,7 @@
     CrashDependencies,
     Relay,
     RelayDependencies,
+    StopTimes,
     close_listener,
     listen,
 )
@@ -106,6 +107,9 @@
 # The part of the grace period after which no new connections are accepted, so
 # that their requests can be answered before it ends.
 _ACCEPT_SHARE = 0.5
+# Time from SIGTERM from which on requests that may last until the end of the
+# grace are refused: an answer that nobody waits for any more must not run.
+_LATE_REQUESTS_S = 3.0
 # Time from the last accepted connection until idle ones are closed: some times
 # the way between a caller and this host.
 _LAST_REQUESTS_S = 0.1
@@ -516,6 +520,10 @@
         give_up_at = settle_at - _FINAL_RESPONSES_S
         self._is_stopping = True
         self._relay.is_stopping = True
+        now = asyncio.get_running_loop().time()
+        self._relay.stop = StopTimes(
+            now + _LATE_REQUESTS_S, now + give_up_at - started_at
+        )
         self._ledger.is_stopping = True
         self._copies.is_stopping = True
         logs.write("stopping", connections=self._relay.count_by_state())
--- a/apps/masticdale_entry/tests/test_stopping_orders.py
+++ b/apps/masticdale_entry/tests/test_stopping_orders.py
@@ -251,6 +251,46 @@
         self.assertNotIn(b"\r\n0\r\n\r\n", caller.received)
 
 
+class LateRequestTest(OrderCase):
+    """Guards against running late requests that the end of the grace cuts."""
+
+    LATE_S = 0.2
+
+    async def asyncSetUp(self):
+        patch = mock.patch.object(entry, "_LATE_REQUESTS_S", self.LATE_S)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+        # Keeps the listener open.
+        self.set_unary_replicas(processing_s=ENDLESS_S)
+        self.call(encode_call("long", NON_IDEMPOTENT))
+        await self.wait_received(self.unary_replicas)
+        self.set_unary_replicas(processing_s=0.0)
+
+    async def send_late(self, path, deadline_ms):
+        self.host.stop_event.set()
+        await asyncio.sleep(2 * self.LATE_S)
+        late = {"Deadline-Ms": str(deadline_ms)}
+        caller = self.call(encode_call("late", path, **late))
+        await self.end()
+        await caller.read()
+        seen = self.requests_seen([*self.engines, *self.unary_replicas])
+        ids = [r.header_by_name["request-id"] for r in seen]
+        return caller.statuses, ids.count("late")
+
+    async def test_a_call_that_may_last_longer_is_refused(self):
+        outcome = await self.send_late(NON_IDEMPOTENT, 20_000)
+        self.assertEqual(outcome, ([503], 0))
+
+    async def test_a_stream_that_may_last_longer_is_refused(self):
+        outcome = await self.send_late(STREAMING, 20_000)
+        self.assertEqual(outcome, ([503], 0))
+
+    async def test_a_call_that_ends_before_is_served(self):
+        outcome = await self.send_late(NON_IDEMPOTENT, 300)
+        self.assertEqual(outcome, ([200], 1))
+
+
 class ListenerCloseTest(OrderCase):
     """Requests that arrive as the listener and idle connections close."""
 
--- a/libs/gateway/src/masticdale_gateway/__init__.py
+++ b/libs/gateway/src/masticdale_gateway/__init__.py
@@ -16,7 +16,7 @@
 from masticdale_gateway.histories import NoHistory, TurnHistory
 from masticdale_gateway.listeners import close_listener, listen
 from masticdale_gateway.messages import Header, Headers, Request, ResponseHead
-from masticdale_gateway.relay import Relay, RelayDependencies
+from masticdale_gateway.relay import Relay, RelayDependencies, StopTimes
 
 __all__ = [
     "Admission",
@@ -35,6 +35,7 @@
     "RequestMetadata",
     "ResponseHead",
     "ResponseMetadata",
+    "StopTimes",
     "TrialClaims",
     "TurnHistory",
     "close_listener",
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -81,16 +81,39 @@
     list_state: Callable[[], ListState] = ListState
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Times of a planned stop, in event loop seconds.
+
+    Attributes:
+        late_from: From then on callers have other hosts to go to. Requests
+            that may not be answered before the end are refused.
+        gives_up_at: When unanswered requests get their final response.
+    """
+
+    late_from: float
+    gives_up_at: float
+
+    def is_too_late(self, call: Call) -> bool:
+        """Whether a call came late and may last until the end."""
+        return (
+            call.request.received_at >= self.late_from
+            and call.deadline_at > self.gives_up_at
+        )
+
+
 class Relay:
     """Serves the connections of callers.
 
     Attributes:
         is_stopping: Whether responses ask the caller to open a new connection.
+        stop: When a stop refuses requests and gives up; None before a stop.
         pool: Connections to replicas.
     """
 
     def __init__(self, dependencies: RelayDependencies) -> None:
         self.is_stopping = False
+        self.stop: StopTimes | None = None
         self.pool = ConnectionPool(dependencies.metrics)
         self._dependencies = dependencies
         self._connections: set[CallerConnection] = set()
@@ -339,6 +362,8 @@
     ) -> BufferedResponse | Failure | None:
         if self._has_given_up:
             return Failure(ErrorKind.STOPPING)
+        if self.stop is not None and self.stop.is_too_late(call):
+            return Failure(ErrorKind.STOPPING, "may last longer than the stop")
         limit = asyncio.timeout(None)
         self._limit_by_connection[connection] = limit
         try:
