Resume a stream by a sole version only if the list is the newest one

A host infers the version of a stream that nobody knows if the service has had one version for as long as a stream is held, by its own list, whatever its age.

Change: before it infers, the host asks the store whether its list is the newest, one call for a resumed stream of unknown origin; if not, or without an answer, the stream is refused with a time to come back. If the list was out of date for over 2.5 s, as after the host stood still, a version may have come and gone unseen, and the watched time starts again.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -189,6 +189,7 @@
                 else None
             ),
             lambda: not self._store.is_store_unreachable,
+            lambda: self._store.last_gap_at(REPLICA_PREFIX),
         )
         self._stream_hold = StoredHold(self._store, self._metrics)
         self._origins = SharedOrigins(
@@ -196,6 +197,7 @@
             self._versions,
             self._metrics,
             self._stream_hold,
+            lambda: self._store.is_current(REPLICA_PREFIX),
         )
         self._crash_evidence = CrashEvidence()
         crash_notices = CrashNotices(
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -44,6 +44,9 @@
 # The same for a host that does not reach the store either.
 _STORELESS_RELAY_S = 1.0
 
+# Something may have come and gone unseen if nothing was known for this long, in
+# seconds. Followers learn of their source's last check within two seconds.
+_GAP_S = 2.5
 # How long a relayed watch may take beyond its wait, in seconds: the store takes
 # up to 0.4 s while it is slow.
 _RELAY_MARGIN_S = 0.5
@@ -128,6 +131,7 @@
         self._last_relay: RpcClient | None = None
         self._last_position_by_prefix: dict[str, int] = {}
         self._confirmed_at_by_prefix: dict[str, float] = {}
+        self._last_gap_at_by_prefix: dict[str, float] = {}
         self._skipped_until_by_peer: dict[RpcClient, float] = {}
 
     @property
@@ -166,6 +170,34 @@
         confirmed_at = self._confirmed_at_by_prefix.get(prefix, -math.inf)
         return asyncio.get_running_loop().time() - confirmed_at
 
+    def last_gap_at(self, prefix: str) -> float:
+        """When the batches of a prefix were last older than a watch's may be.
+
+        Returns:
+            Event loop time in seconds; minus infinity for never.
+        """
+        return self._last_gap_at_by_prefix.get(prefix, -math.inf)
+
+    async def is_current(self, prefix: str) -> bool:
+        """Asks the store whether there is anything newer than the last batch.
+
+        Returns:
+            Whether there was nothing newer after this call had begun; False if
+            the store does not answer.
+        """
+        began_at = asyncio.get_running_loop().time()
+        position = self.last_position(prefix)
+        outcome = await self._call_with_fallback(
+            lambda store: store.watch(prefix, position, 0.0)
+        )
+        if isinstance(outcome, Failed) or not position:
+            return False
+        batch = outcome.unwrap()
+        if batch.changed or batch.deleted_keys:
+            return False
+        self._confirm(prefix, asyncio.get_running_loop().time() - began_at)
+        return True
+
     async def read(self, key: str) -> Result[StoredObject | None, Failure]:
         """See ``ObjectStore.read``."""
         return await self._call_with_fallback(lambda store: store.read(key))
@@ -385,8 +417,11 @@
             self._shared.confirm(prefix, position, age_s)
 
     def _confirm(self, prefix: str, age_s: float) -> None:
-        confirmed_at = asyncio.get_running_loop().time() - age_s
+        now = asyncio.get_running_loop().time()
+        confirmed_at = now - age_s
         before = self._confirmed_at_by_prefix.get(prefix, confirmed_at)
+        if confirmed_at - before > _GAP_S:
+            self._last_gap_at_by_prefix[prefix] = now
         self._confirmed_at_by_prefix[prefix] = max(before, confirmed_at)
 
     def _update_followers(self, outcome: Result[WatchBatch, Failure]) -> None:
--- a/libs/ledger/src/masticdale_ledger/stream_origins.py
+++ b/libs/ledger/src/masticdale_ledger/stream_origins.py
@@ -12,7 +12,7 @@
 import collections
 import contextlib
 import dataclasses
-from collections.abc import Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any, Protocol, TypeVar
 
 from returns.result import Failure as Failed
@@ -51,6 +51,10 @@
 _ResultT = TypeVar("_ResultT")
 
 
+async def _always_current() -> bool:
+    return True
+
+
 class LongestHold(Protocol):
     """The longest time for which a caller can hold a stream, kept durably.
 
@@ -154,6 +158,7 @@
         versions: VersionHistory,
         metrics: Metrics,
         longest_hold: LongestHold,
+        is_list_current: Callable[[], Awaitable[bool]] = _always_current,
     ) -> None:
         """Starts without streams.
 
@@ -162,9 +167,12 @@
             versions: The versions that this host has seen.
             metrics: Metrics registry.
             longest_hold: The record of how long callers can hold streams.
+            is_list_current: Asks the store whether this host's list of replicas
+                is the newest one.
         """
         self._hosts = hosts
         self._longest_hold = longest_hold
+        self._is_list_current = is_list_current
         self._versions = versions
         self._metrics = metrics
         self._remembered = _RememberedOrigins()
@@ -223,8 +231,21 @@
                 task.cancel()
         versions = frozenset(origin.software_version for origin in found)
         origin = found[0] if len(versions) == 1 else None
-        listed = KnownVersions(dict.fromkeys(versions, 0.0))
-        return origin, known.union(listed)
+        known = known.union(KnownVersions(dict.fromkeys(versions, 0.0)))
+        if origin is None and known.sole_version(self._least_watch_s):
+            known = await self._review_sole_version(known)
+        return origin, known
+
+    async def _review_sole_version(self, known: KnownVersions) -> KnownVersions:
+        """Withdraws a sole version that may rest on an old list of replicas.
+
+        A host that stood still or is cut off from the others may not have heard
+        of the version that has begun the stream.
+        """
+        if await self._is_list_current():
+            return known
+        self._metrics.count("stream_origin_old_list_total")
+        return dataclasses.replace(known, watched_s=0.0)
 
     async def required_watch_s(self, known: KnownVersions) -> float | None:
         """See ``StreamOrigins.required_watch_s``."""
--- a/libs/ledger/tests/test_stream_origins.py
+++ b/libs/ledger/tests/test_stream_origins.py
@@ -144,6 +144,17 @@
         _, known = await self.find(1)
         self.assertEqual(known.sole_version(LIFETIME_S), "v1")
 
+    async def test_a_sole_version_is_not_taken_from_an_old_list(self):
+        """Guards against a version that the host has not heard of."""
+        self.network.set_known(ONLY_V1)
+
+        async def is_list_current():
+            return False
+
+        self.network.origins[1]._is_list_current = is_list_current
+        _, known = await self.find(1)
+        self.assertIsNone(known.sole_version(LIFETIME_S))
+
     async def test_open_streams_are_announced_when_a_second_version_appears(
         self,
     ):
--- a/libs/routing/src/masticdale_routing/versions.py
+++ b/libs/routing/src/masticdale_routing/versions.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 
 from masticdale_routing.fleet import Fleet
@@ -117,6 +118,7 @@
         fleet: Fleet,
         table: Callable[[], RouteTable | None],
         is_fresh: Callable[[], bool],
+        last_gap_at: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         """Initializes the history of a list that has not been read.
 
@@ -124,10 +126,13 @@
             fleet: The replicas.
             table: Returns the routes, or None before the first configuration.
             is_fresh: Returns whether changes of the list reach this host.
+            last_gap_at: Returns the event loop time, in seconds, at which the
+                list was last out of date.
         """
         self._fleet = fleet
         self._table = table
         self._is_fresh = is_fresh
+        self._last_gap_at = last_gap_at
         self._watched_since: float | None = None
         self._current: set[tuple[str, str]] = set()
         self._gone_at: dict[tuple[str, str], float] = {}
@@ -179,4 +184,4 @@
     def _watched_s(self, now: float) -> float:
         if self._watched_since is None or not self._is_fresh():
             return 0.0
-        return now - self._watched_since
+        return now - max(self._watched_since, self._last_gap_at())
--- a/libs/routing/tests/test_versions.py
+++ b/libs/routing/tests/test_versions.py
@@ -53,6 +53,18 @@
             self.fleet, lambda: self.table, lambda: self.is_fresh
         )
 
+    def test_a_gap_restarts_the_watched_time(self):
+        """Guards against a version that came and went while a host stood."""
+        gap_at = -math.inf
+        history = VersionHistory(
+            self.fleet, lambda: self.table, lambda: True, lambda: gap_at
+        )
+        self.list({1: "v1"}, 0.0)
+        history.update(0.0)
+        self.assertEqual(history.known(SERVICE, 20.0).watched_s, 20.0)
+        gap_at = 15.0
+        self.assertEqual(history.known(SERVICE, 20.0).watched_s, 5.0)
+
     def list(self, version_by_number, now):
         for known in self.fleet.replicas():
             self.fleet.remove(known.id)
