Soak: lost and cut watches, late entries, and replicas that start anew

--watches draws three faults apart, so that the plans of other seeds stay as they are: responses to watches are lost, watches omit changes and are cut while all other calls are answered, and an older entry of a draining replica arrives last.

A replica that had drained was ready again as the same process. No replica of the platform does that, and hosts do not use such a one any more; it starts anew now, under a new start time. The check of drains is unchanged.

--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -142,6 +142,16 @@
             await asyncio.sleep(_RESTART_S)
             await self.start()
 
+    def begin_anew(self) -> None:
+        """Writes the entry of its next process, which is ready.
+
+        A process that drains ends afterwards, and never becomes ready again.
+        """
+        now_ms = time.time_ns() // 1_000_000
+        self._started_ms = max(now_ms, self._started_ms + 1)
+        self._sequence = 0
+        self.write_entry("ready")
+
     def remove_entry(self) -> None:
         """Removes its entry, as the store does without heartbeats."""
         self._store.remove("servers", self.fake.id)
--- a/tools/soak/src/masticdale_soak/faults.py
+++ b/tools/soak/src/masticdale_soak/faults.py
@@ -18,6 +18,12 @@
 # seconds. A usual round trip takes a few milliseconds.
 _ADDED_DELAY_S = 0.25
 _RESPONSES_TO_LOSE = 5
+# Longest time for which watches omit changes, in seconds.
+_MAX_OMISSION_S = 1.0
+# When an older entry of a draining replica arrives, and how long that replica
+# drains, in seconds.
+_LATE_WRITE_S = 1.0
+_LATE_DRAIN_S = 4.0
 # Seconds for which the store keeps the entry of a crashed replica.
 _ENTRY_TTL_S = 1.5
 
@@ -116,6 +122,8 @@
             return target.value, self._inject_fault_on_all_hosts(step)
         if target is Target.STORE:
             return target.value, self._inject_store_fault(step)
+        if target is Target.WATCHES:
+            return target.value, self._inject_watch_fault(step)
         return target.value, self._change_configuration()
 
     async def _inject_host_fault(self, step: Step, host: HostProcess) -> None:
@@ -190,6 +198,19 @@
             fault = _STORE_FAULTS[step.fault]
             await _apply_for(environment.store_faults, fault, step.duration_s)
 
+    async def _inject_watch_fault(self, step: Step) -> None:
+        """Loses or cuts watches; all other calls are answered."""
+        store = self._environment.store
+        if step.fault is Fault.WATCHES_LOST:
+            store.faults.watch_responses_to_lose = _RESPONSES_TO_LOSE
+            await asyncio.sleep(step.duration_s)
+            store.faults.watch_responses_to_lose = 0
+            return
+        store.faults.omits_watch_events = True
+        await asyncio.sleep(min(step.duration_s, _MAX_OMISSION_S))
+        store.faults.omits_watch_events = False
+        await store.reset_connections()
+
     async def _inject_replica_fault(self, step: Step, replica: Replica) -> None:
         if step.fault is Fault.REPLICA_CRASH:
             await replica.crash()
@@ -198,12 +219,9 @@
             await asyncio.sleep(max(0.0, step.duration_s - _ENTRY_TTL_S))
             await replica.start()
         elif step.fault is Fault.REPLICA_DRAINS:
-            replica.write_entry("draining")
-            drain = Drain(replica.fake.id, time.monotonic(), 0.0)
-            await asyncio.sleep(step.duration_s)
-            drain.ended_at = time.monotonic()
-            self._environment.drains.append(drain)
-            replica.write_entry("ready")
+            await self._drain(replica, step.duration_s)
+        elif step.fault is Fault.REPLICA_WRITES_LATE:
+            await self._drain(replica, _LATE_DRAIN_S, _LATE_WRITE_S)
         elif step.fault is Fault.REPLICA_LINK_SLOW:
             state = LinkState(LinkFault.DELAY, _ADDED_DELAY_S)
             await _apply_for(replica.link_faults, state, step.duration_s)
@@ -211,6 +229,27 @@
             fault = _REPLICA_FAULTS[step.fault]
             await _apply_for(replica.faults, fault, step.duration_s)
 
+    async def _drain(
+        self, replica: Replica, duration_s: float, late_write_s: float = 0.0
+    ) -> None:
+        """Has a replica drain, then start anew.
+
+        Args:
+            replica: The replica.
+            duration_s: How long it drains, in seconds.
+            late_write_s: When an older entry arrives, in seconds from the
+                start; 0 for never.
+        """
+        replica.write_entry("draining")
+        drain = Drain(replica.fake.id, time.monotonic(), 0.0)
+        if late_write_s:
+            await asyncio.sleep(late_write_s)
+            replica.write_entry("ready")
+        await asyncio.sleep(duration_s - late_write_s)
+        drain.ended_at = time.monotonic()
+        self._environment.drains.append(drain)
+        replica.begin_anew()
+
     async def _change_configuration(self) -> None:
         self._environment.change_configuration()
 
--- a/tools/soak/src/masticdale_soak/main.py
+++ b/tools/soak/src/masticdale_soak/main.py
@@ -26,6 +26,7 @@
     histories: bool = False,
     versions: bool = False,
     endless: bool = False,
+    watches: bool = False,
 ) -> None:
     """Runs the plan of one seed.
 
@@ -40,8 +41,10 @@
         versions: Whether engines of two software versions serve, and callers
             resume streams.
         endless: Whether replicas send bytes without end at times.
+        watches: Whether watches are lost or cut while the store's calls are
+            answered, and older entries of replicas arrive last.
     """
-    load = LoadOptions(fatal, histories, versions, endless)
+    load = LoadOptions(fatal, histories, versions, endless, watches)
     report = run_seed(seed, seconds, hosts, load)
     print(report.summary())
     _report_and_exit([report], output)
@@ -59,6 +62,7 @@
     histories: bool = False,
     versions: bool = False,
     endless: bool = False,
+    watches: bool = False,
 ) -> None:
     """Runs consecutive seeds in parallel.
 
@@ -76,8 +80,10 @@
         versions: Whether engines of two software versions serve, and callers
             resume streams.
         endless: Whether replicas send bytes without end at times.
+        watches: Whether watches are lost or cut while the store's calls are
+            answered, and older entries of replicas arrive last.
     """
-    load = LoadOptions(fatal, histories, versions, endless)
+    load = LoadOptions(fatal, histories, versions, endless, watches)
     begin = first or random.SystemRandom().randrange(1, 1_000_000)
     deadline = time.monotonic() + 60 * minutes
     reports: list[Report] = []
--- a/tools/soak/src/masticdale_soak/plans.py
+++ b/tools/soak/src/masticdale_soak/plans.py
@@ -23,6 +23,7 @@
     STORE = "store"
     REPLICA = "replica"
     OPERATOR = "operator"
+    WATCHES = "watches"
 
 
 class Fault(enum.StrEnum):
@@ -66,17 +67,28 @@
     REPLICA_ENDLESS_CHUNKS = "replica_endless_chunks"
     REPLICA_ENDLESS_EXTENSION = "replica_endless_extension"
     REPLICA_ENDLESS_TRAILERS = "replica_endless_trailers"
+    WATCHES_LOST = "watches_lost"
+    WATCHES_CUT = "watches_cut"
+    REPLICA_WRITES_LATE = "replica_writes_late"
 
 
 _ENDLESS_PREFIX = "replica_endless"
 # Drawn apart, so that the plans of other seeds stay as they are.
 _ENDLESS_FAULTS = [f for f in Fault if f.value.startswith(_ENDLESS_PREFIX)]
-_USUAL_FAULTS = [f for f in Fault if f not in _ENDLESS_FAULTS]
+_WATCH_FAULTS = [
+    Fault.WATCHES_LOST,
+    Fault.WATCHES_CUT,
+    Fault.REPLICA_WRITES_LATE,
+]
+_USUAL_FAULTS = [
+    f for f in Fault if f not in (*_ENDLESS_FAULTS, *_WATCH_FAULTS)
+]
 _TARGET_BY_PREFIX = {
     "store_link": Target.HOST,
     "peers_link": Target.HOST,
     "store": Target.STORE,
     "replica": Target.REPLICA,
+    "watches": Target.WATCHES,
     "configuration": Target.OPERATOR,
     "kill_all": Target.ALL_HOSTS,
     "stop_in_turn": Target.ALL_HOSTS,
@@ -124,12 +136,15 @@
         versions: Whether engines of two software versions serve, and it holds
             streams that are resumed.
         endless: Whether replicas send bytes without end at times.
+        watches: Whether watches of the store are lost or cut while its calls
+            are answered, and older entries of replicas arrive last.
     """
 
     fatal: bool = False
     histories: bool = False
     versions: bool = False
     endless: bool = False
+    watches: bool = False
 
 
 USUAL_LOAD = LoadOptions()
@@ -174,6 +189,9 @@
     if load.endless:
         rng = random.Random(f"endless {seed}")
         steps += _draw_steps(rng, _ENDLESS_FAULTS, count, last_s)
+    if load.watches:
+        rng = random.Random(f"watches {seed}")
+        steps += _draw_steps(rng, _WATCH_FAULTS, count, last_s)
     ordered = tuple(sorted(steps, key=lambda s: s.start_s))
     return Plan(seed, seconds, hosts, ordered, load)
 
--- a/tools/soak/tests/test_soak_seeds.py
+++ b/tools/soak/tests/test_soak_seeds.py
@@ -53,6 +53,12 @@
         self.assertEqual(report.violations, [], report)
         self.assertGreater(report.served, 100)
 
+    def test_a_run_with_lost_watches_violates_no_guarantee(self):
+        """Guards against requests to replicas that have left."""
+        report = run_seed(7, 12.0, 3, watches=True)
+        self.assertEqual(report.violations, [], report)
+        self.assertGreater(report.served, 100)
+
     def test_regression_seeds_violate_no_guarantee(self):
         for seed, seconds, hosts in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
