Judge each request by the limits in force as it begins

The limits were read before the host waited for the request. They are read as its first byte arrives now.

The idle timeout of a connection is still the one that was in force as its idleness began.

--- a/apps/masticdale_entry/tests/test_watched_state.py
+++ b/apps/masticdale_entry/tests/test_watched_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from case import IDEMPOTENT, EntryCase, RunningHost, configuration, route
+from case import HOST, IDEMPOTENT, EntryCase, RunningHost, configuration, route
 
 from masticdale_standins.objects import StoreFault
 
@@ -75,6 +75,26 @@
         await asyncio.sleep(0.2)
         self.assertEqual(await self.status(IDEMPOTENT), 200)
 
+    async def test_limits_apply_to_the_next_request_of_an_idle_connection(self):
+        """Guards against 413 by the limits of an older version.
+
+        The connection is idle while a version raises the limit.
+        """
+        small, large = b"x" * 1000, b"x" * 50_000
+        for version, limit, body in ((2, 10_000, small), (3, 100_000, large)):
+            self.store.put(
+                "config",
+                "main",
+                configuration(version, max_body_bytes=limit),
+            )
+            await asyncio.sleep(0.5)
+            response = await self.host.http.post(
+                IDEMPOTENT + "x",
+                headers={"Host": HOST, "Request-Id": f"r{version}"},
+                content=body,
+            )
+            self.assertEqual(response.status_code, 200)
+
     async def test_an_unreadable_configuration_changes_nothing(self):
         self.store.put("config", "main", {"version": 9, "routes": "none"})
         await asyncio.sleep(0.2)
--- a/libs/gateway/src/masticdale_gateway/callers.py
+++ b/libs/gateway/src/masticdale_gateway/callers.py
@@ -110,6 +110,8 @@
 
     Attributes:
         limits: Limits on the next request.
+        read_limits: Returns the limits in force, which apply to each request
+            that begins; None to keep those that are set.
         request: The request that is being served; None between two requests.
     """
 
@@ -138,6 +140,7 @@
         self._response_bytes = 0
         self._is_answered = False
         self.limits = ReadLimits()
+        self.read_limits: Callable[[], ReadLimits] | None = None
         self.request: Request | None = None
         self._serve = serve
         self._open_connections = open_connections
@@ -340,6 +343,9 @@
     def on_message_begin(self) -> None:
         """Called by the parser."""
         self._message_began_at = asyncio.get_running_loop().time()
+        # They may have changed while the connection was idle.
+        if self.read_limits is not None:
+            self.limits = self.read_limits()
         self._arrived.set()
         if self._failure_of_unread is not None:
             self._reject(self._failure_of_unread)
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -226,6 +226,7 @@
 
     async def _serve_next(self, connection: CallerConnection) -> bool:
         connection.limits = self._read_limits()
+        connection.read_limits = self._read_limits
         # A caller that sends requests and reads no responses is not served on.
         await connection.drain()
         arrived = await connection.next_request()
