Count the budgets of programs by workspace and id

The ledger gets the id together with the name of the workspace now; ids of callers without a workspace stay as they were.

--- a/apps/masticdale_entry/tests/test_workspaces.py
+++ b/apps/masticdale_entry/tests/test_workspaces.py
@@ -20,6 +20,7 @@
 OPEN = "/open/"
 KEY = "key-of-alpha-000001"
 OTHER_KEY = "key-of-alpha-000002"
+BETA_KEY = "key-of-beta-0000001"
 CAPPED_KEY = "key-of-capped-0001"
 RATE_PER_S = 20
 BURST = 10
@@ -61,6 +62,35 @@
         }
 
 
+class BudgetTest(WorkspaceCase):
+    async def test_programs_of_two_workspaces_may_have_one_id(self):
+        """Guards against a budget that is spent by another workspace."""
+        # The same owner counts for both.
+        shard = self.host.entry.shard_of("alpha")
+        name = next(
+            name
+            for name in (f"beta-{n}" for n in range(100))
+            if self.host.entry.shard_of(name) == shard
+        )
+        config = configured(2)
+        config["tenants"].append({"name": name, "api_keys": [BETA_KEY]})
+        self.store.put("config", "main", config)
+        await asyncio.sleep(0.5)
+        statuses = []
+        for key in (KEY, BETA_KEY):
+            for number in range(3):
+                response = await self.send_turn(
+                    f"{key}-{number}",
+                    program="same",
+                    budget=50,
+                    turn_tokens=40,
+                    **{"Api-Key": key},
+                )
+                statuses.append(response.status_code)
+        # A turn has 40 tokens.
+        self.assertEqual(statuses, 2 * [200, 402, 402])
+
+
 class KeyTest(WorkspaceCase):
     async def test_a_replica_gets_the_name_of_the_workspace(self):
         response = await self.call("r1", Api_Key=KEY, Tenant_Id="capped")
--- a/libs/gateway/src/masticdale_gateway/claims.py
+++ b/libs/gateway/src/masticdale_gateway/claims.py
@@ -17,7 +17,7 @@
     if not is_turn and usage is None:
         return None
     return AdmissionClaim(
-        program_id=metadata.program_id,
+        program_id=_account_name(call),
         request_id=metadata.request_id,
         budget_tokens=metadata.budget_tokens or 0,
         turn_tokens=metadata.turn_tokens,
@@ -28,6 +28,18 @@
     )
 
 
+def _account_name(call: Call) -> str:
+    """Returns the id under which the ledger counts a program.
+
+    Callers of several workspaces may choose the same id. The separator can't
+    occur in an id, since header values hold no line breaks.
+    """
+    program_id = call.metadata.program_id
+    if not program_id or not call.workspace_name:
+        return program_id
+    return f"{call.workspace_name}\n{program_id}"
+
+
 def _usage_claim(call: Call) -> UsageClaim | None:
     workspace = call.workspace
     if workspace is None or workspace.cap is None:
