Bound the question whether a host's list is the newest one

A resumed stream of unknown origin waits 0.3 s at most for the store's answer, which was bounded only by the calls through other hosts.

--- a/apps/masticdale_entry/src/masticdale_entry/entry.py
+++ b/apps/masticdale_entry/src/masticdale_entry/entry.py
@@ -107,8 +107,8 @@
 # The part of the grace period after which no new connections are accepted, so
 # that their requests can be answered before it ends.
 _ACCEPT_SHARE = 0.5
-# Time from SIGTERM from which on requests that may last until the end of the
-# grace are refused: an answer that nobody waits for any more must not run.
+# Time from SIGTERM after which requests that may outlast the grace are refused.
+# The balancer sends no more callers by then, and what is cut off may have run.
 _LATE_REQUESTS_S = 3.0
 # Time from the last accepted connection until idle ones are closed: some times
 # the way between a caller and this host.
--- a/libs/ledger/src/masticdale_ledger/fallback_store.py
+++ b/libs/ledger/src/masticdale_ledger/fallback_store.py
@@ -188,7 +188,7 @@
         began_at = asyncio.get_running_loop().time()
         position = self.last_position(prefix)
         outcome = await self._call_with_fallback(
-            lambda store: store.watch(prefix, position, 0.0)
+            lambda store: store.watch(prefix, position, _PROBE_WATCH_S)
         )
         if isinstance(outcome, Failed) or not position:
             return False
--- a/libs/ledger/src/masticdale_ledger/stream_origins.py
+++ b/libs/ledger/src/masticdale_ledger/stream_origins.py
@@ -44,6 +44,8 @@
 # Longest time for which a resumed stream waits for the hosts that are asked, in
 # seconds. One that is cut off does not answer.
 _FIND_TIMEOUT_S = 0.15
+# Longest time for which such a stream waits for the store, in seconds.
+_CURRENT_TIMEOUT_S = 0.3
 # Streams and sessions that a host remembers; the oldest are forgotten first.
 _MAX_REMEMBERED = 50_000
 
@@ -242,8 +244,10 @@
         A host that stood still or is cut off from the others may not have heard
         of the version that has begun the stream.
         """
-        if await self._is_list_current():
-            return known
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CURRENT_TIMEOUT_S):
+                if await self._is_list_current():
+                    return known
         self._metrics.count("stream_origin_old_list_total")
         return dataclasses.replace(known, watched_s=0.0)
 
