--- a/libs/gateway/src/masticdale_gateway/upstreams.py
+++ b/libs/gateway/src/masticdale_gateway/upstreams.py
@@ -33,7 +33,7 @@
     rb"HTTP/[0-9]\.[0-9] [0-9]{3}(?: [^\r\n]{0,64})?\r\n"
     rb"[!#-'*+.0-9A-Z^-z|~-]{1,64}:"
 )
-# At least one byte less than the longest match.
+# No less than the longest match.
 _RESPONSE_START_TAIL_BYTES = 160
 _MIN_STATUS = 100
 _MAX_STATUS = 599
@@ -61,7 +61,8 @@
     a status line in its reason phrase, a field or a trailer is therefore
     refused as malformed, although such text is legal there, and so is a
     response to another request that holds one in its body. The body of the
-    awaited response may quote a status line, but no status line with a field.
+    awaited response may quote a status line, but no status line with a field,
+    unless the server echoes no request id: what it stores is not its own.
 
     Attributes:
         idle_since: End of the last exchange, in loop seconds.
@@ -308,7 +309,8 @@
             _reject_status_line(body)
             self._body_tail = body[-_STATUS_LINE_TAIL_BYTES:]
             return
-        self._reject_second_response(body)
+        if self._matches is not matches_any:
+            self._reject_second_response(body)
         last = self._items[-1] if self._items else None
         if self._is_awaiting and isinstance(last, bytearray):
             last += body
