--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -194,7 +194,7 @@
 
     def test_seeds_cover_every_fault(self):
         plans = [
-            make_plan(seed, 20, 4, LoadOptions(endless=True))
+            make_plan(seed, 20, 4, LoadOptions(endless=True, watches=True))
             for seed in range(60)
         ]
         found = {step.fault for plan in plans for step in plan.steps}
