--- a/apps/masticdale_entry/src/masticdale_entry/watched_state.py
+++ b/apps/masticdale_entry/src/masticdale_entry/watched_state.py
@@ -103,14 +103,13 @@
         if handle is not None:
             handle.cancel()
         replica = outcome.unwrap()
-        self._fleet.put(replica, asyncio.get_running_loop().time())
-        state = self._fleet.find(replica_id)
+        state = self._fleet.put(replica, asyncio.get_running_loop().time())
         logs.write_bounded(
             "replica_listed",
             replica=replica_id,
             service=replica.service,
             state="draining" if replica.is_draining else "ready",
-            draining=state is not None and state.replica.is_draining,
+            draining=state.replica.is_draining,
             software_version=replica.software_version,
             revision=revision,
         )
--- a/apps/masticdale_entry/tests/test_out_of_step_hosts.py
+++ b/apps/masticdale_entry/tests/test_out_of_step_hosts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from case import EntryCase, configuration, route
+from case import HOST, EntryCase, configuration, route
 
 from masticdale_routing.versions import MIN_HOLD_S
 
@@ -32,7 +32,7 @@
         response = await self.host.http.post(
             "/short/x",
             headers={
-                "Host": "a.example",
+                "Host": HOST,
                 "Request-Id": "second",
                 "Resumes": "first",
                 "Last-Event-Id": "2",
@@ -46,8 +46,7 @@
 
     async def test_a_stream_of_a_version_that_is_not_known_yet_is_refused(self):
         self.store.faults.watch_responses_to_lose = 1
-        new = self.engines[0]
-        entry = new.entry(version="v2")
+        entry = self.engines[0].entry(version="v2")
         self.store.put("servers", "i-new", entry)
         self.assertEqual(await self.resume(), 503)
 
--- a/libs/gateway/src/masticdale_gateway/relay.py
+++ b/libs/gateway/src/masticdale_gateway/relay.py
@@ -144,9 +144,11 @@
 
     def create_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
-        return CallerConnection(
+        connection = CallerConnection(
             self.serve, self._connections, self._dependencies.budget
         )
+        connection.read_limits = self._read_limits
+        return connection
 
     @property
     def connections(self) -> int:
@@ -226,7 +228,6 @@
 
     async def _serve_next(self, connection: CallerConnection) -> bool:
         connection.limits = self._read_limits()
-        connection.read_limits = self._read_limits
         # A caller that sends requests and reads no responses is not served on.
         await connection.drain()
         arrived = await connection.next_request()
--- a/libs/ledger/src/masticdale_ledger/shared_watches.py
+++ b/libs/ledger/src/masticdale_ledger/shared_watches.py
@@ -70,6 +70,11 @@
         self.position = batch.position
         self._batch_by_position.clear()
 
+    def confirm(self, age_s: float) -> None:
+        """Records that the store held nothing newer some seconds ago."""
+        now = asyncio.get_running_loop().time()
+        self.confirmed_at = max(self.confirmed_at, now - age_s)
+
     def since(self, position: int) -> WatchBatch:
         """Returns what has changed since a position, or else a snapshot."""
         if position < self.complete_since:
@@ -133,8 +138,7 @@
             self._notify()
             return
         state.apply(batch)
-        now = asyncio.get_running_loop().time()
-        state.confirmed_at = max(state.confirmed_at, now - batch.age_s)
+        state.confirm(batch.age_s)
         self._notify()
 
     def confirm(self, prefix: str, position: int, age_s: float) -> None:
@@ -146,10 +150,8 @@
             age_s: Seconds since this was so.
         """
         state = self._state_by_prefix.get(prefix)
-        if state is None or state.position != position:
-            return
-        now = asyncio.get_running_loop().time()
-        state.confirmed_at = max(state.confirmed_at, now - age_s)
+        if state is not None and state.position == position:
+            state.confirm(age_s)
 
     def mark_store_reachable(self) -> None:
         """Records that the store answers this host."""
--- a/libs/routing/src/masticdale_routing/fleet.py
+++ b/libs/routing/src/masticdale_routing/fleet.py
@@ -211,7 +211,7 @@
         """Returns the state of each replica."""
         return self._state_by_id.values()
 
-    def put(self, replica: Replica, now: float = -math.inf) -> None:
+    def put(self, replica: Replica, now: float = -math.inf) -> ReplicaState:
         """Adds or updates a replica.
 
         A replica that restarted under the same id has lost its cache and its
@@ -221,6 +221,9 @@
         Args:
             replica: The entry of the platform's list.
             now: Event loop time in seconds.
+
+        Returns:
+            Its state, which may say that it drains although the entry does not.
         """
         state = self._state_by_id.get(replica.id)
         if not replica.is_draining and self._has_drained(replica, state):
@@ -236,6 +239,7 @@
         state.replica = replica
         self._state_by_id[replica.id] = state
         self._state_by_id_by_service[replica.service][replica.id] = state
+        return state
 
     def remove(self, replica_id: str) -> None:
         """Removes a replica; an unknown id is ignored."""
--- a/tools/soak/src/masticdale_soak/environment.py
+++ b/tools/soak/src/masticdale_soak/environment.py
@@ -120,9 +120,7 @@
             self.proxy.set_target(self.fake.port)
         else:
             await self.proxy.start(self.fake.port)
-        self._started_ms = time.time_ns() // 1_000_000
-        self._sequence = 0
-        self.write_entry()
+        self.begin_anew(self._state)
 
     async def crash(self) -> None:
         """Stops the replica and resets its connections."""
@@ -142,15 +140,15 @@
             await asyncio.sleep(_RESTART_S)
             await self.start()
 
-    def begin_anew(self) -> None:
-        """Writes the entry of its next process, which is ready.
+    def begin_anew(self, state: str = "ready") -> None:
+        """Writes the entry of its next process.
 
         A process that drains ends afterwards, and never becomes ready again.
         """
         now_ms = time.time_ns() // 1_000_000
         self._started_ms = max(now_ms, self._started_ms + 1)
         self._sequence = 0
-        self.write_entry("ready")
+        self.write_entry(state)
 
     def remove_entry(self) -> None:
         """Removes its entry, as the store does without heartbeats."""
